--- /dev/null
+++ b/src/config/operator.ts
@@ -0,0 +1,12 @@
+import type { Tuning } from "../coordination/model.js";
+
+/** Defaults of the operators' own settings; docs/settings.md has unit and effect of each. */
+export const DEFAULTS: Readonly<Tuning> = {
+  longEvery: 4,
+  reservedShare: 0.1,
+  shortCutoffS: 60,
+  idleReturnS: 120,
+  silentReturnS: 90,
+  bootPatience: 3.5,
+  directOrders: true,
+};
--- /dev/null
+++ b/src/coordination/context.ts
@@ -0,0 +1,29 @@
+import type { Settings } from "../config/settings.js";
+import type { Condition, Write } from "../protocol/state.js";
+import type { CloudCall, CloudReply, CommandReply, Level, Urgent } from "./effects.js";
+import type { Groups } from "./groups.js";
+import type { Mirror } from "./mirror.js";
+import type { MachineType, Order, Tuning } from "./model.js";
+
+/** How a commit ended. `unknown`: it may have been carried out, or may yet be. */
+export type CommitEnd = "ok" | "conflict" | "refused" | "unknown";
+
+/** What the parts of the core share; the controller provides it and sets the times before each step. */
+export interface Context {
+  readonly settings: Settings;
+  readonly tuning: Tuning;
+  readonly groups: Groups;
+  readonly mirror: Mirror;
+  catalog: MachineType[] | null;
+  /** Steady time of this step. */
+  nowMs: number;
+  /** Time of day of this step, in ms since the epoch. */
+  wallMs: number;
+  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd) => void): void;
+  cloud(call: CloudCall, urgent: Urgent, done: (reply: CloudReply) => void): void;
+  command(address: string, token: number, session: number, orders: Order[], done: (reply: CommandReply) => void): void;
+  log(level: Level, msg: string, fields?: Record<string, unknown>): void;
+}
+
+/** Steady clocks of different machines may drift apart by 0.05%; waiting for another's clock takes this factor. */
+export const DRIFT = 1.0015;
--- /dev/null
+++ b/src/coordination/master.ts
@@ -0,0 +1,826 @@
+import type { Condition, Write } from "../protocol/state.js";
+import { FIN_CHUNK, finKey, groupKey, jobKey, pastKey, type RoomRecord, type RoomRow, writeFin, writeJob, writePast } from "../storage/records.js";
+import { type CommitEnd, type Context, DRIFT } from "./context.js";
+import { type Answer, Urgent } from "./effects.js";
+import { Fleet } from "./fleet.js";
+import type { JobView } from "./mirror.js";
+import type { Cause, Order, Report, ReportedTask } from "./model.js";
+import { taskKey } from "./model.js";
+import { allowedOn, type Amounts, EPS, fits, goesWhole, zoneCap } from "./placement.js";
+import { isShort, Round } from "./queues.js";
+import { shareOf, withinShare } from "./quota.js";
+import { RangeSet } from "./ranges.js";
+import { Roster } from "./roster.js";
+import { roomFor } from "./splitter.js";
+import { freeOn, type JobRun, newJobRun, runKey, take, type TaskRun, type Worker } from "./tasks.js";
+
+/** Attempts of one token: with a token below 2^33 they stay below 2^53. */
+const ATTEMPTS = 2 ** 20;
+const LEASE_SLACK_MS = 1_000;
+
+/**
+ * The master of one group under one token. It alone starts tasks on the group's machines. It begins with what
+ * the state service holds and learns from reports what runs; it is dropped as soon as the token is lost.
+ */
+export class Master {
+  readonly workers = new Map<string, Worker>();
+  readonly jobs = new Map<string, JobRun>();
+  readonly fleet: Fleet;
+  readonly roster: Roster;
+  private attempts = 0;
+  private readonly turn = { sinceLong: 0 };
+  /** Machines of the former master that have not reported under this token; null: all accounted for. */
+  private fence: Set<string> | null;
+  private readonly sinceMs: number;
+  private dirtyPlace = true;
+  private readonly dirtyWorkers = new Set<Worker>();
+  private lastRoomMs = -Infinity;
+  private lastRoom = "";
+  private roomBusy = false;
+
+  constructor(
+    private readonly ctx: Context,
+    readonly group: string,
+    readonly token: number,
+    private readonly permitted: () => boolean,
+  ) {
+    this.sinceMs = ctx.nowMs;
+    this.roster = new Roster(
+      ctx,
+      group,
+      (key, value, done) => this.commit([], [{ op: "put", key, value }], Urgent.Master, done),
+      () => {
+        this.dirtyPlace = true;
+      },
+    );
+    this.fleet = new Fleet(ctx, this);
+    // Invariant (rules ran_twice, quota, wrong_place): whatever a former master may have started counts as
+    // running until every machine it could have used has spoken under this token or is past its lease.
+    this.fence = new Set(this.roster.machines().keys());
+    if (this.fence.size === 0) this.fence = null;
+    for (const view of ctx.mirror.jobs.values()) this.sync(view, true);
+  }
+
+  // ---- commits -------------------------------------------------------------------------------------------
+
+  /** Every commit of a master depends on its token, so that a late one changes nothing after a takeover. */
+  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd) => void): void {
+    this.ctx.commit([{ key: groupKey(this.group), version: this.token }, ...conditions], writes, urgent, done);
+  }
+
+  // ---- jobs ----------------------------------------------------------------------------------------------
+
+  /** Takes over what the mirror says of a job. */
+  sync(view: JobView, old = false): void {
+    const share = view.split.get(this.group) ?? RangeSet.empty();
+    let job = this.jobs.get(view.id);
+    if (!job) {
+      if (share.isEmpty) return;
+      job = newJobRun(view, old, this.ctx.nowMs);
+      this.jobs.set(view.id, job);
+    }
+    const done = this.ctx.mirror.finished(view.id).get(this.group);
+    if (done) {
+      job.written.addAll(done);
+      job.finished.addAll(done);
+    }
+    if (job.moving && view.version > job.moving.base) job.moving = null;
+    job.mine = share.clone();
+    const waiting = share.clone();
+    waiting.removeAll(job.finished);
+    for (const i of job.active.keys()) waiting.remove(i);
+    if (job.moving) waiting.removeAll(job.moving.tasks);
+    if (job.waiting.isEmpty && !waiting.isEmpty) job.waitingSinceMs = this.ctx.nowMs;
+    job.waiting = waiting;
+    this.finishJob(job);
+    this.dirtyPlace = true;
+  }
+
+  jobGone(id: string): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
+    job.gone = true;
+    job.waiting = RangeSet.empty();
+    this.jobs.delete(id);
+    for (const t of job.active.values()) this.stop(t, 0, "job over");
+    this.dirtyPlace = true;
+  }
+
+  private requeue(t: TaskRun): void {
+    const { job, index } = t;
+    if (job.active.get(index) === t) job.active.delete(index);
+    t.worker.tasks.delete(runKey(job.id, index, t.attempt));
+    if (!job.gone && job.mine.has(index) && !job.finished.has(index) && !job.moving?.tasks.has(index)) {
+      if (job.waiting.isEmpty) job.waitingSinceMs = this.ctx.nowMs;
+      job.waiting.add(index);
+    }
+    this.noteIdle(t.worker);
+    this.dirtyPlace = true;
+  }
+
+  private noteIdle(w: Worker): void {
+    if (w.tasks.size + w.strays.size > 0) w.idleSinceMs = null;
+    else w.idleSinceMs ??= this.ctx.nowMs;
+  }
+
+  private finish(job: JobRun, index: number): void {
+    // A gang's tasks complete together: if one is done, all of them are.
+    if (job.view.spec.shape === "ensemble") job.finished.addAll(job.mine);
+    else job.finished.add(index);
+    job.waiting.removeAll(job.finished);
+    this.finishJob(job);
+  }
+
+  /** Writes what is finished: the job's end if nothing is left, else this group's ranges. */
+  private finishJob(job: JobRun): void {
+    if (job.gone || job.finished.isEmpty || job.view.spec.shape === "daemon") return;
+    const all = this.ctx.mirror.allFinished(job.id);
+    all.addAll(job.finished);
+    if (all.size >= job.view.spec.tasks) this.finalize(job);
+    else if (job.written.size < job.finished.size) this.writeFinished(job);
+  }
+
+  /** Invariant (rules not_done, went_back): the end is one conditional commit, told only after it. */
+  private finalize(job: JobRun): void {
+    if (job.finalizing || job.moving) return;
+    job.finalizing = true;
+    const id = job.id;
+    const fins = this.ctx.mirror.finRecordKeys(id).slice(0, this.ctx.settings.state.txnOps - 2);
+    const n = job.view.spec.tasks;
+    this.commit(
+      [{ key: jobKey(id), version: job.view.version }],
+      [
+        { op: "put", key: pastKey(id), value: writePast({ status: "done", tasks: n, done: n }) },
+        { op: "delete", key: jobKey(id) },
+        ...fins.map((key): Write => ({ op: "delete", key })),
+      ],
+      Urgent.Master,
+      (end) => {
+        job.finalizing = false;
+        if (end !== "ok") job.backoffUntilMs = Math.max(job.backoffUntilMs, this.ctx.nowMs + 300);
+      },
+    );
+  }
+
+  private writeFinished(job: JobRun): void {
+    if (job.writing) return;
+    const fresh = job.finished.clone();
+    fresh.removeAll(job.written);
+    const first = fresh.first();
+    if (first === undefined) return;
+    const chunk = Math.floor(first / FIN_CHUNK);
+    const covered = job.finished.slice(chunk * FIN_CHUNK, (chunk + 1) * FIN_CHUNK - 1);
+    job.writing = true;
+    this.commit(
+      // Without the job's record the ranges would be left behind by a job that is over.
+      [{ key: jobKey(job.id), version: job.view.version }],
+      [{ op: "put", key: finKey(job.id, this.group, chunk), value: writeFin(covered, chunk) }],
+      Urgent.Master,
+      (end) => {
+        job.writing = false;
+        if (end === "ok") job.written.addAll(covered);
+        else job.backoffUntilMs = Math.max(job.backoffUntilMs, this.ctx.nowMs + 300);
+      },
+    );
+  }
+
+  // ---- reports -------------------------------------------------------------------------------------------
+
+  /** The state of the tasks on a machine, and the orders for it. Only called while the permit holds. */
+  report(r: Report): Answer {
+    const now = this.ctx.nowMs;
+    let w = this.workers.get(r.worker);
+    if (w && (r.session < w.session || (r.session === w.session && (r.tally <= w.tally || w.lost)))) {
+      // A late message: its list is as old as itself, and the worker doesn't wait for the answer any more.
+      return { is: "later", afterS: 1, why: "late report" };
+    }
+    if (!w) {
+      w = this.newWorker(r);
+      this.workers.set(w.id, w);
+      this.fleet.cameUp(w);
+    }
+    if (w.lost) {
+      w.lost = false;
+      this.ctx.log("info", "worker is back", { worker: w.id, session: r.session });
+    }
+    if (r.session > w.session) this.newSession(w, r.session);
+    w.tally = r.tally;
+    w.token = Math.max(w.token, r.token);
+    w.address = r.address;
+    w.takenAtMs = r.noticeS === null ? null : now + r.noticeS * 1000;
+    w.answeredMs = now;
+    w.type ??= this.ctx.catalog?.find((t) => t.name === r.type) ?? null;
+    if (!w.going) this.roster.set(w.id, { going: false, type: w.typeName });
+    this.reconcile(w, r.tasks);
+    if (r.token === this.token) this.accountFor(w.id);
+    this.noteIdle(w);
+    this.onNotice(w);
+    this.dirtyPlace = true;
+    this.place();
+    this.dirtyWorkers.delete(w);
+    return { is: "orders", token: this.token, orders: this.ordersFor(w) };
+  }
+
+  private newWorker(r: Report): Worker {
+    return {
+      id: r.worker,
+      address: r.address,
+      typeName: r.type,
+      type: this.ctx.catalog?.find((t) => t.name === r.type) ?? null,
+      zone: r.zone,
+      spot: r.spot,
+      session: r.session,
+      tally: -1,
+      token: 0,
+      answeredMs: this.ctx.nowMs,
+      lost: false,
+      firstMs: this.ctx.nowMs,
+      takenAtMs: null,
+      tasks: new Map(),
+      strays: new Map(),
+      exited: [],
+      images: new Map(),
+      going: this.roster.goingWritten(r.worker),
+      idleSinceMs: this.ctx.nowMs,
+      failed: new Set(),
+      avoidUntilMs: 0,
+      openStarts: new Map(),
+      direct: false,
+    };
+  }
+
+  /** A new session: the worker has killed and forgotten all its tasks, and takes no older message any more. */
+  private newSession(w: Worker, session: number): void {
+    this.releaseAll(w, "new session");
+    w.session = session;
+    w.tally = -1;
+    w.openStarts.clear();
+    w.exited = [];
+  }
+
+  private releaseAll(w: Worker, why: string): void {
+    if (w.tasks.size > 0) this.ctx.log("info", "tasks lost with their machine's session", { worker: w.id, tasks: w.tasks.size, why });
+    for (const t of [...w.tasks.values()]) this.requeue(t);
+    w.strays.clear();
+    this.noteIdle(w);
+  }
+
+  private reconcile(w: Worker, reported: readonly ReportedTask[]): void {
+    const now = this.ctx.nowMs;
+    const shown = new Map<string, ReportedTask>();
+    for (const r of reported) shown.set(runKey(r.job, r.index, r.attempt), r);
+    w.exited = [];
+    const strays = new Map(w.strays);
+    w.strays.clear();
+    for (const [key, t] of [...w.tasks]) {
+      const r = shown.get(key);
+      if (!r) {
+        // A start that no report shows was not carried out, and if it rode in an answer it never will be: the
+        // worker drops answers that it no longer waits for. One sent straight to it may still arrive.
+        if (t.phase !== "ordered") this.lostTask(t);
+        else if (t.stop && !w.openStarts.has(key)) this.requeue(t);
+      } else if (r.state === "exited") {
+        this.exited(t, r.cause, r.saved);
+      } else {
+        if (t.phase !== r.state) {
+          t.phase = r.state;
+          t.sinceMs = now;
+        }
+        if (r.state === "running" || r.state === "waiting") this.noteImage(w, t);
+      }
+    }
+    for (const [key, r] of shown) {
+      if (r.state === "exited") {
+        w.exited.push({ job: r.job, index: r.index, attempt: r.attempt, cause: r.cause });
+        if (!w.tasks.has(key) && r.cause === "done") this.foundDone(r);
+        continue;
+      }
+      if (w.tasks.has(key) || this.adopt(w, r)) continue;
+      const spec = (this.jobs.get(r.job)?.view ?? this.ctx.mirror.jobs.get(r.job))?.spec;
+      w.strays.set(key, {
+        job: r.job,
+        index: r.index,
+        attempt: r.attempt,
+        need: spec ? { team: spec.team, cpus: spec.cpus, gpus: spec.gpus, memGb: spec.memGb } : (strays.get(key)?.need ?? null),
+        sinceMs: strays.get(key)?.sinceMs ?? now,
+      });
+    }
+  }
+
+  private noteImage(w: Worker, t: TaskRun): void {
+    const spec = t.job.view.spec;
+    if (!spec.image) return;
+    w.images.delete(spec.image);
+    w.images.set(spec.image, { gb: spec.imageGb, usedMs: this.ctx.nowMs });
+    let total = 0;
+    for (const i of w.images.values()) total += i.gb;
+    for (const [image, i] of w.images) {
+      if (total <= (w.type?.cacheGb ?? 0) || w.images.size === 1) break;
+      w.images.delete(image);
+      total -= i.gb;
+    }
+  }
+
+  /** A result that was reported under another attempt counts all the same. */
+  private foundDone(r: ReportedTask): void {
+    const job = this.jobs.get(r.job);
+    if (!job || job.view.spec.shape === "daemon" || !job.mine.has(r.index) || job.finished.has(r.index)) return;
+    const running = job.active.get(r.index);
+    this.finish(job, r.index);
+    if (running) this.stop(running, 0, "done elsewhere");
+  }
+
+  /** A task that a former master started (or whose start we forgot): ours from now on, if it may be. */
+  private adopt(w: Worker, r: ReportedTask): boolean {
+    const job = this.jobs.get(r.job);
+    if (!job || job.gone || !job.waiting.has(r.index) || r.state === "exited") return false;
+    const spec = job.view.spec;
+    if (spec.shape === "ensemble" && [...job.active.values()].some((t) => t.attempt !== r.attempt)) return false;
+    if (!allowedOn(spec, w.typeName, w.zone, w.spot)) return false;
+    job.waiting.remove(r.index);
+    const t: TaskRun = { job, index: r.index, attempt: r.attempt, worker: w, phase: r.state, sinceMs: this.ctx.nowMs, stop: null };
+    job.active.set(r.index, t);
+    w.tasks.set(runKey(job.id, t.index, t.attempt), t);
+    this.noteImage(w, t);
+    return true;
+  }
+
+  private lostTask(t: TaskRun): void {
+    this.ctx.log("info", "task vanished from its machine", { task: taskKey(t.job.id, t.index), worker: t.worker.id });
+    this.requeue(t);
+  }
+
+  private exited(t: TaskRun, cause: Cause | null, saved: boolean): void {
+    const { job, worker: w } = t;
+    this.ctx.log("debug", "task ended", { task: taskKey(job.id, t.index), worker: w.id, cause, saved });
+    if (cause === "done" && !job.gone && job.view.spec.shape !== "daemon") this.finish(job, t.index);
+    if (cause === "done") w.failed.clear();
+    if (cause === "error") this.failed(t);
+    if (cause === "no_room" || cause === "busy") w.avoidUntilMs = this.ctx.nowMs + 2_000;
+    if (cause === "no_such") job.backoffUntilMs = this.ctx.nowMs + 2_000;
+    this.requeue(t);
+  }
+
+  /**
+   * A failure is mostly the machine's fault, but a job that fails on every machine must not condemn the
+   * machines: a machine is given up for failures of two different jobs, or one job's where that job runs
+   * elsewhere; a job that failed on three machines is retried ever more slowly and accuses nobody.
+   */
+  private failed(t: TaskRun): void {
+    const { job, worker: w } = t;
+    job.errors.set(w.id, (job.errors.get(w.id) ?? 0) + 1);
+    const times = [...job.errors.values()].reduce((a, b) => a + b, 0);
+    if (job.errors.size >= 3) {
+      job.backoffUntilMs = this.ctx.nowMs + Math.min(60_000, 1_000 * 2 ** Math.min(6, times - 3));
+      for (const x of this.workers.values()) x.failed.delete(job.id);
+    } else {
+      w.failed.add(job.id);
+    }
+    w.avoidUntilMs = Math.max(w.avoidUntilMs, this.ctx.nowMs + 5_000 * w.failed.size);
+    this.ctx.log("info", "task failed", { task: taskKey(job.id, t.index), worker: w.id, jobsFailedHere: w.failed.size });
+    if (w.failed.size >= 2 && !w.going) this.fleet.giveUp(w, "tasks of several jobs failed on it");
+  }
+
+  /** A spot machine that is about to be taken: what can save does so just in time. */
+  private onNotice(w: Worker): void {
+    if (w.takenAtMs === null) return;
+    const left = (w.takenAtMs - this.ctx.nowMs) / 1000;
+    for (const t of [...w.tasks.values()]) {
+      const spec = t.job.view.spec;
+      if (t.stop || spec.checkpointS <= 0 || left > spec.saveS + 2 * this.ctx.settings.reportS + 2) continue;
+      for (const peer of spec.shape === "ensemble" ? [...t.job.active.values()] : [t])
+        this.stop(peer, spec.saveS + 1, "machine is taken back");
+    }
+  }
+
+  stop(t: TaskRun, graceS: number, why: string): void {
+    if (t.stop && t.stop.graceS <= graceS) return;
+    t.stop = { graceS, why };
+    this.dirtyWorkers.add(t.worker);
+    // Never shown and never sent straight to the machine: the next report settles it.
+    this.ctx.log("debug", "stopping task", { task: taskKey(t.job.id, t.index), worker: t.worker.id, why });
+  }
+
+  /** All that this machine should be told now. Every order may be repeated. */
+  private ordersFor(w: Worker): Order[] {
+    const orders: Order[] = [];
+    for (const e of w.exited) {
+      const job = this.jobs.get(e.job);
+      // Clearing a result that is not written yet would have the task run again after a takeover.
+      if (job && e.cause === "done" && job.finished.has(e.index) && !job.written.has(e.index)) continue;
+      if (w.openStarts.has(runKey(e.job, e.index, e.attempt))) continue;
+      orders.push({ op: "forget", job: e.job, index: e.index, attempt: e.attempt });
+    }
+    for (const s of w.strays.values()) orders.push({ op: "stop", job: s.job, index: s.index, attempt: s.attempt, graceS: 0 });
+    for (const t of w.tasks.values()) {
+      if (t.stop) {
+        if (t.phase !== "ordered" && !(t.phase === "saving" && t.stop.graceS > 0))
+          orders.push({ op: "stop", job: t.job.id, index: t.index, attempt: t.attempt, graceS: t.stop.graceS });
+      } else if (t.phase === "ordered") {
+        orders.push({ op: "start", job: t.job.id, index: t.index, attempt: t.attempt });
+      }
+    }
+    return orders;
+  }
+
+  // ---- the fence -----------------------------------------------------------------------------------------
+
+  private accountFor(id: string): void {
+    if (!this.fence) return;
+    this.fence.delete(id);
+    if (this.fence.size === 0) this.liftFence("every machine has reported");
+  }
+
+  private liftFence(why: string): void {
+    this.fence = null;
+    this.ctx.log("info", "takeover complete", { group: this.group, token: this.token, why, afterMs: Math.round(this.ctx.nowMs - this.sinceMs) });
+    this.dirtyPlace = true;
+  }
+
+  /** The cloud has said that these machines are gone, with everything on them. */
+  machinesGone(ids: readonly string[]): void {
+    for (const id of ids) {
+      const w = this.workers.get(id);
+      if (w) {
+        this.releaseAll(w, "machine returned");
+        this.workers.delete(id);
+      }
+      this.roster.remove(id);
+      this.accountFor(id);
+    }
+  }
+
+  // ---- placing -------------------------------------------------------------------------------------------
+
+  /** Heard lately enough to expect that it takes orders. */
+  private isHeard(w: Worker): boolean {
+    return !w.lost && this.ctx.nowMs - w.answeredMs < 2_000 * this.ctx.settings.reportS + 1_000;
+  }
+  usable(w: Worker): boolean {
+    return !w.going && w.takenAtMs === null && w.type !== null && this.ctx.nowMs >= w.avoidUntilMs && this.isHeard(w) && this.roster.has(w.id);
+  }
+
+  /** What a team uses in this group, counting all that may be running. */
+  private usage(): Map<string, { cpus: number; gpus: number }> {
+    const used = new Map<string, { cpus: number; gpus: number }>();
+    let blindCpus = 0;
+    let blindGpus = 0;
+    const add = (team: string, need: { cpus: number; gpus: number }, n = 1): void => {
+      const u = used.get(team) ?? { cpus: 0, gpus: 0 };
+      u.cpus += need.cpus * n;
+      u.gpus += need.gpus * n;
+      used.set(team, u);
+    };
+    for (const w of this.workers.values()) {
+      for (const t of w.tasks.values()) add(t.job.view.spec.team, t.job.view.spec);
+      for (const s of w.strays.values()) {
+        if (s.need) add(s.need.team, s.need);
+        else {
+          blindCpus += w.type?.cpus ?? Infinity;
+          blindGpus += w.type?.gpus ?? Infinity;
+        }
+      }
+    }
+    if (this.fence) {
+      for (const j of this.jobs.values()) if (j.old) add(j.view.spec.team, j.view.spec, j.waiting.size);
+      // A silent machine may also run tasks of jobs that are over, of any team.
+      for (const id of this.fence) {
+        if (this.workers.has(id)) continue;
+        const type = this.ctx.catalog?.find((t) => t.name === this.roster.machines().get(id)?.type);
+        blindCpus += type?.cpus ?? Infinity;
+        blindGpus += type?.gpus ?? Infinity;
+      }
+    }
+    for (const team of this.ctx.settings.teams.keys()) add(team, { cpus: blindCpus, gpus: blindGpus });
+    return used;
+  }
+
+  share(team: string): [number, number] {
+    const t = this.ctx.settings.teams.get(team);
+    if (!t) return [0, 0];
+    return shareOf(t, this.group, this.ctx.groups.names, this.ctx.mirror.shares);
+  }
+
+  /** Reserved for short tasks: the machines of each type that come last by name. */
+  private reserved(usable: readonly Worker[]): Set<string> {
+    const byType = new Map<string, string[]>();
+    for (const w of usable) {
+      const list = byType.get(w.typeName) ?? [];
+      list.push(w.id);
+      byType.set(w.typeName, list);
+    }
+    const out = new Set<string>();
+    for (const ids of byType.values()) {
+      ids.sort();
+      const n = Math.floor(ids.length * this.ctx.tuning.reservedShare);
+      for (const id of ids.slice(ids.length - n)) out.add(id);
+    }
+    return out;
+  }
+
+  mayStart(job: JobRun): boolean {
+    return (
+      !job.gone &&
+      !job.waiting.isEmpty &&
+      this.ctx.nowMs >= job.backoffUntilMs &&
+      // See the fence: a task of an older record may be running on a machine that has not spoken yet.
+      !(this.fence && job.old)
+    );
+  }
+
+  place(): void {
+    if (!this.dirtyPlace || !this.permitted()) return;
+    this.dirtyPlace = false;
+    const ready = [...this.jobs.values()].filter((j) => this.mayStart(j));
+    if (ready.length === 0) return;
+    const used = this.usage();
+    const workers = [...this.workers.values()].filter((w) => this.usable(w));
+    const free = new Map<Worker, Amounts>(workers.map((w) => [w, freeOn(w)]));
+    const reserved = this.reserved(workers);
+    const round = new Round(
+      ready.map((j) => ({ spec: j.view.spec, acceptedAt: j.view.acceptedAt, guaranteed: j.guaranteed, job: j })),
+      this.ctx.tuning,
+      this.turn,
+    );
+    for (let head = round.head(); head; head = round.head()) {
+      const job = head.job;
+      const open = isShort(job.view.spec, this.ctx.tuning) ? workers : workers.filter((w) => !reserved.has(w.id));
+      const n = this.placeSome(job, open, free, reserved, used);
+      if (n > 0) round.served(n);
+      if (n === 0 || job.waiting.isEmpty) round.skip();
+    }
+  }
+
+  /** Places a whole gang or one task; the number of tasks placed. */
+  private placeSome(
+    job: JobRun,
+    open: readonly Worker[],
+    free: Map<Worker, Amounts>,
+    reserved: ReadonlySet<string>,
+    used: Map<string, { cpus: number; gpus: number }>,
+  ): number {
+    const spec = job.view.spec;
+    const gang = spec.shape === "ensemble";
+    // A gang starts anew only when nothing of its last attempt is left; its tasks complete or fail together.
+    if (gang && (job.active.size > 0 || job.waiting.size < job.mine.size || this.hasStrays(job.id))) return 0;
+    const want = gang ? job.waiting.size : 1;
+    const team = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    if (!withinShare(team, { cpus: spec.cpus * want, gpus: spec.gpus * want }, this.share(spec.team))) return 0;
+    const chosen = this.choose(job, want, open, free, reserved);
+    if (chosen.length < want) {
+      // Holding freed room: what a waiting gang could use already is not given to those behind it.
+      if (gang && want > 1) for (const w of chosen) take(free.get(w)!, spec);
+      return 0;
+    }
+    const attempt = this.token * ATTEMPTS + ++this.attempts;
+    for (const w of chosen) {
+      const index = job.waiting.first()!;
+      job.waiting.remove(index);
+      const t: TaskRun = { job, index, attempt, worker: w, phase: "ordered", sinceMs: this.ctx.nowMs, stop: null };
+      job.active.set(index, t);
+      w.tasks.set(runKey(job.id, index, attempt), t);
+      w.idleSinceMs = null;
+      take(free.get(w)!, spec);
+      team.cpus += spec.cpus;
+      team.gpus += spec.gpus;
+      this.dirtyWorkers.add(w);
+    }
+    used.set(spec.team, team);
+    return want;
+  }
+
+  private hasStrays(id: string, index?: number): boolean {
+    for (const w of this.workers.values())
+      for (const s of w.strays.values()) if (s.job === id && (index === undefined || s.index === index)) return true;
+    return false;
+  }
+
+  /** Zones where tasks of this job are or may be, with their number: tasks of old attempts count. */
+  private zonesOf(job: JobRun): Map<string, number> {
+    const zones = new Map<string, number>();
+    const add = (zone: string): void => void zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    for (const t of job.active.values()) add(t.worker.zone);
+    for (const w of this.workers.values()) for (const s of w.strays.values()) if (s.job === job.id) add(w.zone);
+    return zones;
+  }
+
+  /** Machines for `want` tasks of a job, best first; fewer if there is no room for all. */
+  private choose(
+    job: JobRun,
+    want: number,
+    open: readonly Worker[],
+    free: ReadonlyMap<Worker, Amounts>,
+    reserved: ReadonlySet<string>,
+  ): Worker[] {
+    const spec = job.view.spec;
+    const at = this.zonesOf(job);
+    // Invariant (rule ran_twice): nothing is started that may still be on some machine.
+    if (this.hasStrays(job.id, job.waiting.first())) return [];
+    const cap = zoneCap(spec);
+    const pick = (zone: string | null): Worker[] => {
+      const count = new Map(at);
+      const left = new Map<Worker, Amounts>();
+      const out: Worker[] = [];
+      for (let k = 0; k < want; k++) {
+        let best: Worker | null = null;
+        let bestScore = -Infinity;
+        for (const w of open) {
+          if (zone !== null && w.zone !== zone) continue;
+          if (!allowedOn(spec, w.typeName, w.zone, w.spot)) continue;
+          // Invariant (rule wrong_place): with `spread`, no zone holds more than half, old attempts included.
+          if ((count.get(w.zone) ?? 0) + 1 > cap) continue;
+          const room = left.get(w) ?? free.get(w)!;
+          if (!fits(spec, room)) continue;
+          const score = this.score(job, w, room, reserved);
+          if (score > bestScore) {
+            best = w;
+            bestScore = score;
+          }
+        }
+        if (!best) break;
+        const room = { ...(left.get(best) ?? free.get(best)!) };
+        take(room, spec);
+        left.set(best, room);
+        count.set(best.zone, (count.get(best.zone) ?? 0) + 1);
+        out.push(best);
+      }
+      return out;
+    };
+    if (!spec.samePlace) return pick(null);
+    // Invariant (rule wrong_place): with `samePlace` only the zone where any of its tasks still is.
+    if (at.size > 1) return [];
+    if (at.size === 1) return pick([...at.keys()][0]!);
+    let best: Worker[] = [];
+    for (const zone of new Set(open.map((w) => w.zone))) {
+      const got = pick(zone);
+      if (got.length > best.length) best = got;
+    }
+    return best;
+  }
+
+  /** Higher is better: its image is there, unreserved, no unneeded accelerators, little left over. */
+  private score(job: JobRun, w: Worker, room: Amounts, reserved: ReadonlySet<string>): number {
+    const spec = job.view.spec;
+    let s = 0;
+    if (job.errors.has(w.id)) s -= 1_000;
+    if (spec.gpus === 0 && (w.type?.gpus ?? 0) > 0) s -= 500;
+    if (!spec.image || w.images.has(spec.image)) s += 200;
+    if (reserved.has(w.id)) s -= 100;
+    for (const t of w.tasks.values()) if (t.job.view.spec.image === spec.image) s += 50;
+    const rest = w.type ? (room.cpus - spec.cpus) / (w.type.cpus || 1) : 0;
+    return s - rest * 10;
+  }
+
+  // ---- room, moves ---------------------------------------------------------------------------------------
+
+  runningOf(id: string): number {
+    let n = 0;
+    for (const t of this.jobs.get(id)?.active.values() ?? []) if (t.phase === "running" || t.phase === "saving") n++;
+    return n;
+  }
+
+  room(): RoomRecord {
+    const rows = new Map<string, RoomRow>();
+    for (const w of this.workers.values()) {
+      if (!this.usable(w)) continue;
+      const key = `${w.typeName}/${w.zone}/${w.spot}`;
+      let row = rows.get(key);
+      if (!row) rows.set(key, (row = { type: w.typeName, zone: w.zone, spot: w.spot, machines: 0, free: [] }));
+      row.machines++;
+      const f = freeOn(w);
+      if (row.free.length < 40 && (f.cpus > EPS || f.gpus > EPS)) row.free.push([f.cpus, f.gpus, f.memGb]);
+    }
+    let short = 0;
+    let long = 0;
+    const running = new Map<string, number>();
+    for (const j of this.jobs.values()) {
+      if (isShort(j.view.spec, this.ctx.tuning)) short += j.waiting.size;
+      else long += j.waiting.size;
+      const n = this.runningOf(j.id);
+      if (n > 0 && running.size < 120) running.set(j.id, n);
+    }
+    return { rows: [...rows.values()], short, long, running };
+  }
+
+  writeRoomIf(write: (r: RoomRecord) => object, key: string): void {
+    if (this.roomBusy || this.ctx.nowMs - this.lastRoomMs < 1_000) return;
+    const value = write(this.room());
+    const text = JSON.stringify(value);
+    if (text === this.lastRoom) return;
+    this.lastRoomMs = this.ctx.nowMs;
+    this.roomBusy = true;
+    this.commit([], [{ op: "put", key, value }], Urgent.Spare, (end) => {
+      this.roomBusy = false;
+      if (end === "ok") this.lastRoom = text;
+    });
+  }
+
+  waitingTasks(): number {
+    let n = 0;
+    for (const j of this.jobs.values()) n += j.waiting.size;
+    return n;
+  }
+
+  /**
+   * Pigeon's groups keep their tasks; ours let an idle master with empty queues take waiting ones from the
+   * longest queue's master. The giver writes the move into the job's record before the taker may start them,
+   * and starts none of them itself from before that commit is sent.
+   */
+  private giveToIdle(): void {
+    const queue = this.waitingTasks();
+    if (queue === 0 || this.fence) return;
+    const rooms = this.ctx.mirror.rooms;
+    for (const [g, r] of rooms) if (g !== this.group && r.short + r.long > queue) return;
+    for (const [g, r] of rooms) {
+      if (g === this.group || r.short + r.long > 0 || !this.ctx.mirror.groups.has(g)) continue;
+      for (const job of this.jobs.values()) {
+        const spec = job.view.spec;
+        if (job.moving || job.finalizing || !this.mayStart(job) || this.ctx.nowMs - job.waitingSinceMs < 1_500) continue;
+        if (spec.spread) continue;
+        const fit = roomFor(spec, r);
+        const whole = goesWhole(spec);
+        if (whole ? job.waiting.size < spec.tasks || fit < spec.tasks || this.hasStrays(job.id) : fit === 0) continue;
+        this.move(job, job.waiting.take(whole ? spec.tasks : fit), g);
+        return;
+      }
+    }
+  }
+
+  private move(job: JobRun, tasks: RangeSet, to: string): void {
+    for (const i of tasks) if (this.hasStrays(job.id, i)) return;
+    const split = new Map([...job.view.split].map(([g, r]) => [g, r.clone()]));
+    split.get(this.group)!.removeAll(tasks);
+    const theirs = split.get(to) ?? RangeSet.empty();
+    theirs.addAll(tasks);
+    split.set(to, theirs);
+    const value = writeJob({ spec: job.view.spec, acceptedAt: job.view.acceptedAt, split });
+    job.moving = { base: job.view.version, tasks, to, value, sent: false };
+    job.waiting.removeAll(tasks);
+    this.ctx.log("info", "moving waiting tasks to an idle group", { job: job.id, tasks: tasks.size, to });
+    this.sendMove(job);
+  }
+
+  private sendMove(job: JobRun): void {
+    const m = job.moving;
+    if (!m || m.sent) return;
+    m.sent = true;
+    const key = jobKey(job.id);
+    this.commit([{ key, version: m.base }], [{ op: "put", key, value: m.value }], Urgent.Spare, (end) => {
+      m.sent = false;
+      // Without an answer it may yet happen: the tasks stay untouched, and the same commit is sent again, until
+      // the record says which it is.
+      if (job.moving === m && (end === "refused" || end === "conflict")) {
+        job.moving = null;
+        if (!job.gone) this.sync(job.view);
+      }
+    });
+  }
+
+  // ---- time ----------------------------------------------------------------------------------------------
+
+  tick(): void {
+    const now = this.ctx.nowMs;
+    const leaseMs = this.ctx.settings.leaseS * 1000 * DRIFT + LEASE_SLACK_MS;
+    if (this.fence && now - this.sinceMs > leaseMs) this.liftFence("leases of silent machines have ended");
+    for (const w of this.workers.values()) {
+      if (w.lost || now - w.answeredMs <= leaseMs) continue;
+      w.lost = true;
+      this.ctx.log("info", "worker is silent past its lease", { worker: w.id, tasks: w.tasks.size });
+      this.releaseAll(w, "lease ended");
+    }
+    for (const j of this.jobs.values()) {
+      if (now >= j.backoffUntilMs) this.finishJob(j);
+      this.sendMove(j);
+    }
+    this.roster.flush();
+    this.dirtyPlace = true;
+    this.place();
+    if (this.permitted()) {
+      this.giveToIdle();
+      this.fleet.tick();
+    }
+  }
+
+  /** Orders that should not wait for the next report go straight to the machines. */
+  sendDirect(): void {
+    for (const w of this.dirtyWorkers) {
+      this.dirtyWorkers.delete(w);
+      if (!this.ctx.tuning.directOrders || w.direct || w.lost || !this.permitted()) continue;
+      const orders = this.ordersFor(w).filter((o) => o.op !== "forget");
+      if (orders.length === 0) continue;
+      const keys = orders.filter((o) => o.op === "start").map((o) => runKey(o.job, o.index, o.attempt));
+      const session = w.session;
+      for (const k of keys) w.openStarts.set(k, (w.openStarts.get(k) ?? 0) + 1);
+      w.direct = true;
+      this.ctx.command(w.address, this.token, session, orders, (reply) => {
+        w.direct = false;
+        if (reply.is === "unknown" || w.session !== session) return;
+        for (const k of keys) {
+          const n = (w.openStarts.get(k) ?? 0) - 1;
+          if (n > 0) w.openStarts.set(k, n);
+          else w.openStarts.delete(k);
+        }
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/placement.ts
@@ -0,0 +1,39 @@
+import type { JobSpec, MachineType } from "./model.js";
+
+/** Amounts are sums of decimal numbers: compare them with some slack. */
+export const EPS = 1e-6;
+
+export interface Amounts {
+  cpus: number;
+  gpus: number;
+  memGb: number;
+}
+
+export const fits = (need: Amounts, room: Amounts): boolean =>
+  need.cpus <= room.cpus + EPS && need.gpus <= room.gpus + EPS && need.memGb <= room.memGb + EPS;
+
+/** How many tasks of this need go into this room. */
+export function fitCount(need: Amounts, room: Amounts): number {
+  let n = Infinity;
+  if (need.cpus > 0) n = Math.min(n, Math.floor((room.cpus + EPS) / need.cpus));
+  if (need.gpus > 0) n = Math.min(n, Math.floor((room.gpus + EPS) / need.gpus));
+  if (need.memGb > 0) n = Math.min(n, Math.floor((room.memGb + EPS) / need.memGb));
+  return n === Infinity ? 1_000 : Math.max(0, n);
+}
+
+/** The type, zone and kind that a job's tasks may run on. */
+export function allowedOn(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
+  if (spec.types !== null && !spec.types.includes(type)) return false;
+  if (spec.zone !== null && spec.zone !== zone) return false;
+  return spec.spot || !spot;
+}
+
+export function couldRun(spec: JobSpec, t: MachineType, zone: string): boolean {
+  return t.zones.includes(zone) && allowedOn(spec, t.name, zone, false) && fits(spec, t);
+}
+
+/** With `spread`, at most half of the tasks, rounded up, may be in one zone. */
+export const zoneCap = (spec: JobSpec): number => (spec.spread ? Math.ceil(spec.tasks / 2) : Infinity);
+
+/** All tasks go to one group: gangs start together, and `samePlace` wants one zone. */
+export const goesWhole = (spec: JobSpec): boolean => spec.shape === "ensemble" || spec.samePlace;
--- /dev/null
+++ b/src/coordination/queues.ts
@@ -0,0 +1,57 @@
+import { type JobSpec, type Tuning, URGENCIES } from "./model.js";
+
+/** What the queues need to know of a job that has waiting tasks in this group. */
+export interface Queued {
+  spec: JobSpec;
+  acceptedAt: number;
+  /** The job lies within its team's guarantee, as far as this group can tell. */
+  guaranteed: boolean;
+}
+
+/** Pigeon's classes: short tasks may use the reserved machines, long ones may not. */
+export function isShort(spec: JobSpec, tuning: Tuning): boolean {
+  return spec.shape !== "daemon" && spec.estimateS < tuning.shortCutoffS;
+}
+
+function before(a: Queued, b: Queued): number {
+  const u = URGENCIES.indexOf(b.spec.urgency) - URGENCIES.indexOf(a.spec.urgency);
+  if (u !== 0) return u;
+  if (a.guaranteed !== b.guaranteed) return a.guaranteed ? -1 : 1;
+  return a.acceptedAt - b.acceptedAt || (a.spec.id < b.spec.id ? -1 : 1);
+}
+
+/**
+ * The short and the long queue of a group (Pigeon, section 2.2): short first, yet of every W tasks served one
+ * comes from the long queue while anything waits there. A job that can't go on now leaves the round, so that
+ * what stands behind it may use what it can't.
+ */
+export class Round<T extends Queued> {
+  private readonly short: T[] = [];
+  private readonly long: T[] = [];
+
+  constructor(
+    jobs: Iterable<T>,
+    private readonly tuning: Tuning,
+    private readonly turn: { sinceLong: number },
+  ) {
+    for (const j of jobs) (isShort(j.spec, tuning) ? this.short : this.long).push(j);
+    this.short.sort(before);
+    this.long.sort(before);
+  }
+
+  private longsTurn(): boolean {
+    if (this.long.length === 0) return false;
+    return this.short.length === 0 || this.turn.sinceLong >= this.tuning.longEvery - 1;
+  }
+  head(): T | undefined {
+    return this.longsTurn() ? this.long[0] : this.short[0];
+  }
+  /** `n` tasks of the head were served. */
+  served(n: number): void {
+    this.turn.sinceLong = this.longsTurn() ? 0 : this.turn.sinceLong + n;
+  }
+  /** The head can't go on in this round. */
+  skip(): void {
+    (this.longsTurn() ? this.long : this.short).shift();
+  }
+}
--- /dev/null
+++ b/src/coordination/splitter.ts
@@ -0,0 +1,134 @@
+import type { RoomRecord } from "../storage/records.js";
+import type { Groups } from "./groups.js";
+import type { JobSpec, MachineType } from "./model.js";
+import { allowedOn, couldRun, fitCount, goesWhole, zoneCap } from "./placement.js";
+import { RangeSet } from "./ranges.js";
+
+/** How a job is cut over the groups: by the room that each group last wrote (Pigeon's suggestion, section 2.2). */
+
+export interface Capable {
+  group: string;
+  /** Zones of the group where some allowed type is offered. */
+  zones: string[];
+}
+
+export function capableGroups(spec: JobSpec, catalog: readonly MachineType[], groups: Groups): Capable[] {
+  const zones = new Set<string>();
+  for (const t of catalog) for (const z of t.zones) if (couldRun(spec, t, z)) zones.add(z);
+  return groups.names
+    .map((group) => ({ group, zones: [...zones].filter((z) => groups.of(z) === group).sort() }))
+    .filter((c) => c.zones.length > 0);
+}
+
+/** Tasks of this job that fit into a group's written room. */
+export function roomFor(spec: JobSpec, room: RoomRecord | undefined): number {
+  let n = 0;
+  if (!room) return 0;
+  for (const row of room.rows) {
+    if (!allowedOn(spec, row.type, row.zone, row.spot)) continue;
+    for (const [cpus, gpus, memGb] of row.free) n += fitCount(spec, { cpus, gpus, memGb });
+  }
+  return n;
+}
+
+interface Weighted extends Capable {
+  /** Tasks that fit at once. */
+  room: number;
+  /** How fast it may come to the rest: machines it has or could have, over what waits there. */
+  later: number;
+  cap: number;
+}
+
+function weigh(
+  spec: JobSpec,
+  capable: readonly Capable[],
+  rooms: ReadonlyMap<string, RoomRecord>,
+  catalog: readonly MachineType[],
+  handed: ReadonlyMap<string, number>,
+): Weighted[] {
+  return capable.map((c) => {
+    const r = rooms.get(c.group);
+    const waiting = (r ? r.short + r.long : 0) + (handed.get(c.group) ?? 0);
+    const machines = (r?.rows ?? []).reduce(
+      (n, row) => n + (allowedOn(spec, row.type, row.zone, row.spot) ? row.machines : 0),
+      0,
+    );
+    const offers = catalog.reduce((n, t) => n + c.zones.filter((z) => couldRun(spec, t, z)).length, 0);
+    return {
+      ...c,
+      room: Math.max(0, roomFor(spec, r) - waiting),
+      later: (machines + offers) / (1 + waiting),
+      cap: zoneCap(spec) * c.zones.length,
+    };
+  });
+}
+
+/** A fixed shuffle by job id: equal groups take turns without a source of chance in the core. */
+function turn(id: string, n: number): number {
+  let h = 2166136261;
+  for (const ch of id) h = Math.imul(h ^ ch.charCodeAt(0), 16777619) >>> 0;
+  return h % n;
+}
+
+/** `handed`: tasks that this controller gave to each group since the group last wrote its room. */
+export function splitJob(
+  spec: JobSpec,
+  capable: readonly Capable[],
+  rooms: ReadonlyMap<string, RoomRecord>,
+  catalog: readonly MachineType[],
+  handed: ReadonlyMap<string, number>,
+): Map<string, RangeSet> {
+  const start = turn(spec.id, capable.length);
+  const ws = weigh(spec, [...capable.slice(start), ...capable.slice(0, start)], rooms, catalog, handed);
+  const best = (score: (w: Weighted) => number): Weighted => ws.reduce((a, b) => (score(b) > score(a) ? b : a));
+  if (goesWhole(spec)) {
+    const enough = spec.shape === "ensemble" || spec.samePlace ? ws.filter((w) => w.cap >= spec.tasks) : ws;
+    const from = enough.length > 0 ? enough : ws;
+    const full = from.filter((w) => w.room >= spec.tasks);
+    const to = (full.length > 0 ? full : from).reduce((a, b) =>
+      b.room > a.room || (b.room === a.room && b.later > a.later) ? b : a,
+    );
+    return new Map([[to.group, RangeSet.upTo(spec.tasks)]]);
+  }
+  // First into the room there is, by weight; then the rest by who comes to it soonest.
+  const counts = new Map<string, number>(ws.map((w) => [w.group, 0]));
+  const given = (w: Weighted): number => counts.get(w.group)!;
+  const total = ws.reduce((n, w) => n + Math.min(w.room, w.cap), 0);
+  let left = spec.tasks;
+  if (total > 0) {
+    const share = Math.min(1, spec.tasks / total);
+    for (const w of ws) {
+      const n = Math.min(left, Math.floor(Math.min(w.room, w.cap) * share));
+      counts.set(w.group, n);
+      left -= n;
+    }
+  }
+  for (let k = 0; left > 0 && k < ws.length; k++) {
+    const w = best((x) => (given(x) < x.cap ? Math.min(x.room, x.cap) - given(x) : -1));
+    const n = Math.min(1, left, Math.max(0, Math.min(w.room, w.cap) - given(w)));
+    counts.set(w.group, given(w) + n);
+    left -= n;
+  }
+  const open = ws.filter((w) => given(w) < w.cap);
+  const weights = open.reduce((n, w) => n + w.later, 0) || 1;
+  let rest = left;
+  for (const w of open) {
+    const n = Math.min(left, Math.floor((rest * w.later) / weights), w.cap - given(w));
+    counts.set(w.group, given(w) + n);
+    left -= n;
+  }
+  while (left > 0) {
+    const w = best((x) => (given(x) < x.cap ? x.later / (1 + given(x)) : -1));
+    const n = given(w) < w.cap ? Math.min(left, Math.max(1, Math.floor(left / ws.length)), w.cap - given(w)) : left;
+    counts.set(w.group, given(w) + n);
+    left -= n;
+  }
+  const split = new Map<string, RangeSet>();
+  let next = 0;
+  for (const w of ws) {
+    const n = given(w);
+    if (n > 0) split.set(w.group, RangeSet.of([[next, next + n - 1]]));
+    next += n;
+  }
+  return split;
+}
--- /dev/null
+++ b/src/daemon.ts
@@ -0,0 +1,78 @@
+import { pino } from "pino";
+import type { Settings } from "./config/settings.js";
+import { Controller } from "./coordination/controller.js";
+import type { Answer, Effect, Input } from "./coordination/effects.js";
+import type { Tuning } from "./coordination/model.js";
+import { StateClient } from "./storage/client.js";
+import { CloudClient } from "./transport/cloud.js";
+import { api, type Asked, listen } from "./transport/server.js";
+import { WorkerClient } from "./transport/workers.js";
+
+const TICK_MS = 200;
+
+/** Runs one controller: feeds inputs to the core and carries out what it returns. */
+export class Daemon implements Asked {
+  private readonly log;
+  private readonly core: Controller;
+  private readonly state: StateClient;
+  private readonly cloud: CloudClient;
+  private readonly workers: WorkerClient;
+  private readonly pending = new Map<number, (a: Answer) => void>();
+  private requests = 0;
+
+  constructor(
+    private readonly settings: Settings,
+    tuning: Tuning,
+  ) {
+    this.log = pino({ level: process.env["LOG_LEVEL"] ?? "info", base: { node: settings.label }, timestamp: pino.stdTimeFunctions.isoTime }, pino.destination({ fd: 2, sync: true }));
+    this.core = new Controller(settings, tuning, performance.now(), Date.now());
+    this.state = new StateClient(settings);
+    this.cloud = new CloudClient(settings);
+    this.workers = new WorkerClient(settings.maxSockets);
+  }
+
+  async run(): Promise<void> {
+    await listen(api(this), this.settings);
+    this.log.info({ area: this.settings.area, groups: this.core.groups.names }, "controller started");
+    this.feed({ is: "tick" });
+    setInterval(() => this.feed({ is: "tick" }), TICK_MS);
+  }
+
+  ready(): boolean {
+    return this.core.ready;
+  }
+
+  ask(input: (req: number) => Input): Promise<Answer> {
+    return new Promise((resolve) => {
+      const req = ++this.requests;
+      this.pending.set(req, resolve);
+      this.feed(input(req));
+    });
+  }
+
+  private feed(input: Input): void {
+    const effects = this.core.step(input, performance.now(), Date.now());
+    for (const e of effects) this.carryOut(e);
+  }
+
+  private carryOut(e: Effect): void {
+    switch (e.do) {
+      case "answer":
+        this.pending.get(e.req)?.(e.answer);
+        this.pending.delete(e.req);
+        break;
+      case "state":
+        void this.state.call(e.call, e.urgent).then(({ reply, sentMs }) => this.feed({ is: "state", op: e.op, reply, sentMs }));
+        break;
+      case "cloud":
+        void this.cloud.call(e.call, e.urgent).then((reply) => this.feed({ is: "cloud", op: e.op, reply }));
+        break;
+      case "command":
+        void this.workers.command(e.address, e.token, e.session, e.orders).then((reply) => this.feed({ is: "command", op: e.op, reply }));
+        break;
+      case "log":
+        this.log[e.level](e.fields, e.msg);
+        break;
+    }
+  }
+}
--- /dev/null
+++ b/src/protocol/jobs.ts
@@ -0,0 +1,92 @@
+import * as v from "valibot";
+import type { JobSpec, Shape, Urgency } from "../coordination/model.js";
+
+/** Users' interface: wire names stop in this folder. */
+
+export const JOB_ID = /^req-[0-9]{1,40}$/;
+export const MAX_TASKS = 100_000;
+/** Strings and lists in a job are bounded so that its record always fits a value of the state service. */
+const text = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e12));
+const flag = v.optional(v.nullable(v.boolean()), false);
+
+const Job = v.object({
+  id: v.pipe(v.string(), v.regex(JOB_ID, "must look like req-000412")),
+  jobclass: text,
+  crew: text,
+  shape: v.picklist(["batch", "ensemble", "daemon"]),
+  urgency: v.picklist(["prod", "high", "normal", "best_effort"]),
+  shards: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(MAX_TASKS)),
+  cores: amount,
+  accelerators: v.optional(v.nullable(amount), 0),
+  memoryGb: amount,
+  bundle: v.optional(v.nullable(v.pipe(v.string(), v.maxLength(200))), ""),
+  sizeGb: v.optional(v.nullable(amount), 0),
+  hulls: v.optional(v.nullable(v.pipe(v.array(text), v.minLength(1), v.maxLength(16))), null),
+  yard: v.optional(v.nullable(text), null),
+  samePlace: flag,
+  spread: flag,
+  loaners: flag,
+  reckonS: v.optional(v.nullable(amount), 0),
+  stashEveryS: v.optional(v.nullable(amount), 0),
+  stashS: v.optional(v.nullable(amount), 0),
+  dueS: v.optional(v.nullable(amount), null),
+});
+
+export type Parsed<T> = { ok: true; value: T } | { ok: false; error: string };
+
+export function firstIssue(issues: readonly v.BaseIssue<unknown>[]): string {
+  const issue = issues[0]!;
+  return `${v.getDotPath(issue as never) ?? "body"}: ${issue.message}`;
+}
+
+export function parseObject(body: string): Parsed<object> {
+  let raw: unknown;
+  try {
+    raw = JSON.parse(body);
+  } catch {
+    return { ok: false, error: "body: not JSON" };
+  }
+  if (typeof raw !== "object" || raw === null || Array.isArray(raw))
+    return { ok: false, error: "body: not a JSON object" };
+  return { ok: true, value: raw };
+}
+
+export function parseJob(body: string): Parsed<JobSpec> {
+  const raw = parseObject(body);
+  if (!raw.ok) return raw;
+  const got = v.safeParse(Job, raw.value);
+  if (!got.success) return { ok: false, error: firstIssue(got.issues) };
+  const j = got.output;
+  return {
+    ok: true,
+    value: {
+      id: j.id,
+      class: j.jobclass,
+      team: j.crew,
+      shape: j.shape as Shape,
+      urgency: j.urgency as Urgency,
+      tasks: j.shards,
+      cpus: j.cores,
+      gpus: j.accelerators ?? 0,
+      memGb: j.memoryGb,
+      image: j.bundle ?? "",
+      imageGb: j.sizeGb ?? 0,
+      types: j.hulls,
+      zone: j.yard,
+      samePlace: j.samePlace ?? false,
+      spread: j.spread ?? false,
+      spot: j.loaners ?? false,
+      estimateS: j.reckonS ?? 0,
+      checkpointS: j.stashEveryS ?? 0,
+      saveS: j.stashS ?? 0,
+      deadlineS: j.dueS,
+    },
+  };
+}
+
+export type JobStatus = "queued" | "running" | "done" | "cancelled";
+
+export function jobBody(id: string, status: JobStatus, counts?: { done: number; running: number }): object {
+  return counts ? { id, status, done: counts.done, running: counts.running } : { id, status };
+}
--- /dev/null
+++ b/src/protocol/workers.ts
@@ -0,0 +1,97 @@
+import * as v from "valibot";
+import type { Order, Report, ReportedTask } from "../coordination/model.js";
+import { firstIssue, JOB_ID, MAX_TASKS, type Parsed, parseObject } from "./jobs.js";
+
+/** Workers' interface: reports, answers to them, and orders sent straight to a worker. */
+
+const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+const text = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+const MAX_REPORTED = 5_000;
+
+const Task = v.object({
+  shard: v.pipe(v.string(), v.regex(/^req-[0-9]{1,40}\/[0-9]{1,6}$/, "must look like req-000412/3")),
+  try: count,
+  status: v.picklist(["fetching", "waiting", "running", "saving", "exited"]),
+  cause: v.optional(
+    v.nullable(v.picklist(["done", "stopped", "peers", "incomplete", "error", "no_room", "busy", "no_such"])),
+    null,
+  ),
+  kept: v.optional(v.nullable(v.boolean()), false),
+});
+
+const Hello = v.object({
+  berth: text,
+  address: v.pipe(v.string(), v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "IP:PORT expected")),
+  hull: text,
+  yard: text,
+  loaners: v.optional(v.nullable(v.boolean()), false),
+  watch: count,
+  tally: count,
+  baton: v.optional(v.nullable(count), 0),
+  recallS: v.optional(v.nullable(v.pipe(v.number(), v.finite())), null),
+  shards: v.optional(v.nullable(v.pipe(v.array(Task), v.maxLength(MAX_REPORTED))), []),
+});
+
+export function splitTask(key: string): { job: string; index: number } | null {
+  const at = key.lastIndexOf("/");
+  const job = key.slice(0, at);
+  const index = Number(key.slice(at + 1));
+  return JOB_ID.test(job) && index < MAX_TASKS ? { job, index } : null;
+}
+
+export function parseReport(body: string): Parsed<Report> {
+  const raw = parseObject(body);
+  if (!raw.ok) return raw;
+  const got = v.safeParse(Hello, raw.value);
+  if (!got.success) return { ok: false, error: firstIssue(got.issues) };
+  const r = got.output;
+  const tasks: ReportedTask[] = [];
+  for (const t of r.shards ?? []) {
+    const id = splitTask(t.shard);
+    if (!id) return { ok: false, error: `shards: ${t.shard}: no such task number` };
+    tasks.push({ ...id, attempt: t.try, state: t.status, cause: t.cause, saved: t.kept ?? false });
+  }
+  return {
+    ok: true,
+    value: {
+      worker: r.berth,
+      address: r.address,
+      type: r.hull,
+      zone: r.yard,
+      spot: r.loaners ?? false,
+      session: r.watch,
+      tally: r.tally,
+      token: r.baton ?? 0,
+      noticeS: r.recallS,
+      tasks,
+    },
+  };
+}
+
+function wireOrder(o: Order): object {
+  const shard = `${o.job}/${o.index}`;
+  switch (o.op) {
+    case "start":
+      return { verb: "start", shard, try: o.attempt };
+    case "stop":
+      return { verb: "kill", shard, try: o.attempt, leewayS: o.graceS };
+    case "forget":
+      return { verb: "clear", shard, try: o.attempt };
+  }
+}
+
+/** At most this many orders in one message: keeps every line far below 64 KiB; the rest follows with the next. */
+export const MAX_ORDERS = 200;
+
+export const answerBody = (token: number, orders: readonly Order[]): object => ({
+  baton: token,
+  orders: orders.slice(0, MAX_ORDERS).map(wireOrder),
+});
+
+export const commandBody = (token: number, session: number, orders: readonly Order[]): object => ({
+  baton: token,
+  watch: session,
+  orders: orders.slice(0, MAX_ORDERS).map(wireOrder),
+});
+
+export const redirectBody = (master: string | null): object => (master === null ? {} : { harbormaster: master });
--- /dev/null
+++ b/src/transport/cloud.ts
@@ -0,0 +1,70 @@
+import type { Settings } from "../config/settings.js";
+import type { CloudCall, CloudReply } from "../coordination/effects.js";
+import { listPath, parseCatalog, parseList, parseRented, rentBody, returnBody } from "../protocol/cloud.js";
+import { Client, json } from "./client.js";
+import { Limiter } from "./limiter.js";
+
+function toRequest(call: CloudCall): { method: "GET" | "POST"; path: string; body?: string } {
+  switch (call.op) {
+    case "catalog":
+      return { method: "GET", path: "/catalog" };
+    case "list":
+      return { method: "GET", path: listPath(call.after) };
+    case "rent":
+      return { method: "POST", path: "/hosts", body: JSON.stringify(rentBody(call.request, call.type, call.zone, call.spot, call.count)) };
+    case "return":
+      return { method: "POST", path: "/hosts/return", body: JSON.stringify(returnBody(call.machines)) };
+  }
+}
+
+function toReply(call: CloudCall, status: number, raw: unknown): CloudReply {
+  const failed: CloudReply = { is: "failed", why: String(status) };
+  if (call.op === "rent" && status === 503 && (raw as { error?: unknown } | undefined)?.error === "no capacity") return { is: "noCapacity" };
+  if (call.op === "rent" && status === 400) return { is: "noCapacity" };
+  if (status !== 200) return failed;
+  switch (call.op) {
+    case "catalog": {
+      const types = parseCatalog(raw);
+      return types ? { is: "catalog", types } : failed;
+    }
+    case "list": {
+      const l = parseList(raw);
+      return l ? { is: "list", ...l } : failed;
+    }
+    case "rent": {
+      const machines = parseRented(raw);
+      return machines ? { is: "rented", machines } : failed;
+    }
+    case "return":
+      return { is: "returned" };
+  }
+}
+
+/** Calls to the cloud, within this controller's part of its limit (bursts worth two seconds are allowed). */
+export class CloudClient {
+  private readonly client = new Client(4, 2);
+  private readonly limiter: Limiter;
+
+  constructor(private readonly settings: Settings) {
+    const rate = settings.cloud.rps / (settings.peers.length + 1);
+    this.limiter = new Limiter([rate], [Math.max(1, rate * 2)], 50);
+  }
+
+  call(call: CloudCall, urgent: number): Promise<CloudReply> {
+    return new Promise((resolve) => {
+      this.limiter.add({
+        urgent,
+        cost: [1],
+        deadlineMs: performance.now() + 10_000,
+        refuse: () => resolve({ is: "failed", why: "rate limit" }),
+        run: () => {
+          const { method, path, body } = toRequest(call);
+          const { host, port } = this.settings.cloud;
+          void this.client
+            .fetch(host, port, method, path, body, 4_000)
+            .then((f) => resolve(f.is === "answered" ? toReply(call, f.status, json(f.body)) : { is: "failed", why: f.why }));
+        },
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/transport/limiter.ts
@@ -0,0 +1,63 @@
+/**
+ * One controller's part of a service's rate limit: a bucket that holds one burst's worth. Calls that must wait
+ * are ordered by urgency, then by age; their number and their waiting time are bounded.
+ */
+export interface Job {
+  urgent: number;
+  /** What it costs of each bucket. */
+  cost: readonly number[];
+  deadlineMs: number;
+  run: () => void;
+  refuse: () => void;
+}
+
+export class Limiter {
+  private readonly level: number[];
+  private lastMs: number;
+  private queue: Job[] = [];
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(
+    private readonly rates: readonly number[],
+    private readonly bursts: readonly number[],
+    private readonly maxQueue = 500,
+  ) {
+    this.level = [...bursts];
+    this.lastMs = performance.now();
+  }
+
+  add(job: Job): void {
+    if (this.queue.length >= this.maxQueue) return job.refuse();
+    let at = this.queue.length;
+    while (at > 0 && this.queue[at - 1]!.urgent > job.urgent) at--;
+    this.queue.splice(at, 0, job);
+    this.drain();
+  }
+
+  private drain(): void {
+    const now = performance.now();
+    const passed = (now - this.lastMs) / 1000;
+    this.lastMs = now;
+    this.rates.forEach((r, i) => (this.level[i] = Math.min(this.bursts[i]!, this.level[i]! + r * passed)));
+    const late = this.queue.filter((j) => now > j.deadlineMs);
+    if (late.length > 0) {
+      this.queue = this.queue.filter((j) => now <= j.deadlineMs);
+      for (const j of late) j.refuse();
+    }
+    while (this.queue.length > 0) {
+      const j = this.queue[0]!;
+      // A cost above a whole burst would wait for ever: it goes when the bucket is full.
+      if (j.cost.some((c, i) => this.level[i]! < Math.min(c, this.bursts[i]!))) break;
+      this.queue.shift();
+      j.cost.forEach((c, i) => (this.level[i]! -= c));
+      j.run();
+    }
+    if (this.queue.length > 0 && this.timer === null) {
+      const wait = Math.max(...this.queue[0]!.cost.map((c, i) => (Math.min(c, this.bursts[i]!) - this.level[i]!) / this.rates[i]!));
+      this.timer = setTimeout(() => {
+        this.timer = null;
+        this.drain();
+      }, Math.min(250, Math.max(1, wait * 1000)));
+    }
+  }
+}
