--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -2,7 +2,7 @@
 import { Urgent } from "./effects.js";
 import type { Master } from "./master.js";
 import type { JobSpec, ListedMachine, MachineType } from "./model.js";
-import { allowedOn, type Amounts, couldRun, fitCount, fits } from "./placement.js";
+import { allowedOn, type Amounts, couldRun, fitCount, fits, offer } from "./placement.js";
 import { take, type Worker } from "./tasks.js";
 
 interface Booting {
@@ -21,6 +21,7 @@
 const NO_CAPACITY_MS = 15_000;
 const MAX_RENTALS = 4;
 const MAX_BOOTING = 60;
+const WARM_PERIODS = 6;
 
 /** The machines of one group: rents what waiting work needs and gives back what nothing needs. */
 export class Fleet {
@@ -35,14 +36,22 @@
   private listing: Map<string, ListedMachine & { seenMs: number }> | null = null;
   private nextListMs = 0;
   private lastPlanMs = 0;
+  /** Machines that were given back: a lagging list may show them for a while. */
+  private readonly goneMs = new Map<string, number>();
+  /** Machines of each type in use at once, the most in each of the last periods. */
+  private readonly peaks = new Map<string, number[]>();
+  private peakMs: number;
 
   constructor(
     private readonly ctx: Context,
     private readonly master: Master,
-  ) {}
+  ) {
+    this.peakMs = ctx.nowMs;
+  }
 
   cameUp(w: Worker): void {
-    this.booting.delete(w.id);
+    // Found running, not rented by this master: somebody had a use for it.
+    if (!this.booting.delete(w.id)) this.notePeak(w.typeName, this.count(w.typeName));
     if (w.going) this.giveUp(w, "marked for return by a former master");
   }
 
@@ -89,7 +98,10 @@
     this.ctx.cloud({ op: "return", machines: ids }, Urgent.Master, (reply) => {
       if (reply.is === "returned") {
         for (const id of ids) this.going.delete(id);
-        for (const id of ids) this.listed.delete(id);
+        for (const id of ids) {
+          this.listed.delete(id);
+          this.goneMs.set(id, this.ctx.nowMs);
+        }
         this.master.machinesGone(ids);
         return;
       }
@@ -103,19 +115,68 @@
     });
   }
 
+  // ---- how many to keep ----------------------------------------------------------------------------------
+
+  private count(type: string): number {
+    let n = 0;
+    for (const w of this.master.workers.values()) if (w.typeName === type && !w.lost && !w.going) n++;
+    return n;
+  }
+  private notePeak(type: string, n: number): void {
+    let p = this.peaks.get(type);
+    if (!p) this.peaks.set(type, (p = new Array<number>(WARM_PERIODS).fill(0)));
+    p[0] = Math.max(p[0]!, n);
+  }
+  private notePeaks(): void {
+    const periodMs = (this.ctx.tuning.warmWindowS * 1000) / WARM_PERIODS;
+    if (this.ctx.nowMs - this.peakMs > periodMs) {
+      this.peakMs = this.ctx.nowMs;
+      for (const p of this.peaks.values()) {
+        p.pop();
+        p.unshift(0);
+      }
+    }
+    const busy = new Map<string, number>();
+    for (const w of this.master.workers.values()) if (w.tasks.size > 0) busy.set(w.typeName, (busy.get(w.typeName) ?? 0) + 1);
+    for (const [type, n] of busy) this.notePeak(type, n);
+  }
+
+  /**
+   * Idle machines are justified in two ways: by the most that were in use at once of late, where some class is
+   * expected to start sooner than such a machine boots; else for as long as booting another would take.
+   */
   private returnIdle(): void {
     const now = this.ctx.nowMs;
-    for (const w of this.master.workers.values()) {
-      if (w.going) continue;
-      if (w.lost && now - w.answeredMs > this.ctx.tuning.silentReturnS * 1000) this.giveUp(w, "silent for too long");
-      else if (!w.lost && w.idleSinceMs !== null && now - w.idleSinceMs > this.ctx.tuning.idleReturnS * 1000 && !this.wanted(w)) this.giveUp(w, "idle");
+    const spare = new Map<string, number>();
+    const idle = [...this.master.workers.values()].filter((w) => !w.going && !w.lost && w.idleSinceMs !== null).sort((a, b) => a.idleSinceMs! - b.idleSinceMs!);
+    for (const w of idle) {
+      const boot = this.typeOf(w.typeName)?.bootS ?? 60;
+      if (now - w.idleSinceMs! < Math.max(this.ctx.tuning.idleReturnS, boot * this.ctx.tuning.idleBoots) * 1000 || this.wanted(w)) continue;
+      if (this.ctx.settings.objectives.some((o) => o.kind === "wait" && (o.withinS ?? Infinity) < boot && this.serves(o.class, w))) {
+        const left = spare.get(w.typeName) ?? this.count(w.typeName) - Math.max(0, ...(this.peaks.get(w.typeName) ?? []));
+        spare.set(w.typeName, left - 1);
+        if (left <= 0) continue;
+      }
+      this.giveUp(w, "idle");
     }
+    for (const w of this.master.workers.values())
+      if (!w.going && w.lost && now - w.answeredMs > this.ctx.tuning.silentReturnS * 1000) this.giveUp(w, "silent for too long");
     for (const [id, b] of this.booting) {
       const usual = (this.typeOf(b.type)?.bootS ?? 60) * 1000;
       if (now - b.rentedMs > usual * this.ctx.tuning.bootPatience + 5_000) this.giveBack(id, b.type, "never came up");
     }
   }
 
+  /** Jobs of this class have run on such machines, or could. */
+  private readonly classNeeds = new Map<string, JobSpec>();
+  noteJob(spec: JobSpec): void {
+    if (this.classNeeds.size < 200) this.classNeeds.set(spec.class, spec);
+  }
+  private serves(cls: string | undefined, w: Worker): boolean {
+    const s = cls === undefined ? undefined : this.classNeeds.get(cls);
+    return s !== undefined && w.type !== null && allowedOn({ ...s, zone: null }, w.typeName, w.zone, w.spot) && fits(s, w.type) && (s.gpus > 0) === w.type.gpus > 0;
+  }
+
   /** Some waiting task could use it. */
   private wanted(w: Worker): boolean {
     for (const j of this.master.jobs.values()) {
@@ -157,7 +218,7 @@
     const now = this.ctx.nowMs;
     const lagMs = this.ctx.settings.cloud.listLagS * 2_000;
     for (const m of this.listed.values()) {
-      if (this.going.has(m.id)) continue;
+      if (this.going.has(m.id) || this.goneMs.has(m.id)) continue;
       if (m.state === "failed") {
         this.giveBack(m.id, m.type, "failed");
         continue;
@@ -165,8 +226,10 @@
       if (this.master.workers.has(m.id)) continue;
       const known = this.booting.get(m.id);
       // A rental of a former master, or one carried out late: used like any other once it comes up.
-      if (!known) this.booting.set(m.id, { type: m.type, zone: m.zone, spot: m.spot, rentedMs: now - m.ageS * 1000 });
+      // One that runs already may be cut off: it has as long as a new one to make itself heard.
+      if (!known) this.booting.set(m.id, { type: m.type, zone: m.zone, spot: m.spot, rentedMs: m.state === "starting" ? now - m.ageS * 1000 : now });
     }
+    for (const [id, at] of this.goneMs) if (now - at > 2 * lagMs + 60_000) this.goneMs.delete(id);
     for (const [id, b] of this.booting)
       if (!this.listed.has(id) && now - b.rentedMs > lagMs + 30_000) this.booting.delete(id);
     for (const w of this.master.workers.values()) {
@@ -195,7 +258,7 @@
           for (const id of got)
             if (!this.master.workers.has(id)) this.booting.set(id, { type: r.type, zone: r.zone, spot: r.spot, rentedMs: this.ctx.nowMs });
           if (got.length < r.count) {
-            this.emptyUntilMs.set(`${r.type}/${r.zone}/${r.spot}`, this.ctx.nowMs + NO_CAPACITY_MS);
+            this.emptyUntilMs.set(offer(r.type, r.zone, r.spot), this.ctx.nowMs + NO_CAPACITY_MS);
             this.ctx.log("info", "cloud has no more machines", { type: r.type, zone: r.zone, spot: r.spot, asked: r.count, got: got.length });
           }
           this.lastPlanMs = 0;
@@ -222,6 +285,13 @@
     return out;
   }
 
+  /** What the cloud refused of late: `type/zone/kind`. */
+  soldOut(): string[] {
+    const out: string[] = [];
+    for (const [k, until] of this.emptyUntilMs) if (until + 30_000 > this.ctx.nowMs) out.push(k);
+    return out;
+  }
+
   /** Rents for the waiting tasks that neither fit now nor will fit on machines that are on their way. */
   private plan(): void {
     const coming = this.coming();
@@ -254,7 +324,7 @@
       for (const zone of this.zones()) {
         if (!couldRun(spec, t, zone)) continue;
         for (const spot of spec.spot ? [true, false] : [false]) {
-          if ((this.emptyUntilMs.get(`${t.name}/${zone}/${spot}`) ?? 0) > this.ctx.nowMs) continue;
+          if ((this.emptyUntilMs.get(offer(t.name, zone, spot)) ?? 0) > this.ctx.nowMs) continue;
           const per = fitCount(spec, t);
           const cost = (spot ? t.spotPrice : t.price) / Math.min(per, need);
           if (!best || cost < best.cost) best = { t, zone, spot, per, cost };
@@ -270,6 +340,7 @@
   tick(): void {
     if (!this.ctx.catalog) return;
     this.pollList();
+    this.notePeaks();
     this.returnIdle();
     this.sendReturns();
     if (this.ctx.nowMs - this.lastPlanMs >= 500) {
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -78,6 +78,7 @@
       if (share.isEmpty) return;
       job = newJobRun(view, old, this.ctx.nowMs);
       this.jobs.set(view.id, job);
+      this.fleet.noteJob(view.spec);
     }
     const done = this.ctx.mirror.finished(view.id).get(this.group);
     if (done) {
@@ -699,7 +700,7 @@
       const n = this.runningOf(j.id);
       if (n > 0 && running.size < 120) running.set(j.id, n);
     }
-    return { rows: [...rows.values()], short, long, running };
+    return { rows: [...rows.values()], short, long, running, soldOut: this.fleet.soldOut() };
   }
 
   writeRoomIf(write: (r: RoomRecord) => object, key: string): void {
--- a/src/coordination/model.ts
+++ b/src/coordination/model.ts
@@ -90,8 +90,12 @@
   reservedShare: number;
   /** Estimated run time below which a task is short. */
   shortCutoffS: number;
-  /** Idle time after which a machine is given back. */
+  /** Least idle time before a machine is given back. */
   idleReturnS: number;
+  /** The same as a multiple of its type's usual boot time. */
+  idleBoots: number;
+  /** How far back the most machines in use at once counts for what is kept warm. */
+  warmWindowS: number;
   /** Time without a report after which a machine is given back. */
   silentReturnS: number;
   /** Multiple of the type's usual boot time after which a machine that never came up is given back. */
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -37,3 +37,6 @@
 
 /** All tasks go to one group: gangs start together, and `samePlace` wants one zone. */
 export const goesWhole = (spec: JobSpec): boolean => spec.shape === "ensemble" || spec.samePlace;
+
+/** A type in a zone, spot or ordinary, as one word. */
+export const offer = (type: string, zone: string, spot: boolean): string => `${type}/${zone}/${spot ? "spot" : "ordinary"}`;
--- a/src/coordination/splitter.ts
+++ b/src/coordination/splitter.ts
@@ -1,7 +1,7 @@
 import type { RoomRecord } from "../storage/records.js";
 import type { Groups } from "./groups.js";
 import type { JobSpec, MachineType } from "./model.js";
-import { allowedOn, couldRun, fitCount, goesWhole, zoneCap } from "./placement.js";
+import { allowedOn, couldRun, fitCount, goesWhole, offer, zoneCap } from "./placement.js";
 import { RangeSet } from "./ranges.js";
 
 /** How a job is cut over the groups: by the room that each group last wrote (Pigeon's suggestion, section 2.2). */
@@ -53,7 +53,10 @@
       (n, row) => n + (allowedOn(spec, row.type, row.zone, row.spot) ? row.machines : 0),
       0,
     );
-    const offers = catalog.reduce((n, t) => n + c.zones.filter((z) => couldRun(spec, t, z)).length, 0);
+    const gone = new Set(r?.soldOut);
+    let offers = 0;
+    for (const t of catalog)
+      for (const z of c.zones) if (couldRun(spec, t, z) && !(gone.has(offer(t.name, z, false)) && (!spec.spot || gone.has(offer(t.name, z, true))))) offers++;
     return {
       ...c,
       room: Math.max(0, roomFor(spec, r) - waiting),
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -86,6 +86,8 @@
   long: number;
   /** Tasks on machines, by job: for display. */
   running: Map<string, number>;
+  /** Offers that the cloud had nothing left of, lately. */
+  soldOut: string[];
 }
 export interface RosterEntry {
   /** Marked for return: never used again. */
@@ -133,6 +135,7 @@
   ),
   q: v.tuple([v.number(), v.number()]),
   run: v.array(v.tuple([v.string(), v.number()])),
+  out: v.array(v.string()),
 });
 /** Types are written once, machines refer to them by place. */
 const Roster = v.object({ t: v.array(v.string()), m: v.array(v.tuple([v.string(), v.number(), v.number()])) });
@@ -193,6 +196,7 @@
       short: o.q[0],
       long: o.q[1],
       running: new Map(o.run),
+      soldOut: o.out,
     }
   );
 }
@@ -207,6 +211,7 @@
   })),
   q: [r.short, r.long],
   run: [...r.running],
+  out: r.soldOut,
 });
 
 /** Machines in one roster record: some 20 bytes each, so that a record stays below 8 KiB. */
