Queue round: skip the head that was served, not the other queue's

Cause: serving the head could change whose turn it is, so skip() dropped the other queue's head and an emptied job was placed again: a start without a task number. The worker kept it in its reports, these were refused as malformed, and its lease ran out with all its tasks. Excluded: higher tokens, late reports, missing permits (logged, none seen).

--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -193,6 +193,7 @@
     let w = this.workers.get(r.worker);
     if (w && (r.session < w.session || (r.session === w.session && (r.tally <= w.tally || w.lost)))) {
       // A late message: its list is as old as itself, and the worker doesn't wait for the answer any more.
+      this.ctx.log("debug", "late report", { worker: w.id, session: r.session, tally: r.tally, had: [w.session, w.tally], lost: w.lost });
       return { is: "later", afterS: 1, why: "late report" };
     }
     if (!w) {
@@ -205,6 +206,7 @@
       this.ctx.log("info", "worker is back", { worker: w.id, session: r.session });
     }
     if (r.session > w.session) this.newSession(w, r.session);
+    if (r.token > this.token) this.ctx.log("warn", "worker has seen a higher token", { worker: w.id, token: r.token, mine: this.token, tally: r.tally, session: r.session });
     w.tally = r.tally;
     w.token = Math.max(w.token, r.token);
     w.address = r.address;
--- a/src/coordination/queues.ts
+++ b/src/coordination/queues.ts
@@ -28,6 +28,8 @@
 export class Round<T extends Queued> {
   private readonly short: T[] = [];
   private readonly long: T[] = [];
+  /** The queue of the present head: serving it may change whose turn is next. */
+  private from = this.short;
 
   constructor(
     jobs: Iterable<T>,
@@ -43,15 +45,17 @@
     if (this.long.length === 0) return false;
     return this.short.length === 0 || this.turn.sinceLong >= this.tuning.longEvery - 1;
   }
+  /** The job to serve next; `served` and `skip` speak of it. */
   head(): T | undefined {
-    return this.longsTurn() ? this.long[0] : this.short[0];
+    this.from = this.longsTurn() ? this.long : this.short;
+    return this.from[0];
   }
   /** `n` tasks of the head were served. */
   served(n: number): void {
-    this.turn.sinceLong = this.longsTurn() ? 0 : this.turn.sinceLong + n;
+    this.turn.sinceLong = this.from === this.long ? 0 : this.turn.sinceLong + n;
   }
   /** The head can't go on in this round. */
   skip(): void {
-    (this.longsTurn() ? this.long : this.short).shift();
+    this.from.shift();
   }
 }
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -42,6 +42,10 @@
     return this.core.ready;
   }
 
+  malformed(what: string, error: string): void {
+    this.log.warn({ error }, `malformed ${what}`);
+  }
+
   ask(input: (req: number) => Input): Promise<Answer> {
     return new Promise((resolve) => {
       const req = ++this.requests;
--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -13,6 +13,8 @@
 export interface Asked {
   ask(input: (req: number) => Input): Promise<Answer>;
   ready(): boolean;
+  /** Somebody sent what can't be read. */
+  malformed(what: string, error: string): void;
 }
 
 function toHttp(a: Answer): Response {
@@ -53,7 +55,9 @@
   });
   app.post("/hello", async (c) => {
     const r = parseReport(await c.req.text());
-    return r.ok ? toHttp(await core.ask((req) => ({ is: "report", req, report: r.value }))) : bad(r.error);
+    if (r.ok) return toHttp(await core.ask((req) => ({ is: "report", req, report: r.value })));
+    core.malformed("report", r.error);
+    return bad(r.error);
   });
   for (const path of ["/ready", "/v1/jobs", "/v1/jobs/:id", "/v1/jobs/:id/withdraw", "/hello"])
     app.all(path, () => Response.json({ error: "method not allowed" }, { status: 405 }));
