--- /dev/null
+++ b/test/sim/checker.ts
@@ -0,0 +1,68 @@
+import type { JobSpec } from "../../src/coordination/model.js";
+import type { SimWorker, World } from "./world.js";
+
+/** PROTOCOL's rules, checked on what the workers really do and what users are really told. */
+export class Checker {
+  readonly broken: string[] = [];
+  readonly told = new Map<string, "accepted" | "done" | "cancelled">();
+  private readonly cancelledMs = new Map<string, number>();
+
+  constructor(private readonly world: World) {}
+
+  private fail(rule: string, what: string): void {
+    this.broken.push(`${rule} at ${(this.world.now / 1000).toFixed(3)} s: ${what}`);
+  }
+
+  private *on(): Generator<{ w: SimWorker; job: string; index: number; spec: JobSpec }> {
+    for (const w of this.world.workers)
+      if (!w.gone) for (const t of w.tasks.values()) if (w.onMachine(t)) yield { w, job: t.job, index: t.index, spec: this.world.specs.get(t.job)! };
+  }
+
+  /** A task gets on its machine: it has its image. */
+  begins(w: SimWorker, job: string, index: number): void {
+    this.world.starts++;
+    const spec = this.world.specs.get(job)!;
+    const used = { cpus: spec.cpus, gpus: spec.gpus };
+    const zones = new Map<string, number>([[w.zone, 1]]);
+    for (const o of this.on()) {
+      if (o.job === job && o.index === index && o.w !== w) this.fail("ran_twice", `${job}/${index} on ${w.id} and ${o.w.id}`);
+      if (o.job === job && o.index === index) continue;
+      if (o.spec.team === spec.team) {
+        used.cpus += o.spec.cpus;
+        used.gpus += o.spec.gpus;
+      }
+      if (o.job === job) zones.set(o.w.zone, (zones.get(o.w.zone) ?? 0) + 1);
+    }
+    const team = this.world.settings.teams.get(spec.team)!;
+    if (used.cpus > team.cpusMax + 1e-6 || used.gpus > team.gpusMax + 1e-6) this.fail("quota", `${spec.team} uses ${used.cpus} CPUs, ${used.gpus} GPUs`);
+    if ((spec.types && !spec.types.includes(w.type.name)) || (spec.zone && spec.zone !== w.zone) || (w.spot && !spec.spot)) this.fail("wrong_place", `${job}/${index} on ${w.id}`);
+    if (spec.samePlace && zones.size > 1) this.fail("wrong_place", `samePlace: ${job} in ${[...zones.keys()].join()}`);
+    if (spec.spread) for (const [z, n] of zones) if (n > Math.ceil(spec.tasks / 2)) this.fail("wrong_place", `spread: ${n} of ${job} in ${z}`);
+    this.checkCancelled(job);
+  }
+  private checkCancelled(job: string): void {
+    const at = this.cancelledMs.get(job);
+    if (at !== undefined && this.world.now > at + this.world.settings.cancelS * 1000) this.fail("ran_cancelled", `${job}, ${(this.world.now - at) / 1000} s after`);
+  }
+  sweep(): void {
+    for (const o of this.on()) this.checkCancelled(o.job);
+  }
+
+  answered(id: string, status: "queued" | "running" | "done" | "cancelled"): void {
+    const before = this.told.get(id);
+    if (!this.world.specs.has(id)) this.fail("invented", id);
+    const now = status === "done" || status === "cancelled" ? status : "accepted";
+    if ((before === "done" || before === "cancelled") && now !== before) this.fail("went_back", `${id}: ${before}, then ${status}`);
+    if (status === "done") {
+      const n = this.world.specs.get(id)!.tasks;
+      for (let i = 0; i < n; i++) if (!this.world.results.has(`${id}/${i}`)) return this.fail("not_done", `${id}/${i}`);
+    }
+    if (status === "cancelled" && !this.asked.has(id)) this.fail("went_back", `${id} was never cancelled`);
+    if (status === "cancelled" && !this.cancelledMs.has(id)) this.cancelledMs.set(id, this.world.now);
+    this.told.set(id, now);
+  }
+  readonly asked = new Set<string>();
+  refused(id: string, status: number): void {
+    if (this.told.has(id)) this.fail("forgotten", `${id} got ${status}`);
+  }
+}
--- /dev/null
+++ b/test/sim/days.ts
@@ -0,0 +1,171 @@
+import type { Answer } from "../../src/coordination/effects.js";
+import type { JobSpec, Urgency } from "../../src/coordination/model.js";
+import type { World } from "./world.js";
+
+/** Users and troubles of a seeded day. */
+
+export function randomJob(w: World, n: number): JobSpec {
+  const r = w.rng;
+  const shape = r.pick(["batch", "batch", "ensemble", "ensemble", "daemon"] as const);
+  const gpu = r.chance(0.25);
+  const tasks = shape === "batch" ? r.int(1, 14) : r.int(1, 3);
+  const samePlace = r.chance(0.3);
+  return {
+    id: `req-${String(n).padStart(6, "0")}`,
+    class: shape === "ensemble" ? "gangs" : "arrays",
+    team: r.pick(["red", "blue"]),
+    shape,
+    urgency: r.pick<Urgency>(["prod", "high", "normal", "best_effort"]),
+    tasks,
+    cpus: r.pick([1, 2, 4, 5]),
+    gpus: gpu ? 1 : 0,
+    memGb: 4,
+    image: `img-${r.int(1, 4)}`,
+    imageGb: 3,
+    types: r.chance(0.2) ? [gpu ? "big" : r.pick(["small", "big"])] : null,
+    zone: r.chance(0.1) ? r.pick(["east", "mid"]) : null,
+    samePlace,
+    spread: !samePlace && shape !== "ensemble" && r.chance(0.25),
+    spot: r.chance(0.5),
+    estimateS: shape === "daemon" ? 0 : r.real(2, 90),
+    checkpointS: r.chance(0.5) ? 2 : 0,
+    saveS: 1,
+    deadlineS: null,
+  };
+}
+
+export function users(w: World, untilMs: number): void {
+  let n = 0;
+  const submitOne = (): void => {
+    if (w.now > untilMs) return;
+    const spec = randomJob(w, ++n);
+    // A spread job that names its zone can't be placed as it asks; users don't submit it.
+    if (spec.zone !== null && spec.tasks > 1) spec.spread = false;
+    w.specs.set(spec.id, spec);
+    submit(w, spec, w.now);
+    w.at(w.rng.real(300, 2_500), submitOne);
+  };
+  w.at(500, submitOne);
+  const askUnknown = (): void => {
+    w.ask(w.rng.pick(w.names), (req) => ({ is: "status", req, id: "req-999999" }), (a) => a?.is === "job" && w.checker.answered("req-999999", a.state));
+    w.at(5_000, askUnknown);
+  };
+  askUnknown();
+}
+
+const hear = (w: World, id: string, a: Answer): void => {
+  if (a.is === "job") w.checker.answered(id, a.state);
+  else if (a.is === "unknownJob") w.checker.refused(id, 404);
+  else if (a.is === "never") w.checker.refused(id, 422);
+};
+
+function submit(w: World, spec: JobSpec, sinceMs: number): void {
+  w.ask(w.rng.pick(w.names), (req) => ({ is: "submit", req, spec }), (a) => {
+    if (a) hear(w, spec.id, a);
+    if (a?.is === "job") {
+      if (!w.polled.has(spec.id)) {
+        w.polled.add(spec.id);
+        poll(w, spec.id);
+        if (spec.shape === "daemon" || w.rng.chance(0.2)) w.at(w.rng.real(500, 25_000), () => cancel(w, spec.id));
+      }
+      // A repeated submission, at any later time.
+      if (w.rng.chance(0.15)) w.at(w.rng.real(100, 60_000), () => submit(w, spec, -1e9));
+      return;
+    }
+    if (w.now - sinceMs < 60_000) w.at(1_000, () => submit(w, spec, sinceMs));
+  });
+}
+function cancel(w: World, id: string): void {
+  w.checker.asked.add(id);
+  w.ask(w.rng.pick(w.names), (req) => ({ is: "withdraw", req, id }), (a) => {
+    if (a) hear(w, id, a);
+    if (a?.is !== "job") w.at(1_000, () => cancel(w, id));
+  });
+}
+function poll(w: World, id: string): void {
+  w.at(w.rng.real(1_000, 5_000), () =>
+    w.ask(w.rng.pick(w.names), (req) => ({ is: "status", req, id }), (a) => {
+      if (a) hear(w, id, a);
+      if (a?.is !== "job" || (a.state !== "done" && a.state !== "cancelled") || w.rng.chance(0.3)) poll(w, id);
+    }),
+  );
+}
+
+/** One trouble after another, some at once; all are over by `untilMs`. */
+export function troubles(w: World, untilMs: number): void {
+  const r = w.rng;
+  const one = (): void => {
+    if (w.now > untilMs - 30_000) return;
+    const forMs = r.real(2_000, 25_000);
+    const node = r.pick(w.names);
+    switch (r.int(0, 11)) {
+      case 0:
+        w.crash(node);
+        w.at(r.real(1_000, 8_000), () => w.nodes.get(node) ?? w.boot(node));
+        break;
+      case 1:
+        for (const n of w.names) w.crash(n);
+        for (const n of w.names) w.at(r.real(1_000, 6_000), () => w.nodes.get(n) ?? w.boot(n));
+        break;
+      case 2:
+        if (w.stateDown) break;
+        w.stateDown = true;
+        w.at(forMs, () => {
+          w.stateDown = false;
+          w.state.restart();
+        });
+        break;
+      case 3:
+        w.stateCut.set(node, r.pick(["refused", "held"] as const));
+        w.at(forMs, () => w.stateCut.delete(node));
+        break;
+      case 4: {
+        const zone = r.pick(w.zones);
+        for (const m of w.workers) if (m.zone === zone) m.cut.add(node);
+        w.at(forMs, () => w.workers.forEach((m) => m.cut.delete(node)));
+        break;
+      }
+      case 5:
+      case 6: {
+        const m = w.workers.length > 0 ? r.pick(w.workers) : null;
+        for (const n of w.names) m?.cut.add(n);
+        w.at(forMs, () => m?.cut.clear());
+        break;
+      }
+      case 7: {
+        const m = w.workers.length > 0 ? r.pick(w.workers) : null;
+        if (m) m.hung = true;
+        w.at(forMs, () => {
+          if (m) {
+            m.hung = false;
+            m.expire();
+          }
+        });
+        break;
+      }
+      case 8:
+        w.cloudDown = true;
+        w.at(forMs, () => (w.cloudDown = false));
+        break;
+      case 9:
+        for (const m of w.workers)
+          if (m.spot && r.chance(0.5)) {
+            m.noticeMs = w.now + 4_000;
+            w.at(4_000, () => m.vanish());
+          }
+        break;
+      case 10: {
+        const m = w.workers.length > 0 ? r.pick(w.workers) : null;
+        if (m) m.faulty = true;
+        w.at(forMs, () => m && (m.faulty = false));
+        break;
+      }
+      case 11:
+        w.loss = 0.15;
+        w.at(forMs, () => (w.loss = 0.01));
+        break;
+    }
+    w.at(r.real(1_000, 12_000), one);
+  };
+  w.at(8_000, one);
+}
--- /dev/null
+++ b/test/sim/world.ts
@@ -0,0 +1,632 @@
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { Settings } from "../../src/config/settings.js";
+import { DEFAULTS } from "../../src/config/operator.js";
+import { Controller } from "../../src/coordination/controller.js";
+import type { Answer, CloudCall, CloudReply, CommandReply, Effect, Input } from "../../src/coordination/effects.js";
+import type { Cause, JobSpec, MachineType, Order, Report, ReportedTask, TaskState, Tuning } from "../../src/coordination/model.js";
+import type { Change, Item, StateCall, StateReply } from "../../src/protocol/state.js";
+import { Checker } from "./checker.js";
+
+/** A small world for the core: seeded, in simulated time, with a stand-in for everything around a controller. */
+
+export class Rng {
+  private readonly g;
+  constructor(seed: number) {
+    this.g = xoroshiro128plus(seed);
+  }
+  int(lo: number, hi: number): number {
+    return uniformInt(this.g, lo, hi);
+  }
+  real(lo = 0, hi = 1): number {
+    return lo + uniformFloat64(this.g) * (hi - lo);
+  }
+  chance(p: number): boolean {
+    return this.real() < p;
+  }
+  pick<T>(from: readonly T[]): T {
+    return from[this.int(0, from.length - 1)]!;
+  }
+}
+
+class StateService {
+  epoch = 0;
+  readonly data = new Map<string, { value: unknown; version: number; hold?: number }>();
+  readonly holds = new Map<number, { ttlMs: number; endsMs: number }>();
+  private readonly log: Change[] = [];
+  private readonly watchers = new Set<{ prefix: string; since: number; done: (r: StateReply) => void }>();
+  private holdIds = 0;
+
+  constructor(private readonly world: World) {}
+
+  /** After an outage every hold has its full time again. */
+  restart(): void {
+    for (const h of this.holds.values()) h.endsMs = this.world.now + h.ttlMs;
+  }
+  private expire(): void {
+    for (const [id, h] of this.holds) {
+      if (this.world.now < h.endsMs) continue;
+      this.holds.delete(id);
+      const keys = [...this.data].filter(([, d]) => d.hold === id).map(([k]) => k);
+      if (keys.length === 0) continue;
+      this.epoch++;
+      for (const k of keys) {
+        this.data.delete(k);
+        this.log.push({ op: "delete", key: k, version: this.epoch });
+      }
+    }
+    this.wake();
+  }
+  tick(): void {
+    if (!this.world.stateDown) this.expire();
+  }
+  private since(prefix: string, since: number): Change[] {
+    return this.log.filter((c) => c.version > since && c.key.startsWith(prefix));
+  }
+  private wake(): void {
+    for (const w of [...this.watchers]) {
+      const changes = this.since(w.prefix, w.since);
+      if (changes.length === 0) continue;
+      this.watchers.delete(w);
+      w.done({ is: "changes", epoch: this.epoch, changes: structuredClone(changes) });
+    }
+  }
+  handle(call: StateCall, done: (r: StateReply) => void): void {
+    if (this.world.stateDown) return done({ is: "refused", why: "503" });
+    this.expire();
+    switch (call.op) {
+      case "get": {
+        const d = this.data.get(call.key);
+        return done({ is: "item", item: d ? { key: call.key, value: structuredClone(d.value), version: d.version } : null });
+      }
+      case "list": {
+        const keys = [...this.data.keys()].filter((k) => k.startsWith(call.prefix) && k > call.after).sort();
+        const items: Item[] = keys.slice(0, 20).map((key) => ({ key, value: structuredClone(this.data.get(key)!.value), version: this.data.get(key)!.version }));
+        return done({ is: "items", items, more: keys.length > 20, epoch: this.epoch });
+      }
+      case "commit": {
+        for (const w of call.writes) if (w.op === "put" && w.hold !== undefined && !this.holds.has(w.hold)) return done({ is: "refused", why: "400" });
+        if (call.conditions.some((c) => (this.data.get(c.key)?.version ?? 0) !== c.version)) return done({ is: "conflict" });
+        this.epoch++;
+        for (const w of call.writes) {
+          if (w.op === "put") {
+            this.data.set(w.key, { value: structuredClone(w.value), version: this.epoch, hold: w.hold });
+            this.log.push({ op: "put", key: w.key, value: structuredClone(w.value), version: this.epoch });
+          } else if (this.data.delete(w.key)) this.log.push({ op: "delete", key: w.key, version: this.epoch });
+        }
+        done({ is: "committed", epoch: this.epoch });
+        return this.wake();
+      }
+      case "newHold": {
+        const id = ++this.holdIds;
+        this.holds.set(id, { ttlMs: call.ttlMs, endsMs: this.world.now + call.ttlMs });
+        return done({ is: "hold", hold: id });
+      }
+      case "touch": {
+        const h = this.holds.get(call.hold);
+        if (!h) return done({ is: "gone" });
+        h.endsMs = this.world.now + h.ttlMs;
+        return done({ is: "touched" });
+      }
+      case "changes": {
+        if (this.world.rng.chance(0.002)) return done({ is: "gone" });
+        const changes = this.since(call.prefix, call.since);
+        if (changes.length > 0 || call.waitMs === 0) return done({ is: "changes", epoch: this.epoch, changes: structuredClone(changes) });
+        const w = { prefix: call.prefix, since: call.since, done };
+        this.watchers.add(w);
+        this.world.at(call.waitMs, () => {
+          if (!this.watchers.delete(w)) return;
+          if (this.world.stateDown) return;
+          done({ is: "changes", epoch: this.epoch, changes: [] });
+        });
+      }
+    }
+  }
+}
+
+interface SimTask {
+  job: string;
+  index: number;
+  attempt: number;
+  state: TaskState;
+  cause: Cause | null;
+  saved: boolean;
+  stopped: boolean;
+}
+
+export class SimWorker {
+  session = 1;
+  tally = 0;
+  token = 0;
+  up = false;
+  gone = false;
+  hung = false;
+  faulty = false;
+  noticeMs: number | null = null;
+  /** Nodes that can't be reached. */
+  readonly cut = new Set<string>();
+  readonly tasks = new Map<string, SimTask>();
+  private sentMs = 0;
+  private target = 0;
+  private flying = false;
+  private lastMs = -1e9;
+  private readonly images = new Set<string>();
+  readonly bornMs: number;
+
+  constructor(
+    readonly world: World,
+    readonly id: string,
+    readonly type: MachineType,
+    readonly zone: string,
+    readonly spot: boolean,
+  ) {
+    this.bornMs = world.now;
+  }
+  start(): void {
+    this.up = true;
+    this.sentMs = this.world.now;
+    this.loop();
+  }
+  onMachine(t: SimTask): boolean {
+    return t.state === "waiting" || t.state === "running" || t.state === "saving";
+  }
+  private loop(): void {
+    if (this.gone) return;
+    this.expire();
+    if (!this.flying && !this.hung && this.world.now - this.lastMs >= 500) this.report();
+    this.world.at(1000 * this.world.settings.reportS * this.world.rng.real(0.75, 1.25), () => this.loop());
+  }
+  expire(): void {
+    if (this.gone || this.world.now - this.sentMs <= this.world.settings.leaseS * 1000) return;
+    // A hanging machine acts when it resumes, but its tasks count as gone: it does not execute them.
+    this.tasks.clear();
+    this.session++;
+    this.sentMs = this.world.now;
+  }
+  changed(): void {
+    this.world.at(500, () => {
+      if (!this.gone && !this.hung && !this.flying && this.world.now - this.lastMs >= 500) this.report();
+    });
+  }
+  snapshot(): Report {
+    this.tally++;
+    return {
+      worker: this.id,
+      address: `10.0.0.1:${this.id.slice(2)}`,
+      type: this.type.name,
+      zone: this.zone,
+      spot: this.spot,
+      session: this.session,
+      tally: this.tally,
+      token: this.token,
+      noticeS: this.noticeMs === null ? null : Math.max(0, (this.noticeMs - this.world.now) / 1000),
+      tasks: [...this.tasks.values()].map(
+        (t): ReportedTask => ({ job: t.job, index: t.index, attempt: t.attempt, state: t.state, cause: t.cause, saved: t.saved }),
+      ),
+    };
+  }
+  private report(): void {
+    const names = this.world.names;
+    const node = names[this.target % names.length]!;
+    const sent = this.world.now;
+    const r = this.snapshot();
+    const session = this.session;
+    this.flying = true;
+    this.lastMs = sent;
+    let over = false;
+    const next = (): void => {
+      if (over) return;
+      over = true;
+      this.flying = false;
+      this.target++;
+      this.world.at(1000, () => this.gone || this.hung || this.flying || this.report());
+    };
+    this.world.at(4000, next);
+    const deliver = (): void =>
+      this.world.ask(node, (req) => ({ is: "report", req, report: r }), (a) => {
+        if (this.cut.has(node) || this.world.rng.chance(this.world.loss)) return;
+        this.world.at(this.world.rng.real(1, 30), () => {
+          if (over || this.gone) return;
+          if (a === null) return next();
+          if (a.is === "elsewhere") {
+            const to = a.master === null ? -1 : names.indexOf(a.master);
+            if (to < 0 || to === this.target % names.length) return next();
+            over = true;
+            this.flying = false;
+            this.target = to;
+            return this.world.at(this.world.rng.real(0, 500), () => this.gone || this.hung || this.flying || this.report());
+          }
+          if (a.is !== "orders") return next();
+          over = true;
+          this.flying = false;
+          this.expire();
+          if (session !== this.session || a.token < this.token) return;
+          this.sentMs = sent;
+          if (a.token > this.token) {
+            this.token = a.token;
+            this.changed();
+          }
+          for (const o of a.orders) this.execute(o);
+        });
+      });
+    if (this.cut.has(node)) {
+      // Held by the network, perhaps delivered much later.
+      if (this.world.rng.chance(0.5)) this.world.at(this.world.rng.real(1_000, 60_000), deliver);
+      return;
+    }
+    if (!this.world.rng.chance(this.world.loss)) this.world.at(this.world.rng.real(1, 30), deliver);
+  }
+  command(node: string, token: number, session: number, orders: Order[], done: (r: CommandReply) => void): void {
+    const run = (answer: boolean): void => {
+      if (this.gone || !this.up) return;
+      if (this.hung) return this.world.at(300, () => run(false));
+      this.expire();
+      const ok = token >= this.token && session === this.session;
+      if (ok) {
+        if (token > this.token) this.token = token;
+        for (const o of orders) this.execute(o);
+      }
+      this.tally++;
+      if (answer && !this.world.rng.chance(this.world.loss)) done({ is: "answered", status: ok ? 200 : 409 });
+    };
+    const held = this.cut.has(node);
+    if (!held && this.world.rng.chance(this.world.loss)) return;
+    this.world.at(held ? this.world.rng.real(1_000, 60_000) : this.world.rng.real(1, 30), () => run(!held));
+  }
+  execute(o: Order): void {
+    const key = `${o.job}/${o.index}#${o.attempt}`;
+    const t = this.tasks.get(key);
+    if (o.op === "start") {
+      if (t) return;
+      const spec = this.world.specs.get(o.job);
+      const task: SimTask = { job: o.job, index: o.index, attempt: o.attempt, state: "fetching", cause: null, saved: false, stopped: false };
+      this.tasks.set(key, task);
+      const live = [...this.tasks.values()].filter((x) => x.state !== "exited" && x !== task);
+      if (!spec) return this.exit(task, "no_such");
+      if (live.some((x) => x.job === o.job && x.index === o.index)) return this.exit(task, "busy");
+      const used = live.reduce((a, x) => a + this.world.specs.get(x.job)!.cpus, 0);
+      if (used + spec.cpus > this.type.cpus + 1e-6) return this.exit(task, "no_room");
+      this.world.at(this.images.has(spec.image) ? 10 : this.world.rng.real(300, 2500), () => this.hasImage(task, spec));
+      return;
+    }
+    if (!t) return;
+    if (o.op === "forget") {
+      if (t.state === "exited") this.tasks.delete(key);
+      return;
+    }
+    if (t.state === "exited") return;
+    const spec = this.world.specs.get(o.job)!;
+    if (t.state === "running" && spec.checkpointS > 0 && o.graceS >= spec.saveS) {
+      t.state = "saving";
+      this.world.at(spec.saveS * 1000, () => t.state === "saving" && this.has(t) && this.exit(t, "stopped", true));
+    } else if (t.state !== "saving" || o.graceS === 0) this.exit(t, "stopped");
+  }
+  private has(t: SimTask): boolean {
+    return !this.gone && [...this.tasks.values()].includes(t);
+  }
+  private hasImage(t: SimTask, spec: JobSpec): void {
+    if (!this.has(t) || t.state !== "fetching") return;
+    if (this.hung) return this.world.at(300, () => this.hasImage(t, spec));
+    this.images.add(spec.image);
+    this.world.checker.begins(this, t.job, t.index);
+    if (this.world.results.has(`${t.job}/${t.index}`)) {
+      t.state = "running";
+      return this.exit(t, "done");
+    }
+    if (spec.shape === "ensemble") {
+      t.state = "waiting";
+      this.changed();
+      this.world.at(this.world.settings.gangWaitS * 1000, () => t.state === "waiting" && this.has(t) && this.exit(t, "incomplete"));
+      return this.world.gangReady(t.job, t.attempt, spec);
+    }
+    this.run(t, spec);
+  }
+  run(t: SimTask, spec: JobSpec, runMs = this.world.rng.real(1_000, 12_000)): void {
+    t.state = "running";
+    this.changed();
+    if (spec.shape === "daemon") return;
+    this.world.at(runMs, () => {
+      if (!this.has(t) || t.state !== "running") return;
+      if (this.hung) return this.run(t, spec, 500);
+      if (this.faulty) return this.exit(t, "error");
+      if (spec.shape === "ensemble" && !this.world.gangComplete(t.job, t.attempt, spec)) return this.exit(t, "peers");
+      this.world.results.add(`${t.job}/${t.index}`);
+      if (spec.shape === "ensemble") this.world.gangDone(t.job, t.attempt, spec);
+      else this.exit(t, "done");
+    });
+  }
+  exit(t: SimTask, cause: Cause, saved = false): void {
+    t.state = "exited";
+    t.cause = cause;
+    t.saved = saved;
+    this.changed();
+  }
+  vanish(): void {
+    this.gone = true;
+    this.tasks.clear();
+  }
+}
+
+class Cloud {
+  private ids = 0;
+  private readonly charters = new Map<string, string[]>();
+  readonly rented = new Map<string, SimWorker>();
+
+  constructor(private readonly world: World) {}
+
+  add(type: MachineType, zone: string, spot: boolean, bootMs: number): SimWorker {
+    const w = new SimWorker(this.world, `n-${String(++this.ids).padStart(6, "0")}`, type, zone, spot);
+    this.rented.set(w.id, w);
+    this.world.workers.push(w);
+    if (this.world.rng.chance(0.95)) this.world.at(bootMs, () => w.gone || w.start());
+    return w;
+  }
+  handle(call: CloudCall): CloudReply {
+    if (this.world.cloudDown) return { is: "failed", why: "503" };
+    switch (call.op) {
+      case "catalog":
+        return { is: "catalog", types: structuredClone(this.world.types) };
+      case "rent": {
+        const known = this.charters.get(call.request);
+        if (known) return { is: "rented", machines: known };
+        const there = [...this.rented.values()].filter((w) => w.zone === call.zone && w.type.name === call.type && w.spot === call.spot).length;
+        const n = Math.min(call.count, this.world.capacity - there);
+        if (n <= 0) return { is: "noCapacity" };
+        const type = this.world.types.find((t) => t.name === call.type)!;
+        const machines = Array.from({ length: n }, () => this.add(type, call.zone, call.spot, this.world.rng.real(1_000, 6_000)).id);
+        this.charters.set(call.request, machines);
+        return { is: "rented", machines };
+      }
+      case "return":
+        for (const id of call.machines) {
+          this.rented.get(id)?.vanish();
+          this.rented.delete(id);
+        }
+        return { is: "returned" };
+      case "list":
+        return {
+          is: "list",
+          more: false,
+          machines: [...this.rented.values()]
+            .filter((w) => w.id > call.after && this.world.now - w.bornMs > 2_000)
+            .map((w) => ({ id: w.id, address: "", type: w.type.name, zone: w.zone, spot: w.spot, state: w.gone ? "failed" : w.up ? "running" : "starting", ageS: (this.world.now - w.bornMs) / 1000 })),
+        };
+    }
+  }
+}
+
+export class World {
+  now = 0;
+  loss = 0.01;
+  stateDown = false;
+  cloudDown = false;
+  capacity = 3;
+  readonly rng: Rng;
+  readonly state: StateService;
+  readonly cloud: Cloud;
+  readonly checker: Checker;
+  readonly workers: SimWorker[] = [];
+  readonly specs = new Map<string, JobSpec>();
+  readonly results = new Set<string>();
+  readonly polled = new Set<string>();
+  readonly names = ["node-a", "node-b", "node-c"];
+  readonly zones = ["east", "mid", "west", "attic"];
+  readonly settings: Settings;
+  readonly nodes = new Map<string, { core: Controller; life: number; drift: number } | null>();
+  /** Nodes that the state service refuses, or whose messages to it are held. */
+  readonly stateCut = new Map<string, "refused" | "held">();
+  readonly logs: string[] = [];
+  starts = 0;
+  private readonly heap: { at: number; seq: number; fn: () => void }[] = [];
+  private seq = 0;
+  private lives = 0;
+  private reqs = 0;
+  private readonly answers = new Map<number, (a: Answer | null) => void>();
+  readonly types: MachineType[] = [
+    { name: "small", cpus: 8, gpus: 0, memGb: 32, cacheGb: 20, fetchGbPerS: 1, price: 1, spotPrice: 0.3, bootS: 4, zones: ["east", "mid", "west", "attic"] },
+    { name: "big", cpus: 24, gpus: 4, memGb: 128, cacheGb: 50, fetchGbPerS: 1, price: 8, spotPrice: 2, bootS: 6, zones: ["east", "mid"] },
+  ];
+
+  constructor(
+    seed: number,
+    readonly tuning: Tuning = { ...DEFAULTS, silentReturnS: 20 },
+  ) {
+    this.rng = new Rng(seed);
+    this.settings = {
+      label: "",
+      area: "",
+      clientListen: { host: "0.0.0.0", port: 1 },
+      mesh: { host: "0.0.0.0", port: 2 },
+      peers: [],
+      cloud: { host: "0.0.0.0", port: 3, rps: 5, listLagS: 2 },
+      state: { host: "0.0.0.0", port: 4, rps: 100, writeRps: 20, valueBytes: 8192, txnOps: 12 },
+      zones: this.zones,
+      teams: new Map([
+        ["red", { name: "red", cpus: 20, gpus: 0, cpusMax: 48, gpusMax: 6 }],
+        ["blue", { name: "blue", cpus: 20, gpus: 0, cpusMax: 90, gpusMax: Infinity }],
+      ]),
+      objectives: [{ kind: "wait", class: "gangs", withinS: 2 }],
+      reportS: 1,
+      leaseS: 6,
+      gangWaitS: 12,
+      gangPeerS: 3,
+      cancelS: 20,
+      maxSockets: 700,
+    };
+    this.state = new StateService(this);
+    this.cloud = new Cloud(this);
+    this.checker = new Checker(this);
+    for (const n of this.names) this.boot(n);
+    this.every(100, () => this.state.tick());
+    this.every(250, () => {
+      for (const w of this.workers) w.expire();
+      this.checker.sweep();
+    });
+  }
+
+  at(delayMs: number, fn: () => void): void {
+    const e = { at: this.now + delayMs, seq: ++this.seq, fn };
+    let i = this.heap.push(e) - 1;
+    while (i > 0) {
+      const p = (i - 1) >> 1;
+      if (!World.less(e, this.heap[p]!)) break;
+      this.heap[i] = this.heap[p]!;
+      i = p;
+    }
+    this.heap[i] = e;
+  }
+  private static less(a: { at: number; seq: number }, b: { at: number; seq: number }): boolean {
+    return a.at < b.at || (a.at === b.at && a.seq < b.seq);
+  }
+  private pop(): { at: number; fn: () => void } | undefined {
+    const top = this.heap[0];
+    const last = this.heap.pop();
+    if (!top || !last || top === last) return top;
+    let i = 0;
+    for (;;) {
+      let c = 2 * i + 1;
+      if (c >= this.heap.length) break;
+      if (c + 1 < this.heap.length && World.less(this.heap[c + 1]!, this.heap[c]!)) c++;
+      if (!World.less(this.heap[c]!, last)) break;
+      this.heap[i] = this.heap[c]!;
+      i = c;
+    }
+    this.heap[i] = last;
+    return top;
+  }
+  every(ms: number, fn: () => void): void {
+    this.at(ms, () => {
+      fn();
+      this.every(ms, fn);
+    });
+  }
+  run(untilMs: number): void {
+    while (this.heap.length > 0 && this.heap[0]!.at <= untilMs) {
+      const e = this.pop()!;
+      this.now = e.at;
+      e.fn();
+      if (this.checker.broken.length > 0) return;
+    }
+    this.now = untilMs;
+  }
+
+  boot(name: string): void {
+    const i = this.names.indexOf(name);
+    const areas = ["east", "mid", "west"];
+    const settings: Settings = {
+      ...this.settings,
+      label: name,
+      area: areas[i]!,
+      peers: this.names.map((label, k) => ({ label, area: areas[k]!, host: "0.0.0.0", port: 9 })).filter((p) => p.label !== name),
+    };
+    const drift = 1 + this.rng.real(0, 0.0005);
+    const node = { core: new Controller(settings, this.tuning, this.now * drift, this.now), life: ++this.lives, drift };
+    this.nodes.set(name, node);
+    const tick = (): void => {
+      if (this.nodes.get(name) !== node) return;
+      this.feed(name, node.life, { is: "tick" });
+      this.at(200, tick);
+    };
+    tick();
+  }
+  crash(name: string): void {
+    this.nodes.set(name, null);
+  }
+
+  /** A request at a node; null: no answer or no connection. */
+  ask(name: string, input: (req: number) => Input, done: (a: Answer | null) => void): void {
+    const node = this.nodes.get(name);
+    if (!node) return done(null);
+    const req = ++this.reqs;
+    this.answers.set(req, done);
+    this.feed(name, node.life, input(req));
+  }
+
+  private feed(name: string, life: number, input: Input): void {
+    const node = this.nodes.get(name);
+    if (!node || node.life !== life) return;
+    const effects = node.core.step(input, this.now * node.drift, this.now);
+    for (const e of effects) this.carryOut(name, node, e);
+  }
+
+  private carryOut(name: string, node: { core: Controller; life: number; drift: number }, e: Effect): void {
+    const back = (i: Input): void => this.at(this.rng.real(1, 10), () => this.feed(name, node.life, i));
+    switch (e.do) {
+      case "answer": {
+        const done = this.answers.get(e.req);
+        this.answers.delete(e.req);
+        done?.(e.answer);
+        break;
+      }
+      case "state": {
+        const sentMs = this.now * node.drift;
+        let over = false;
+        const reply = (r: StateReply): void => {
+          if (over) return;
+          over = true;
+          back({ is: "state", op: e.op, reply: r, sentMs });
+        };
+        const wait = e.call.op === "changes" ? e.call.waitMs + 1500 : 1500;
+        this.at(wait, () => reply({ is: "unknown", why: "timeout" }));
+        const cut = this.stateCut.get(name);
+        if (cut === "refused") return reply({ is: "refused", why: "503" });
+        const held = cut === "held" || this.rng.chance(this.loss / 4);
+        const delay = held ? this.rng.real(1_600, 60_000) : this.rng.real(1, 10);
+        this.at(delay, () => this.state.handle(e.call, (r) => this.rng.chance(this.loss / 4) || held || reply(r)));
+        break;
+      }
+      case "cloud": {
+        let over = false;
+        const reply = (r: CloudReply): void => {
+          if (over) return;
+          over = true;
+          back({ is: "cloud", op: e.op, reply: r });
+        };
+        this.at(4_000, () => reply({ is: "failed", why: "timeout" }));
+        const held = this.rng.chance(this.loss);
+        this.at(held ? this.rng.real(5_000, 40_000) : 100, () => {
+          const r = this.cloud.handle(e.call);
+          if (!held) reply(r);
+        });
+        break;
+      }
+      case "command": {
+        let over = false;
+        const reply = (r: CommandReply): void => {
+          if (over) return;
+          over = true;
+          back({ is: "command", op: e.op, reply: r });
+        };
+        this.at(3_000, () => reply({ is: "unknown" }));
+        const id = `n-${e.address.split(":")[1]}`;
+        const w = this.workers.find((x) => x.id === id);
+        if (!w || w.gone || !w.up) return;
+        w.command(name, e.token, e.session, e.orders, reply);
+        break;
+      }
+      case "log":
+        if (this.logs.length < 5000) this.logs.push(`${(this.now / 1000).toFixed(3)} ${name} ${e.msg} ${JSON.stringify(e.fields)}`);
+        break;
+    }
+  }
+
+  // ---- gangs ---------------------------------------------------------------------------------------------
+
+  private gang(job: string, attempt: number): { w: SimWorker; t: SimTask }[] {
+    return this.workers.flatMap((w) => [...w.tasks.values()].filter((t) => t.job === job && t.attempt === attempt && t.state !== "exited").map((t) => ({ w, t })));
+  }
+  gangReady(job: string, attempt: number, spec: JobSpec): void {
+    const all = this.gang(job, attempt).filter((x) => x.t.state === "waiting");
+    if (new Set(all.map((x) => x.t.index)).size < spec.tasks) return;
+    const ms = this.rng.real(2_000, 12_000);
+    for (const { w, t } of all) w.run(t, spec, ms);
+  }
+  gangComplete(job: string, attempt: number, spec: JobSpec): boolean {
+    return this.gang(job, attempt).filter((x) => x.t.state === "running" && !x.w.hung).length === spec.tasks;
+  }
+  gangDone(job: string, attempt: number, spec: JobSpec): void {
+    for (let i = 0; i < spec.tasks; i++) this.results.add(`${job}/${i}`);
+    for (const { w, t } of this.gang(job, attempt)) w.exit(t, "done");
+  }
+}
