--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -1,5 +1,5 @@
 import type { Condition, Write } from "../protocol/state.js";
-import { FIN_CHUNK, finKey, groupKey, jobKey, pastKey, type RoomRecord, type RoomRow, writeFin, writeJob, writePast } from "../storage/records.js";
+import { FIN_CHUNK, finKey, groupKey, jobKey, pastKey, QUOTA_KEY, type RoomRecord, type RoomRow, type Want, writeFin, writeJob, writePast } from "../storage/records.js";
 import { type CommitEnd, type Context, DRIFT } from "./context.js";
 import { type Answer, Urgent } from "./effects.js";
 import { Fleet } from "./fleet.js";
@@ -8,7 +8,7 @@
 import { taskKey } from "./model.js";
 import { allowedOn, type Amounts, EPS, fits, goesWhole, zoneCap } from "./placement.js";
 import { isShort, Round } from "./queues.js";
-import { shareOf, withinShare } from "./quota.js";
+import { moveShare, shareOf, withinShare } from "./quota.js";
 import { RangeSet } from "./ranges.js";
 import { Roster } from "./roster.js";
 import { roomFor } from "./splitter.js";
@@ -37,6 +37,8 @@
   private lastRoomMs = -Infinity;
   private lastRoom = "";
   private roomBusy = false;
+  /** Part of a team's limit on its way to another group. */
+  private giving: { base: number; team: string; give: [number, number]; value: object; sent: boolean; settled: boolean; open: boolean } | null = null;
 
   constructor(
     private readonly ctx: Context,
@@ -501,7 +503,9 @@
   share(team: string): [number, number] {
     const t = this.ctx.settings.teams.get(team);
     if (!t) return [0, 0];
-    return shareOf(t, this.group, this.ctx.groups.names, this.ctx.mirror.shares);
+    const [cpus, gpus] = shareOf(t, this.group, this.ctx.groups.names, this.ctx.mirror.shares);
+    const g = this.giving;
+    return g && g.team === team && g.base === this.ctx.mirror.sharesVersion ? [cpus - g.give[0], gpus - g.give[1]] : [cpus, gpus];
   }
 
   /** Reserved for short tasks: the machines of each type that come last by name. */
@@ -583,6 +587,7 @@
       job.active.set(index, t);
       w.tasks.set(runKey(job.id, index, attempt), t);
       w.idleSinceMs = null;
+      this.ctx.log("debug", "starting task", { task: taskKey(job.id, index), attempt, worker: w.id });
       take(free.get(w)!, spec);
       team.cpus += spec.cpus;
       team.gpus += spec.gpus;
@@ -702,7 +707,7 @@
       const n = this.runningOf(j.id);
       if (n > 0 && running.size < 120) running.set(j.id, n);
     }
-    return { rows: [...rows.values()], short, long, running, soldOut: this.fleet.soldOut() };
+    return { rows: [...rows.values()], short, long, running, soldOut: this.fleet.soldOut(), wants: this.wants() };
   }
 
   writeRoomIf(write: (r: RoomRecord) => object, key: string): void {
@@ -757,7 +762,7 @@
     theirs.addAll(tasks);
     split.set(to, theirs);
     const value = writeJob({ spec: job.view.spec, acceptedAt: job.view.acceptedAt, split });
-    job.moving = { base: job.view.version, tasks, to, value, sent: false };
+    job.moving = { base: job.view.version, tasks, to, value, sent: false, settled: false, open: false };
     job.waiting.removeAll(tasks);
     this.ctx.log("info", "moving waiting tasks to an idle group", { job: job.id, tasks: tasks.size, to });
     this.sendMove(job);
@@ -765,20 +770,92 @@
 
   private sendMove(job: JobRun): void {
     const m = job.moving;
-    if (!m || m.sent) return;
+    if (!m || m.sent || m.settled) return;
     m.sent = true;
     const key = jobKey(job.id);
     this.commit([{ key, version: m.base }], [{ op: "put", key, value: m.value }], Urgent.Spare, (end) => {
       m.sent = false;
-      // Without an answer it may yet happen: the tasks stay untouched, and the same commit is sent again, until
-      // the record says which it is.
-      if (job.moving === m && (end === "refused" || end === "conflict")) {
+      // Invariant (ran_twice): given tasks come back only if no such commit can have been carried out. After
+      // one without an answer even a conflict proves nothing: the record itself, once the mirror shows it, says
+      // which it is, and until then they stay untouched.
+      if (end === "unknown") m.open = true;
+      else if (end !== "refused") m.settled = true;
+      else if (!m.open && job.moving === m) {
         job.moving = null;
         if (!job.gone) this.sync(job.view);
       }
     });
   }
 
+  // ---- shares of the teams' limits -----------------------------------------------------------------------
+
+  /** By team: how much more of its limit this group could use at once, and since when the oldest job waits. */
+  private wants(): Map<string, Want> {
+    const out = new Map<string, Want>();
+    const used = this.usage();
+    for (const j of this.jobs.values()) {
+      const spec = j.view.spec;
+      if (j.waiting.isEmpty || out.size >= 20) continue;
+      const n = spec.shape === "batch" ? 1 : j.waiting.size;
+      const share = this.share(spec.team);
+      const u = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
+      if (withinShare(u, { cpus: spec.cpus * n, gpus: spec.gpus * n }, share)) continue;
+      const all = spec.shape === "batch" ? Math.min(j.waiting.size, 20) : n;
+      const want = {
+        cpus: Math.max(0, u.cpus + spec.cpus * all - share[0]),
+        gpus: Math.max(0, u.gpus + spec.gpus * all - share[1]),
+        since: j.view.acceptedAt,
+      };
+      const had = out.get(spec.team);
+      if (!had || want.since < had.since) out.set(spec.team, want);
+    }
+    return out;
+  }
+
+  /**
+   * Gives what this group does not use of a team's limit to one that wants it, if that has waited longer than
+   * anything here. Invariant (quota): from before the commit is sent this group keeps within what it will have
+   * left, and it does so until the record shows how the commit ended.
+   */
+  private giveShares(): void {
+    const g = this.giving;
+    if (g) {
+      if (this.ctx.mirror.sharesVersion !== g.base) this.giving = null;
+      else return this.sendShares();
+    }
+    if (this.fence) return;
+    const mine = this.wants();
+    for (const [group, room] of this.ctx.mirror.rooms) {
+      if (group === this.group) continue;
+      for (const [name, want] of room.wants) {
+        const team = this.ctx.settings.teams.get(name);
+        const own = mine.get(name);
+        if (!team || (own && (own.since < want.since || (own.since === want.since && this.group < group)))) continue;
+        const share = this.share(name);
+        const used = this.usage().get(name) ?? { cpus: 0, gpus: 0 };
+        const spare = (limit: number, use: number, ask: number): number => (Number.isFinite(limit) ? Math.max(0, Math.min(ask, Math.floor((limit - use) * 100) / 100)) : 0);
+        const give: [number, number] = [spare(share[0], used.cpus, want.cpus), spare(share[1], used.gpus, want.gpus)];
+        if (give[0] <= EPS && give[1] <= EPS) continue;
+        const shares = moveShare(team, this.ctx.groups.names, this.ctx.mirror.shares, this.group, group, give);
+        this.giving = { base: this.ctx.mirror.sharesVersion, team: name, give, value: shares, sent: false, settled: false, open: false };
+        this.ctx.log("info", "giving part of a team's limit to another group", { team: name, to: group, cpus: give[0], gpus: give[1] });
+        return this.sendShares();
+      }
+    }
+  }
+
+  private sendShares(): void {
+    const g = this.giving;
+    if (!g || g.sent || g.settled) return;
+    g.sent = true;
+    this.commit([{ key: QUOTA_KEY, version: g.base }], [{ op: "put", key: QUOTA_KEY, value: g.value }], Urgent.Spare, (end) => {
+      g.sent = false;
+      if (end === "unknown") g.open = true;
+      else if (end !== "refused") g.settled = true;
+      else if (!g.open && this.giving === g) this.giving = null;
+    });
+  }
+
   // ---- time ----------------------------------------------------------------------------------------------
 
   tick(): void {
@@ -800,6 +877,7 @@
     this.place();
     if (this.permitted()) {
       this.giveToIdle();
+      this.giveShares();
       this.fleet.tick();
     }
   }
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -39,7 +39,7 @@
   /** Machines where it failed, and how often. */
   errors: Map<string, number>;
   /** Handed to another group by a commit that has not shown yet. */
-  moving: { base: number; tasks: RangeSet; to: string; value: object; sent: boolean } | null;
+  moving: { base: number; tasks: RangeSet; to: string; value: object; sent: boolean; settled: boolean; open: boolean } | null;
   guaranteed: boolean;
 }
 
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -79,6 +79,12 @@
   /** Free resources of each machine that has any left. */
   free: [cpus: number, gpus: number, memGb: number][];
 }
+export interface Want {
+  cpus: number;
+  gpus: number;
+  /** Time of day since which the oldest such job waits. */
+  since: number;
+}
 export interface RoomRecord {
   rows: RoomRow[];
   /** Tasks waiting, short and long. */
@@ -88,6 +94,8 @@
   running: Map<string, number>;
   /** Offers that the cloud had nothing left of, lately. */
   soldOut: string[];
+  /** By team: more of its limit that the group could use. */
+  wants: Map<string, Want>;
 }
 export interface RosterEntry {
   /** Marked for return: never used again. */
@@ -136,6 +144,7 @@
   q: v.tuple([v.number(), v.number()]),
   run: v.array(v.tuple([v.string(), v.number()])),
   out: v.array(v.string()),
+  want: v.array(v.tuple([v.string(), v.number(), v.number(), v.number()])),
 });
 /** Types are written once, machines refer to them by place. */
 const Roster = v.object({ t: v.array(v.string()), m: v.array(v.tuple([v.string(), v.number(), v.number()])) });
@@ -197,6 +206,7 @@
       long: o.q[1],
       running: new Map(o.run),
       soldOut: o.out,
+      wants: new Map(o.want.map(([t, cpus, gpus, since]) => [t, { cpus, gpus, since }])),
     }
   );
 }
@@ -212,6 +222,7 @@
   q: [r.short, r.long],
   run: [...r.running],
   out: r.soldOut,
+  want: [...r.wants].map(([t, w]) => [t, w.cpus, w.gpus, w.since]),
 });
 
 /** Machines in one roster record: some 20 bytes each, so that a record stays below 8 KiB. */
