--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -4,7 +4,7 @@
 export const DEFAULTS: Readonly<Tuning> = {
   longEvery: 4,
   reservedShare: 0.1,
-  shortCutoffS: 60,
+  shortCutoffS: 240,
   idleReturnS: 15,
   idleBoots: 1,
   warmWindowS: 300,
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -2,8 +2,9 @@
 import type { Condition, Write } from "../protocol/state.js";
 import type { CloudCall, CloudReply, CommandReply, Level, Urgent } from "./effects.js";
 import type { Groups } from "./groups.js";
+import type { Handed } from "./splitter.js";
 import type { Mirror } from "./mirror.js";
-import type { MachineType, Order, Tuning } from "./model.js";
+import type { JobSpec, MachineType, Order, Tuning } from "./model.js";
 
 /** How a commit ended. `unknown`: it may have been carried out, or may yet be. */
 export type CommitEnd = "ok" | "conflict" | "refused" | "unknown";
@@ -22,6 +23,9 @@
   commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd) => void): void;
   cloud(call: CloudCall, urgent: Urgent, done: (reply: CloudReply) => void): void;
   command(address: string, token: number, session: number, orders: Order[], done: (reply: CommandReply) => void): void;
+  /** Handed to each group, by splits and moves, since it last wrote its room. */
+  readonly handed: ReadonlyMap<string, readonly Handed[]>;
+  noteHanded(group: string, spec: JobSpec, tasks: number): void;
   log(level: Level, msg: string, fields?: Record<string, unknown>): void;
 }
 
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -9,7 +9,7 @@
 import type { JobSpec, MachineType, Order, Report, Tuning } from "./model.js";
 import { Ownership } from "./ownership.js";
 import { EPS } from "./placement.js";
-import { capableGroups, splitJob } from "./splitter.js";
+import { capableGroups, type Handed, splitJob } from "./splitter.js";
 
 /** A watch is renewed at least this often: its age is part of the permit. */
 const WATCH_MS = 2_000;
@@ -20,7 +20,7 @@
 interface Waiting {
   req: number;
   id: string;
-  then: (req: number, id: string) => void;
+  next: (req: number, id: string) => void;
 }
 
 /**
@@ -50,8 +50,8 @@
   private askingCatalog = false;
   private stateDown = false;
   private cloudDown = false;
-  /** Tasks handed to each group since it last wrote its room. */
-  private readonly handed = new Map<string, number>();
+  /** Handed to each group since it last wrote its room. */
+  readonly handed = new Map<string, Handed[]>();
   private lastSweepMs = 0;
 
   constructor(
@@ -269,12 +269,12 @@
    * Invariant (rules forgotten, went_back): an answer that is not final rests on a read that was sent after the
    * question came. One read serves all questions that came before it.
    */
-  private afterRead(req: number, id: string, then: (req: number, id: string) => void): void {
+  private afterRead(req: number, id: string, next: (req: number, id: string) => void): void {
     const past = this.mirror.past.get(id);
-    if (past) return then(req, id);
+    if (past) return next(req, id);
     if (!this.mirror.ready) return this.later(req, "not ready yet");
     if (this.waiting.length >= MAX_WAITING) return this.later(req, "too many requests");
-    this.waiting.push({ req, id, then });
+    this.waiting.push({ req, id, next });
     this.readNow();
   }
 
@@ -287,7 +287,7 @@
       this.reading = false;
       this.nextReadMs = this.nowMs + READ_PAUSE_MS;
       for (const w of served) {
-        if (ok) w.then(w.req, w.id);
+        if (ok) w.next(w.req, w.id);
         else this.later(w.req, "state service does not answer");
       }
       this.readNow();
@@ -334,7 +334,7 @@
     const rooms = new Map(this.mirror.rooms);
     for (const [g, m] of this.masters) rooms.set(g, m.room());
     const split = splitJob(spec, capable, rooms, this.catalog!, this.handed);
-    for (const [g, r] of split) if (!this.masters.has(g)) this.handed.set(g, (this.handed.get(g) ?? 0) + r.size);
+    for (const [g, r] of split) if (!this.masters.has(g)) this.noteHanded(g, spec, r.size);
     // Accepting is one commit, with the split in it; the masters learn of the job from the record.
     this.commit(
       [
@@ -346,6 +346,7 @@
       (end) => {
         if (end === "ok") {
           this.answer(req, { is: "job", status: 201, id, state: "queued" });
+          this.log("debug", "job accepted", { job: id, class: spec.class, tasks: spec.tasks, split: [...split].map(([g, r]) => [g, r.size]) });
           this.watchSoon();
         } else if (end === "conflict") this.afterRead(req, id, (r, i) => this.tellStatus(r, i, 200));
         else this.later(req, "state service does not answer");
@@ -353,6 +354,11 @@
     );
   }
 
+  noteHanded(group: string, spec: JobSpec, tasks: number): void {
+    const list = this.handed.get(group) ?? [];
+    this.handed.set(group, [...list, { spec, tasks }].slice(-50));
+  }
+
   /** The open watch shows a commit at once; if none is open, one is opened. */
   private watchSoon(): void {
     if (!this.watching) {
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -124,7 +124,7 @@
   }
   private notePeak(type: string, n: number): void {
     let p = this.peaks.get(type);
-    if (!p) this.peaks.set(type, (p = new Array<number>(WARM_PERIODS).fill(0)));
+    if (!p) this.peaks.set(type, (p = Array.from({ length: WARM_PERIODS }, () => 0)));
     p[0] = Math.max(p[0]!, n);
   }
   private notePeaks(): void {
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -11,12 +11,16 @@
 import { moveShare, shareOf, withinShare } from "./quota.js";
 import { RangeSet } from "./ranges.js";
 import { Roster } from "./roster.js";
-import { roomFor } from "./splitter.js";
+import { queueOf, roomLeft } from "./splitter.js";
 import { freeOn, type JobRun, newJobRun, runKey, take, type TaskRun, type Worker } from "./tasks.js";
 
 /** Attempts of one token: with a token below 2^33 they stay below 2^53. */
 const ATTEMPTS = 2 ** 20;
 const LEASE_SLACK_MS = 1_000;
+/** The room is written at most this often. */
+const ROOM_MS = 700;
+/** A task waits this long for its own group before it may move. */
+const MOVE_AFTER_MS = 400;
 
 /**
  * The master of one group under one token. It alone starts tasks on the group's machines. It begins with what
@@ -288,6 +292,7 @@
         this.exited(t, r.cause, r.saved);
       } else {
         if (t.phase !== r.state) {
+          this.ctx.log("debug", "task phase", { task: taskKey(t.job.id, t.index), worker: w.id, from: t.phase, to: r.state, afterMs: Math.round(now - t.sinceMs) });
           t.phase = r.state;
           t.sinceMs = now;
         }
@@ -698,20 +703,18 @@
       const f = freeOn(w);
       if (row.free.length < 40 && (f.cpus > EPS || f.gpus > EPS)) row.free.push([f.cpus, f.gpus, f.memGb]);
     }
-    let short = 0;
-    let long = 0;
+    const queue = { plain: 0, accelerated: 0 };
     const running = new Map<string, number>();
     for (const j of this.jobs.values()) {
-      if (isShort(j.view.spec, this.ctx.tuning)) short += j.waiting.size;
-      else long += j.waiting.size;
+      queue[queueOf(j.view.spec)] += j.waiting.size;
       const n = this.runningOf(j.id);
       if (n > 0 && running.size < 120) running.set(j.id, n);
     }
-    return { rows: [...rows.values()], short, long, running, soldOut: this.fleet.soldOut(), wants: this.wants() };
+    return { rows: [...rows.values()], queue, running, soldOut: this.fleet.soldOut(), wants: this.wants() };
   }
 
   writeRoomIf(write: (r: RoomRecord) => object, key: string): void {
-    if (this.roomBusy || this.ctx.nowMs - this.lastRoomMs < 1_000) return;
+    if (this.roomBusy || this.ctx.nowMs - this.lastRoomMs < ROOM_MS) return;
     const value = write(this.room());
     const text = JSON.stringify(value);
     if (text === this.lastRoom) return;
@@ -723,34 +726,31 @@
     });
   }
 
-  waitingTasks(): number {
-    let n = 0;
-    for (const j of this.jobs.values()) n += j.waiting.size;
-    return n;
-  }
-
   /**
-   * Pigeon's groups keep their tasks; ours let an idle master with empty queues take waiting ones from the
+   * Pigeon's groups keep their tasks; ours let an idle master with an empty queue take waiting ones from the
    * longest queue's master. The giver writes the move into the job's record before the taker may start them,
    * and starts none of them itself from before that commit is sent.
    */
   private giveToIdle(): void {
-    const queue = this.waitingTasks();
-    if (queue === 0 || this.fence) return;
+    if (this.fence) return;
+    const own = this.room().queue;
     const rooms = this.ctx.mirror.rooms;
-    for (const [g, r] of rooms) if (g !== this.group && r.short + r.long > queue) return;
-    for (const [g, r] of rooms) {
-      if (g === this.group || r.short + r.long > 0 || !this.ctx.mirror.groups.has(g)) continue;
-      for (const job of this.jobs.values()) {
-        const spec = job.view.spec;
-        if (job.moving || job.finalizing || !this.mayStart(job) || this.ctx.nowMs - job.waitingSinceMs < 1_500) continue;
-        if (spec.spread) continue;
-        const fit = roomFor(spec, r);
-        const whole = goesWhole(spec);
-        if (whole ? job.waiting.size < spec.tasks || fit < spec.tasks || this.hasStrays(job.id) : fit === 0) continue;
-        this.move(job, job.waiting.take(whole ? spec.tasks : fit), g);
-        return;
+    for (const job of this.jobs.values()) {
+      const spec = job.view.spec;
+      const kind = queueOf(spec);
+      if (job.moving || job.finalizing || spec.spread || !this.mayStart(job) || this.ctx.nowMs - job.waitingSinceMs < MOVE_AFTER_MS) continue;
+      if ([...rooms].some(([g, r]) => g !== this.group && r.queue[kind] > own[kind])) continue;
+      const whole = goesWhole(spec);
+      if (whole && (job.waiting.size < spec.tasks || this.hasStrays(job.id))) continue;
+      let best: { g: string; fit: number } | null = null;
+      for (const [g, r] of rooms) {
+        if (g === this.group || r.queue[kind] > 0 || !this.ctx.mirror.groups.has(g)) continue;
+        const fit = roomLeft(spec, r, this.ctx.handed.get(g));
+        if (fit >= (whole ? spec.tasks : 1) && (!best || fit > best.fit)) best = { g, fit };
       }
+      if (!best) continue;
+      this.ctx.noteHanded(best.g, spec, Math.min(best.fit, job.waiting.size));
+      this.move(job, job.waiting.take(whole ? spec.tasks : best.fit), best.g);
     }
   }
 
--- a/src/coordination/splitter.ts
+++ b/src/coordination/splitter.ts
@@ -31,6 +31,22 @@
   return n;
 }
 
+/** Tasks that were given to a group and that its written room may not show yet. */
+export interface Handed {
+  spec: JobSpec;
+  tasks: number;
+}
+
+/** Which queue of a group a job's tasks stand in, as far as others need to know. */
+export const queueOf = (spec: JobSpec): "plain" | "accelerated" => (spec.gpus > 0 ? "accelerated" : "plain");
+
+/** Tasks of this job that a group can start at once, less what was handed to it since it wrote so. */
+export function roomLeft(spec: JobSpec, room: RoomRecord | undefined, handed: readonly Handed[] = []): number {
+  let n = roomFor(spec, room);
+  for (const h of handed) if (queueOf(h.spec) === queueOf(spec)) n -= h.tasks * Math.max(1, Math.ceil(spec.cpus > 0 ? h.spec.cpus / spec.cpus : 1));
+  return Math.max(0, n);
+}
+
 interface Weighted extends Capable {
   /** Tasks that fit at once. */
   room: number;
@@ -44,25 +60,20 @@
   capable: readonly Capable[],
   rooms: ReadonlyMap<string, RoomRecord>,
   catalog: readonly MachineType[],
-  handed: ReadonlyMap<string, number>,
+  handed: ReadonlyMap<string, readonly Handed[]>,
 ): Weighted[] {
   return capable.map((c) => {
     const r = rooms.get(c.group);
-    const waiting = (r ? r.short + r.long : 0) + (handed.get(c.group) ?? 0);
-    const machines = (r?.rows ?? []).reduce(
-      (n, row) => n + (allowedOn(spec, row.type, row.zone, row.spot) ? row.machines : 0),
-      0,
-    );
+    const given = handed.get(c.group) ?? [];
+    let waiting = r ? r.queue[queueOf(spec)] : 0;
+    for (const h of given) if (queueOf(h.spec) === queueOf(spec)) waiting += h.tasks;
+    let machines = 0;
+    for (const row of r?.rows ?? []) if (allowedOn(spec, row.type, row.zone, row.spot)) machines += row.machines;
     const gone = new Set(r?.soldOut);
     let offers = 0;
     for (const t of catalog)
       for (const z of c.zones) if (couldRun(spec, t, z) && !(gone.has(offer(t.name, z, false)) && (!spec.spot || gone.has(offer(t.name, z, true))))) offers++;
-    return {
-      ...c,
-      room: Math.max(0, roomFor(spec, r) - waiting),
-      later: (machines + offers) / (1 + waiting),
-      cap: zoneCap(spec) * c.zones.length,
-    };
+    return { ...c, room: roomLeft(spec, r, given), later: (machines + offers + 0.1) / (1 + waiting), cap: zoneCap(spec) * c.zones.length };
   });
 }
 
@@ -73,13 +84,12 @@
   return h % n;
 }
 
-/** `handed`: tasks that this controller gave to each group since the group last wrote its room. */
 export function splitJob(
   spec: JobSpec,
   capable: readonly Capable[],
   rooms: ReadonlyMap<string, RoomRecord>,
   catalog: readonly MachineType[],
-  handed: ReadonlyMap<string, number>,
+  handed: ReadonlyMap<string, readonly Handed[]>,
 ): Map<string, RangeSet> {
   const start = turn(spec.id, capable.length);
   const ws = weigh(spec, [...capable.slice(start), ...capable.slice(0, start)], rooms, catalog, handed);
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -87,9 +87,8 @@
 }
 export interface RoomRecord {
   rows: RoomRow[];
-  /** Tasks waiting, short and long. */
-  short: number;
-  long: number;
+  /** Tasks waiting, by whether they need accelerators: these compete for different machines. */
+  queue: { plain: number; accelerated: number };
   /** Tasks on machines, by job: for display. */
   running: Map<string, number>;
   /** Offers that the cloud had nothing left of, lately. */
@@ -202,8 +201,7 @@
   return (
     o && {
       rows: o.rows.map((r) => ({ type: r.t, zone: r.z, spot: r.s, machines: r.n, free: r.f })),
-      short: o.q[0],
-      long: o.q[1],
+      queue: { plain: o.q[0], accelerated: o.q[1] },
       running: new Map(o.run),
       soldOut: o.out,
       wants: new Map(o.want.map(([t, cpus, gpus, since]) => [t, { cpus, gpus, since }])),
@@ -219,7 +217,7 @@
     n: x.machines,
     f: x.free.map(([c, g, m]) => [tenth(c), tenth(g), tenth(m)]),
   })),
-  q: [r.short, r.long],
+  q: [r.queue.plain, r.queue.accelerated],
   run: [...r.running],
   out: r.soldOut,
   want: [...r.wants].map(([t, w]) => [t, w.cpus, w.gpus, w.since]),
