--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -423,8 +423,14 @@
     }
     for (const s of w.strays.values()) orders.push({ op: "stop", job: s.job, index: s.index, attempt: s.attempt, graceS: 0 });
     for (const t of w.tasks.values()) {
-      if (t.stop) {
-        if (t.phase !== "ordered" && !(t.phase === "saving" && t.stop.graceS > 0))
+      if (t.stop && t.phase === "ordered") {
+        // Invariant (ran_cancelled): its start may still arrive, minutes late. Started and stopped in one answer,
+        // the worker holds the attempt as exited, and the late start has no effect.
+        if (!w.openStarts.has(runKey(t.job.id, t.index, t.attempt))) continue;
+        orders.push({ op: "start", job: t.job.id, index: t.index, attempt: t.attempt });
+        orders.push({ op: "stop", job: t.job.id, index: t.index, attempt: t.attempt, graceS: 0 });
+      } else if (t.stop) {
+        if (!(t.phase === "saving" && t.stop.graceS > 0))
           orders.push({ op: "stop", job: t.job.id, index: t.index, attempt: t.attempt, graceS: t.stop.graceS });
       } else if (t.phase === "ordered") {
         orders.push({ op: "start", job: t.job.id, index: t.index, attempt: t.attempt });
@@ -887,7 +893,8 @@
     for (const w of this.dirtyWorkers) {
       this.dirtyWorkers.delete(w);
       if (!this.ctx.tuning.directOrders || w.direct || w.lost || !this.permitted()) continue;
-      const orders = this.ordersFor(w).filter((o) => o.op !== "forget");
+      // Neither clears, nor a start that is to be stopped at once: both belong into answers, which can't be late.
+      const orders = this.ordersFor(w).filter((o) => o.op !== "forget" && !(o.op === "start" && w.tasks.get(runKey(o.job, o.index, o.attempt))?.stop));
       if (orders.length === 0) continue;
       const keys = orders.filter((o) => o.op === "start").map((o) => runKey(o.job, o.index, o.attempt));
       const session = w.session;
