--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -67,6 +67,8 @@
       this,
       (call, done) => this.state(call, Urgent.Hold, (r, sentMs) => done(r as { is: string; hold?: number }, sentMs)),
       () => this.dropMasters(),
+      () => this.checkMasters(),
+      (group) => this.masters.get(group)?.deaf() ?? false,
     );
   }
 
@@ -99,7 +101,11 @@
       case "withdraw":
         return this.afterRead(i.req, i.id, (req, id) => this.withdraw(req, id, WITHDRAW_TRIES));
       case "report":
-        return this.answer(i.req, this.report(i.report));
+        return this.answer(i.req, this.report(i.report, i.relayed));
+      case "unserved":
+        return this.ownership.unserved(this.groups.of(i.zone));
+      case "peers":
+        return this.ownership.peersUp(i.up);
       case "state": {
         const done = this.stateOps.get(i.op);
         this.stateOps.delete(i.op);
@@ -414,16 +420,26 @@
 
   // ---- workers -------------------------------------------------------------------------------------------
 
-  private report(r: Report): Answer {
+  private report(r: Report, relayed: boolean): Answer {
     const group = this.groups.of(r.zone);
     const m = this.masters.get(group);
     if (m) {
       if (this.ownership.permitted()) return m.report(r);
       return { is: "later", afterS: 1, why: "no permit" };
     }
-    const owner = this.mirror.groups.get(group)?.owner ?? null;
-    return { is: "elsewhere", master: owner === this.settings.label ? null : owner };
-  }
+    const g = this.mirror.groups.get(group);
+    if (!g || g.owner === this.settings.label || relayed) return { is: "elsewhere", master: null };
+    // It has been served under this very token, or was sent there a moment ago, and yet it comes here: its
+    // master is out of its reach.
+    const sent = this.sentAway.get(r.worker);
+    const again = r.token === g.version || (sent !== undefined && sent.token === g.version && this.nowMs - sent.ms < 12_000);
+    if (again) return { is: "relay", master: g.owner };
+    this.sentAway.delete(r.worker);
+    this.sentAway.set(r.worker, { token: g.version, ms: this.nowMs });
+    if (this.sentAway.size > 2_000) this.sentAway.delete(this.sentAway.keys().next().value!);
+    return { is: "elsewhere", master: g.owner };
+  }
+  private readonly sentAway = new Map<string, { token: number; ms: number }>();
 
   // ---- time ----------------------------------------------------------------------------------------------
 
--- a/src/coordination/effects.ts
+++ b/src/coordination/effects.ts
@@ -6,7 +6,12 @@
   | { is: "submit"; req: number; spec: JobSpec }
   | { is: "status"; req: number; id: string }
   | { is: "withdraw"; req: number; id: string }
-  | { is: "report"; req: number; report: Report }
+  /** `relayed`: by a peer that the worker can reach; it is not passed on again. */
+  | { is: "report"; req: number; report: Report; relayed: boolean }
+  /** A report could not be passed on to its master. */
+  | { is: "unserved"; zone: string }
+  /** The other controllers that answer. */
+  | { is: "peers"; up: readonly string[] }
   | { is: "state"; op: number; reply: StateReply; sentMs: number }
   | { is: "cloud"; op: number; reply: CloudReply }
   | { is: "command"; op: number; reply: CommandReply }
@@ -44,7 +49,9 @@
   | { is: "unknownJob" }
   | { is: "later"; afterS: number; why: string }
   | { is: "orders"; token: number; orders: Order[] }
-  | { is: "elsewhere"; master: string | null };
+  | { is: "elsewhere"; master: string | null }
+  /** The worker can't reach its master: the report is to be passed on to it. */
+  | { is: "relay"; master: string };
 
 export type Level = "error" | "warn" | "info" | "debug";
 
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -472,6 +472,19 @@
   private isHeard(w: Worker): boolean {
     return !w.lost && this.ctx.nowMs - w.answeredMs < 2_000 * this.ctx.settings.reportS + 1_000;
   }
+  /** Most of its workers have not been heard of for longer than a report and its retry take. */
+  deaf(): boolean {
+    const limit = (this.ctx.settings.reportS * 1.25 + 4) * 1000;
+    let silent = 0;
+    let all = 0;
+    for (const w of this.workers.values()) {
+      if (w.lost && this.ctx.nowMs - w.answeredMs > 60_000) continue;
+      all++;
+      if (this.ctx.nowMs - w.answeredMs > limit) silent++;
+    }
+    if (all === 0) return this.ctx.nowMs - this.sinceMs > limit;
+    return silent * 2 > all;
+  }
   usable(w: Worker): boolean {
     return !w.going && w.takenAtMs === null && w.type !== null && this.ctx.nowMs >= w.avoidUntilMs && this.isHeard(w) && this.roster.has(w.id);
   }
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -1,10 +1,16 @@
 import type { Settings } from "../config/settings.js";
-import { groupKey } from "../storage/records.js";
+import { claimKey, groupKey } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 
 /** Time left, of cancel_s, for a lease that ends after the permit and for clocks that differ. */
 const MARGIN_MS = 2_000;
+/** Workers of a group must have gone unserved for this long before a peer asks for the group. */
+const CLAIM_AFTER_MS = 3_000;
+/** Claims come no faster than this, and after a hand-over the claimant has this long to take the group. */
+const CLAIM_GAP_MS = 6_000;
+/** The home controller must have been in touch with the owner for this long before it asks for its group. */
+const HOME_AFTER_MS = 8_000;
 
 /**
  * How long a hold lasts. Rule `ran_cancelled`: a master that can't read cancellations goes on for at most this
@@ -31,6 +37,8 @@
     private readonly ctx: Context,
     private readonly state: (call: { op: "newHold"; ttlMs: number } | { op: "touch"; hold: number }, done: (r: { is: string; hold?: number }, sentMs: number) => void) => void,
     private readonly lostHold: () => void,
+    private readonly changed: () => void,
+    private readonly deaf: (group: string) => boolean,
   ) {
     this.ttlMs = holdMs(ctx.settings);
     this.startMs = ctx.nowMs;
@@ -94,7 +102,70 @@
   /** Token of a group that is this controller's under its present hold. */
   tokenOf(group: string): number | null {
     const r = this.ctx.mirror.groups.get(group);
-    return r && r.owner === this.ctx.settings.label && r.hold === this.hold ? r.version : null;
+    if (!r || r.owner !== this.ctx.settings.label || r.hold !== this.hold) return null;
+    return this.ceding.get(group) === r.version ? null : r.version;
+  }
+
+  // ---- handing over --------------------------------------------------------------------------------------
+
+  /** Groups being given up, by token: nothing is done under it any more, whatever becomes of the commit. */
+  private readonly ceding = new Map<string, number>();
+  private readonly cedeSent = new Set<string>();
+  private readonly unservedMs = new Map<string, { first: number; last: number }>();
+  private readonly claimMs = new Map<string, number>();
+  private readonly upSince = new Map<string, number>();
+
+  peersUp(up: readonly string[]): void {
+    for (const p of this.upSince.keys()) if (!up.includes(p)) this.upSince.delete(p);
+    for (const p of up) if (!this.upSince.has(p)) this.upSince.set(p, this.ctx.nowMs);
+  }
+
+  /** A worker of another's group can't be served there: if that lasts, this controller asks for the group. */
+  unserved(group: string): void {
+    const r = this.ctx.mirror.groups.get(group);
+    if (!r || r.owner === this.ctx.settings.label) return;
+    const now = this.ctx.nowMs;
+    const u = this.unservedMs.get(group);
+    if (!u || now - u.last > CLAIM_GAP_MS) {
+      this.unservedMs.set(group, { first: now, last: now });
+      return;
+    }
+    u.last = now;
+    if (now - u.first > CLAIM_AFTER_MS) this.claim(group, r.version);
+  }
+
+  private claim(group: string, token: number): void {
+    if (this.ctx.nowMs - (this.claimMs.get(group) ?? -Infinity) < CLAIM_GAP_MS) return;
+    this.claimMs.set(group, this.ctx.nowMs);
+    this.ctx.log("info", "asking for a group", { group, token });
+    this.ctx.commit([{ key: groupKey(group), version: token }], [{ op: "put", key: claimKey(group), value: { by: this.ctx.settings.label, token } }], Urgent.Hold, () => {});
+  }
+
+  /** Gives a group up for a peer that hears its workers, or for its home controller that is back. */
+  private heed(): void {
+    for (const [group, c] of this.ctx.mirror.claims) {
+      const token = this.tokenOf(group);
+      if (token === null || c.token !== token || c.by === this.ctx.settings.label) continue;
+      if (c.by !== group && !this.deaf(group)) continue;
+      this.ctx.log("info", "handing group over", { group, token, to: c.by });
+      this.ceding.set(group, token);
+      this.changed();
+    }
+    for (const [group, token] of this.ceding) {
+      if (this.ctx.mirror.groups.get(group)?.version !== token) {
+        this.ceding.delete(group);
+        continue;
+      }
+      if (this.cedeSent.has(group)) continue;
+      this.cedeSent.add(group);
+      this.ctx.commit([{ key: groupKey(group), version: token }], [{ op: "delete", key: groupKey(group) }], Urgent.Hold, () => this.cedeSent.delete(group));
+    }
+  }
+
+  /** The home controller asks for its group back once it has been in touch with the owner for a while. */
+  private comeHome(group: string, owner: string, token: number): void {
+    const since = this.upSince.get(owner);
+    if (since !== undefined && this.ctx.nowMs - since > HOME_AFTER_MS && this.permitted()) this.claim(group, token);
   }
 
   private take(group: string, version: number): void {
@@ -109,9 +180,18 @@
     );
   }
 
+  /** Its claim was written under the last token that this controller saw for the group. */
+  private freshClaim(group: string): boolean {
+    const c = this.ctx.mirror.claims.get(group);
+    return c !== undefined && c.token === this.lastToken.get(group);
+  }
+  private readonly lastToken = new Map<string, number>();
+
   tick(): void {
     this.keepHold();
     if (this.hold === null || !this.ctx.mirror.ready) return;
+    this.heed();
+    for (const [group, r] of this.ctx.mirror.groups) this.lastToken.set(group, r.version);
     const me = this.ctx.settings.label;
     const names = this.ctx.groups.names;
     for (const group of names) {
@@ -120,15 +200,19 @@
         this.absentSince.delete(group);
         // Left by this controller before it was started again: nobody else acts on it.
         if (r.owner === me && r.hold !== this.hold) this.take(group, r.version);
+        else if (group === me && r.owner !== me) this.comeHome(group, r.owner, r.version);
         continue;
       }
-      if (group === me) {
+      let since = this.absentSince.get(group);
+      if (since === undefined) this.absentSince.set(group, (since = this.ctx.nowMs));
+      // Handed over: whoever asked for it comes first. Else nobody's: its home controller does, then the others
+      // by turns.
+      const heir = this.freshClaim(group) && this.ctx.nowMs - since < CLAIM_GAP_MS ? this.ctx.mirror.claims.get(group)!.by : group;
+      if (heir === me) {
         this.take(group, 0);
         continue;
       }
-      // Nobody's: its home controller comes first, then the others by turns.
-      let since = this.absentSince.get(group);
-      if (since === undefined) this.absentSince.set(group, (since = this.ctx.nowMs));
+      if (heir !== group) continue;
       const rank = (names.indexOf(me) - names.indexOf(group) + names.length) % names.length;
       if (this.ctx.nowMs - since > 1_500 * rank + (this.ctx.nowMs - this.startMs < 12_000 ? 10_000 : 0)) this.take(group, 0);
     }
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -5,7 +5,12 @@
 import type { Tuning } from "./coordination/model.js";
 import { StateClient } from "./storage/client.js";
 import { CloudClient } from "./transport/cloud.js";
-import { api, type Asked, listen } from "./transport/server.js";
+import { Frame } from "./protocol/frames.js";
+import type { StateCall } from "./protocol/state.js";
+import { parseReport } from "./protocol/workers.js";
+import { json } from "./transport/client.js";
+import { Mesh } from "./transport/mesh.js";
+import { api, type Asked, listen, toHttp } from "./transport/server.js";
 import { WorkerClient } from "./transport/workers.js";
 
 const TICK_MS = 200;
@@ -17,6 +22,8 @@
   private readonly state: StateClient;
   private readonly cloud: CloudClient;
   private readonly workers: WorkerClient;
+  private readonly mesh: Mesh;
+  private up = "";
   private readonly pending = new Map<number, (a: Answer) => void>();
   private requests = 0;
 
@@ -29,13 +36,45 @@
     this.state = new StateClient(settings);
     this.cloud = new CloudClient(settings);
     this.workers = new WorkerClient(settings.maxSockets);
+    this.mesh = new Mesh(settings, { serve: (type, body) => this.serve(type, body), stateOk: () => this.state.ok });
+    this.state.through = this.mesh;
   }
 
   async run(): Promise<void> {
+    await this.mesh.listen();
     await listen(api(this), this.settings);
     this.log.info({ area: this.settings.area, groups: this.core.groups.names }, "controller started");
     this.feed({ is: "tick" });
-    setInterval(() => this.feed({ is: "tick" }), TICK_MS);
+    setInterval(() => this.tick(), TICK_MS);
+  }
+
+  private tick(): void {
+    const up = this.mesh.up();
+    if (up.join() !== this.up) {
+      this.log.info({ up }, "peers in touch changed");
+      this.up = up.join();
+      this.feed({ is: "peers", up });
+    }
+    this.feed({ is: "tick" });
+  }
+
+  /** What a peer asks for: to answer a worker's report, or to carry a call to the state service. */
+  private async serve(type: Frame.Report | Frame.State, body: string): Promise<{ status: number; body: string }> {
+    if (type === Frame.State) {
+      const call = json(body) as StateCall | undefined;
+      if (typeof call?.op !== "string") return { status: 400, body: "" };
+      return { status: 200, body: JSON.stringify(await this.state.carry(call)) };
+    }
+    const r = parseReport(body);
+    if (!r.ok) return { status: 400, body: "" };
+    const answer = toHttp(await this.ask((req) => ({ is: "report", req, report: r.value, relayed: true })));
+    return { status: answer.status, body: await answer.text() };
+  }
+
+  async relay(master: string, zone: string, body: string): Promise<{ status: number; body: string } | null> {
+    const r = await this.mesh.call(master, Frame.Report, body, 2_000);
+    if (r?.status !== 200) this.feed({ is: "unserved", zone });
+    return r;
   }
 
   ready(): boolean {
--- a/src/storage/client.ts
+++ b/src/storage/client.ts
@@ -1,12 +1,33 @@
 import type { Settings } from "../config/settings.js";
 import { type StateCall, type StateReply, stateReply, stateRequest } from "../protocol/state.js";
+import * as v from "valibot";
+import { Frame } from "../protocol/frames.js";
 import { Client, json } from "../transport/client.js";
 import { Limiter } from "../transport/limiter.js";
 
-/** Requests to the state service, within this controller's part of both limits. */
+/** Our own requests must have failed for this long before a peer is asked. */
+const FAILING_MS = 1_200;
+
+/** A way to the state service through another controller. */
+export interface Through {
+  withState(): string | null;
+  call(label: string, type: Frame.State, body: string, timeoutMs: number): Promise<{ status: number; body: string } | null>;
+}
+
+const Reply = v.looseObject({ is: v.picklist(["item", "items", "committed", "conflict", "hold", "touched", "gone", "changes", "refused", "unknown"]) });
+
+/**
+ * Requests to the state service, within this controller's part of both limits. A controller that the service
+ * refuses while it serves a peer asks that peer to carry them: the answers mean the same, and what is counted
+ * from their sending is counted from here.
+ */
 export class StateClient {
   private readonly client = new Client(24, 8);
   private readonly limiter: Limiter;
+  /** Since when our own requests have failed; null: the last one was answered. */
+  private failingMs: number | null = null;
+  private probeMs = 0;
+  through: Through | null = null;
 
   constructor(private readonly settings: Settings) {
     const nodes = settings.peers.length + 1;
@@ -14,12 +35,25 @@
     this.limiter = new Limiter(rates, rates.map((r) => Math.max(1, r)));
   }
 
+  get ok(): boolean {
+    return this.failingMs === null;
+  }
+
   private static timeoutMs(call: StateCall): number {
     if (call.op === "changes") return call.waitMs + 1_500;
     return call.op === "list" ? 4_000 : 1_500;
   }
 
+  /** For a peer: over this controller's own connection only. */
+  carry(call: StateCall): Promise<StateReply> {
+    return this.limited(call, 1, () => this.direct(call)).then((r) => r.reply);
+  }
+
   call(call: StateCall, urgent: number): Promise<{ reply: StateReply; sentMs: number }> {
+    return this.limited(call, urgent, () => this.route(call));
+  }
+
+  private limited(call: StateCall, urgent: number, send: () => Promise<StateReply>): Promise<{ reply: StateReply; sentMs: number }> {
     return new Promise((resolve) => {
       const writes = call.op === "commit" ? call.writes.length : 0;
       this.limiter.add({
@@ -29,14 +63,33 @@
         refuse: () => resolve({ reply: { is: "refused", why: "rate limit" }, sentMs: performance.now() }),
         run: () => {
           const sentMs = performance.now();
-          const { method, path, body } = stateRequest(call);
-          const { host, port } = this.settings.state;
-          void this.client.fetch(host, port, method, path, body, StateClient.timeoutMs(call)).then((f) => {
-            const reply: StateReply = f.is === "answered" ? stateReply(call, f.status, json(f.body)) : { is: f.is, why: f.why };
-            resolve({ reply, sentMs });
-          });
+          void send().then((reply) => resolve({ reply, sentMs }));
         },
       });
     });
   }
+
+  private route(call: StateCall): Promise<StateReply> {
+    const now = performance.now();
+    const peer = this.failingMs !== null && now - this.failingMs > FAILING_MS ? (this.through?.withState() ?? null) : null;
+    if (peer === null) return this.direct(call);
+    // One request in a while goes the straight way, to see whether it is open again.
+    if (now > this.probeMs) {
+      this.probeMs = now + 1_000;
+      return this.direct(call);
+    }
+    return this.through!.call(peer, Frame.State, JSON.stringify(call), StateClient.timeoutMs(call)).then((r) => {
+      const got = r?.status === 200 ? v.safeParse(Reply, json(r.body)) : null;
+      return got?.success ? (got.output as unknown as StateReply) : { is: "unknown", why: "peer did not answer" };
+    });
+  }
+
+  private async direct(call: StateCall): Promise<StateReply> {
+    const { method, path, body } = stateRequest(call);
+    const { host, port } = this.settings.state;
+    const f = await this.client.fetch(host, port, method, path, body, StateClient.timeoutMs(call));
+    if (f.is !== "answered" || f.status === 503) this.failingMs ??= performance.now();
+    else this.failingMs = null;
+    return f.is === "answered" ? stateReply(call, f.status, json(f.body)) : { is: f.is, why: f.why };
+  }
 }
--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -13,11 +13,13 @@
 export interface Asked {
   ask(input: (req: number) => Input): Promise<Answer>;
   ready(): boolean;
+  /** Passes a report on to its master; null: that can't be reached. */
+  relay(master: string, zone: string, body: string): Promise<{ status: number; body: string } | null>;
   /** Somebody sent what can't be read. */
   malformed(what: string, error: string): void;
 }
 
-function toHttp(a: Answer): Response {
+export function toHttp(a: Answer): Response {
   switch (a.is) {
     case "job":
       return Response.json(jobBody(a.id, a.state, a.done === undefined ? undefined : { done: a.done, running: a.running ?? 0 }), { status: a.status });
@@ -31,6 +33,8 @@
       return Response.json(answerBody(a.token, a.orders));
     case "elsewhere":
       return Response.json(redirectBody(a.master), { status: 421 });
+    case "relay":
+      return Response.json(redirectBody(null), { status: 421 });
   }
 }
 
@@ -54,10 +58,17 @@
     return JOB_ID.test(id) ? toHttp(await core.ask((req) => ({ is: "withdraw", req, id }))) : toHttp({ is: "unknownJob" });
   });
   app.post("/hello", async (c) => {
-    const r = parseReport(await c.req.text());
-    if (r.ok) return toHttp(await core.ask((req) => ({ is: "report", req, report: r.value })));
-    core.malformed("report", r.error);
-    return bad(r.error);
+    const text = await c.req.text();
+    const r = parseReport(text);
+    if (!r.ok) {
+      core.malformed("report", r.error);
+      return bad(r.error);
+    }
+    const answer = await core.ask((req) => ({ is: "report", req, report: r.value, relayed: false }));
+    if (answer.is !== "relay") return toHttp(answer);
+    const relayed = await core.relay(answer.master, r.value.zone, text);
+    if (!relayed || relayed.status !== 200) return toHttp({ is: "elsewhere", master: null });
+    return new Response(relayed.body, { status: 200, headers: { "content-type": "application/json" } });
   });
   for (const path of ["/ready", "/v1/jobs", "/v1/jobs/:id", "/v1/jobs/:id/withdraw", "/hello"])
     app.all(path, () => Response.json({ error: "method not allowed" }, { status: 405 }));
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { Master } from "../src/coordination/master.js";
 import { Ownership } from "../src/coordination/ownership.js";
-import { troubles, users } from "./sim/days.js";
+import { randomJob, troubles, users } from "./sim/days.js";
 import { World } from "./sim/world.js";
 
 const DAY_MS = 240_000;
@@ -69,10 +69,37 @@
   });
 });
 
-test("the checker catches orders without a permit", () => {
-  mustCatch("ran_cancelled", () => {
-    const before = Ownership.prototype.permitted;
-    Ownership.prototype.permitted = () => true;
-    return () => (Ownership.prototype.permitted = before);
+/** A master that the state service refuses for a minute, while a job on its machines is cancelled elsewhere. */
+function cancelBehindBack(): World {
+  const w = new World(7);
+  w.loss = 0;
+  for (const z of w.zones) w.cloud.add(w.types[0]!, z, false, 0);
+  const spec = { ...randomJob(w, 1), shape: "daemon" as const, tasks: 1, cpus: 2, gpus: 0, types: null, zone: "east", samePlace: false, spread: false };
+  w.specs.set(spec.id, spec);
+  w.at(3_000, () => w.ask("node-b", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
+  w.at(15_000, () => w.stateCut.set("node-a", "refused"));
+  w.at(16_000, () => {
+    assert.ok(w.starts > 0, "the job runs");
+    w.checker.asked.add(spec.id);
+    w.ask("node-b", (req) => ({ is: "withdraw", req, id: spec.id }), (a) => a?.is === "job" && w.checker.answered(spec.id, a.state, w.now));
   });
+  w.at(75_000, () => w.stateCut.delete("node-a"));
+  w.run(90_000);
+  assert.equal(w.checker.told.get(spec.id), "cancelled");
+  return w;
+}
+
+test("a master that can't read cancellations lets its leases run out in time", () => {
+  const w = cancelBehindBack();
+  assert.deepEqual(w.checker.broken, [], report(w, 7));
+});
+
+test("the checker catches orders without a permit", () => {
+  const before = Ownership.prototype.permitted;
+  Ownership.prototype.permitted = () => true;
+  try {
+    assert.match(cancelBehindBack().checker.broken.join(), /ran_cancelled/);
+  } finally {
+    Ownership.prototype.permitted = before;
+  }
 });
--- a/test/sim/days.ts
+++ b/test/sim/days.ts
@@ -101,7 +101,7 @@
     if (w.now > untilMs - 30_000) return;
     const forMs = r.real(2_000, 25_000);
     const node = r.pick(w.names);
-    switch (r.int(0, 11)) {
+    switch (r.int(0, 13)) {
       case 0:
         w.crash(node);
         w.at(r.real(1_000, 8_000), () => w.nodes.get(node) ?? w.boot(node));
@@ -163,6 +163,19 @@
         w.at(forMs, () => m && (m.faulty = false));
         break;
       }
+      case 12:
+        // A node cut from workers and peers, but not from the state service.
+        for (const m of w.workers) m.cut.add(node);
+        w.meshCuts.add(node);
+        w.at(forMs, () => {
+          w.workers.forEach((m) => m.cut.delete(node));
+          w.meshCuts.delete(node);
+        });
+        break;
+      case 13:
+        w.meshCuts.add(node);
+        w.at(forMs, () => w.meshCuts.delete(node));
+        break;
       case 11:
         w.loss = 0.15;
         w.at(forMs, () => (w.loss = 0.01));
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -224,7 +224,7 @@
     };
     this.world.at(4000, next);
     const deliver = (): void =>
-      this.world.ask(node, (req) => ({ is: "report", req, report: r }), (a) => {
+      this.world.report(node, r, (a) => {
         if (this.cut.has(node) || this.world.rng.chance(this.world.loss)) return;
         this.world.at(this.world.rng.real(1, 30), () => {
           if (over || this.gone) return;
@@ -529,11 +529,39 @@
       this.at(200, tick);
     };
     tick();
+    const peers = (): void => {
+      if (this.nodes.get(name) !== node) return;
+      this.feed(name, node.life, { is: "peers", up: this.names.filter((n) => n !== name && this.nodes.get(n) && !this.meshCut(n, name)) });
+      this.at(1_000, peers);
+    };
+    peers();
   }
   crash(name: string): void {
     this.nodes.set(name, null);
   }
 
+  /** Messages between these two nodes don't arrive. */
+  meshCut(a: string, b: string): boolean {
+    return this.meshCuts.has(a) || this.meshCuts.has(b);
+  }
+  readonly meshCuts = new Set<string>();
+
+  /** A worker's report at a node, passed on over the mesh where the node says so. */
+  report(name: string, r: Report, done: (a: Answer | null) => void): void {
+    this.ask(name, (req) => ({ is: "report", req, report: r, relayed: false }), (a) => {
+      if (a?.is !== "relay") return done(a);
+      const life = this.nodes.get(name)?.life ?? 0;
+      const fail = (): void => {
+        this.feed(name, life, { is: "unserved", zone: r.zone });
+        done({ is: "elsewhere", master: null });
+      };
+      if (this.meshCut(name, a.master)) return this.at(2_000, fail);
+      this.at(this.rng.real(1, 5), () =>
+        this.ask(a.master, (req) => ({ is: "report", req, report: r, relayed: true }), (b) => (b?.is === "orders" ? this.at(2, () => done(b)) : fail())),
+      );
+    });
+  }
+
   /** A request at a node; null: no answer or no connection. */
   ask(name: string, input: (req: number) => Input, done: (a: Answer | null) => void): void {
     const node = this.nodes.get(name);
