--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -7,7 +7,7 @@
 import type { Cause, Order, Report, ReportedTask } from "./model.js";
 import { taskKey } from "./model.js";
 import { allowedOn, type Amounts, EPS, fits, goesWhole, zoneCap } from "./placement.js";
-import { isShort, Round } from "./queues.js";
+import { isLate, isShort, Round } from "./queues.js";
 import { moveShare, shareOf, withinShare } from "./quota.js";
 import { RangeSet } from "./ranges.js";
 import { Roster } from "./roster.js";
@@ -569,7 +569,13 @@
     const free = new Map<Worker, Amounts>(workers.map((w) => [w, freeOn(w)]));
     const reserved = this.reserved(workers);
     const round = new Round(
-      ready.map((j) => ({ spec: j.view.spec, acceptedAt: j.view.acceptedAt, guaranteed: j.guaranteed, job: j })),
+      ready.map((j) => ({
+        spec: j.view.spec,
+        acceptedAt: j.view.acceptedAt,
+        tasks: j.waiting.size,
+        late: isLate(j.view.spec, j.view.acceptedAt, this.ctx.wallMs, this.ctx.settings.objectives),
+        job: j,
+      })),
       this.ctx.tuning,
       this.turn,
     );
--- a/src/coordination/queues.ts
+++ b/src/coordination/queues.ts
@@ -4,8 +4,10 @@
 export interface Queued {
   spec: JobSpec;
   acceptedAt: number;
-  /** The job lies within its team's guarantee, as far as this group can tell. */
-  guaranteed: boolean;
+  /** Waiting tasks. */
+  tasks: number;
+  /** It can't be done any more by the time that is expected of it; others still can. */
+  late: boolean;
 }
 
 /** Pigeon's classes: short tasks may use the reserved machines, long ones may not. */
@@ -13,11 +15,28 @@
   return spec.shape !== "daemon" && spec.estimateS < tuning.shortCutoffS;
 }
 
+/**
+ * Urgency first; then what can still be in time before what can't; then by age, a job standing back by the work
+ * that it still waits for: small jobs pass large ones, and nothing waits for ever.
+ */
 function before(a: Queued, b: Queued): number {
   const u = URGENCIES.indexOf(b.spec.urgency) - URGENCIES.indexOf(a.spec.urgency);
   if (u !== 0) return u;
-  if (a.guaranteed !== b.guaranteed) return a.guaranteed ? -1 : 1;
-  return a.acceptedAt - b.acceptedAt || (a.spec.id < b.spec.id ? -1 : 1);
+  if (a.late !== b.late) return a.late ? 1 : -1;
+  return turnMs(a) - turnMs(b) || (a.spec.id < b.spec.id ? -1 : 1);
+}
+const turnMs = (q: Queued): number => q.acceptedAt + q.spec.estimateS * q.tasks * 1000;
+
+/** Nothing is put back for being late for longer than this. */
+const LATE_FOR_MS = 600_000;
+
+export function isLate(spec: JobSpec, acceptedAt: number, wallMs: number, objectives: readonly { kind: string; class?: string; withinS?: number }[]): boolean {
+  const age = wallMs - acceptedAt;
+  if (age > LATE_FOR_MS) return false;
+  let dueS = spec.deadlineS ?? Infinity;
+  for (const o of objectives) if (o.kind === "finished" && o.class === spec.class && o.withinS !== undefined) dueS = Math.min(dueS, o.withinS);
+  // Estimates are often wrong by half: only what half of it can't save is given up.
+  return age > (dueS - spec.estimateS * 0.5) * 1000;
 }
 
 /**
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -40,7 +40,6 @@
   errors: Map<string, number>;
   /** Handed to another group by a commit that has not shown yet. */
   moving: { base: number; tasks: RangeSet; to: string; value: object; sent: boolean; settled: boolean; open: boolean } | null;
-  guaranteed: boolean;
 }
 
 /** A task on a machine that should not be there. */
@@ -88,8 +87,6 @@
 
 export const runKey = (job: string, index: number, attempt: number): string => `${job}/${index}#${attempt}`;
 
-export const needOf = (j: JobView): Amounts => j.spec;
-
 export function newJobRun(view: JobView, old: boolean, nowMs: number): JobRun {
   return {
     id: view.id,
@@ -107,7 +104,6 @@
     backoffUntilMs: 0,
     errors: new Map(),
     moving: null,
-    guaranteed: false,
   };
 }
 
--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -43,9 +43,9 @@
 /** Users', workers' and health-check requests. */
 export function api(core: Asked): Hono {
   const app = new Hono();
-  app.use(bodyLimit({ maxSize: MAX_BODY, onError: () => bad("body: over 64 KiB") }));
+  const limit = bodyLimit({ maxSize: MAX_BODY, onError: () => bad("body: over 64 KiB") });
   app.get("/ready", () => Response.json({ ready: core.ready() }, { status: core.ready() ? 200 : 503 }));
-  app.post("/v1/jobs", async (c) => {
+  app.post("/v1/jobs", limit, async (c) => {
     const job = parseJob(await c.req.text());
     return job.ok ? toHttp(await core.ask((req) => ({ is: "submit", req, spec: job.value }))) : bad(job.error);
   });
@@ -53,11 +53,11 @@
     const id = c.req.param("id");
     return JOB_ID.test(id) ? toHttp(await core.ask((req) => ({ is: "status", req, id }))) : toHttp({ is: "unknownJob" });
   });
-  app.post("/v1/jobs/:id/withdraw", async (c) => {
+  app.post("/v1/jobs/:id/withdraw", limit, async (c) => {
     const id = c.req.param("id");
     return JOB_ID.test(id) ? toHttp(await core.ask((req) => ({ is: "withdraw", req, id }))) : toHttp({ is: "unknownJob" });
   });
-  app.post("/hello", async (c) => {
+  app.post("/hello", limit, async (c) => {
     const text = await c.req.text();
     const r = parseReport(text);
     if (!r.ok) {
@@ -79,7 +79,7 @@
 
 export function listen(app: Hono, settings: Settings): Promise<Server> {
   return new Promise((resolve, reject) => {
-    const server = serve({ fetch: app.fetch, hostname: settings.clientListen.host, port: settings.clientListen.port, overrideGlobalObjects: false }, () => resolve(server)) as Server;
+    const server = serve({ fetch: app.fetch, hostname: settings.clientListen.host, port: settings.clientListen.port }, () => resolve(server)) as Server;
     server.keepAliveTimeout = 75_000;
     server.requestTimeout = 20_000;
     // Room is left for the state service, the cloud, the workers and the other controllers.
