--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -9,6 +9,7 @@
   idleReturnS: 15,
   idleBoots: 1,
   warmWindowS: 300,
+  spareShare: 0.15,
   cheapPatience: 0.2,
   silentReturnS: 90,
   bootPatience: 3.5,
@@ -29,6 +30,7 @@
   optional double boot_patience = 8;
   optional bool direct_orders = 9;
   optional double cheap_patience = 10;
+  optional double spare_share = 11;
 }`;
 
 /** Least and most of each number. */
@@ -40,6 +42,7 @@
   idleBoots: [0, 1e6],
   warmWindowS: [1, 1e9],
   cheapPatience: [0, 1],
+  spareShare: [0, 10],
   silentReturnS: [1, 1e9],
   bootPatience: [1, 1e6],
 };
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -3,7 +3,7 @@
 import type { Master } from "./master.js";
 import type { JobSpec, ListedMachine, MachineType } from "./model.js";
 import { allowedOn, type Amounts, couldRun, fitCount, fits, offer } from "./placement.js";
-import { take, type Worker } from "./tasks.js";
+import { freeOn, take, type Worker } from "./tasks.js";
 
 interface Booting {
   type: string;
@@ -127,6 +127,13 @@
     if (!p) this.peaks.set(type, (p = Array.from({ length: WARM_PERIODS }, () => 0)));
     p[0] = Math.max(p[0]!, n);
   }
+  private peakOf(type: string): number {
+    return Math.max(0, ...(this.peaks.get(type) ?? []));
+  }
+  /** Machines of a type to have free beyond those in use, for the next job that is expected to start at once. */
+  private spareFor(type: string): number {
+    return Math.ceil(this.peakOf(type) * this.ctx.tuning.spareShare);
+  }
   private notePeaks(): void {
     const periodMs = (this.ctx.tuning.warmWindowS * 1000) / WARM_PERIODS;
     if (this.ctx.nowMs - this.peakMs > periodMs) {
@@ -153,7 +160,7 @@
       const boot = this.typeOf(w.typeName)?.bootS ?? 60;
       if (now - w.idleSinceMs! < Math.max(this.ctx.tuning.idleReturnS, boot * this.ctx.tuning.idleBoots) * 1000 || this.wanted(w)) continue;
       if (this.ctx.settings.objectives.some((o) => o.kind === "wait" && (o.withinS ?? Infinity) < boot && this.serves(o.class, w))) {
-        const left = spare.get(w.typeName) ?? this.count(w.typeName) - Math.max(0, ...(this.peaks.get(w.typeName) ?? []));
+        const left = spare.get(w.typeName) ?? this.count(w.typeName) - this.peakOf(w.typeName) - this.spareFor(w.typeName);
         spare.set(w.typeName, left - 1);
         if (left <= 0) continue;
       }
@@ -330,6 +337,25 @@
     }
   }
 
+  /** Keeps some machines free where a class is expected to start sooner than a machine boots. */
+  private planSpare(): void {
+    for (const o of this.ctx.settings.objectives) {
+      const spec = o.kind === "wait" && o.class !== undefined ? this.classNeeds.get(o.class) : undefined;
+      if (!spec || this.rentals.length >= MAX_RENTALS) continue;
+      let free = 0;
+      let want = 0;
+      const types = new Set<string>();
+      for (const w of this.master.workers.values()) {
+        if (w.lost || w.going || !this.serves(spec.class, w)) continue;
+        if (w.type && (o.withinS ?? Infinity) < w.type.bootS) types.add(w.typeName);
+        free += fitCount(spec, freeOn(w));
+      }
+      for (const t of types) want += this.spareFor(t);
+      for (const c of this.coming()) if (allowedOn({ ...spec, zone: null }, c.m.type, c.m.zone, c.m.spot)) free += fitCount(spec, c.room);
+      if (free < want) this.rentFor({ ...spec, zone: null, deadlineS: null }, 0, want - free);
+    }
+  }
+
   /** Rents for up to `need` tasks, where a task's place costs least; the number of places ordered. */
   private rentFor(spec: JobSpec, acceptedAt: number, need: number): number {
     // While there is time until its deadline, a job that may use cheap machines waits for one.
@@ -361,6 +387,7 @@
     if (this.ctx.nowMs - this.lastPlanMs >= 500) {
       this.lastPlanMs = this.ctx.nowMs;
       this.plan();
+      this.planSpare();
     }
     this.sendRentals();
   }
--- a/src/coordination/model.ts
+++ b/src/coordination/model.ts
@@ -96,6 +96,8 @@
   idleBoots: number;
   /** How far back the most machines in use at once counts for what is kept warm. */
   warmWindowS: number;
+  /** Machines to have free beyond those in use, as part of them, where a class should start sooner than one boots. */
+  spareShare: number;
   /** Part of its time until the deadline that a job waits for a spot machine before an ordinary one is rented. */
   cheapPatience: number;
   /** Time without a report after which a machine is given back. */
