--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -5,7 +5,7 @@
 import { Fleet } from "./fleet.js";
 import type { JobView } from "./mirror.js";
 import type { Cause, Order, Report, ReportedTask } from "./model.js";
-import { taskKey } from "./model.js";
+import { taskKey, URGENCIES } from "./model.js";
 import { allowedOn, type Amounts, EPS, fits, goesWhole, zoneCap } from "./placement.js";
 import { isLate, isShort, Round } from "./queues.js";
 import { moveShare, shareOf, withinShare } from "./quota.js";
@@ -19,6 +19,8 @@
 const LEASE_SLACK_MS = 1_000;
 /** The room is written at most this often. */
 const ROOM_MS = 700;
+/** A task waits this long before others are stopped for it. */
+const PREEMPT_AFTER_MS = 2_000;
 /** A task waits this long for its own group before it may move. */
 const MOVE_AFTER_MS = 400;
 
@@ -253,6 +255,7 @@
       idleSinceMs: this.ctx.nowMs,
       failed: new Set(),
       avoidUntilMs: 0,
+      heldFor: null,
       openStarts: new Map(),
       direct: false,
     };
@@ -579,13 +582,71 @@
       this.ctx.tuning,
       this.turn,
     );
+    const blocked: JobRun[] = [];
     for (let head = round.head(); head; head = round.head()) {
       const job = head.job;
       const open = isShort(job.view.spec, this.ctx.tuning) ? workers : workers.filter((w) => !reserved.has(w.id));
       const n = this.placeSome(job, open, free, reserved, used);
       if (n > 0) round.served(n);
+      else if (blocked.length < 3) blocked.push(job);
       if (n === 0 || job.waiting.isEmpty) round.skip();
     }
+    for (const job of blocked) if (this.ctx.nowMs - job.waitingSinceMs > PREEMPT_AFTER_MS) this.preempt(job, workers, free, used);
+  }
+
+  /** PROTOCOL, "Preemption": for a job of higher urgency, or to give a team its guarantee back. */
+  private mayPreempt(job: JobRun, t: TaskRun, used: ReadonlyMap<string, { cpus: number; gpus: number }>): boolean {
+    const spec = job.view.spec;
+    const other = t.job.view.spec;
+    // A gang that loses one task loses all: only single ones are stopped.
+    if (t.stop || t.phase === "saving" || (other.shape === "ensemble" && other.tasks > 1)) return false;
+    if (URGENCIES.indexOf(spec.urgency) > URGENCIES.indexOf(other.urgency)) return true;
+    if (other.team === spec.team) return false;
+    const n = this.ctx.groups.names.length;
+    const within = (name: string, need: { cpus: number; gpus: number }): boolean => {
+      const team = this.ctx.settings.teams.get(name);
+      const u = used.get(name) ?? { cpus: 0, gpus: 0 };
+      return team !== undefined && withinShare(u, need, [team.cpus / n, (team.gpus || Infinity) / n]);
+    };
+    return within(spec.team, spec) && !within(other.team, { cpus: 0, gpus: 0 });
+  }
+
+  /**
+   * Stops tasks that may be stopped for a waiting one that fits nowhere, where nothing more can be rented: on the
+   * machine where the least is lost. The room is held for the job until they are gone.
+   */
+  private preempt(job: JobRun, workers: readonly Worker[], free: ReadonlyMap<Worker, Amounts>, used: ReadonlyMap<string, { cpus: number; gpus: number }>): void {
+    const spec = job.view.spec;
+    if (spec.tasks > 1 && (spec.shape === "ensemble" || spec.samePlace || spec.spread)) return;
+    if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, spec, this.share(spec.team)) || !this.fleet.exhausted(spec)) return;
+    const now = this.ctx.nowMs;
+    if (workers.some((w) => w.heldFor?.job === job.id && now < w.heldFor.untilMs)) return;
+    let best: { w: Worker; victims: TaskRun[]; loss: number } | null = null;
+    for (const w of workers) {
+      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || (w.heldFor && now < w.heldFor.untilMs) || job.errors.has(w.id)) continue;
+      const room = { ...free.get(w)! };
+      const victims: TaskRun[] = [];
+      let loss = 0;
+      const lossOf = (t: TaskRun): number => {
+        const ran = t.phase === "running" ? (now - t.sinceMs) / 1000 : 0;
+        const o = t.job.view.spec;
+        return 5 + (o.checkpointS > 0 ? o.saveS : ran) * Math.max(1, o.cpus);
+      };
+      for (const t of [...w.tasks.values()].filter((x) => this.mayPreempt(job, x, used)).sort((a, b) => lossOf(a) - lossOf(b))) {
+        if (fits(spec, room)) break;
+        victims.push(t);
+        loss += lossOf(t);
+        room.cpus += t.job.view.spec.cpus;
+        room.gpus += t.job.view.spec.gpus;
+        room.memGb += t.job.view.spec.memGb;
+      }
+      if (victims.length > 0 && fits(spec, room) && (!best || loss < best.loss)) best = { w, victims, loss };
+    }
+    if (!best) return;
+    const graceS = Math.max(0, ...best.victims.map((t) => (t.job.view.spec.checkpointS > 0 ? t.job.view.spec.saveS + 1 : 0)));
+    best.w.heldFor = { job: job.id, untilMs: now + graceS * 1000 + 2_000 * this.ctx.settings.reportS + 3_000 };
+    this.ctx.log("info", "stopping tasks for one that comes first", { job: job.id, worker: best.w.id, tasks: best.victims.length });
+    for (const t of best.victims) this.stop(t, t.job.view.spec.checkpointS > 0 ? t.job.view.spec.saveS + 1 : 0, "preempted");
   }
 
   /** Places a whole gang or one task; the number of tasks placed. */
@@ -664,6 +725,7 @@
         let bestScore = -Infinity;
         for (const w of open) {
           if (zone !== null && w.zone !== zone) continue;
+          if (w.heldFor && w.heldFor.job !== job.id && this.ctx.nowMs < w.heldFor.untilMs) continue;
           if (!allowedOn(spec, w.typeName, w.zone, w.spot)) continue;
           // Invariant (rule wrong_place): with `spread`, no zone holds more than half, old attempts included.
           if ((count.get(w.zone) ?? 0) + 1 > cap) continue;
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -77,6 +77,8 @@
   /** Jobs that failed here since a task last completed. */
   failed: Set<string>;
   avoidUntilMs: number;
+  /** Room made here by stopping others belongs to this job for a while. */
+  heldFor: { job: string; untilMs: number } | null;
   /**
    * Starts sent straight to it whose message was not answered: it may arrive at any time within this session,
    * so a `forget` of such a task could start it again.
