--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -12,13 +12,23 @@
 /** The home controller must have been in touch with the owner for this long before it asks for its group. */
 const HOME_AFTER_MS = 8_000;
 
+/** A hold this long rides out most short outages of the state service. */
+const LEAST_HOLD_MS = 12_000;
+/** Until a worker whose master is gone has found the new one: an unanswered report, its retry, a takeover. */
+const FIND_MS = 5_000;
+
 /**
  * How long a hold lasts. Rule `ran_cancelled`: a master that can't read cancellations goes on for at most this
- * long; then its workers' leases run out; both together must lie within cancel_s. As long as that allows: a
- * short outage of the state service should not stop a group.
+ * long; then its workers' leases run out; both together must lie within cancel_s. Within that there are two
+ * wishes: a short outage of the state service should not stop a group (long), and a peer should take over from
+ * a hung or cut-off master before its workers' leases end (short). Where leases are long enough for both, the
+ * hold ends so much before them; where they are not, only the first can be had. An outage is survived for hold
+ * and lease together in any case.
  */
-export function holdMs(s: Pick<Settings, "cancelS" | "leaseS">): number {
-  return Math.max(1_000, Math.floor((s.cancelS - s.leaseS) * 1000 - MARGIN_MS));
+export function holdMs(s: Pick<Settings, "cancelS" | "leaseS" | "reportS">): number {
+  const most = Math.max(1_000, Math.floor((s.cancelS - s.leaseS) * 1000 - MARGIN_MS));
+  const bridged = Math.floor((s.leaseS - s.reportS * 1.25) * 1000 - FIND_MS);
+  return bridged >= LEAST_HOLD_MS ? Math.min(most, bridged) : most;
 }
 
 /** Which groups are this controller's, and until when it may act on them. */
--- a/src/transport/mesh.ts
+++ b/src/transport/mesh.ts
@@ -21,7 +21,9 @@
   port: number;
   socket: net.Socket | null;
   connected: boolean;
+  /** A peer counts as up by what it says: a hung process still has its connections accepted. */
   heardMs: number;
+  openedMs: number;
   stateOk: boolean;
   open: Map<number, (r: { status: number; body: string } | null) => void>;
 }
@@ -36,7 +38,7 @@
     private readonly settings: Settings,
     private readonly handlers: MeshHandlers,
   ) {
-    this.peers = settings.peers.map((p) => ({ label: p.label, host: p.host, port: p.port, socket: null, connected: false, heardMs: -Infinity, stateOk: false, open: new Map() }));
+    this.peers = settings.peers.map((p) => ({ label: p.label, host: p.host, port: p.port, socket: null, connected: false, heardMs: -Infinity, openedMs: -Infinity, stateOk: false, open: new Map() }));
     this.server = net.createServer((s) => this.accept(s));
     this.server.maxConnections = settings.peers.length * 3 + 2;
   }
@@ -83,7 +85,7 @@
   private beat(): void {
     const now = performance.now();
     for (const p of this.peers) {
-      if (p.socket && p.connected && now - p.heardMs > SILENT_MS) p.socket.destroy();
+      if (p.socket && p.connected && now - Math.max(p.heardMs, p.openedMs) > SILENT_MS) p.socket.destroy();
       if (!p.socket) this.connect(p);
       else if (p.connected) p.socket.write(encode(Frame.Ping, 0, NOTHING));
     }
@@ -96,7 +98,7 @@
     socket.setTimeout(SILENT_MS, () => socket.destroy());
     socket.on("connect", () => {
       p.connected = true;
-      p.heardMs = performance.now();
+      p.openedMs = performance.now();
       socket.write(encode(Frame.Ping, 0, NOTHING));
     });
     socket.on("data", (d: Buffer) => {
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -4,6 +4,7 @@
 import { parseSettings } from "../src/config/settings.js";
 import { Groups } from "../src/coordination/groups.js";
 import type { JobSpec, MachineType } from "../src/coordination/model.js";
+import { holdMs } from "../src/coordination/ownership.js";
 import { Round } from "../src/coordination/queues.js";
 import { moveShare, shareOf } from "../src/coordination/quota.js";
 import { RangeSet } from "../src/coordination/ranges.js";
@@ -181,6 +182,15 @@
   }
 });
 
+test("the hold ends before the leases where these are long enough, and always in time for cancellations", () => {
+  // A controller hung for 30 s: with a hold as long as cancel_s allows, its peers took over only after its workers'
+  // leases had ended (docs/incidents/tremorline-hung-controller.md).
+  for (const [cancelS, leaseS, reportS, want] of [[57, 27, 3, 18_250], [40, 10, 1, 28_000], [20, 12, 1, 6_000]] as const) {
+    assert.equal(holdMs({ cancelS, leaseS, reportS }), want);
+    assert.ok(want + leaseS * 1000 < cancelS * 1000);
+  }
+});
+
 const TOML = `label = "n1"
 area = "a"
 client_listen = "127.0.0.1:8080"
