--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -2,7 +2,7 @@
 import type { Condition, Item, StateCall, StateReply, Write } from "../protocol/state.js";
 import { jobKey, NOW, pastKey, readPast, ROOT, roomKey, writeJob, writePast, writeRoom } from "../storage/records.js";
 import type { CommitEnd, Context } from "./context.js";
-import { type Answer, type CloudCall, type CloudReply, type CommandReply, type Effect, type Input, type Level, Urgent } from "./effects.js";
+import { type Answer, OWN_LIMIT, type CloudCall, type CloudReply, type CommandReply, type Effect, type Input, type Level, Urgent } from "./effects.js";
 import { Groups } from "./groups.js";
 import { Master } from "./master.js";
 import { Mirror, type Seen } from "./mirror.js";
@@ -148,7 +148,8 @@
   cloud(call: CloudCall, urgent: Urgent, done: (reply: CloudReply) => void): void {
     const op = ++this.ops;
     this.cloudOps.set(op, (r) => {
-      const down = r.is === "failed";
+      const down = r.is === "failed" && r.why !== OWN_LIMIT;
+      if (r.is === "failed" && !down) return done(r);
       if (down !== this.cloudDown) {
         this.cloudDown = down;
         this.log(down ? "warn" : "info", down ? "cloud does not answer" : "cloud answers again", down && r.is === "failed" ? { why: r.why } : {});
--- a/src/coordination/effects.ts
+++ b/src/coordination/effects.ts
@@ -32,6 +32,9 @@
   /** Not carried out, or it can't be known. */
   | { is: "failed"; why: string };
 
+/** Why a call was not even sent: this controller's part of the limit was used up. */
+export const OWN_LIMIT = "own rate limit";
+
 /** `refused`: no connection came about, so nothing can arrive later. `unknown`: it may, minutes later. */
 export type CommandReply = { is: "answered"; status: number } | { is: "refused" } | { is: "unknown" };
 
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -15,6 +15,8 @@
   request: string;
   count: number;
   sent: boolean;
+  /** It was sent once: its charter stands for this count from then on. */
+  asked: boolean;
   retryMs: number;
 }
 
@@ -249,8 +251,13 @@
 
   private rent(type: string, zone: string, spot: boolean, count: number): void {
     // Invariant: a charter is never used again by anyone. The token belongs to one master of one group.
+    const open = this.rentals.find((r) => !r.sent && r.type === type && r.zone === zone && r.spot === spot);
+    if (open && open.count + count <= 20 && !open.asked) {
+      open.count += count;
+      return;
+    }
     const request = `${this.ctx.settings.label}-${this.master.token}-${++this.requests}`;
-    this.rentals.push({ request, type, zone, spot, count, rentedMs: this.ctx.nowMs, sent: false, retryMs: 0 });
+    this.rentals.push({ request, type, zone, spot, count, rentedMs: this.ctx.nowMs, sent: false, asked: false, retryMs: 0 });
     this.ctx.log("info", "renting machines", { request, type, zone, spot, count });
   }
 
@@ -258,14 +265,16 @@
     for (const r of this.rentals) {
       if (r.sent || this.ctx.nowMs < r.retryMs) continue;
       r.sent = true;
+      r.asked = true;
       this.ctx.cloud({ op: "rent", request: r.request, type: r.type, zone: r.zone, spot: r.spot, count: r.count }, Urgent.Master, (reply) => {
         if (reply.is === "rented" || reply.is === "noCapacity") {
           this.rentals.splice(this.rentals.indexOf(r), 1);
           const got = reply.is === "rented" ? reply.machines : [];
+          if (got.length > 0) this.refusals.delete(offer(r.type, r.zone, r.spot));
           for (const id of got)
             if (!this.master.workers.has(id)) this.booting.set(id, { type: r.type, zone: r.zone, spot: r.spot, rentedMs: this.ctx.nowMs });
           if (got.length < r.count) {
-            this.emptyUntilMs.set(offer(r.type, r.zone, r.spot), this.ctx.nowMs + NO_CAPACITY_MS);
+            this.noteEmpty(offer(r.type, r.zone, r.spot), got.length === 0);
             this.ctx.log("info", "cloud has no more machines", { type: r.type, zone: r.zone, spot: r.spot, asked: r.count, got: got.length });
           }
           this.lastPlanMs = 0;
@@ -278,6 +287,19 @@
     }
   }
 
+  private readonly refusals = new Map<string, number>();
+  /**
+   * An offer that is sold out rests, longer each time, and no less than it takes this controller to ask for all its
+   * offers within half its part of the cloud's limit: asking for what is not there must not delay what is.
+   */
+  private noteEmpty(what: string, refused: boolean): void {
+    const times = refused ? (this.refusals.get(what) ?? 0) + 1 : 0;
+    this.refusals.set(what, times);
+    const rate = this.ctx.settings.cloud.rps / this.ctx.groups.names.length;
+    const offers = this.zones().length * (this.ctx.catalog?.length ?? 1) * 2;
+    this.emptyUntilMs.set(what, this.ctx.nowMs + Math.max(NO_CAPACITY_MS * Math.min(3, 1 + times / 3), (offers / (rate / 2)) * 1000));
+  }
+
   /** Machines on their way, as room. */
   private coming(): { m: Booting; room: Amounts }[] {
     const out: { m: Booting; room: Amounts }[] = [];
--- a/src/transport/cloud.ts
+++ b/src/transport/cloud.ts
@@ -1,5 +1,5 @@
 import type { Settings } from "../config/settings.js";
-import type { CloudCall, CloudReply } from "../coordination/effects.js";
+import { type CloudCall, type CloudReply, OWN_LIMIT } from "../coordination/effects.js";
 import { listPath, parseCatalog, parseList, parseRented, rentBody, returnBody } from "../protocol/cloud.js";
 import { Client, json } from "./client.js";
 import { Limiter } from "./limiter.js";
@@ -56,7 +56,7 @@
         urgent,
         cost: [1],
         deadlineMs: performance.now() + 10_000,
-        refuse: () => resolve({ is: "failed", why: "rate limit" }),
+        refuse: () => resolve({ is: "failed", why: OWN_LIMIT }),
         run: () => {
           const { method, path, body } = toRequest(call);
           const { host, port } = this.settings.cloud;
