--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -270,11 +270,10 @@
         if (reply.is === "rented" || reply.is === "noCapacity") {
           this.rentals.splice(this.rentals.indexOf(r), 1);
           const got = reply.is === "rented" ? reply.machines : [];
-          if (got.length > 0) this.refusals.delete(offer(r.type, r.zone, r.spot));
           for (const id of got)
             if (!this.master.workers.has(id)) this.booting.set(id, { type: r.type, zone: r.zone, spot: r.spot, rentedMs: this.ctx.nowMs });
           if (got.length < r.count) {
-            this.noteEmpty(offer(r.type, r.zone, r.spot), got.length === 0);
+            this.noteEmpty(offer(r.type, r.zone, r.spot));
             this.ctx.log("info", "cloud has no more machines", { type: r.type, zone: r.zone, spot: r.spot, asked: r.count, got: got.length });
           }
           this.lastPlanMs = 0;
@@ -287,17 +286,14 @@
     }
   }
 
-  private readonly refusals = new Map<string, number>();
   /**
-   * An offer that is sold out rests, longer each time, and no less than it takes this controller to ask for all its
-   * offers within half its part of the cloud's limit: asking for what is not there must not delay what is.
+   * An offer that is sold out rests for no less than it takes this controller to ask for all its offers within half
+   * its part of the cloud's limit: asking for what is not there must not delay what is.
    */
-  private noteEmpty(what: string, refused: boolean): void {
-    const times = refused ? (this.refusals.get(what) ?? 0) + 1 : 0;
-    this.refusals.set(what, times);
+  private noteEmpty(what: string): void {
     const rate = this.ctx.settings.cloud.rps / this.ctx.groups.names.length;
     const offers = this.zones().length * (this.ctx.catalog?.length ?? 1) * 2;
-    this.emptyUntilMs.set(what, this.ctx.nowMs + Math.max(NO_CAPACITY_MS * Math.min(3, 1 + times / 3), (offers / (rate / 2)) * 1000));
+    this.emptyUntilMs.set(what, this.ctx.nowMs + Math.max(NO_CAPACITY_MS, (offers / (rate / 2)) * 1000));
   }
 
   /** Machines on their way, as room. */
