--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -2,42 +2,21 @@
 import { Urgent } from "./effects.js";
 import type { Master } from "./master.js";
 import type { JobSpec, ListedMachine, MachineType } from "./model.js";
-import { allowedOn, type Amounts, couldRun, fitCount, fits, offer } from "./placement.js";
-import { freeOn, take, type Worker } from "./tasks.js";
+import { allowedOn, fits, suits } from "./placement.js";
+import { Renting } from "./renting.js";
+import type { Worker } from "./tasks.js";
 
-interface Booting {
-  type: string;
-  zone: string;
-  spot: boolean;
-  rentedMs: number;
-}
-interface Rental extends Booting {
-  request: string;
-  count: number;
-  sent: boolean;
-  /** It was sent once: its charter stands for this count from then on. */
-  asked: boolean;
-  retryMs: number;
-}
-
-const NO_CAPACITY_MS = 15_000;
-const MAX_RENTALS = 4;
-const MAX_BOOTING = 60;
 const WARM_PERIODS = 6;
 
 /** The machines of one group: rents what waiting work needs and gives back what nothing needs. */
 export class Fleet {
-  private readonly booting = new Map<string, Booting>();
-  private readonly rentals: Rental[] = [];
-  private readonly emptyUntilMs = new Map<string, number>();
   /** Machines to give back. `marked`: the roster says so. */
   private readonly going = new Map<string, { why: string; retryMs: number; sent: boolean }>();
-  private requests = 0;
+  readonly renting: Renting;
   private listed = new Map<string, ListedMachine & { seenMs: number }>();
   private listAfter = "";
   private listing: Map<string, ListedMachine & { seenMs: number }> | null = null;
   private nextListMs = 0;
-  private lastPlanMs = 0;
   /** Machines that were given back: a lagging list may show them for a while. */
   private readonly goneMs = new Map<string, number>();
   /** Machines of each type in use at once, the most in each of the last periods. */
@@ -49,11 +28,12 @@
     private readonly master: Master,
   ) {
     this.peakMs = ctx.nowMs;
+    this.renting = new Renting(ctx, master, () => this.zones());
   }
 
   cameUp(w: Worker): void {
     // Found running, not rented by this master: somebody had a use for it.
-    if (!this.booting.delete(w.id)) this.notePeak(w.typeName, this.count(w.typeName));
+    if (!this.renting.booting.delete(w.id)) this.notePeak(w.typeName, this.count(w.typeName));
     if (w.going) this.giveUp(w, "marked for return by a former master");
   }
 
@@ -77,7 +57,7 @@
     if (this.going.has(id)) return;
     this.ctx.log("info", "giving machine back", { worker: id, type, why });
     this.going.set(id, { why, retryMs: 0, sent: false });
-    this.booting.delete(id);
+    this.renting.booting.delete(id);
     // Marked before the request can leave: a return that is carried out late must find the machine unused.
     this.master.roster.set(id, { going: true, type });
   }
@@ -97,7 +77,7 @@
       g.sent = true;
     }
     if (ids.length === 0) return;
-    this.ctx.cloud({ op: "return", machines: ids }, Urgent.Master, (reply) => {
+    this.ctx.cloud({ op: "return", machines: ids }, Urgent.Spare, (reply) => {
       if (reply.is === "returned") {
         for (const id of ids) this.going.delete(id);
         for (const id of ids) {
@@ -170,7 +150,7 @@
     }
     for (const w of this.master.workers.values())
       if (!w.going && w.lost && now - w.answeredMs > this.ctx.tuning.silentReturnS * 1000) this.giveUp(w, "silent for too long");
-    for (const [id, b] of this.booting) {
+    for (const [id, b] of this.renting.booting) {
       const usual = (this.typeOf(b.type)?.bootS ?? 60) * 1000;
       if (now - b.rentedMs > usual * this.ctx.tuning.bootPatience + 5_000) this.giveBack(id, b.type, "never came up");
     }
@@ -190,7 +170,7 @@
   private wanted(w: Worker): boolean {
     for (const j of this.master.jobs.values()) {
       const s = j.view.spec;
-      if (!j.waiting.isEmpty && allowedOn(s, w.typeName, w.zone, w.spot) && w.type && fits(s, w.type)) return true;
+      if (!j.waiting.isEmpty && allowedOn(s, w.typeName, w.zone, w.spot) && w.type && fits(s, w.type) && suits(s, w.type, w.spot, this.ctx.catalog)) return true;
     }
     return false;
   }
@@ -233,167 +213,34 @@
         continue;
       }
       if (this.master.workers.has(m.id)) continue;
-      const known = this.booting.get(m.id);
+      const known = this.renting.booting.get(m.id);
       // A rental of a former master, or one carried out late: used like any other once it comes up.
       // One that runs already may be cut off: it has as long as a new one to make itself heard.
-      if (!known) this.booting.set(m.id, { type: m.type, zone: m.zone, spot: m.spot, rentedMs: m.state === "starting" ? now - m.ageS * 1000 : now });
+      if (!known) this.renting.booting.set(m.id, { type: m.type, zone: m.zone, spot: m.spot, rentedMs: m.state === "starting" ? now - m.ageS * 1000 : now });
     }
     for (const [id, at] of this.goneMs) if (now - at > 2 * lagMs + 60_000) this.goneMs.delete(id);
-    for (const [id, b] of this.booting)
-      if (!this.listed.has(id) && now - b.rentedMs > lagMs + 30_000) this.booting.delete(id);
+    for (const [id, b] of this.renting.booting)
+      if (!this.listed.has(id) && now - b.rentedMs > lagMs + 30_000) this.renting.booting.delete(id);
     for (const w of this.master.workers.values()) {
       // Taken by the cloud: neither heard of nor listed.
       if (w.lost && !w.going && !this.listed.has(w.id) && now - w.answeredMs > lagMs + 60_000) this.giveUp(w, "gone");
     }
   }
 
-  // ---- renting -------------------------------------------------------------------------------------------
-
-  private rent(type: string, zone: string, spot: boolean, count: number): void {
-    // Invariant: a charter is never used again by anyone. The token belongs to one master of one group.
-    const open = this.rentals.find((r) => !r.sent && r.type === type && r.zone === zone && r.spot === spot);
-    if (open && open.count + count <= 20 && !open.asked) {
-      open.count += count;
-      return;
-    }
-    const request = `${this.ctx.settings.label}-${this.master.token}-${++this.requests}`;
-    this.rentals.push({ request, type, zone, spot, count, rentedMs: this.ctx.nowMs, sent: false, asked: false, retryMs: 0 });
-    this.ctx.log("info", "renting machines", { request, type, zone, spot, count });
-  }
-
-  private sendRentals(): void {
-    for (const r of this.rentals) {
-      if (r.sent || this.ctx.nowMs < r.retryMs) continue;
-      r.sent = true;
-      r.asked = true;
-      this.ctx.cloud({ op: "rent", request: r.request, type: r.type, zone: r.zone, spot: r.spot, count: r.count }, Urgent.Master, (reply) => {
-        if (reply.is === "rented" || reply.is === "noCapacity") {
-          this.rentals.splice(this.rentals.indexOf(r), 1);
-          const got = reply.is === "rented" ? reply.machines : [];
-          for (const id of got)
-            if (!this.master.workers.has(id)) this.booting.set(id, { type: r.type, zone: r.zone, spot: r.spot, rentedMs: this.ctx.nowMs });
-          if (got.length < r.count) {
-            this.noteEmpty(offer(r.type, r.zone, r.spot));
-            this.ctx.log("info", "cloud has no more machines", { type: r.type, zone: r.zone, spot: r.spot, asked: r.count, got: got.length });
-          }
-          this.lastPlanMs = 0;
-        } else {
-          // The same charter again: whatever became of the request, it rents once.
-          r.sent = false;
-          r.retryMs = this.ctx.nowMs + 1_500;
-        }
-      });
-    }
-  }
-
-  /**
-   * An offer that is sold out rests for no less than it takes this controller to ask for all its offers within half
-   * its part of the cloud's limit: asking for what is not there must not delay what is.
-   */
-  private noteEmpty(what: string): void {
-    const rate = this.ctx.settings.cloud.rps / this.ctx.groups.names.length;
-    const offers = this.zones().length * (this.ctx.catalog?.length ?? 1) * 2;
-    this.emptyUntilMs.set(what, this.ctx.nowMs + Math.max(NO_CAPACITY_MS, (offers / (rate / 2)) * 1000));
-  }
-
-  /** Machines on their way, as room. */
-  private coming(): { m: Booting; room: Amounts }[] {
-    const out: { m: Booting; room: Amounts }[] = [];
-    const add = (m: Booting): void => {
-      const t = this.typeOf(m.type);
-      if (t) out.push({ m, room: { cpus: t.cpus, gpus: t.gpus, memGb: t.memGb } });
-    };
-    for (const b of this.booting.values()) add(b);
-    for (const r of this.rentals) for (let i = 0; i < r.count; i++) add(r);
-    // Up, but not to be used yet: its place in the roster is being written.
-    for (const w of this.master.workers.values()) if (!w.lost && !w.going && !this.master.roster.has(w.id)) add({ type: w.typeName, zone: w.zone, spot: w.spot, rentedMs: 0 });
-    return out;
-  }
-
-  /** Nothing that this job could use is on its way or, as far as known, to be had. */
-  exhausted(spec: JobSpec): boolean {
-    if (this.coming().some((c) => allowedOn(spec, c.m.type, c.m.zone, c.m.spot) && fits(spec, c.room))) return false;
-    return this.zones().every((zone) =>
-      (this.ctx.catalog ?? []).every(
-        (t) => !couldRun(spec, t, zone) || (this.isEmpty(t.name, zone, false) && (!spec.spot || this.isEmpty(t.name, zone, true))),
-      ),
-    );
-  }
-  private isEmpty(type: string, zone: string, spot: boolean): boolean {
-    return (this.emptyUntilMs.get(offer(type, zone, spot)) ?? 0) > this.ctx.nowMs;
-  }
-
-  /** What the cloud refused of late: `type/zone/kind`. */
-  soldOut(): string[] {
-    const out: string[] = [];
-    for (const [k, until] of this.emptyUntilMs) if (until + 30_000 > this.ctx.nowMs) out.push(k);
-    return out;
-  }
-
-  /** Rents for the waiting tasks that neither fit now nor will fit on machines that are on their way. */
-  private plan(): void {
-    const coming = this.coming();
-    if (coming.length >= MAX_BOOTING) return;
-    const jobs = [...this.master.jobs.values()]
-      .filter((j) => this.master.mayStart(j) && j.errors.size < 3)
-      .sort((a, b) => a.view.acceptedAt - b.view.acceptedAt);
-    for (const j of jobs) {
-      const spec = j.view.spec;
-      let need = Math.min(j.waiting.size, 200);
-      for (const c of coming) {
-        if (need === 0) break;
-        if (!allowedOn(spec, c.m.type, c.m.zone, c.m.spot)) continue;
-        const n = Math.min(need, fitCount(spec, c.room));
-        for (let i = 0; i < n; i++) take(c.room, spec);
-        need -= n;
-      }
-      while (need > 0 && this.rentals.length < MAX_RENTALS) {
-        const got = this.rentFor(spec, j.view.acceptedAt, need);
-        if (got === 0) break;
-        need -= got;
-      }
-    }
-  }
-
-  /** Keeps some machines free where a class is expected to start sooner than a machine boots. */
-  private planSpare(): void {
+  /** Places to keep free where a class is expected to start sooner than a machine boots. */
+  private spare(): { spec: JobSpec; places: number }[] {
+    const out: { spec: JobSpec; places: number }[] = [];
     for (const o of this.ctx.settings.objectives) {
       const spec = o.kind === "wait" && o.class !== undefined ? this.classNeeds.get(o.class) : undefined;
-      if (!spec || this.rentals.length >= MAX_RENTALS) continue;
-      let free = 0;
-      let want = 0;
+      if (!spec) continue;
       const types = new Set<string>();
-      for (const w of this.master.workers.values()) {
-        if (w.lost || w.going || !this.serves(spec.class, w)) continue;
-        if (w.type && (o.withinS ?? Infinity) < w.type.bootS) types.add(w.typeName);
-        free += fitCount(spec, freeOn(w));
-      }
-      for (const t of types) want += this.spareFor(t);
-      for (const c of this.coming()) if (allowedOn({ ...spec, zone: null }, c.m.type, c.m.zone, c.m.spot)) free += fitCount(spec, c.room);
-      if (free < want) this.rentFor({ ...spec, zone: null, deadlineS: null }, 0, want - free);
+      for (const w of this.master.workers.values())
+        if (!w.lost && !w.going && w.type && (o.withinS ?? Infinity) < w.type.bootS && this.serves(spec.class, w)) types.add(w.typeName);
+      let places = 0;
+      for (const t of types) places += this.spareFor(t);
+      if (places > 0) out.push({ spec: { ...spec, zone: null, deadlineS: null }, places });
     }
-  }
-
-  /** Rents for up to `need` tasks, where a task's place costs least; the number of places ordered. */
-  private rentFor(spec: JobSpec, acceptedAt: number, need: number): number {
-    // While there is time until its deadline, a job that may use cheap machines waits for one.
-    const early = spec.spot && spec.deadlineS !== null && this.ctx.wallMs - acceptedAt < spec.deadlineS * 1000 * this.ctx.tuning.cheapPatience;
-    let best: { t: MachineType; zone: string; spot: boolean; per: number; cost: number } | null = null;
-    for (const t of this.ctx.catalog ?? []) {
-      for (const zone of this.zones()) {
-        if (!couldRun(spec, t, zone)) continue;
-        for (const spot of spec.spot ? (early ? [true] : [true, false]) : [false]) {
-          if (this.isEmpty(t.name, zone, spot)) continue;
-          const per = fitCount(spec, t);
-          const cost = (spot ? t.spotPrice : t.price) / Math.min(per, need);
-          if (!best || cost < best.cost) best = { t, zone, spot, per, cost };
-        }
-      }
-    }
-    if (!best) return 0;
-    const count = Math.min(20, Math.ceil(need / best.per));
-    this.rent(best.t.name, best.zone, best.spot, count);
-    return count * best.per;
+    return out;
   }
 
   tick(): void {
@@ -402,11 +249,6 @@
     this.notePeaks();
     this.returnIdle();
     this.sendReturns();
-    if (this.ctx.nowMs - this.lastPlanMs >= 500) {
-      this.lastPlanMs = this.ctx.nowMs;
-      this.plan();
-      this.planSpare();
-    }
-    this.sendRentals();
+    this.renting.tick(() => this.spare());
   }
 }
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -4,15 +4,15 @@
 import { type Answer, Urgent } from "./effects.js";
 import { Fleet } from "./fleet.js";
 import type { JobView } from "./mirror.js";
-import type { Cause, Order, Report, ReportedTask } from "./model.js";
+import type { Cause, JobSpec, Order, Report, ReportedTask } from "./model.js";
 import { taskKey, URGENCIES } from "./model.js";
-import { allowedOn, type Amounts, EPS, fitCount, fits, goesWhole, Misfits, zoneCap } from "./placement.js";
+import { allowedOn, type Amounts, EPS, fitCount, fits, goesWhole, Misfits, suits, zoneCap } from "./placement.js";
 import { isLate, isShort, Round } from "./queues.js";
 import { Ledger, type Use } from "./ledger.js";
 import { moveShare, shareOf, withinShare } from "./quota.js";
 import { RangeSet } from "./ranges.js";
 import { Roster } from "./roster.js";
-import { canRent, capableGroups, queueOf, roomLeft } from "./splitter.js";
+import { canRent, capableGroups, queueOf, roomLeft, wholeRoom } from "./splitter.js";
 import { freeOn, type JobRun, newJobRun, runKey, take, type TaskRun, type Worker } from "./tasks.js";
 
 /** Attempts of one token: with a token below 2^33 they stay below 2^53. */
@@ -557,6 +557,23 @@
     return out;
   }
 
+  /** Machines that may be used now, and which of them serve short tasks only. */
+  usableWorkers(): { usable: Worker[]; reserved: Set<string> } {
+    const usable = [...this.workers.values()].filter((w) => this.usable(w));
+    return { usable, reserved: this.reserved(usable) };
+  }
+  /** By team: what it may still use in this group. */
+  headroom(): Map<string, Use> {
+    const used = this.usage();
+    const out = new Map<string, Use>();
+    for (const team of this.ctx.settings.teams.keys()) {
+      const share = this.share(team);
+      const u = used.get(team) ?? { cpus: 0, gpus: 0 };
+      out.set(team, { cpus: share[0] - u.cpus, gpus: share[1] - u.gpus });
+    }
+    return out;
+  }
+
   mayStart(job: JobRun): boolean {
     return (
       !job.gone &&
@@ -575,9 +592,8 @@
     const ready = [...this.jobs.values()].filter((j) => this.mayStart(j));
     if (ready.length === 0) return;
     const used = this.usage();
-    const workers = [...this.workers.values()].filter((w) => this.usable(w));
+    const { usable: workers, reserved } = this.usableWorkers();
     const free = new Map<Worker, Amounts>(workers.map((w) => [w, freeOn(w)]));
-    const reserved = this.reserved(workers);
     const unreserved = workers.filter((w) => !reserved.has(w.id));
     const round = new Round(
       ready.map((j) => ({
@@ -630,12 +646,12 @@
   private preempt(job: JobRun, workers: readonly Worker[], free: ReadonlyMap<Worker, Amounts>, used: ReadonlyMap<string, { cpus: number; gpus: number }>): void {
     const spec = job.view.spec;
     if (spec.tasks > 1 && (spec.shape === "ensemble" || spec.samePlace || spec.spread)) return;
-    if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, spec, this.share(spec.team)) || !this.fleet.exhausted(spec)) return;
+    if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, spec, this.share(spec.team)) || !this.fleet.renting.exhausted(spec)) return;
     const now = this.ctx.nowMs;
     if (workers.some((w) => w.heldFor?.job === job.id && now < w.heldFor.untilMs)) return;
     let best: { w: Worker; victims: TaskRun[]; loss: number } | null = null;
     for (const w of workers) {
-      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || (w.heldFor && now < w.heldFor.untilMs) || job.errors.has(w.id)) continue;
+      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || !suits(spec, w.type, w.spot, this.ctx.catalog) || (w.heldFor && now < w.heldFor.untilMs) || job.errors.has(w.id)) continue;
       const room = { ...free.get(w)! };
       const victims: TaskRun[] = [];
       let loss = 0;
@@ -739,7 +755,7 @@
     for (const w of open) {
       if (only !== null && w.zone !== only) continue;
       if (w.heldFor && w.heldFor.job !== job.id && this.ctx.nowMs < w.heldFor.untilMs) continue;
-      if (!allowedOn(spec, w.typeName, w.zone, w.spot)) continue;
+      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || !suits(spec, w.type, w.spot, this.ctx.catalog)) continue;
       const room = free.get(w)!;
       // Invariant (rule wrong_place): with `spread`, no zone holds more than half, old attempts included.
       const n = Math.min(fitCount(spec, room), cap - (at.get(w.zone) ?? 0));
@@ -774,7 +790,6 @@
     const spec = job.view.spec;
     let s = 0;
     if (job.errors.has(w.id)) s -= 1_000;
-    if (spec.gpus === 0 && (w.type?.gpus ?? 0) > 0) s -= 500;
     if (!spec.image || w.images.has(spec.image)) s += 200;
     if (reserved.has(w.id)) s -= 100;
     for (const t of w.tasks.values()) if (t.job.view.spec.image === spec.image) s += 50;
@@ -808,7 +823,7 @@
       const n = this.runningOf(j.id);
       if (n > 0 && running.size < 120) running.set(j.id, n);
     }
-    return { rows: [...rows.values()], queue, running, soldOut: this.fleet.soldOut(), wants: this.wants() };
+    return { rows: [...rows.values()], queue, running, soldOut: this.fleet.renting.soldOut(), left: this.fleet.renting.left(), wants: this.wants() };
   }
 
   writeRoomIf(write: (r: RoomRecord) => object, key: string): void {
@@ -837,20 +852,23 @@
       const spec = job.view.spec;
       const kind = queueOf(spec);
       if (job.moving || job.finalizing || spec.spread || !this.mayStart(job) || this.ctx.nowMs - job.waitingSinceMs < MOVE_AFTER_MS) continue;
-      if ([...rooms].some(([g, r]) => g !== this.group && r.queue[kind] > own[kind])) continue;
       const whole = goesWhole(spec);
+      // A part of an array comes from the longest queue; a gang that can't start here goes to whoever holds it whole.
+      if (!whole && [...rooms].some(([g, r]) => g !== this.group && r.queue[kind] > own[kind])) continue;
       if (whole && (job.waiting.size < spec.tasks || this.ledger.hasStrays(job.id))) continue;
       let best: { g: string; fit: number } | null = null;
       for (const [g, r] of rooms) {
-        if (g === this.group || r.queue[kind] > 0 || !this.ctx.mirror.groups.has(g)) continue;
-        const fit = roomLeft(spec, r, this.ctx.handed.get(g));
+        if (g === this.group || (!whole && r.queue[kind] > 0) || !this.ctx.mirror.groups.has(g)) continue;
+        const handed = this.ctx.handed.get(g);
+        const fit = whole ? wholeRoom(spec, this.zonesFor(spec, g), r, this.ctx.catalog ?? [], handed).now - r.queue[kind] : roomLeft(spec, r, this.ctx.catalog ?? [], handed);
         if (fit >= (whole ? spec.tasks : 1) && (!best || fit > best.fit)) best = { g, fit };
       }
       // Nothing free anywhere and nothing more to be had here: a group with an empty queue that may still rent.
-      if (!best && this.ctx.catalog && this.ctx.nowMs - job.waitingSinceMs > 2 * MOVE_AFTER_MS && this.fleet.exhausted(spec))
+      if (!best && this.ctx.catalog && this.ctx.nowMs - job.waitingSinceMs > 2 * MOVE_AFTER_MS && this.fleet.renting.exhausted(spec))
         for (const c of capableGroups(spec, this.ctx.catalog, this.ctx.groups)) {
           const r = rooms.get(c.group);
           if (c.group === this.group || !r || r.queue[kind] > 0 || this.ctx.handed.has(c.group) || !canRent(spec, c.zones, r, this.ctx.catalog)) continue;
+          if (whole && wholeRoom(spec, c.zones, r, this.ctx.catalog).soon < spec.tasks) continue;
           best = { g: c.group, fit: whole ? spec.tasks : Math.ceil(job.waiting.size / 2) };
           break;
         }
@@ -860,6 +878,10 @@
     }
   }
 
+  private zonesFor(spec: JobSpec, group: string): string[] {
+    return capableGroups(spec, this.ctx.catalog ?? [], this.ctx.groups).find((c) => c.group === group)?.zones ?? [];
+  }
+
   private move(job: JobRun, tasks: RangeSet, to: string): void {
     for (const i of tasks) if (this.ledger.hasStrays(job.id, i)) return;
     const split = new Map([...job.view.split].map(([g, r]) => [g, r.clone()]));
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -32,6 +32,21 @@
   return t.zones.includes(zone) && allowedOn(spec, t.name, zone, false) && fits(spec, t);
 }
 
+/** How much dearer a place on an accelerated machine may be than one on a plain machine, for plain work. */
+const LIKE_PRICE = 2;
+
+/**
+ * Machines with accelerators are for work that needs them, the dearest and the scarcest there are: plain work gets
+ * one only where a place on it costs about as much as on a plain machine (a cheap spot offer), or where no plain
+ * machine could run it.
+ */
+export function suits(spec: JobSpec, t: MachineType | null, spot: boolean, catalog: readonly MachineType[] | null): boolean {
+  if (!t || spec.gpus > 0 || t.gpus === 0) return true;
+  let plain = Infinity;
+  for (const x of catalog ?? []) if (x.gpus === 0 && x.zones.some((z) => couldRun(spec, x, z))) plain = Math.min(plain, x.price / fitCount(spec, x));
+  return (spot ? t.spotPrice : t.price) / Math.max(1, fitCount(spec, t)) <= plain * LIKE_PRICE;
+}
+
 /** With `spread`, at most half of the tasks, rounded up, may be in one zone. */
 export const zoneCap = (spec: JobSpec): number => (spec.spread ? Math.ceil(spec.tasks / 2) : Infinity);
 
--- /dev/null
+++ b/src/coordination/renting.ts
@@ -0,0 +1,290 @@
+import type { Context } from "./context.js";
+import { Urgent } from "./effects.js";
+import type { Master } from "./master.js";
+import type { JobSpec, MachineType } from "./model.js";
+import { allowedOn, type Amounts, couldRun, fitCount, fits, goesWhole, offer, suits } from "./placement.js";
+import { isShort } from "./queues.js";
+import { freeOn, type JobRun, take } from "./tasks.js";
+
+export interface Booting {
+  type: string;
+  zone: string;
+  spot: boolean;
+  rentedMs: number;
+}
+/** What is to be asked for next; made anew with every plan. */
+interface Planned {
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+/** A request that was sent at least once: its charter stands for this offer and count from then on. */
+interface Rental extends Booting {
+  request: string;
+  count: number;
+  sent: boolean;
+  retryMs: number;
+}
+/** Room on a machine that is there or will be. */
+interface Place {
+  type: string;
+  zone: string;
+  spot: boolean;
+  reserved: boolean;
+  room: Amounts;
+}
+
+const NO_CAPACITY_MS = 15_000;
+/** What a refusal told of an offer's size is believed for this long. */
+const CEILING_MS = 300_000;
+/** PROTOCOL: most machines of one request. */
+const MOST_AT_ONCE = 50;
+const PLAN_MS = 500;
+
+/** What a group rents: decides from waiting work, room and what the cloud refused, and sends the requests. */
+export class Renting {
+  /** Machines that were rented, or that the list shows, and that have not reported yet. */
+  readonly booting = new Map<string, Booting>();
+  private readonly rentals: Rental[] = [];
+  private planned: Planned[] = [];
+  private readonly emptyUntilMs = new Map<string, number>();
+  /** By offer: machines that the group held when the cloud had no more, the most it can expect to have. */
+  private readonly ceilings = new Map<string, { machines: number; untilMs: number }>();
+  private requests = 0;
+  private planMs = -Infinity;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly master: Master,
+    private readonly zones: () => string[],
+  ) {}
+
+  private typeOf(name: string): MachineType | undefined {
+    return this.ctx.catalog?.find((t) => t.name === name);
+  }
+
+  tick(spare: () => { spec: JobSpec; places: number }[]): void {
+    if (this.ctx.nowMs - this.planMs >= PLAN_MS) {
+      this.planMs = this.ctx.nowMs;
+      this.plan(spare());
+    }
+    this.send();
+  }
+
+  // ---- requests ------------------------------------------------------------------------------------------
+
+  /**
+   * One request at a time: what is not sent yet is planned anew when the answer to the last one is known. With a
+   * small rate limit, requests that stand in line ask for what is not needed any more.
+   */
+  private send(): void {
+    let r = this.rentals[0];
+    if (!r) {
+      const next = this.planned.shift();
+      if (!next) return;
+      // Invariant: a charter is never used again by anyone. The token belongs to one master of one group.
+      const request = `${this.ctx.settings.label}-${this.master.token}-${++this.requests}`;
+      r = { ...next, request, rentedMs: this.ctx.nowMs, sent: false, retryMs: 0 };
+      this.rentals.push(r);
+      this.ctx.log("info", "renting machines", { request, ...next });
+    }
+    if (r.sent || this.ctx.nowMs < r.retryMs) return;
+    const rental = r;
+    rental.sent = true;
+    this.ctx.cloud({ op: "rent", request: r.request, type: r.type, zone: r.zone, spot: r.spot, count: r.count }, Urgent.Master, (reply) => {
+      if (reply.is !== "rented" && reply.is !== "noCapacity") {
+        // The same charter again: whatever became of the request, it rents once.
+        rental.sent = false;
+        rental.retryMs = this.ctx.nowMs + 1_500;
+        return;
+      }
+      this.rentals.splice(this.rentals.indexOf(rental), 1);
+      const { type, zone, spot, count } = rental;
+      const got = reply.is === "rented" ? reply.machines : [];
+      for (const id of got) if (!this.master.workers.has(id)) this.booting.set(id, { type, zone, spot, rentedMs: this.ctx.nowMs });
+      if (got.length > 0) this.ceilings.delete(offer(type, zone, spot));
+      if (got.length < count) {
+        this.noteEmpty(rental);
+        this.ctx.log("info", "cloud has no more machines", { type, zone, spot, asked: count, got: got.length });
+      }
+      this.planMs = -Infinity;
+    });
+  }
+
+  /**
+   * An offer that is sold out rests for no less than it takes this controller to ask for all its offers within half
+   * its part of the cloud's limit: asking for what is not there must not delay what is.
+   */
+  private noteEmpty(r: Rental): void {
+    const what = offer(r.type, r.zone, r.spot);
+    this.ceilings.set(what, { machines: this.held(r.type, r.zone, r.spot), untilMs: this.ctx.nowMs + CEILING_MS });
+    const rate = this.ctx.settings.cloud.rps / this.ctx.groups.names.length;
+    const offers = this.zones().length * (this.ctx.catalog?.length ?? 1) * 2;
+    this.emptyUntilMs.set(what, this.ctx.nowMs + Math.max(NO_CAPACITY_MS, (offers / (rate / 2)) * 1000));
+  }
+
+  // ---- what there is to be had ---------------------------------------------------------------------------
+
+  /** Machines of an offer that the group has, or that are on their way. */
+  private held(type: string, zone: string, spot: boolean): number {
+    let n = 0;
+    for (const w of this.master.workers.values()) if (w.typeName === type && w.zone === zone && w.spot === spot && !w.lost) n++;
+    for (const b of this.booting.values()) if (b.type === type && b.zone === zone && b.spot === spot) n++;
+    return n;
+  }
+  /** By offer, where a refusal told: how many more machines there may be. */
+  left(): Map<string, number> {
+    const out = new Map<string, number>();
+    for (const [what, c] of this.ceilings) {
+      if (c.untilMs < this.ctx.nowMs) {
+        this.ceilings.delete(what);
+        continue;
+      }
+      const [type, zone, kind] = what.split("/") as [string, string, string];
+      out.set(what, Math.max(0, c.machines - this.held(type, zone, kind === "spot")));
+    }
+    return out;
+  }
+  private isEmpty(type: string, zone: string, spot: boolean): boolean {
+    return (this.emptyUntilMs.get(offer(type, zone, spot)) ?? 0) > this.ctx.nowMs;
+  }
+  /** What the cloud refused of late: `type/zone/kind`. */
+  soldOut(): string[] {
+    const out: string[] = [];
+    for (const [k, until] of this.emptyUntilMs) if (until + 30_000 > this.ctx.nowMs) out.push(k);
+    return out;
+  }
+
+  /** Offers of these zones that the job may use and that may have something left, with the most to ask for. */
+  private *offers(spec: JobSpec, zones: readonly string[], left: ReadonlyMap<string, number>): Generator<{ t: MachineType; zone: string; spot: boolean; most: number }> {
+    for (const t of this.ctx.catalog ?? [])
+      for (const zone of zones) {
+        if (!couldRun(spec, t, zone)) continue;
+        for (const spot of spec.spot ? [true, false] : [false]) {
+          if (this.isEmpty(t.name, zone, spot) || !suits(spec, t, spot, this.ctx.catalog)) continue;
+          const planned = this.planned.find((p) => p.type === t.name && p.zone === zone && p.spot === spot)?.count ?? 0;
+          // Nothing left when it last rested, and it has rested: there may be any number by now.
+          const known = left.get(offer(t.name, zone, spot)) || Infinity;
+          const most = Math.min(MOST_AT_ONCE, known) - planned;
+          if (most > 0) yield { t, zone, spot, most };
+        }
+      }
+  }
+
+  /** Nothing that this job could use is on its way or, as far as known, to be had. */
+  exhausted(spec: JobSpec): boolean {
+    for (const c of this.coming()) if (this.serves(spec, c) && fits(spec, c.room)) return false;
+    return this.offers(spec, this.zones(), new Map()).next().done === true;
+  }
+
+  private serves(spec: JobSpec, p: Place): boolean {
+    return allowedOn(spec, p.type, p.zone, p.spot) && suits(spec, this.typeOf(p.type) ?? null, p.spot, this.ctx.catalog);
+  }
+
+  /** Machines on their way. */
+  private coming(): Place[] {
+    const out: Place[] = [];
+    const add = (m: { type: string; zone: string; spot: boolean }): void => {
+      const t = this.typeOf(m.type);
+      if (t) out.push({ type: m.type, zone: m.zone, spot: m.spot, reserved: false, room: { cpus: t.cpus, gpus: t.gpus, memGb: t.memGb } });
+    };
+    for (const b of this.booting.values()) add(b);
+    for (const r of this.rentals) for (let i = 0; i < r.count; i++) add(r);
+    // Up, but not to be used yet: its place in the roster is being written.
+    for (const w of this.master.workers.values()) if (!w.lost && !w.going && !this.master.roster.has(w.id)) add({ type: w.typeName, zone: w.zone, spot: w.spot });
+    return out;
+  }
+
+  // ---- the plan ------------------------------------------------------------------------------------------
+
+  /** Plans what to rent for the waiting tasks that fit neither on what is free nor on what is on its way. */
+  private plan(spare: { spec: JobSpec; places: number }[]): void {
+    this.planned = [];
+    const places = this.coming();
+    const { usable, reserved } = this.master.usableWorkers();
+    for (const w of usable) places.push({ type: w.typeName, zone: w.zone, spot: w.spot, reserved: reserved.has(w.id), room: freeOn(w) });
+    const left = this.left();
+    const headroom = this.master.headroom();
+    const jobs = [...this.master.jobs.values()].filter((j) => this.master.mayStart(j) && j.errors.size < 3).sort((a, b) => a.view.acceptedAt - b.view.acceptedAt);
+    for (const j of jobs) {
+      const spec = j.view.spec;
+      const room = headroom.get(spec.team);
+      if (!room) continue;
+      // What the team may not use now is not waited for: nothing is rented for it.
+      const n = Math.min(j.waiting.size, fitCount({ cpus: spec.cpus, gpus: spec.gpus, memGb: 0 }, { ...room, memGb: 0 }));
+      if (n === 0 || (goesWhole(spec) && n < j.waiting.size)) continue;
+      room.cpus -= n * spec.cpus;
+      room.gpus -= n * spec.gpus;
+      const short = isShort(spec, this.ctx.tuning);
+      const mine = places.filter((p) => (short || !p.reserved) && this.serves(spec, p));
+      if (goesWhole(spec)) this.planWhole(j, n, mine, places, left);
+      else this.rentFor(spec, j.view.acceptedAt, this.fill(spec, n, mine), this.zones(), places, left);
+    }
+    for (const s of spare) {
+      const want = this.fill(s.spec, s.places, places.filter((p) => this.serves(s.spec, p)));
+      this.rentFor(s.spec, 0, want, this.zones(), places, left);
+    }
+  }
+
+  /** Takes room for `n` tasks; how many found none. */
+  private fill(spec: JobSpec, n: number, places: readonly Place[]): number {
+    for (const p of places) {
+      if (n === 0) break;
+      const k = Math.min(n, fitCount(spec, p.room));
+      for (let i = 0; i < k; i++) take(p.room, spec);
+      n -= k;
+    }
+    return n;
+  }
+
+  /**
+   * A job that goes whole starts once all of it has room, in one zone if it must: so much as is missing in the zone
+   * where the least is, and only where that can be had. Part of what it needs would stand idle until the rest came.
+   */
+  private planWhole(j: JobRun, n: number, mine: readonly Place[], places: Place[], left: ReadonlyMap<string, number>): void {
+    const spec = j.view.spec;
+    const at = j.active.size > 0 ? new Set([...j.active.values()].map((t) => t.worker.zone)) : null;
+    const zones = this.zones().filter((z) => at === null || !spec.samePlace || at.has(z));
+    let best: { zones: string[]; places: Place[]; lacking: number } | null = null;
+    for (const set of spec.samePlace ? zones.map((z) => [z]) : [zones]) {
+      const here = mine.filter((p) => set.includes(p.zone));
+      const lacking = Math.max(0, n - here.reduce((sum, p) => sum + fitCount(spec, p.room), 0));
+      let rentable = 0;
+      if (lacking > 0) for (const o of this.offers(spec, set, left)) rentable += o.most * fitCount(spec, o.t);
+      if (lacking <= rentable && (!best || lacking < best.lacking)) best = { zones: set, places: here, lacking };
+    }
+    if (best) this.rentFor(spec, j.view.acceptedAt, this.fill(spec, n, best.places), best.zones, places, left);
+  }
+
+  /** Plans machines for `need` tasks, where a task's place costs least. */
+  private rentFor(spec: JobSpec, acceptedAt: number, need: number, zones: readonly string[], places: Place[], left: ReadonlyMap<string, number>): void {
+    // While there is time until its deadline, a job that may use cheap machines waits for one.
+    const early = spec.spot && spec.deadlineS !== null && this.ctx.wallMs - acceptedAt < spec.deadlineS * 1000 * this.ctx.tuning.cheapPatience;
+    while (need > 0) {
+      let best: { t: MachineType; zone: string; spot: boolean; most: number } | null = null;
+      let bestCost = Infinity;
+      for (const o of this.offers(spec, zones, left)) {
+        if (early && !o.spot) continue;
+        const cost = (o.spot ? o.t.spotPrice : o.t.price) / Math.min(fitCount(spec, o.t), need);
+        if (cost < bestCost) {
+          best = o;
+          bestCost = cost;
+        }
+      }
+      if (!best) return;
+      const { t, zone, spot } = best;
+      const per = fitCount(spec, t);
+      const count = Math.min(best.most, Math.ceil(need / per));
+      const same = this.planned.find((p) => p.type === t.name && p.zone === zone && p.spot === spot);
+      if (same) same.count += count;
+      else this.planned.push({ type: t.name, zone, spot, count });
+      // What its tasks leave free of the new machines is there for the jobs behind it.
+      for (let i = 0; i < count; i++) {
+        const room = { cpus: t.cpus, gpus: t.gpus, memGb: t.memGb };
+        for (let k = 0; k < per && need > 0; k++, need--) take(room, spec);
+        places.push({ type: t.name, zone, spot, reserved: false, room });
+      }
+    }
+  }
+}
--- a/src/coordination/splitter.ts
+++ b/src/coordination/splitter.ts
@@ -1,7 +1,7 @@
 import type { RoomRecord } from "../storage/records.js";
 import type { Groups } from "./groups.js";
 import type { JobSpec, MachineType } from "./model.js";
-import { allowedOn, couldRun, fitCount, goesWhole, offer, zoneCap } from "./placement.js";
+import { allowedOn, couldRun, fitCount, goesWhole, offer, suits, zoneCap } from "./placement.js";
 import { RangeSet } from "./ranges.js";
 
 /** How a job is cut over the groups: by the room that each group last wrote (Pigeon's suggestion, section 2.2). */
@@ -21,11 +21,11 @@
 }
 
 /** Tasks of this job that fit into a group's written room. */
-export function roomFor(spec: JobSpec, room: RoomRecord | undefined): number {
+export function roomFor(spec: JobSpec, room: RoomRecord | undefined, catalog: readonly MachineType[]): number {
   let n = 0;
   if (!room) return 0;
   for (const row of room.rows) {
-    if (!allowedOn(spec, row.type, row.zone, row.spot)) continue;
+    if (!allowedOn(spec, row.type, row.zone, row.spot) || !suits(spec, catalog.find((t) => t.name === row.type) ?? null, row.spot, catalog)) continue;
     for (const [cpus, gpus, memGb] of row.free) n += fitCount(spec, { cpus, gpus, memGb });
   }
   return n;
@@ -41,10 +41,45 @@
 export const queueOf = (spec: JobSpec): "plain" | "accelerated" => (spec.gpus > 0 ? "accelerated" : "plain");
 
 /** Tasks of this job that a group can start at once, less what was handed to it since it wrote so. */
-export function roomLeft(spec: JobSpec, room: RoomRecord | undefined, handed: readonly Handed[] = []): number {
-  let n = roomFor(spec, room);
-  for (const h of handed) if (queueOf(h.spec) === queueOf(spec)) n -= h.tasks * Math.max(1, Math.ceil(spec.cpus > 0 ? h.spec.cpus / spec.cpus : 1));
-  return Math.max(0, n);
+export function roomLeft(spec: JobSpec, room: RoomRecord | undefined, catalog: readonly MachineType[], handed: readonly Handed[] = []): number {
+  return Math.max(0, roomFor(spec, room, catalog) - handedOf(spec, handed));
+}
+
+/**
+ * For a job that goes whole: the most of its tasks that a group can start at once, and the most with what it may
+ * still rent. With `samePlace` one zone must hold them all, so zones are not added up.
+ */
+export function wholeRoom(spec: JobSpec, zones: readonly string[], room: RoomRecord | undefined, catalog: readonly MachineType[], handed: readonly Handed[] = []): { now: number; soon: number } {
+  const gone = new Set(room?.soldOut);
+  const taken = handedOf(spec, handed);
+  const best = { now: 0, soon: 0 };
+  const sum = { now: 0, soon: 0 };
+  for (const zone of zones) {
+    const one = { now: room ? roomFor(spec, { ...room, rows: room.rows.filter((r) => r.zone === zone) }, catalog) : 0, soon: 0 };
+    one.soon = one.now;
+    for (const t of catalog) {
+      if (!couldRun(spec, t, zone)) continue;
+      for (const spot of spec.spot ? [false, true] : [false]) {
+        if (!suits(spec, t, spot, catalog)) continue;
+        const what = offer(t.name, zone, spot);
+        const left = room?.left.get(what) ?? (gone.has(what) ? 0 : Infinity);
+        if (left > 0) one.soon += left * fitCount(spec, t);
+      }
+    }
+    sum.now += one.now;
+    sum.soon += one.soon;
+    best.now = Math.max(best.now, one.now);
+    best.soon = Math.max(best.soon, one.soon);
+  }
+  const at = spec.samePlace ? best : sum;
+  return { now: Math.max(0, at.now - taken), soon: Math.max(0, at.soon - taken) };
+}
+
+/** What was handed to a group since it wrote its room, in tasks of this job. */
+function handedOf(spec: JobSpec, handed: readonly Handed[]): number {
+  let n = 0;
+  for (const h of handed) if (queueOf(h.spec) === queueOf(spec)) n += h.tasks * Math.max(1, Math.ceil(spec.cpus > 0 ? h.spec.cpus / spec.cpus : 1));
+  return n;
 }
 
 interface Weighted extends Capable {
@@ -67,7 +102,7 @@
     const given = handed.get(c.group) ?? [];
     let waiting = r ? r.queue[queueOf(spec)] : 0;
     for (const h of given) if (queueOf(h.spec) === queueOf(spec)) waiting += h.tasks;
-    return { ...c, room: roomLeft(spec, r, given), later: 1 / waitS(spec, c.zones, r, catalog, waiting), cap: zoneCap(spec) * c.zones.length };
+    return { ...c, room: roomLeft(spec, r, catalog, given), later: 1 / waitS(spec, c.zones, r, catalog, waiting), cap: zoneCap(spec) * c.zones.length };
   });
 }
 
@@ -77,7 +112,8 @@
   let best: MachineType | null = null;
   for (const t of catalog)
     for (const z of zones)
-      if (couldRun(spec, t, z) && (!gone.has(offer(t.name, z, false)) || (spec.spot && !gone.has(offer(t.name, z, true)))) && (!best || t.bootS < best.bootS)) best = t;
+      for (const spot of spec.spot ? [false, true] : [false])
+        if (couldRun(spec, t, z) && suits(spec, t, spot, catalog) && !gone.has(offer(t.name, z, spot)) && (!best || t.bootS < best.bootS)) best = t;
   return best;
 }
 
@@ -85,12 +121,29 @@
 function waitS(spec: JobSpec, zones: readonly string[], room: RoomRecord | undefined, catalog: readonly MachineType[], waiting: number): number {
   const rent = canRent(spec, zones, room, catalog);
   if (rent) return rent.bootS + 5 + waiting;
+  return ((waiting + 1) * (spec.estimateS || 120)) / slotsOf(spec, room, catalog);
+}
+
+/** Machines of this group that the job's tasks could use, as places. */
+function slotsOf(spec: JobSpec, room: RoomRecord | undefined, catalog: readonly MachineType[]): number {
   let slots = 0;
   for (const row of room?.rows ?? []) {
     const t = catalog.find((x) => x.name === row.type);
-    if (t && allowedOn(spec, row.type, row.zone, row.spot)) slots += row.machines * fitCount(spec, t);
+    if (t && allowedOn(spec, row.type, row.zone, row.spot) && suits(spec, t, row.spot, catalog)) slots += row.machines * fitCount(spec, t);
   }
-  return ((waiting + 1) * (spec.estimateS || 120)) / Math.max(0.1, slots);
+  return Math.max(0.1, slots);
+}
+
+/** About how long a whole job would wait in a group: not at all, for machines to boot, or for others to finish. */
+function wholeWaitS(spec: JobSpec, c: Capable, at: { now: number; soon: number }, room: RoomRecord | undefined, catalog: readonly MachineType[]): number {
+  const waiting = room ? room.queue[queueOf(spec)] : 0;
+  if (at.now >= spec.tasks + waiting) return 0;
+  // What waits there does not fit yet and may be holding that room: a little worse than room for all.
+  if (at.now >= spec.tasks) return 1;
+  const boots = catalog.filter((t) => suits(spec, t, spec.spot, catalog) && c.zones.some((z) => couldRun(spec, t, z))).map((t) => t.bootS);
+  const bootS = Math.min(...boots) + 5;
+  const short = spec.tasks + waiting - at.soon;
+  return short <= 0 ? bootS : bootS + (short * (spec.estimateS || 120)) / slotsOf(spec, room, catalog);
 }
 
 /** A fixed shuffle by job id: equal groups take turns without a source of chance in the core. */
@@ -113,10 +166,13 @@
   if (goesWhole(spec)) {
     const enough = spec.shape === "ensemble" || spec.samePlace ? ws.filter((w) => w.cap >= spec.tasks) : ws;
     const from = enough.length > 0 ? enough : ws;
-    const full = from.filter((w) => w.room >= spec.tasks);
-    const to = (full.length > 0 ? full : from).reduce((a, b) =>
-      b.room > a.room || (b.room === a.room && b.later > a.later) ? b : a,
-    );
+    // To the roomiest group that can hold it; if none can, to the one that is expected to be able to first.
+    const rated = from.map((w) => {
+      const room = rooms.get(w.group);
+      const at = wholeRoom(spec, w.zones, room, catalog, handed.get(w.group));
+      return { group: w.group, now: at.now, waitS: wholeWaitS(spec, w, at, room, catalog) };
+    });
+    const to = rated.reduce((a, b) => (b.waitS < a.waitS || (b.waitS === a.waitS && b.now > a.now) ? b : a));
     return new Map([[to.group, RangeSet.upTo(spec.tasks)]]);
   }
   // First into the room there is, by weight; then the rest by who comes to it soonest.
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -93,6 +93,8 @@
   running: Map<string, number>;
   /** Offers that the cloud had nothing left of, lately. */
   soldOut: string[];
+  /** By offer, where it is known: how many more machines the cloud seems to have for the group. */
+  left: Map<string, number>;
   /** By team: more of its limit that the group could use. */
   wants: Map<string, Want>;
 }
@@ -143,6 +145,7 @@
   q: v.tuple([v.number(), v.number()]),
   run: v.array(v.tuple([v.string(), v.number()])),
   out: v.array(v.string()),
+  left: v.optional(v.array(v.tuple([v.string(), v.number()]))),
   want: v.array(v.tuple([v.string(), v.number(), v.number(), v.number()])),
 });
 /** Types are written once, machines refer to them by place. */
@@ -204,6 +207,7 @@
       queue: { plain: o.q[0], accelerated: o.q[1] },
       running: new Map(o.run),
       soldOut: o.out,
+      left: new Map(o.left),
       wants: new Map(o.want.map(([t, cpus, gpus, since]) => [t, { cpus, gpus, since }])),
     }
   );
@@ -220,6 +224,7 @@
   q: [r.queue.plain, r.queue.accelerated],
   run: [...r.running],
   out: r.soldOut,
+  left: [...r.left],
   want: [...r.wants].map(([t, w]) => [t, w.cpus, w.gpus, w.since]),
 });
 
