Gangs are short by the work of all tasks, hold room after 300 s; spot while in time

Gangs of 16 with a run time below the cutoff took the reserved slice whole, and a blocked gang held every free machine of a zone.

--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -6,11 +6,13 @@
   longEvery: 4,
   reservedShare: 0.1,
   shortCutoffS: 240,
+  shortGangS: 1500,
+  holdAfterS: 300,
   idleReturnS: 15,
   idleBoots: 1,
   warmWindowS: 300,
   spareShare: 0.15,
-  cheapPatience: 0.2,
+  cheapPatience: 0.5,
   silentReturnS: 90,
   bootPatience: 3.5,
   directOrders: true,
@@ -31,6 +33,8 @@
   optional bool direct_orders = 9;
   optional double cheap_patience = 10;
   optional double spare_share = 11;
+  optional double short_gang_s = 12;
+  optional double hold_after_s = 13;
 }`;
 
 /** Least and most of each number. */
@@ -38,6 +42,8 @@
   longEvery: [1, 1_000_000],
   reservedShare: [0, 0.9],
   shortCutoffS: [0, 1e9],
+  shortGangS: [0, 1e9],
+  holdAfterS: [0, 1e9],
   idleReturnS: [0, 1e9],
   idleBoots: [0, 1e6],
   warmWindowS: [1, 1e9],
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -701,8 +701,9 @@
     if (indices.length === 0) return 0;
     const chosen = this.choose(job, indices.length, gang, open, free, reserved);
     if (chosen.length === 0 || (gang && chosen.length < want)) {
-      // Holding freed room: what a waiting gang could use already is not given to those behind it.
-      if (gang && want > 1) for (const w of chosen) take(free.get(w)!, spec);
+      // Holding freed room: what a waiting gang could use already is not given to those behind it. Not at once: a
+      // large gang that holds machines idle keeps many small ones waiting, and most of them are done before it starts.
+      if (gang && want > 1 && this.ctx.wallMs - job.view.acceptedAt > this.ctx.tuning.holdAfterS * 1000) for (const w of chosen) take(free.get(w)!, spec);
       return null;
     }
     const attempt = this.token * ATTEMPTS + ++this.attempts;
@@ -873,6 +874,10 @@
           break;
         }
       if (!best) continue;
+      // Machines that are on their way for tasks of an array would come for nothing.
+      const movable = whole ? spec.tasks : job.waiting.size - this.fleet.renting.comingFor(spec);
+      if (movable <= 0) continue;
+      best.fit = Math.min(best.fit, movable);
       this.ctx.noteHanded(best.g, spec, Math.min(best.fit, job.waiting.size));
       this.move(job, job.waiting.take(whole ? spec.tasks : best.fit), best.g);
     }
--- a/src/coordination/model.ts
+++ b/src/coordination/model.ts
@@ -90,6 +90,10 @@
   reservedShare: number;
   /** Estimated run time below which a task is short. */
   shortCutoffS: number;
+  /** The same for gangs: estimated run time times tasks, since a gang takes all its machines at once. */
+  shortGangS: number;
+  /** A waiting gang holds the room that it could use already once it has waited this long. */
+  holdAfterS: number;
   /** Least idle time before a machine is given back. */
   idleReturnS: number;
   /** The same as a multiple of its type's usual boot time. */
--- a/src/coordination/queues.ts
+++ b/src/coordination/queues.ts
@@ -10,9 +10,13 @@
   late: boolean;
 }
 
-/** Pigeon's classes: short tasks may use the reserved machines, long ones may not. */
+/**
+ * Pigeon's classes: short tasks may use the reserved machines, long ones may not. What a start takes away is what
+ * counts: of a gang that is all its tasks at once, so a large one is long although each of its tasks is not.
+ */
 export function isShort(spec: JobSpec, tuning: Tuning): boolean {
-  return spec.shape !== "daemon" && spec.estimateS < tuning.shortCutoffS;
+  if (spec.shape === "daemon") return false;
+  return spec.shape === "ensemble" ? spec.estimateS * spec.tasks < tuning.shortGangS : spec.estimateS < tuning.shortCutoffS;
 }
 
 /**
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -41,6 +41,8 @@
 /** PROTOCOL: most machines of one request. */
 const MOST_AT_ONCE = 50;
 const PLAN_MS = 500;
+/** Estimates and boot times are often this much too short. */
+const SLOW = 1.4;
 
 /** What a group rents: decides from waiting work, room and what the cloud refused, and sends the requests. */
 export class Renting {
@@ -178,6 +180,13 @@
     return this.offers(spec, this.zones(), new Map()).next().done === true;
   }
 
+  /** Tasks of this job that machines on their way have room for. */
+  comingFor(spec: JobSpec): number {
+    let n = 0;
+    for (const c of this.coming()) if (this.serves(spec, c)) n += fitCount(spec, c.room);
+    return n;
+  }
+
   private serves(spec: JobSpec, p: Place): boolean {
     return allowedOn(spec, p.type, p.zone, p.spot) && suits(spec, this.typeOf(p.type) ?? null, p.spot, this.ctx.catalog);
   }
@@ -219,7 +228,10 @@
       const short = isShort(spec, this.ctx.tuning);
       const mine = places.filter((p) => (short || !p.reserved) && this.serves(spec, p));
       if (goesWhole(spec)) this.planWhole(j, n, mine, places, left);
-      else this.rentFor(spec, j.view.acceptedAt, this.fill(spec, n, mine), this.zones(), places, left);
+      else {
+        const lacking = this.fill(spec, n, mine);
+        this.rentFor(spec, j.view.acceptedAt, this.inTurns(j, n, lacking), this.zones(), places, left);
+      }
     }
     for (const s of spare) {
       const want = this.fill(s.spec, s.places, places.filter((p) => this.serves(s.spec, p)));
@@ -227,6 +239,34 @@
     }
   }
 
+  /** Time until the job's deadline, in seconds. */
+  private leftS(spec: JobSpec, acceptedAt: number): number {
+    return spec.deadlineS === null ? Infinity : spec.deadlineS - (this.ctx.wallMs - acceptedAt) / 1000;
+  }
+
+  /**
+   * Places to rent for the tasks of an array that found no room: while there is time until its deadline, places run
+   * several tasks one after the other. A machine costs as much while it boots and fetches as while it works.
+   */
+  private inTurns(j: JobRun, n: number, lacking: number): number {
+    const spec = j.view.spec;
+    if (spec.shape !== "batch" || spec.deadlineS === null || spec.estimateS <= 0 || lacking === 0) return lacking;
+    const turns = (timeS: number): number => Math.max(1, Math.floor(timeS / (spec.estimateS * SLOW)));
+    const leftS = this.leftS(spec, j.view.acceptedAt);
+    // Those that run now are halfway, on the whole: their places have one turn less.
+    const present = (n - lacking) * turns(leftS) + j.active.size * (turns(leftS + spec.estimateS / 2) - 1);
+    const more = n - present;
+    return more <= 0 ? 0 : Math.min(lacking, Math.ceil(more / turns(leftS - this.readyS(spec))));
+  }
+
+  /** Until a machine that is asked for now runs a task: its boot, as slow as most are, and the image. */
+  private readyS(spec: JobSpec): number {
+    let s = Infinity;
+    for (const t of this.ctx.catalog ?? [])
+      if (t.zones.some((z) => couldRun(spec, t, z))) s = Math.min(s, t.bootS * SLOW + (t.fetchGbPerS > 0 ? spec.imageGb / t.fetchGbPerS : 0));
+    return Number.isFinite(s) ? s : 0;
+  }
+
   /** Takes room for `n` tasks; how many found none. */
   private fill(spec: JobSpec, n: number, places: readonly Place[]): number {
     for (const p of places) {
@@ -259,8 +299,10 @@
 
   /** Plans machines for `need` tasks, where a task's place costs least. */
   private rentFor(spec: JobSpec, acceptedAt: number, need: number, zones: readonly string[], places: Place[], left: ReadonlyMap<string, number>): void {
-    // While there is time until its deadline, a job that may use cheap machines waits for one.
-    const early = spec.spot && spec.deadlineS !== null && this.ctx.wallMs - acceptedAt < spec.deadlineS * 1000 * this.ctx.tuning.cheapPatience;
+    // A job that may use cheap machines waits for one as long as a dearer one would still be in time.
+    const ageS = (this.ctx.wallMs - acceptedAt) / 1000;
+    const early =
+      spec.spot && spec.deadlineS !== null && ageS < spec.deadlineS * this.ctx.tuning.cheapPatience && this.leftS(spec, acceptedAt) > this.readyS(spec) + spec.estimateS * SLOW;
     while (need > 0) {
       let best: { t: MachineType; zone: string; spot: boolean; most: number } | null = null;
       let bestCost = Infinity;
