--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -4,6 +4,7 @@
 import type { JobSpec, MachineType } from "./model.js";
 import { allowedOn, type Amounts, couldRun, fitCount, fits, goesWhole, offer, suits } from "./placement.js";
 import { isShort } from "./queues.js";
+import { queueOf } from "./splitter.js";
 import { freeOn, type JobRun, take } from "./tasks.js";
 
 export interface Booting {
@@ -215,7 +216,12 @@
     for (const w of usable) places.push({ type: w.typeName, zone: w.zone, spot: w.spot, reserved: reserved.has(w.id), room: freeOn(w) });
     const left = this.left();
     const headroom = this.master.headroom();
-    const jobs = [...this.master.jobs.values()].filter((j) => this.master.mayStart(j) && j.errors.size < 3).sort((a, b) => a.view.acceptedAt - b.view.acceptedAt);
+    /** Work of arrays that is due so far, by kind of machine, in seconds of one place. */
+    const dueWork = new Map<string, number>();
+    for (const j of this.master.jobs.values())
+      if (j.waiting.isEmpty && j.view.spec.shape === "batch") dueWork.set(queueOf(j.view.spec), (dueWork.get(queueOf(j.view.spec)) ?? 0) + (j.active.size / 2) * j.view.spec.estimateS);
+    const due = (j: JobRun): number => j.view.acceptedAt + (j.view.spec.deadlineS ?? 0) * 1000;
+    const jobs = [...this.master.jobs.values()].filter((j) => this.master.mayStart(j) && j.errors.size < 3).sort((a, b) => due(a) - due(b));
     for (const j of jobs) {
       const spec = j.view.spec;
       const room = headroom.get(spec.team);
@@ -229,8 +235,14 @@
       const mine = places.filter((p) => (short || !p.reserved) && this.serves(spec, p));
       if (goesWhole(spec)) this.planWhole(j, n, mine, places, left);
       else {
-        const lacking = this.fill(spec, n, mine);
-        this.rentFor(spec, j.view.acceptedAt, this.inTurns(j, n, lacking), this.zones(), places, left);
+        let lacking = this.fill(spec, n, mine);
+        if (spec.shape === "batch" && spec.deadlineS !== null && spec.estimateS > 0) {
+          const kind = queueOf(spec);
+          const work = (dueWork.get(kind) ?? 0) + (j.waiting.size + j.active.size / 2) * spec.estimateS;
+          dueWork.set(kind, work);
+          lacking = this.inTurns(j, lacking, work, places.filter((p) => this.serves(spec, p)));
+        }
+        this.rentFor(spec, j.view.acceptedAt, lacking, this.zones(), places, left);
       }
     }
     for (const s of spare) {
@@ -245,18 +257,17 @@
   }
 
   /**
-   * Places to rent for the tasks of an array that found no room: while there is time until its deadline, places run
-   * several tasks one after the other. A machine costs as much while it boots and fetches as while it works.
+   * Places to rent for the tasks of an array with a deadline that found no room: as many as the work that is due
+   * until then needs beyond what the present places can do one task after the other. A machine costs as much while
+   * it boots and fetches as while it works. `due`: the work due before, in seconds of one place.
    */
-  private inTurns(j: JobRun, n: number, lacking: number): number {
+  private inTurns(j: JobRun, lacking: number, due: number, all: readonly Place[]): number {
     const spec = j.view.spec;
-    if (spec.shape !== "batch" || spec.deadlineS === null || spec.estimateS <= 0 || lacking === 0) return lacking;
-    const turns = (timeS: number): number => Math.max(1, Math.floor(timeS / (spec.estimateS * SLOW)));
     const leftS = this.leftS(spec, j.view.acceptedAt);
-    // Those that run now are halfway, on the whole: their places have one turn less.
-    const present = (n - lacking) * turns(leftS) + j.active.size * (turns(leftS + spec.estimateS / 2) - 1);
-    const more = n - present;
-    return more <= 0 ? 0 : Math.min(lacking, Math.ceil(more / turns(leftS - this.readyS(spec))));
+    const slots = all.reduce((n, p) => n + fitCount(spec, this.typeOf(p.type)!), 0);
+    const lackS = due - (slots * leftS) / SLOW;
+    if (lackS <= 0) return 0;
+    return Math.min(lacking, Math.ceil(lackS / Math.max(spec.estimateS, leftS - this.readyS(spec))));
   }
 
   /** Until a machine that is asked for now runs a task: its boot, as slow as most are, and the image. */
@@ -301,13 +312,16 @@
   private rentFor(spec: JobSpec, acceptedAt: number, need: number, zones: readonly string[], places: Place[], left: ReadonlyMap<string, number>): void {
     // A job that may use cheap machines waits for one as long as a dearer one would still be in time.
     const ageS = (this.ctx.wallMs - acceptedAt) / 1000;
+    const leftS = this.leftS(spec, acceptedAt);
     const early =
-      spec.spot && spec.deadlineS !== null && ageS < spec.deadlineS * this.ctx.tuning.cheapPatience && this.leftS(spec, acceptedAt) > this.readyS(spec) + spec.estimateS * SLOW;
+      spec.spot && spec.deadlineS !== null && ageS < spec.deadlineS * this.ctx.tuning.cheapPatience && leftS > this.readyS(spec) + spec.estimateS * SLOW;
+    // A machine that comes too late for the deadline saves nothing: only a cheap one is worth it.
+    const lost = spec.spot && leftS < this.readyS(spec) + spec.estimateS / 2;
     while (need > 0) {
       let best: { t: MachineType; zone: string; spot: boolean; most: number } | null = null;
       let bestCost = Infinity;
       for (const o of this.offers(spec, zones, left)) {
-        if (early && !o.spot) continue;
+        if ((early || lost) && !o.spot) continue;
         const cost = (o.spot ? o.t.spotPrice : o.t.price) / Math.min(fitCount(spec, o.t), need);
         if (cost < bestCost) {
           best = o;
--- /dev/null
+++ b/test/renting.test.ts
@@ -0,0 +1,154 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { DEFAULTS } from "../src/config/operator.js";
+import type { Context } from "../src/coordination/context.js";
+import type { CloudCall, CloudReply } from "../src/coordination/effects.js";
+import type { Master } from "../src/coordination/master.js";
+import type { JobSpec, MachineType } from "../src/coordination/model.js";
+import { Misfits, suits } from "../src/coordination/placement.js";
+import { isShort } from "../src/coordination/queues.js";
+import { RangeSet } from "../src/coordination/ranges.js";
+import { Renting } from "../src/coordination/renting.js";
+import { splitJob, wholeRoom } from "../src/coordination/splitter.js";
+import { type JobRun, newJobRun, type Worker } from "../src/coordination/tasks.js";
+import type { RoomRecord } from "../src/storage/records.js";
+
+/** What a group rents and where a gang goes: decisions that went wrong on days with hundreds of machines. */
+
+const TYPES: MachineType[] = [
+  { name: "plain", cpus: 32, gpus: 0, memGb: 64, cacheGb: 50, fetchGbPerS: 0.5, price: 2, spotPrice: 0.5, bootS: 20, zones: ["a", "b"] },
+  { name: "gpu", cpus: 64, gpus: 8, memGb: 256, cacheGb: 50, fetchGbPerS: 0.5, price: 30, spotPrice: 6, bootS: 40, zones: ["a", "b"] },
+];
+const SPEC: JobSpec = {
+  id: "req-000001", class: "c", team: "t", shape: "ensemble", urgency: "normal", tasks: 4, cpus: 30, gpus: 0, memGb: 40, image: "", imageGb: 0, types: null,
+  zone: null, samePlace: true, spread: false, spot: false, estimateS: 100, checkpointS: 0, saveS: 0, deadlineS: null,
+};
+
+function job(over: Partial<JobSpec>): JobRun {
+  const spec = { ...SPEC, ...over };
+  const j = newJobRun({ id: spec.id, spec, acceptedAt: 0, split: new Map(), version: 1 }, false, 0);
+  j.mine = RangeSet.upTo(spec.tasks);
+  j.waiting = RangeSet.upTo(spec.tasks);
+  return j;
+}
+const worker = (id: string, type: MachineType, zone: string): Worker =>
+  ({ id, typeName: type.name, type, zone, spot: false, tasks: new Map(), strays: new Map(), lost: false, going: false }) as unknown as Worker;
+
+/** Plans, sends, and answers every request from `stock`, until nothing more is asked for. */
+function rents(jobs: JobRun[], workers: Worker[], stock: Record<string, number>, wallMs = 0): string[] {
+  const asked: string[] = [];
+  const pending: (() => void)[] = [];
+  const ctx = {
+    settings: { label: "n", cloud: { rps: 3 } },
+    tuning: DEFAULTS,
+    groups: { names: ["n"] },
+    catalog: TYPES,
+    nowMs: 0,
+    wallMs,
+    log: () => {},
+    cloud: (call: CloudCall, _u: unknown, done: (r: CloudReply) => void) => {
+      assert.equal(call.op, "rent");
+      if (call.op !== "rent") return;
+      const key = `${call.type}/${call.zone}/${call.spot ? "spot" : "ordinary"}`;
+      const got = Math.min(call.count, stock[key] ?? 0);
+      stock[key] = (stock[key] ?? 0) - got;
+      asked.push(`${call.count} ${key}`);
+      pending.push(() => done(got > 0 ? { is: "rented", machines: Array.from({ length: got }, (_, i) => `m-${asked.length}-${i}`) } : { is: "noCapacity" }));
+    },
+  };
+  const master = {
+    group: "n",
+    token: 7,
+    jobs: new Map(jobs.map((j) => [j.id, j])),
+    workers: new Map(workers.map((w) => [w.id, w])),
+    roster: { has: () => true },
+    mayStart: () => true,
+    usableWorkers: () => ({ usable: workers, reserved: new Set<string>() }),
+    headroom: () => new Map([["t", { cpus: 1000, gpus: 100 }]]),
+  };
+  const r = new Renting(ctx as unknown as Context, master as unknown as Master, () => ["a", "b"]);
+  for (let k = 0; k < 20; k++) {
+    ctx.nowMs += 600;
+    r.tick(() => []);
+    assert.ok(pending.length <= 1, "one request at a time");
+    pending.shift()?.();
+  }
+  return asked;
+}
+
+test("a gang rents only what is missing in the zone where the least is, and nothing where it can't be had whole", () => {
+  const there = [worker("w1", TYPES[0]!, "b"), worker("w2", TYPES[0]!, "b"), worker("w3", TYPES[0]!, "a")];
+  assert.deepEqual(rents([job({})], there, { "plain/a/ordinary": 10, "plain/b/ordinary": 10 }), ["2 plain/b/ordinary"]);
+  // Zone b has one left: after that is known, the rest is asked for in zone a, where the gang fits whole.
+  const asked = rents([job({ id: "req-000002", tasks: 5 })], there, { "plain/a/ordinary": 10, "plain/b/ordinary": 1 });
+  assert.deepEqual(asked, ["3 plain/b/ordinary", "4 plain/a/ordinary"]);
+});
+
+test("nothing is rented beyond what the team may use", () => {
+  assert.deepEqual(rents([job({ tasks: 34, samePlace: false })], [], { "plain/a/ordinary": 100 }), []);
+  assert.deepEqual(rents([job({ tasks: 60, shape: "batch", samePlace: false })], [], { "plain/a/ordinary": 100 }), ["33 plain/a/ordinary"]);
+});
+
+test("an array with a deadline rents what its work needs beyond what present places can do in turns", () => {
+  const array = { shape: "batch" as const, samePlace: false, spot: true, tasks: 40, cpus: 15, memGb: 20, deadlineS: 1_000 };
+  const machines = (deadlineS: number): number => rents([job({ ...array, deadlineS })], [], { "plain/a/spot": 100 }).reduce((n, x) => n + Number(x.split(" ")[0]), 0);
+  // 4,000 s of work, two places a machine, a boot of 20 s.
+  assert.ok(machines(150) >= 17, `${machines(150)}`);
+  assert.ok(machines(1_000) >= 2 && machines(1_000) <= 4, `${machines(1_000)}`);
+  // Too late for any deadline: only a cheap machine is worth it.
+  assert.deepEqual(rents([job(array)], [], { "plain/a/ordinary": 100 }, 2_000_000).filter((x) => x.endsWith("ordinary")), []);
+});
+
+test("plain work gets an accelerated machine only at a like price, or where nothing else could run it", () => {
+  const plain = { ...SPEC, spot: true };
+  assert.ok(!suits(plain, TYPES[1]!, false, TYPES));
+  assert.ok(suits(plain, TYPES[1]!, true, TYPES));
+  assert.ok(suits({ ...plain, types: ["gpu"] }, TYPES[1]!, false, TYPES));
+  assert.ok(suits({ ...plain, cpus: 60 }, TYPES[1]!, false, TYPES));
+  assert.ok(suits({ ...plain, gpus: 1 }, TYPES[1]!, false, TYPES));
+});
+
+test("a gang is short by the work of all its tasks", () => {
+  const at = (tasks: number, shape: JobSpec["shape"]): boolean => isShort({ ...SPEC, shape, tasks, estimateS: 200 }, DEFAULTS);
+  assert.ok(at(3, "ensemble"));
+  assert.ok(!at(16, "ensemble"));
+  assert.ok(at(100, "batch"));
+  assert.ok(!at(1, "daemon"));
+});
+
+test("what found no room in a pass is not looked for again, and nothing else is left out", () => {
+  const m = new Misfits();
+  m.add({ ...SPEC, tasks: 4 }, true);
+  assert.ok(m.includes({ ...SPEC, tasks: 4 }, true));
+  assert.ok(m.includes({ ...SPEC, tasks: 8, cpus: 31 }, true));
+  for (const other of [{ tasks: 3 }, { cpus: 20 }, { spot: true }, { zone: "a" }, { types: ["plain"] }, { samePlace: false }]) assert.ok(!m.includes({ ...SPEC, ...other }, true), JSON.stringify(other));
+  assert.ok(!m.includes(SPEC, false));
+});
+
+const room = (zone: string, free: number, machines: number, over: Partial<RoomRecord> = {}): RoomRecord => ({
+  rows: [{ type: "plain", zone, spot: false, machines, free: Array.from({ length: free }, () => [32, 0, 64] as [number, number, number]) }],
+  queue: { plain: 0, accelerated: 0 },
+  running: new Map(),
+  soldOut: [],
+  left: new Map(),
+  wants: new Map(),
+  ...over,
+});
+
+test("a gang that fits nowhere goes where it is expected to fit first, counting what can still be rented there", () => {
+  const capable = [{ group: "x", zones: ["a"] }, { group: "y", zones: ["b"] }];
+  const spec = { ...SPEC, tasks: 16 };
+  const to = (x: RoomRecord, y: RoomRecord): string => [...splitJob(spec, capable, new Map([["x", x], ["y", y]]), TYPES, new Map()).keys()].join();
+  // Roomy enough now beats anything; of two, the roomiest.
+  assert.equal(to(room("a", 16, 20), room("b", 20, 30)), "y");
+  assert.equal(to(room("a", 16, 20), room("b", 15, 30)), "x");
+  // Three can still be rented beside twelve free ones: too few. Four are enough.
+  const left = (n: number): Partial<RoomRecord> => ({ left: new Map([["plain/a/ordinary", n], ["plain/b/ordinary", 0]]) });
+  const none = { left: new Map([["plain/a/ordinary", 0], ["plain/b/ordinary", 0]]) };
+  assert.equal(to(room("a", 12, 20, left(4)), room("b", 14, 60, none)), "x");
+  assert.equal(to(room("a", 12, 20, left(3)), room("b", 14, 60, none)), "y");
+  // Zones are not added up where one must hold all.
+  const both = { ...room("a", 10, 20), rows: [...room("a", 10, 20).rows, ...room("b", 10, 20).rows], ...none };
+  assert.equal(wholeRoom(spec, ["a", "b"], both, TYPES).now, 10);
+  assert.equal(wholeRoom({ ...spec, samePlace: false }, ["a", "b"], both, TYPES).now, 20);
+});
