Written room counts equal machines together; a bound for unfinished jobs from memory

Written room named forty free machines of a row at most, so a larger group looked smaller than it is. Equal room is counted now, and the record's bounds come from the size of a value. More unfinished jobs than memory allows get 503 with Retry-After at once; known ids are answered. Placing passes come less often with thousands of waiting jobs.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -57,8 +57,8 @@
     }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     resources: v.optional(
-      v.object({ max_sockets: v.optional(v.pipe(v.number(), v.integer(), v.minValue(16)), 256) }),
-      { max_sockets: 256 },
+      v.object({ max_sockets: v.optional(v.pipe(v.number(), v.integer(), v.minValue(16)), 256), mem_mb: v.optional(positive, 146) }),
+      { max_sockets: 256, mem_mb: 146 },
     ),
   }),
 });
@@ -90,6 +90,7 @@
   gangPeerS: number;
   cancelS: number;
   maxSockets: number;
+  memMb: number;
 }
 
 function endpoint(text: string): { host: string; port: number } {
@@ -144,5 +145,6 @@
     gangPeerS: c.workers.gang_peer_s,
     cancelS: c.workers.cancel_s,
     maxSockets: c.resources.max_sockets,
+    memMb: c.resources.mem_mb,
   };
 }
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -16,6 +16,10 @@
 const READ_PAUSE_MS = 40;
 const WITHDRAW_TRIES = 4;
 const MAX_WAITING = 400;
+/** Measured: 2 KiB for a live job, as much again for each group that has a part of it, and the text while it is read. */
+const JOB_KIB = 6;
+/** Of the memory, what live jobs may take: the process itself and its libraries take half. */
+const JOBS_SHARE = 0.35;
 
 interface Waiting {
   req: number;
@@ -53,6 +57,7 @@
   /** Handed to each group since it last wrote its room. */
   readonly handed = new Map<string, Handed[]>();
   private lastSweepMs = 0;
+  private readonly maxJobs: number;
 
   constructor(
     readonly settings: Settings,
@@ -63,6 +68,7 @@
     this.nowMs = nowMs;
     this.wallMs = wallMs;
     this.groups = new Groups(settings);
+    this.maxJobs = Math.floor((settings.memMb * 1024 * JOBS_SHARE) / JOB_KIB);
     this.ownership = new Ownership(
       this,
       (call, done) => this.state(call, Urgent.Hold, (r, sentMs) => done(r as { is: string; hold?: number }, sentMs)),
@@ -337,6 +343,8 @@
     // Whatever the catalog says today: a job that was accepted once is answered from its record.
     if (no === "undecided") return this.known(req, id, () => this.later(req, "machine types are not known yet"));
     if (no !== null) return this.known(req, id, () => this.answer(req, { is: "never", error: no }));
+    // Every controller holds all live jobs: more than fit are not accepted, on any of them.
+    if (this.mirror.jobs.size >= this.maxJobs) return this.known(req, id, () => this.later(req, "too many unfinished jobs", 10));
     const capable = capableGroups(spec, this.catalog!, this.groups);
     const rooms = new Map(this.mirror.rooms);
     for (const [g, m] of this.masters) rooms.set(g, m.room());
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -1,5 +1,5 @@
 import type { Condition, Write } from "../protocol/state.js";
-import { FIN_CHUNK, finKey, gangKey, groupKey, jobKey, pastKey, QUOTA_KEY, readyKey, type RoomRecord, type RoomRow, type Want, writeFin, writeJob, writePast } from "../storage/records.js";
+import { FIN_CHUNK, finKey, FREE_BYTES, gangKey, groupKey, jobKey, pastKey, QUOTA_KEY, readyKey, type RoomRecord, type RoomRow, RUNNING_BYTES, tenth, type Want, writeFin, writeJob, writePast } from "../storage/records.js";
 import { type CommitEnd, type Context, DRIFT } from "./context.js";
 import { type Answer, Urgent } from "./effects.js";
 import { Fleet } from "./fleet.js";
@@ -49,6 +49,7 @@
   private readonly sinceMs: number;
   private dirtyPlace = true;
   private placedMs = -Infinity;
+  private gaveMs = -Infinity;
   /** Placing passes made: tests see by it that reports alone cause none. */
   passes = 0;
   private readonly dirtyWorkers = new Set<Worker>();
@@ -588,7 +589,8 @@
   }
 
   place(): void {
-    if (!this.dirtyPlace || this.ctx.nowMs - this.placedMs < PLACE_GAP_MS || !this.permitted()) return;
+    // With thousands of waiting jobs a pass takes longer: it may take no more than a small part of the time.
+    if (!this.dirtyPlace || this.ctx.nowMs - this.placedMs < Math.max(PLACE_GAP_MS, this.jobs.size / 5) || !this.permitted()) return;
     this.dirtyPlace = false;
     this.placedMs = this.ctx.nowMs;
     this.passes++;
@@ -833,6 +835,10 @@
 
   room(): RoomRecord {
     const rows = new Map<string, RoomRow>();
+    // A record must fit a value: a good third of it each for room and for running counts.
+    const bytes = this.ctx.settings.state.valueBytes * 0.35;
+    const most = Math.floor(bytes / FREE_BYTES);
+    const kinds = new Map<string, [number, number, number, number]>();
     for (const w of this.workers.values()) {
       if (!this.usable(w)) continue;
       const key = `${w.typeName}/${w.zone}/${w.spot}`;
@@ -840,14 +846,23 @@
       if (!row) rows.set(key, (row = { type: w.typeName, zone: w.zone, spot: w.spot, machines: 0, free: [] }));
       row.machines++;
       const f = freeOn(w);
-      if (row.free.length < 40 && (f.cpus > EPS || f.gpus > EPS)) row.free.push([f.cpus, f.gpus, f.memGb]);
+      if (f.cpus <= EPS && f.gpus <= EPS) continue;
+      const kind: [number, number, number] = [tenth(f.cpus), tenth(f.gpus), tenth(f.memGb)];
+      const key2 = `${key}/${kind.join("/")}`;
+      const same = kinds.get(key2);
+      if (same) same[3]++;
+      else if (kinds.size < most) {
+        const entry: [number, number, number, number] = [...kind, 1];
+        kinds.set(key2, entry);
+        row.free.push(entry);
+      }
     }
     const queue = { plain: 0, accelerated: 0 };
     const running = new Map<string, number>();
     for (const j of this.jobs.values()) {
       queue[queueOf(j.view.spec)] += j.waiting.size;
       const n = this.runningOf(j.id);
-      if (n > 0 && running.size < 120) running.set(j.id, n);
+      if (n > 0 && running.size < bytes / RUNNING_BYTES) running.set(j.id, n);
     }
     return { rows: [...rows.values()], queue, running, soldOut: this.fleet.renting.soldOut(), left: this.fleet.renting.left(), wants: this.wants() };
   }
@@ -871,7 +886,8 @@
    * and starts none of them itself from before that commit is sent.
    */
   private giveToIdle(): void {
-    if (this.fence) return;
+    if (this.fence || this.ctx.nowMs - this.gaveMs < MOVE_AFTER_MS) return;
+    this.gaveMs = this.ctx.nowMs;
     const own = this.room().queue;
     const rooms = this.ctx.mirror.rooms;
     for (const job of this.jobs.values()) {
--- a/src/coordination/splitter.ts
+++ b/src/coordination/splitter.ts
@@ -26,7 +26,7 @@
   if (!room) return 0;
   for (const row of room.rows) {
     if (!allowedOn(spec, row.type, row.zone, row.spot) || !suits(spec, catalog.find((t) => t.name === row.type) ?? null, row.spot, catalog)) continue;
-    for (const [cpus, gpus, memGb] of row.free) n += fitCount(spec, { cpus, gpus, memGb });
+    for (const [cpus, gpus, memGb, machines] of row.free) n += machines * fitCount(spec, { cpus, gpus, memGb });
   }
   return n;
 }
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -85,8 +85,8 @@
   zone: string;
   spot: boolean;
   machines: number;
-  /** Free resources of each machine that has any left. */
-  free: [cpus: number, gpus: number, memGb: number][];
+  /** Free resources of the machines that have any left; equal ones are counted together. */
+  free: [cpus: number, gpus: number, memGb: number, machines: number][];
 }
 export interface Want {
   cpus: number;
@@ -148,7 +148,8 @@
       z: v.string(),
       s: v.boolean(),
       n: v.number(),
-      f: v.array(v.tuple([v.number(), v.number(), v.number()])),
+      // Without a count: written by an earlier version.
+      f: v.array(v.union([v.tuple([v.number(), v.number(), v.number(), v.number()]), v.tuple([v.number(), v.number(), v.number()])])),
     }),
   ),
   q: v.tuple([v.number(), v.number()]),
@@ -215,7 +216,7 @@
   const o = read(Room, value);
   return (
     o && {
-      rows: o.rows.map((r) => ({ type: r.t, zone: r.z, spot: r.s, machines: r.n, free: r.f })),
+      rows: o.rows.map((r) => ({ type: r.t, zone: r.z, spot: r.s, machines: r.n, free: r.f.map(([c, g, m, n]) => [c, g, m, n ?? 1]) })),
       queue: { plain: o.q[0], accelerated: o.q[1] },
       running: new Map(o.run),
       soldOut: o.out,
@@ -224,14 +225,18 @@
     }
   );
 }
-const tenth = (x: number): number => Math.floor(x * 10) / 10;
+/** Room is written in tenths, rounded down. */
+export const tenth = (x: number): number => Math.floor(x * 10 + 1e-6) / 10;
+/** Bytes that one kind of free room, and one job's running count, take at most in a written room. */
+export const FREE_BYTES = 28;
+export const RUNNING_BYTES = 24;
 export const writeRoom = (r: RoomRecord): object => ({
   rows: r.rows.map((x) => ({
     t: x.type,
     z: x.zone,
     s: x.spot,
     n: x.machines,
-    f: x.free.map(([c, g, m]) => [tenth(c), tenth(g), tenth(m)]),
+    f: x.free,
   })),
   q: [r.queue.plain, r.queue.accelerated],
   run: [...r.running],
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -126,7 +126,7 @@
 });
 
 const room = (zone: string, free: number, machines: number, over: Partial<RoomRecord> = {}): RoomRecord => ({
-  rows: [{ type: "plain", zone, spot: false, machines, free: Array.from({ length: free }, () => [32, 0, 64] as [number, number, number]) }],
+  rows: [{ type: "plain", zone, spot: false, machines, free: [[32, 0, 64, free]] }],
   queue: { plain: 0, accelerated: 0 },
   running: new Map(),
   soldOut: [],
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { Master } from "../src/coordination/master.js";
 import { Ownership } from "../src/coordination/ownership.js";
+import { writeRoom } from "../src/storage/records.js";
 import { freeOn } from "../src/coordination/tasks.js";
 import { largeJob, randomJob, troubles, users } from "./sim/days.js";
 import { World } from "./sim/world.js";
@@ -61,6 +62,16 @@
     w.run(120_000);
     assert.deepEqual(w.checker.broken, [], report(w, seed));
     assert.ok(w.starts > 300, `only ${w.starts} starts`);
+    // Written room fits a value and leaves no machine out, however many there are: it once named forty at most.
+    for (const n of w.nodes.values())
+      for (const m of n!.core.masters.values()) {
+        const room = m.room();
+        assert.ok(JSON.stringify(writeRoom(room)).length <= w.settings.state.valueBytes);
+        for (const row of room.rows) {
+          const free = [...m.workers.values()].filter((x) => m.usable(x) && x.typeName === row.type && x.zone === row.zone && x.spot === row.spot && freeOn(x).cpus > 0);
+          assert.equal(row.free.reduce((a, f) => a + f[3], 0), free.length);
+        }
+      }
   }
 });
 
@@ -138,6 +149,32 @@
   }
 });
 
+test("more unfinished jobs than memory allows are refused at once, known ones are still answered", () => {
+  const w = new World(6);
+  w.settings.memMb = 0.1;
+  for (const n of w.names) {
+    w.crash(n);
+    w.boot(n);
+  }
+  const got: string[] = [];
+  for (let n = 1; n <= 9; n++) {
+    const spec = { ...randomJob(w, n), shape: "daemon" as const, tasks: 1, cpus: 1, gpus: 0, types: null };
+    w.specs.set(spec.id, spec);
+    const ask = (): void => {
+      const askedMs = w.now;
+      w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => {
+        got.push(`${n}: ${a?.is === "job" ? a.status : a?.is}`);
+        assert.ok(w.now - askedMs < 1_000, "at once");
+        if (a?.is === "later") assert.ok(a.afterS >= 1);
+      });
+    };
+    w.at(5_000 + n * 500, ask);
+    if (n === 1) w.at(12_000, ask);
+  }
+  w.run(15_000);
+  assert.deepEqual(got, ["1: 201", "2: 201", "3: 201", "4: 201", "5: 201", "6: later", "7: later", "8: later", "9: later", "1: 200"]);
+});
+
 /** Breaks something on purpose and expects the checker to notice within some seeds. */
 function mustCatch(rule: string, breakIt: () => () => void): void {
   const mend = breakIt();
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -455,6 +455,7 @@
       gangPeerS: 3,
       cancelS: 26,
       maxSockets: 700,
+      memMb: 146,
     };
     this.state = new StateService(this);
     this.cloud = new Cloud(this);
