Room is written with its reserved part; gangs move to whoever holds them whole

Written room now shows the reserved part apart and leaves out what a gang holds; holding starts after 600 s. Gangs also get room by preemption of single tasks.

--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -7,7 +7,7 @@
   reservedShare: 0.1,
   shortCutoffS: 240,
   shortGangS: 1500,
-  holdAfterS: 300,
+  holdAfterS: 600,
   idleReturnS: 15,
   idleBoots: 1,
   warmWindowS: 300,
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -9,6 +9,7 @@
 import type { JobSpec, MachineType, Order, Report, Tuning } from "./model.js";
 import { Ownership } from "./ownership.js";
 import { EPS } from "./placement.js";
+import { isShort } from "./queues.js";
 import { capableGroups, type Handed, splitJob } from "./splitter.js";
 
 /** A watch is renewed at least this often: its age is part of the permit. */
@@ -348,7 +349,7 @@
     const capable = capableGroups(spec, this.catalog!, this.groups);
     const rooms = new Map(this.mirror.rooms);
     for (const [g, m] of this.masters) rooms.set(g, m.room());
-    const split = splitJob(spec, capable, rooms, this.catalog!, this.handed);
+    const split = splitJob(spec, capable, rooms, this.catalog!, isShort(spec, this.tuning), this.handed);
     for (const [g, r] of split) if (!this.masters.has(g)) this.noteHanded(g, spec, r.size);
     // Accepting is one commit, with the split in it; the masters learn of the job from the record.
     this.commit(
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -1,5 +1,5 @@
 import type { Condition, Write } from "../protocol/state.js";
-import { FIN_CHUNK, finKey, FREE_BYTES, gangKey, groupKey, jobKey, pastKey, QUOTA_KEY, readyKey, type RoomRecord, type RoomRow, RUNNING_BYTES, tenth, type Want, writeFin, writeJob, writePast } from "../storage/records.js";
+import { FIN_CHUNK, finKey, FREE_BYTES, type FreeKind, gangKey, groupKey, jobKey, pastKey, QUOTA_KEY, readyKey, type RoomRecord, type RoomRow, RUNNING_BYTES, tenth, type Want, writeFin, writeJob, writePast } from "../storage/records.js";
 import { type CommitEnd, type Context, DRIFT } from "./context.js";
 import { type Answer, Urgent } from "./effects.js";
 import { Fleet } from "./fleet.js";
@@ -50,6 +50,8 @@
   private dirtyPlace = true;
   private placedMs = -Infinity;
   private gaveMs = -Infinity;
+  /** Machines whose room a gang held in the last pass. */
+  private readonly holding = new Set<Worker>();
   /** Placing passes made: tests see by it that reports alone cause none. */
   passes = 0;
   private readonly dirtyWorkers = new Set<Worker>();
@@ -594,6 +596,7 @@
     this.dirtyPlace = false;
     this.placedMs = this.ctx.nowMs;
     this.passes++;
+    this.holding.clear();
     const ready = [...this.jobs.values()].filter((j) => this.mayStart(j));
     if (ready.length === 0) return;
     const used = this.usage();
@@ -644,42 +647,72 @@
     return within(spec.team, spec) && !within(other.team, { cpus: 0, gpus: 0 });
   }
 
+  /** What stopping a task loses, in seconds of its CPUs. */
+  private lossOf(t: TaskRun): number {
+    const spec = t.job.view.spec;
+    const ran = t.phase === "running" ? (this.ctx.nowMs - t.sinceMs) / 1000 : 0;
+    return 5 + (spec.checkpointS > 0 ? spec.saveS : ran) * Math.max(1, spec.cpus);
+  }
+
+  /** Tasks to stop on one machine so that one of the job's fits: the least lost first; null: that can't be had there. */
+  private victimsOn(w: Worker, job: JobRun, free: Amounts, used: ReadonlyMap<string, Use>): { victims: TaskRun[]; loss: number } | null {
+    const spec = job.view.spec;
+    const room = { ...free };
+    const victims: TaskRun[] = [];
+    let loss = 0;
+    for (const t of [...w.tasks.values()].filter((x) => this.mayPreempt(job, x, used)).sort((x, y) => this.lossOf(x) - this.lossOf(y))) {
+      if (fits(spec, room)) break;
+      victims.push(t);
+      loss += this.lossOf(t);
+      room.cpus += t.job.view.spec.cpus;
+      room.gpus += t.job.view.spec.gpus;
+      room.memGb += t.job.view.spec.memGb;
+    }
+    return victims.length > 0 && fits(spec, room) ? { victims, loss } : null;
+  }
+
   /**
-   * Stops tasks that may be stopped for a waiting one that fits nowhere, where nothing more can be rented: on the
-   * machine where the least is lost. The room is held for the job until they are gone.
+   * Stops tasks that may be stopped for a waiting job that fits nowhere, where nothing more can be rented: on the
+   * machines where the least is lost, for a gang as many as it lacks, in one zone if it must be. The room is held for
+   * the job until they are gone.
    */
-  private preempt(job: JobRun, workers: readonly Worker[], free: ReadonlyMap<Worker, Amounts>, used: ReadonlyMap<string, { cpus: number; gpus: number }>): void {
+  private preempt(job: JobRun, workers: readonly Worker[], free: ReadonlyMap<Worker, Amounts>, used: ReadonlyMap<string, Use>): void {
     const spec = job.view.spec;
-    if (spec.tasks > 1 && (spec.shape === "ensemble" || spec.samePlace || spec.spread)) return;
-    if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, spec, this.share(spec.team)) || !this.fleet.renting.exhausted(spec)) return;
+    const gang = spec.shape === "ensemble";
+    if (spec.spread || (spec.samePlace && !gang)) return;
+    if (gang && (job.active.size > 0 || job.waiting.size < spec.tasks || this.ledger.hasStrays(job.id))) return;
+    const want = gang ? spec.tasks : 1;
+    if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, { cpus: spec.cpus * want, gpus: spec.gpus * want }, this.share(spec.team))) return;
+    if (!this.fleet.renting.exhausted(spec)) return;
     const now = this.ctx.nowMs;
     if (workers.some((w) => w.heldFor?.job === job.id && now < w.heldFor.untilMs)) return;
-    let best: { w: Worker; victims: TaskRun[]; loss: number } | null = null;
-    for (const w of workers) {
-      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || !suits(spec, w.type, w.spot, this.ctx.catalog) || (w.heldFor && now < w.heldFor.untilMs) || job.errors.has(w.id)) continue;
-      const room = { ...free.get(w)! };
-      const victims: TaskRun[] = [];
-      let loss = 0;
-      const lossOf = (t: TaskRun): number => {
-        const ran = t.phase === "running" ? (now - t.sinceMs) / 1000 : 0;
-        const o = t.job.view.spec;
-        return 5 + (o.checkpointS > 0 ? o.saveS : ran) * Math.max(1, o.cpus);
-      };
-      for (const t of [...w.tasks.values()].filter((x) => this.mayPreempt(job, x, used)).sort((a, b) => lossOf(a) - lossOf(b))) {
-        if (fits(spec, room)) break;
-        victims.push(t);
-        loss += lossOf(t);
-        room.cpus += t.job.view.spec.cpus;
-        room.gpus += t.job.view.spec.gpus;
-        room.memGb += t.job.view.spec.memGb;
-      }
-      if (victims.length > 0 && fits(spec, room) && (!best || loss < best.loss)) best = { w, victims, loss };
+    const may = workers.filter(
+      (w) => allowedOn(spec, w.typeName, w.zone, w.spot) && suits(spec, w.type, w.spot, this.ctx.catalog) && !(w.heldFor && now < w.heldFor.untilMs) && !job.errors.has(w.id),
+    );
+    let best: { rooms: Worker[]; stops: { w: Worker; victims: TaskRun[] }[]; loss: number } | null = null;
+    for (const zone of spec.samePlace ? new Set(may.map((w) => w.zone)) : [null]) {
+      const here = zone === null ? may : may.filter((w) => w.zone === zone);
+      const rooms = here.filter((w) => fits(spec, free.get(w)!));
+      const lacking = want - rooms.reduce((n, w) => n + fitCount(spec, free.get(w)!), 0);
+      const options = here
+        .filter((w) => !rooms.includes(w))
+        .flatMap((w) => {
+          const v = this.victimsOn(w, job, free.get(w)!, used);
+          return v ? [{ w, ...v }] : [];
+        })
+        .sort((x, y) => x.loss - y.loss);
+      if (lacking <= 0 || options.length < lacking) continue;
+      const stops = options.slice(0, lacking);
+      const loss = stops.reduce((n, o) => n + o.loss, 0);
+      if (!best || loss < best.loss) best = { rooms, stops, loss };
     }
     if (!best) return;
-    const graceS = Math.max(0, ...best.victims.map((t) => (t.job.view.spec.checkpointS > 0 ? t.job.view.spec.saveS + 1 : 0)));
-    best.w.heldFor = { job: job.id, untilMs: now + graceS * 1000 + 2_000 * this.ctx.settings.reportS + 3_000 };
-    this.ctx.log("info", "stopping tasks for one that comes first", { job: job.id, worker: best.w.id, tasks: best.victims.length });
-    for (const t of best.victims) this.stop(t, t.job.view.spec.checkpointS > 0 ? t.job.view.spec.saveS + 1 : 0, "preempted");
+    const graceOf = (t: TaskRun): number => (t.job.view.spec.checkpointS > 0 ? t.job.view.spec.saveS + 1 : 0);
+    const victims = best.stops.flatMap((o) => o.victims);
+    const untilMs = now + Math.max(0, ...victims.map(graceOf)) * 1000 + 2_000 * this.ctx.settings.reportS + 3_000;
+    for (const w of [...best.rooms, ...best.stops.map((o) => o.w)]) w.heldFor = { job: job.id, untilMs };
+    this.ctx.log("info", "stopping tasks for a job that comes first", { job: job.id, workers: best.stops.map((o) => o.w.id), tasks: victims.length });
+    for (const t of victims) this.stop(t, graceOf(t), "preempted");
   }
 
   /** Places a whole gang, or up to `most` tasks on one machine; the number of tasks placed, null: no room. */
@@ -708,13 +741,13 @@
     if (chosen.length === 0 || (gang && chosen.length < want)) {
       // Holding freed room: what a waiting gang could use already is not given to those behind it. Not at once: a
       // large gang that holds machines idle keeps many small ones waiting, and most of them are done before it starts.
-      if (gang && want > 1 && this.ctx.wallMs - job.view.acceptedAt > this.ctx.tuning.holdAfterS * 1000) for (const w of chosen) take(free.get(w)!, spec);
+      if (gang && want > 1 && this.ctx.wallMs - job.view.acceptedAt > this.ctx.tuning.holdAfterS * 1000) this.hold(chosen, spec, free);
       return null;
     }
     const attempt = inParts(spec, job.view.split.size) ? this.partAttempt(job) : this.token * ATTEMPTS + ++this.attempts;
     if (attempt === null) {
       // The other parts are not ready yet: its room is held until they are.
-      for (const w of chosen) take(free.get(w)!, spec);
+      this.hold(chosen, spec, free);
       return null;
     }
     for (const [k, w] of chosen.entries()) {
@@ -734,6 +767,14 @@
     return chosen.length;
   }
 
+  /** Keeps the room that a gang could use already from those behind it in this pass, and from other groups' gangs. */
+  private hold(chosen: readonly Worker[], spec: JobSpec, free: ReadonlyMap<Worker, Amounts>): void {
+    for (const w of chosen) {
+      take(free.get(w)!, spec);
+      this.holding.add(w);
+    }
+  }
+
   /** The attempt under which a part of a gang is to start now; null: not yet. */
   private partAttempt(job: JobRun): number | null {
     if (job.calling) return null;
@@ -838,23 +879,24 @@
     // A record must fit a value: a good third of it each for room and for running counts.
     const bytes = this.ctx.settings.state.valueBytes * 0.35;
     const most = Math.floor(bytes / FREE_BYTES);
-    const kinds = new Map<string, [number, number, number, number]>();
-    for (const w of this.workers.values()) {
-      if (!this.usable(w)) continue;
+    const kinds = new Map<string, FreeKind>();
+    const { usable, reserved } = this.usableWorkers();
+    for (const w of usable) {
       const key = `${w.typeName}/${w.zone}/${w.spot}`;
       let row = rows.get(key);
-      if (!row) rows.set(key, (row = { type: w.typeName, zone: w.zone, spot: w.spot, machines: 0, free: [] }));
+      if (!row) rows.set(key, (row = { type: w.typeName, zone: w.zone, spot: w.spot, machines: 0, free: [], reserved: [] }));
       row.machines++;
       const f = freeOn(w);
-      if (f.cpus <= EPS && f.gpus <= EPS) continue;
+      // What is held for a job is not there for others.
+      if ((f.cpus <= EPS && f.gpus <= EPS) || this.holding.has(w) || (w.heldFor && this.ctx.nowMs < w.heldFor.untilMs)) continue;
       const kind: [number, number, number] = [tenth(f.cpus), tenth(f.gpus), tenth(f.memGb)];
-      const key2 = `${key}/${kind.join("/")}`;
+      const key2 = `${key}/${kind.join("/")}/${reserved.has(w.id)}`;
       const same = kinds.get(key2);
       if (same) same[3]++;
       else if (kinds.size < most) {
-        const entry: [number, number, number, number] = [...kind, 1];
+        const entry: FreeKind = [...kind, 1];
         kinds.set(key2, entry);
-        row.free.push(entry);
+        (reserved.has(w.id) ? row.reserved : row.free).push(entry);
       }
     }
     const queue = { plain: 0, accelerated: 0 };
@@ -895,6 +937,7 @@
       const kind = queueOf(spec);
       if (job.moving || job.finalizing || spec.spread || !this.mayStart(job) || this.ctx.nowMs - job.waitingSinceMs < MOVE_AFTER_MS) continue;
       const whole = goesWhole(spec);
+      const short = isShort(spec, this.ctx.tuning);
       // A part of an array comes from the longest queue; a gang that can't start here goes to whoever holds it whole.
       if (!whole && [...rooms].some(([g, r]) => g !== this.group && r.queue[kind] > own[kind])) continue;
       if (whole && (job.waiting.size < spec.tasks || this.ledger.hasStrays(job.id))) continue;
@@ -902,7 +945,8 @@
       for (const [g, r] of rooms) {
         if (g === this.group || (!whole && r.queue[kind] > 0) || !this.ctx.mirror.groups.has(g)) continue;
         const handed = this.ctx.handed.get(g);
-        const fit = whole ? wholeRoom(spec, this.zonesFor(spec, g), r, this.ctx.catalog ?? [], handed).now - r.queue[kind] : roomLeft(spec, r, this.ctx.catalog ?? [], handed);
+        // What waits there does not fit, or the room would not be free, and what it holds is not written as free.
+        const fit = whole ? wholeRoom(spec, this.zonesFor(spec, g), r, this.ctx.catalog ?? [], short, handed).now : roomLeft(spec, r, this.ctx.catalog ?? [], short, handed);
         if (fit >= (whole ? spec.tasks : 1) && (!best || fit > best.fit)) best = { g, fit };
       }
       // Nothing free anywhere and nothing more to be had here: a group with an empty queue that may still rent.
@@ -910,7 +954,7 @@
         for (const c of capableGroups(spec, this.ctx.catalog, this.ctx.groups)) {
           const r = rooms.get(c.group);
           if (c.group === this.group || !r || r.queue[kind] > 0 || this.ctx.handed.has(c.group) || !canRent(spec, c.zones, r, this.ctx.catalog)) continue;
-          if (whole && wholeRoom(spec, c.zones, r, this.ctx.catalog).soon < spec.tasks) continue;
+          if (whole && wholeRoom(spec, c.zones, r, this.ctx.catalog, short).soon < spec.tasks) continue;
           best = { g: c.group, fit: whole ? spec.tasks : Math.ceil(job.waiting.size / 2) };
           break;
         }
--- a/src/coordination/splitter.ts
+++ b/src/coordination/splitter.ts
@@ -21,12 +21,12 @@
 }
 
 /** Tasks of this job that fit into a group's written room. */
-export function roomFor(spec: JobSpec, room: RoomRecord | undefined, catalog: readonly MachineType[]): number {
+export function roomFor(spec: JobSpec, room: RoomRecord | undefined, catalog: readonly MachineType[], short: boolean): number {
   let n = 0;
   if (!room) return 0;
   for (const row of room.rows) {
     if (!allowedOn(spec, row.type, row.zone, row.spot) || !suits(spec, catalog.find((t) => t.name === row.type) ?? null, row.spot, catalog)) continue;
-    for (const [cpus, gpus, memGb, machines] of row.free) n += machines * fitCount(spec, { cpus, gpus, memGb });
+    for (const [cpus, gpus, memGb, machines] of short ? [...row.free, ...row.reserved] : row.free) n += machines * fitCount(spec, { cpus, gpus, memGb });
   }
   return n;
 }
@@ -41,21 +41,21 @@
 export const queueOf = (spec: JobSpec): "plain" | "accelerated" => (spec.gpus > 0 ? "accelerated" : "plain");
 
 /** Tasks of this job that a group can start at once, less what was handed to it since it wrote so. */
-export function roomLeft(spec: JobSpec, room: RoomRecord | undefined, catalog: readonly MachineType[], handed: readonly Handed[] = []): number {
-  return Math.max(0, roomFor(spec, room, catalog) - handedOf(spec, handed));
+export function roomLeft(spec: JobSpec, room: RoomRecord | undefined, catalog: readonly MachineType[], short: boolean, handed: readonly Handed[] = []): number {
+  return Math.max(0, roomFor(spec, room, catalog, short) - handedOf(spec, handed));
 }
 
 /**
  * For a job that goes whole: the most of its tasks that a group can start at once, and the most with what it may
  * still rent. With `samePlace` one zone must hold them all, so zones are not added up.
  */
-export function wholeRoom(spec: JobSpec, zones: readonly string[], room: RoomRecord | undefined, catalog: readonly MachineType[], handed: readonly Handed[] = []): { now: number; soon: number } {
+export function wholeRoom(spec: JobSpec, zones: readonly string[], room: RoomRecord | undefined, catalog: readonly MachineType[], short: boolean, handed: readonly Handed[] = []): { now: number; soon: number } {
   const gone = new Set(room?.soldOut);
   const taken = handedOf(spec, handed);
   const best = { now: 0, soon: 0 };
   const sum = { now: 0, soon: 0 };
   for (const zone of zones) {
-    const one = { now: room ? roomFor(spec, { ...room, rows: room.rows.filter((r) => r.zone === zone) }, catalog) : 0, soon: 0 };
+    const one = { now: room ? roomFor(spec, { ...room, rows: room.rows.filter((r) => r.zone === zone) }, catalog, short) : 0, soon: 0 };
     one.soon = one.now;
     for (const t of catalog) {
       if (!couldRun(spec, t, zone)) continue;
@@ -95,6 +95,7 @@
   capable: readonly Capable[],
   rooms: ReadonlyMap<string, RoomRecord>,
   catalog: readonly MachineType[],
+  short: boolean,
   handed: ReadonlyMap<string, readonly Handed[]>,
 ): Weighted[] {
   return capable.map((c) => {
@@ -102,7 +103,7 @@
     const given = handed.get(c.group) ?? [];
     let waiting = r ? r.queue[queueOf(spec)] : 0;
     for (const h of given) if (queueOf(h.spec) === queueOf(spec)) waiting += h.tasks;
-    return { ...c, room: roomLeft(spec, r, catalog, given), later: 1 / waitS(spec, c.zones, r, catalog, waiting), cap: zoneCap(spec) * c.zones.length };
+    return { ...c, room: roomLeft(spec, r, catalog, short, given), later: 1 / waitS(spec, c.zones, r, catalog, waiting), cap: zoneCap(spec) * c.zones.length };
   });
 }
 
@@ -158,10 +159,11 @@
   capable: readonly Capable[],
   rooms: ReadonlyMap<string, RoomRecord>,
   catalog: readonly MachineType[],
+  short: boolean,
   handed: ReadonlyMap<string, readonly Handed[]>,
 ): Map<string, RangeSet> {
   const start = turn(spec.id, capable.length);
-  const ws = weigh(spec, [...capable.slice(start), ...capable.slice(0, start)], rooms, catalog, handed);
+  const ws = weigh(spec, [...capable.slice(start), ...capable.slice(0, start)], rooms, catalog, short, handed);
   const best = (score: (w: Weighted) => number): Weighted => ws.reduce((a, b) => (score(b) > score(a) ? b : a));
   if (goesWhole(spec)) {
     const enough = spec.shape === "ensemble" || spec.samePlace ? ws.filter((w) => w.cap >= spec.tasks) : ws;
@@ -169,7 +171,7 @@
     // To the roomiest group that can hold it; if none can, to the one that is expected to be able to first.
     const rated = from.map((w) => {
       const room = rooms.get(w.group);
-      const at = wholeRoom(spec, w.zones, room, catalog, handed.get(w.group));
+      const at = wholeRoom(spec, w.zones, room, catalog, short, handed.get(w.group));
       return { group: w.group, cap: w.cap, now: at.now, waitS: wholeWaitS(spec, w, at, room, catalog) };
     });
     rated.sort((a, b) => a.waitS - b.waitS || b.now - a.now);
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -86,8 +86,11 @@
   spot: boolean;
   machines: number;
   /** Free resources of the machines that have any left; equal ones are counted together. */
-  free: [cpus: number, gpus: number, memGb: number, machines: number][];
+  free: FreeKind[];
+  /** The same of the machines that serve short tasks only. */
+  reserved: FreeKind[];
 }
+export type FreeKind = [cpus: number, gpus: number, memGb: number, machines: number];
 export interface Want {
   cpus: number;
   gpus: number;
@@ -141,6 +144,7 @@
 const Job = v.object({ spec: Spec, at: v.number(), split: v.array(v.tuple([v.string(), pairs])) });
 const Past = v.object({ s: v.picklist(["done", "cancelled"]), n: v.number(), d: v.number() });
 const Fin = v.object({ r: v.optional(pairs), b: v.optional(v.string()) });
+const frees = v.array(v.union([v.tuple([v.number(), v.number(), v.number(), v.number()]), v.tuple([v.number(), v.number(), v.number()])]));
 const Room = v.object({
   rows: v.array(
     v.object({
@@ -148,8 +152,9 @@
       z: v.string(),
       s: v.boolean(),
       n: v.number(),
-      // Without a count: written by an earlier version.
-      f: v.array(v.union([v.tuple([v.number(), v.number(), v.number(), v.number()]), v.tuple([v.number(), v.number(), v.number()])])),
+      // Without counts and reserved machines: written by an earlier version.
+      f: frees,
+      r: v.optional(frees, []),
     }),
   ),
   q: v.tuple([v.number(), v.number()]),
@@ -212,11 +217,12 @@
 const Attempt = v.object({ attempt: v.number() });
 export const readAttempt = (value: unknown): number | null => read(Attempt, value)?.attempt ?? null;
 
+const counted = (f: v.InferOutput<typeof frees>): FreeKind[] => f.map(([c, g, m, n]) => [c, g, m, n ?? 1]);
 export function readRoom(value: unknown): RoomRecord | null {
   const o = read(Room, value);
   return (
     o && {
-      rows: o.rows.map((r) => ({ type: r.t, zone: r.z, spot: r.s, machines: r.n, free: r.f.map(([c, g, m, n]) => [c, g, m, n ?? 1]) })),
+      rows: o.rows.map((r) => ({ type: r.t, zone: r.z, spot: r.s, machines: r.n, free: counted(r.f), reserved: counted(r.r) })),
       queue: { plain: o.q[0], accelerated: o.q[1] },
       running: new Map(o.run),
       soldOut: o.out,
@@ -237,6 +243,7 @@
     s: x.spot,
     n: x.machines,
     f: x.free,
+    r: x.reserved,
   })),
   q: [r.queue.plain, r.queue.accelerated],
   run: [...r.running],
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -146,9 +146,9 @@
     const spec = SPEC({ id: `req-${round}`, shape: rng.pick(["batch", "ensemble", "daemon"]), tasks: rng.int(1, 60), cpus: 2, gpus: 0, memGb: 1, types: null, samePlace: rng.chance(0.2), spread: false });
     if (spec.shape !== "ensemble" && !spec.samePlace) spec.spread = rng.chance(0.4);
     const rooms = new Map(
-      groups.names.map((g) => [g, { rows: [{ type: "m", zone: g, spot: false, machines: 4, free: Array.from({ length: rng.int(0, 4) }, (): [number, number, number, number] => [rng.int(0, 16), 4, 256, 1]) }], queue: { plain: rng.int(0, 9), accelerated: 50 }, running: new Map<string, number>(), soldOut: [], left: new Map<string, number>(), wants: new Map() }]),
+      groups.names.map((g) => [g, { rows: [{ type: "m", zone: g, spot: false, machines: 4, free: Array.from({ length: rng.int(0, 4) }, (): [number, number, number, number] => [rng.int(0, 16), 4, 256, 1]), reserved: [] }], queue: { plain: rng.int(0, 9), accelerated: 50 }, running: new Map<string, number>(), soldOut: [], left: new Map<string, number>(), wants: new Map() }]),
     );
-    const split = splitJob(spec, capableGroups(spec, TYPES, groups), rooms, TYPES, new Map());
+    const split = splitJob(spec, capableGroups(spec, TYPES, groups), rooms, TYPES, true, new Map());
     const all = RangeSet.empty();
     let n = 0;
     for (const r of split.values()) {
@@ -161,8 +161,8 @@
     if (spec.shape === "ensemble" || spec.samePlace) assert.equal(split.size, 1);
   }
   // Waiting accelerator tasks say nothing about room for plain ones: once they sent every job to one group.
-  const room = (free: number) => ({ rows: [{ type: "m", zone: "a", spot: false, machines: 1, free: [[free, 0, 256, 1] as [number, number, number, number]] }], queue: { plain: 0, accelerated: 90 }, running: new Map<string, number>(), soldOut: [], left: new Map<string, number>(), wants: new Map() });
-  const one = splitJob(SPEC({ tasks: 1, cpus: 8, gpus: 0, types: null, spot: false }), capableGroups(SPEC({ cpus: 8, gpus: 0, types: null }), TYPES, groups), new Map([["a", room(4)], ["b", room(16)], ["c", room(4)]]), TYPES, new Map());
+  const room = (free: number) => ({ rows: [{ type: "m", zone: "a", spot: false, machines: 1, free: [[free, 0, 256, 1] as [number, number, number, number]], reserved: [] }], queue: { plain: 0, accelerated: 90 }, running: new Map<string, number>(), soldOut: [], left: new Map<string, number>(), wants: new Map() });
+  const one = splitJob(SPEC({ tasks: 1, cpus: 8, gpus: 0, types: null, spot: false }), capableGroups(SPEC({ cpus: 8, gpus: 0, types: null }), TYPES, groups), new Map([["a", room(4)], ["b", room(16)], ["c", room(4)]]), TYPES, true, new Map());
   assert.deepEqual([...one.keys()], ["b"]);
 });
 
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -126,7 +126,7 @@
 });
 
 const room = (zone: string, free: number, machines: number, over: Partial<RoomRecord> = {}): RoomRecord => ({
-  rows: [{ type: "plain", zone, spot: false, machines, free: [[32, 0, 64, free]] }],
+  rows: [{ type: "plain", zone, spot: false, machines, free: [[32, 0, 64, free]], reserved: [] }],
   queue: { plain: 0, accelerated: 0 },
   running: new Map(),
   soldOut: [],
@@ -138,7 +138,7 @@
 test("a gang that fits nowhere goes where it is expected to fit first, counting what can still be rented there", () => {
   const capable = [{ group: "x", zones: ["a"] }, { group: "y", zones: ["b"] }];
   const spec = { ...SPEC, tasks: 16 };
-  const to = (x: RoomRecord, y: RoomRecord): string => [...splitJob(spec, capable, new Map([["x", x], ["y", y]]), TYPES, new Map()).keys()].join();
+  const to = (x: RoomRecord, y: RoomRecord): string => [...splitJob(spec, capable, new Map([["x", x], ["y", y]]), TYPES, true, new Map()).keys()].join();
   // Roomy enough now beats anything; of two, the roomiest.
   assert.equal(to(room("a", 16, 20), room("b", 20, 30)), "y");
   assert.equal(to(room("a", 16, 20), room("b", 15, 30)), "x");
@@ -149,6 +149,6 @@
   assert.equal(to(room("a", 12, 20, left(3)), room("b", 14, 60, none)), "y");
   // Zones are not added up where one must hold all.
   const both = { ...room("a", 10, 20), rows: [...room("a", 10, 20).rows, ...room("b", 10, 20).rows], ...none };
-  assert.equal(wholeRoom(spec, ["a", "b"], both, TYPES).now, 10);
-  assert.equal(wholeRoom({ ...spec, samePlace: false }, ["a", "b"], both, TYPES).now, 20);
+  assert.equal(wholeRoom(spec, ["a", "b"], both, TYPES, true).now, 10);
+  assert.equal(wholeRoom({ ...spec, samePlace: false }, ["a", "b"], both, TYPES, true).now, 20);
 });
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -69,7 +69,7 @@
         assert.ok(JSON.stringify(writeRoom(room)).length <= w.settings.state.valueBytes);
         for (const row of room.rows) {
           const free = [...m.workers.values()].filter((x) => m.usable(x) && x.typeName === row.type && x.zone === row.zone && x.spot === row.spot && freeOn(x).cpus > 0);
-          assert.equal(row.free.reduce((a, f) => a + f[3], 0), free.length);
+          assert.equal([...row.free, ...row.reserved].reduce((a, f) => a + f[3], 0), free.length);
         }
       }
   }
@@ -240,3 +240,22 @@
     Ownership.prototype.permitted = before;
   }
 });
+
+test("a gang of higher urgency gets its room where nothing more can be rented, single tasks being stopped for it", () => {
+  const w = new World(9);
+  w.loss = 0;
+  w.capacity = 2;
+  for (let i = 0; i < 2; i++) w.cloud.add(w.types[0]!, "west", false, 0);
+  const spec = (n: number, over: object) => ({ ...randomJob(w, n), cpus: 6, gpus: 0, types: ["small"], zone: "west", samePlace: true, spread: false, spot: false, team: "blue", checkpointS: 0, ...over });
+  const low = spec(1, { shape: "daemon", tasks: 2, urgency: "best_effort" });
+  const gang = spec(2, { shape: "ensemble", tasks: 2, urgency: "high" });
+  for (const [s, at] of [[low, 3_000], [gang, 20_000]] as const) {
+    w.specs.set(s.id, s);
+    w.at(at, () => w.ask("node-b", (req) => ({ is: "submit", req, spec: s }), (a) => assert.equal(a?.is, "job")));
+  }
+  w.run(19_000);
+  assert.equal(w.starts, 2, "both replicas run");
+  w.run(70_000);
+  assert.deepEqual(w.checker.broken, [], report(w, 9));
+  assert.ok(w.results.has(`${gang.id}/0`) && w.results.has(`${gang.id}/1`), w.logs.slice(-15).join("\n"));
+});
