--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -53,7 +53,7 @@
     this.giveBack(w.id, w.typeName, why);
   }
 
-  private giveBack(id: string, type: string, why: string): void {
+  giveBack(id: string, type: string, why: string): void {
     if (this.going.has(id)) return;
     this.ctx.log("info", "giving machine back", { worker: id, type, why });
     this.going.set(id, { why, retryMs: 0, sent: false });
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -81,6 +81,9 @@
     // running until every machine it could have used has spoken under this token or is past its lease.
     this.fence = new Set(this.roster.machines().keys());
     if (this.fence.size === 0) this.fence = null;
+    // Whether a machine marked for return was returned is not known: it is given back once more, and the cloud's word
+    // that it is gone takes it off the fence.
+    for (const [id, e] of this.roster.machines()) if (e.going) this.fleet.giveBack(id, e.type, "marked for return by a former master");
     for (const view of ctx.mirror.jobs.values()) this.sync(view, true);
   }
 
@@ -473,11 +476,20 @@
   }
 
   private liftFence(why: string): void {
+    this.ctx.log("info", "takeover complete", { group: this.group, token: this.token, why, silent: [...(this.fence ?? [])].slice(0, 10), afterMs: Math.round(this.ctx.nowMs - this.sinceMs) });
     this.fence = null;
-    this.ctx.log("info", "takeover complete", { group: this.group, token: this.token, why, afterMs: Math.round(this.ctx.nowMs - this.sinceMs) });
     this.dirtyPlace = true;
   }
 
+  /**
+   * Past its lease a machine has killed all its tasks and takes no older message: nothing may run there until it has
+   * reported and is in the roster again. Left in the roster, machines that are gone made every later master wait for a
+   * whole lease (docs/incidents/tremorline-grown-crashes.md).
+   */
+  private forgetMachine(id: string): void {
+    if (!this.roster.goingWritten(id)) this.roster.remove(id);
+  }
+
   /** The cloud has said that these machines are gone, with everything on them. */
   machinesGone(ids: readonly string[]): void {
     for (const id of ids) {
@@ -1079,12 +1091,16 @@
   tick(): void {
     const now = this.ctx.nowMs;
     const leaseMs = this.ctx.settings.leaseS * 1000 * DRIFT + LEASE_SLACK_MS;
-    if (this.fence && now - this.sinceMs > leaseMs) this.liftFence("leases of silent machines have ended");
+    if (this.fence && now - this.sinceMs > leaseMs) {
+      for (const id of this.fence) this.forgetMachine(id);
+      this.liftFence("leases of silent machines have ended");
+    }
     for (const w of this.workers.values()) {
       if (w.lost || now - w.answeredMs <= leaseMs) continue;
       w.lost = true;
       this.ctx.log("info", "worker is silent past its lease", { worker: w.id, tasks: w.tasks.size });
       this.releaseAll(w, "lease ended");
+      this.forgetMachine(w.id);
     }
     for (const j of this.jobs.values()) {
       if (now >= j.backoffUntilMs) this.finishJob(j);
--- a/src/coordination/roster.ts
+++ b/src/coordination/roster.ts
@@ -57,6 +57,9 @@
     const chunk = this.chunkOf(id);
     if (chunk === undefined) return;
     this.want.get(chunk)!.delete(id);
+    // At once: a machine that comes back is not to be used before a commit that names it again, whatever becomes of
+    // the one that leaves it out.
+    this.written.delete(id);
     this.dirty.add(chunk);
     this.flush();
   }
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -8,6 +8,7 @@
 import { Misfits, suits } from "../src/coordination/placement.js";
 import { isShort } from "../src/coordination/queues.js";
 import { RangeSet } from "../src/coordination/ranges.js";
+import { Roster } from "../src/coordination/roster.js";
 import { Renting } from "../src/coordination/renting.js";
 import { splitJob, wholeRoom } from "../src/coordination/splitter.js";
 import { type JobRun, newJobRun, type Worker } from "../src/coordination/tasks.js";
@@ -152,3 +153,27 @@
   assert.equal(wholeRoom(spec, ["a", "b"], both, TYPES, true).now, 10);
   assert.equal(wholeRoom({ ...spec, samePlace: false }, ["a", "b"], both, TYPES, true).now, 20);
 });
+
+test("a machine that left the roster and comes back is in it only once a commit names it again", () => {
+  const sent: { value: object; done: (end: "ok") => void }[] = [];
+  const ctx = { nowMs: 0, mirror: { rosters: new Map() } };
+  const r = new Roster(ctx as unknown as Context, "g", (_key, value, done) => void sent.push({ value, done }), () => {});
+  const next = (): string => {
+    const s = sent.shift()!;
+    s.done("ok");
+    return JSON.stringify(s.value);
+  };
+  r.set("m1", { going: false, type: "t" });
+  assert.ok(!r.has("m1"));
+  assert.match(next(), /m1/);
+  assert.ok(r.has("m1"));
+  r.remove("m1");
+  assert.ok(!r.has("m1"));
+  // Back while the commit without it is on its way.
+  r.set("m1", { going: false, type: "t" });
+  assert.ok(!/m1/.test(next()));
+  assert.ok(!r.has("m1"));
+  assert.match(next(), /m1/);
+  assert.ok(r.has("m1"));
+  assert.equal(sent.length, 0);
+});
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -259,3 +259,22 @@
   assert.deepEqual(w.checker.broken, [], report(w, 9));
   assert.ok(w.results.has(`${gang.id}/0`) && w.results.has(`${gang.id}/1`), w.logs.slice(-15).join("\n"));
 });
+
+test("a takeover does not wait for machines that were gone before it", () => {
+  const w = new World(11);
+  w.loss = 0;
+  const [dead] = [0, 1, 2].map(() => w.cloud.add(w.types[0]!, "east", false, 0));
+  const spec = { ...randomJob(w, 1), shape: "daemon" as const, tasks: 3, cpus: 5, gpus: 0, types: ["small"], zone: "east", samePlace: false, spread: false, spot: false, team: "blue" };
+  w.specs.set(spec.id, spec);
+  w.at(3_000, () => w.ask("node-b", (req) => ({ is: "submit", req, spec }), () => {}));
+  w.at(8_000, () => dead!.vanish());
+  for (const at of [30_000, 50_000]) {
+    w.at(at, () => w.crash("node-a"));
+    w.at(at + 1_000, () => w.boot("node-a"));
+  }
+  w.run(70_000);
+  assert.deepEqual(w.checker.broken, [], report(w, 11));
+  const taken = w.logs.filter((l) => l.includes("takeover complete") && l.includes("node-a"));
+  assert.equal(taken.length, 2, taken.join("\n"));
+  for (const l of taken) assert.match(l, /every machine has reported/);
+});
