--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -1,19 +1,21 @@
 import type { Condition, Write } from "../protocol/state.js";
-import { FIN_CHUNK, finKey, FREE_BYTES, type FreeKind, gangKey, groupKey, jobKey, pastKey, QUOTA_KEY, readyKey, type RoomRecord, type RoomRow, RUNNING_BYTES, tenth, type Want, writeFin, writeJob, writePast } from "../storage/records.js";
+import { FIN_CHUNK, finKey, FREE_BYTES, type FreeKind, gangKey, groupKey, jobKey, pastKey, readyKey, type RoomRecord, type RoomRow, RUNNING_BYTES, tenth, writeFin, writePast } from "../storage/records.js";
 import { type CommitEnd, type Context, DRIFT } from "./context.js";
 import { type Answer, Urgent } from "./effects.js";
 import { Fleet } from "./fleet.js";
 import type { JobView } from "./mirror.js";
 import type { Cause, JobSpec, Order, Report, ReportedTask } from "./model.js";
-import { taskKey, URGENCIES } from "./model.js";
-import { allowedOn, type Amounts, EPS, fitCount, fits, goesWhole, Misfits, suits, zoneCap } from "./placement.js";
+import { taskKey } from "./model.js";
+import { allowedOn, type Amounts, EPS, fitCount, Misfits, suits, zoneCap } from "./placement.js";
 import { inParts, partStep } from "./parts.js";
+import { Moves } from "./moves.js";
+import { Preemption } from "./preemption.js";
 import { isLate, isShort, Round } from "./queues.js";
 import { Ledger, type Use } from "./ledger.js";
-import { moveShare, shareOf, withinShare } from "./quota.js";
 import { RangeSet } from "./ranges.js";
+import { Sharing } from "./sharing.js";
 import { Roster } from "./roster.js";
-import { canRent, capableGroups, queueOf, roomLeft, wholeRoom } from "./splitter.js";
+import { queueOf } from "./splitter.js";
 import { freeOn, type JobRun, newJobRun, runKey, take, type TaskRun, type Worker } from "./tasks.js";
 
 /** Attempts of one token: with a token below 2^33 they stay below 2^53. */
@@ -29,8 +31,6 @@
 const PLACE_AGAIN_MS = 1_000;
 /** A task waits this long before others are stopped for it. */
 const PREEMPT_AFTER_MS = 2_000;
-/** A task waits this long for its own group before it may move. */
-const MOVE_AFTER_MS = 400;
 
 /**
  * The master of one group under one token. It alone starts tasks on the group's machines. It begins with what
@@ -42,6 +42,9 @@
   readonly fleet: Fleet;
   readonly roster: Roster;
   readonly ledger = new Ledger();
+  private readonly sharing: Sharing;
+  private readonly moves: Moves;
+  private readonly preemption: Preemption;
   private attempts = 0;
   private readonly turn = { sinceLong: 0 };
   /** Machines of the former master that have not reported under this token; null: all accounted for. */
@@ -49,7 +52,6 @@
   private readonly sinceMs: number;
   private dirtyPlace = true;
   private placedMs = -Infinity;
-  private gaveMs = -Infinity;
   /** Machines whose room a gang held in the last pass. */
   private readonly holding = new Set<Worker>();
   /** Placing passes made: tests see by it that reports alone cause none. */
@@ -58,8 +60,6 @@
   private lastRoomMs = -Infinity;
   private lastRoom = "";
   private roomBusy = false;
-  /** Part of a team's limit on its way to another group. */
-  private giving: { base: number; team: string; give: [number, number]; value: object; sent: boolean; settled: boolean; open: boolean } | null = null;
 
   constructor(
     private readonly ctx: Context,
@@ -77,6 +77,9 @@
       },
     );
     this.fleet = new Fleet(ctx, this);
+    this.sharing = new Sharing(ctx, this);
+    this.moves = new Moves(ctx, this);
+    this.preemption = new Preemption(ctx, this);
     // Invariant (rules ran_twice, quota, wrong_place): whatever a former master may have started counts as
     // running until every machine it could have used has spoken under this token or is past its lease.
     this.fence = new Set(this.roster.machines().keys());
@@ -527,7 +530,7 @@
   }
 
   /** What each team uses in this group, counting all that may be running. */
-  private usage(): Map<string, Use> {
+  usage(): Map<string, Use> {
     const used = this.ledger.used();
     const blind = this.ledger.blindUse();
     const add = (team: string, need: Use, n = 1): void => {
@@ -551,11 +554,7 @@
   }
 
   share(team: string): [number, number] {
-    const t = this.ctx.settings.teams.get(team);
-    if (!t) return [0, 0];
-    const [cpus, gpus] = shareOf(t, this.group, this.ctx.groups.names, this.ctx.mirror.shares);
-    const g = this.giving;
-    return g && g.team === team && g.base === this.ctx.mirror.sharesVersion ? [cpus - g.give[0], gpus - g.give[1]] : [cpus, gpus];
+    return this.sharing.share(team);
   }
 
   /** Reserved for short tasks: the machines of each type that come last by name. */
@@ -575,6 +574,10 @@
     return out;
   }
 
+  /** A former master's tasks are not all accounted for yet. */
+  get fenced(): boolean {
+    return this.fence !== null;
+  }
   /** Machines that may be used now, and which of them serve short tasks only. */
   usableWorkers(): { usable: Worker[]; reserved: Set<string> } {
     const usable = [...this.workers.values()].filter((w) => this.usable(w));
@@ -639,92 +642,7 @@
       else if (blocked.length < 3) blocked.push(job);
       if (!n || job.waiting.isEmpty) round.skip();
     }
-    for (const job of blocked) if (this.ctx.nowMs - job.waitingSinceMs > PREEMPT_AFTER_MS) this.preempt(job, workers, free, used);
-  }
-
-  /** PROTOCOL, "Preemption": for a job of higher urgency, or to give a team its guarantee back. */
-  private mayPreempt(job: JobRun, t: TaskRun, used: ReadonlyMap<string, { cpus: number; gpus: number }>): boolean {
-    const spec = job.view.spec;
-    const other = t.job.view.spec;
-    // A gang that loses one task loses all: only single ones are stopped.
-    if (t.stop || t.phase === "saving" || (other.shape === "ensemble" && other.tasks > 1)) return false;
-    if (URGENCIES.indexOf(spec.urgency) > URGENCIES.indexOf(other.urgency)) return true;
-    if (other.team === spec.team) return false;
-    const n = this.ctx.groups.names.length;
-    const within = (name: string, need: { cpus: number; gpus: number }): boolean => {
-      const team = this.ctx.settings.teams.get(name);
-      const u = used.get(name) ?? { cpus: 0, gpus: 0 };
-      return team !== undefined && withinShare(u, need, [team.cpus / n, (team.gpus || Infinity) / n]);
-    };
-    return within(spec.team, spec) && !within(other.team, { cpus: 0, gpus: 0 });
-  }
-
-  /** What stopping a task loses, in seconds of its CPUs. */
-  private lossOf(t: TaskRun): number {
-    const spec = t.job.view.spec;
-    const ran = t.phase === "running" ? (this.ctx.nowMs - t.sinceMs) / 1000 : 0;
-    return 5 + (spec.checkpointS > 0 ? spec.saveS : ran) * Math.max(1, spec.cpus);
-  }
-
-  /** Tasks to stop on one machine so that one of the job's fits: the least lost first; null: that can't be had there. */
-  private victimsOn(w: Worker, job: JobRun, free: Amounts, used: ReadonlyMap<string, Use>): { victims: TaskRun[]; loss: number } | null {
-    const spec = job.view.spec;
-    const room = { ...free };
-    const victims: TaskRun[] = [];
-    let loss = 0;
-    for (const t of [...w.tasks.values()].filter((x) => this.mayPreempt(job, x, used)).sort((x, y) => this.lossOf(x) - this.lossOf(y))) {
-      if (fits(spec, room)) break;
-      victims.push(t);
-      loss += this.lossOf(t);
-      room.cpus += t.job.view.spec.cpus;
-      room.gpus += t.job.view.spec.gpus;
-      room.memGb += t.job.view.spec.memGb;
-    }
-    return victims.length > 0 && fits(spec, room) ? { victims, loss } : null;
-  }
-
-  /**
-   * Stops tasks that may be stopped for a waiting job that fits nowhere, where nothing more can be rented: on the
-   * machines where the least is lost, for a gang as many as it lacks, in one zone if it must be. The room is held for
-   * the job until they are gone.
-   */
-  private preempt(job: JobRun, workers: readonly Worker[], free: ReadonlyMap<Worker, Amounts>, used: ReadonlyMap<string, Use>): void {
-    const spec = job.view.spec;
-    const gang = spec.shape === "ensemble";
-    if (spec.spread || (spec.samePlace && !gang)) return;
-    if (gang && (job.active.size > 0 || job.waiting.size < spec.tasks || this.ledger.hasStrays(job.id))) return;
-    const want = gang ? spec.tasks : 1;
-    if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, { cpus: spec.cpus * want, gpus: spec.gpus * want }, this.share(spec.team))) return;
-    if (!this.fleet.renting.exhausted(spec)) return;
-    const now = this.ctx.nowMs;
-    if (workers.some((w) => w.heldFor?.job === job.id && now < w.heldFor.untilMs)) return;
-    const may = workers.filter(
-      (w) => allowedOn(spec, w.typeName, w.zone, w.spot) && suits(spec, w.type, w.spot, this.ctx.catalog) && !(w.heldFor && now < w.heldFor.untilMs) && !job.errors.has(w.id),
-    );
-    let best: { rooms: Worker[]; stops: { w: Worker; victims: TaskRun[] }[]; loss: number } | null = null;
-    for (const zone of spec.samePlace ? new Set(may.map((w) => w.zone)) : [null]) {
-      const here = zone === null ? may : may.filter((w) => w.zone === zone);
-      const rooms = here.filter((w) => fits(spec, free.get(w)!));
-      const lacking = want - rooms.reduce((n, w) => n + fitCount(spec, free.get(w)!), 0);
-      const options = here
-        .filter((w) => !rooms.includes(w))
-        .flatMap((w) => {
-          const v = this.victimsOn(w, job, free.get(w)!, used);
-          return v ? [{ w, ...v }] : [];
-        })
-        .sort((x, y) => x.loss - y.loss);
-      if (lacking <= 0 || options.length < lacking) continue;
-      const stops = options.slice(0, lacking);
-      const loss = stops.reduce((n, o) => n + o.loss, 0);
-      if (!best || loss < best.loss) best = { rooms, stops, loss };
-    }
-    if (!best) return;
-    const graceOf = (t: TaskRun): number => (t.job.view.spec.checkpointS > 0 ? t.job.view.spec.saveS + 1 : 0);
-    const victims = best.stops.flatMap((o) => o.victims);
-    const untilMs = now + Math.max(0, ...victims.map(graceOf)) * 1000 + 2_000 * this.ctx.settings.reportS + 3_000;
-    for (const w of [...best.rooms, ...best.stops.map((o) => o.w)]) w.heldFor = { job: job.id, untilMs };
-    this.ctx.log("info", "stopping tasks for a job that comes first", { job: job.id, workers: best.stops.map((o) => o.w.id), tasks: victims.length });
-    for (const t of victims) this.stop(t, graceOf(t), "preempted");
+    for (const job of blocked) if (this.ctx.nowMs - job.waitingSinceMs > PREEMPT_AFTER_MS) this.preemption.consider(job, workers, free, used);
   }
 
   /** Places a whole gang, or up to `most` tasks on one machine; the number of tasks placed, null: no room. */
@@ -918,7 +836,7 @@
       const n = this.runningOf(j.id);
       if (n > 0 && running.size < bytes / RUNNING_BYTES) running.set(j.id, n);
     }
-    return { rows: [...rows.values()], queue, running, soldOut: this.fleet.renting.soldOut(), left: this.fleet.renting.left(), wants: this.wants() };
+    return { rows: [...rows.values()], queue, running, soldOut: this.fleet.renting.soldOut(), left: this.fleet.renting.left(), wants: this.sharing.wants() };
   }
 
   writeRoomIf(write: (r: RoomRecord) => object, key: string): void {
@@ -934,158 +852,6 @@
     });
   }
 
-  /**
-   * Pigeon's groups keep their tasks; ours let an idle master with an empty queue take waiting ones from the
-   * longest queue's master. The giver writes the move into the job's record before the taker may start them,
-   * and starts none of them itself from before that commit is sent.
-   */
-  private giveToIdle(): void {
-    if (this.fence || this.ctx.nowMs - this.gaveMs < MOVE_AFTER_MS) return;
-    this.gaveMs = this.ctx.nowMs;
-    const own = this.room().queue;
-    const rooms = this.ctx.mirror.rooms;
-    for (const job of this.jobs.values()) {
-      const spec = job.view.spec;
-      const kind = queueOf(spec);
-      if (job.moving || job.finalizing || spec.spread || !this.mayStart(job) || this.ctx.nowMs - job.waitingSinceMs < MOVE_AFTER_MS) continue;
-      const whole = goesWhole(spec);
-      const short = isShort(spec, this.ctx.tuning);
-      // A part of an array comes from the longest queue; a gang that can't start here goes to whoever holds it whole.
-      if (!whole && [...rooms].some(([g, r]) => g !== this.group && r.queue[kind] > own[kind])) continue;
-      if (whole && (job.waiting.size < spec.tasks || this.ledger.hasStrays(job.id))) continue;
-      let best: { g: string; fit: number } | null = null;
-      for (const [g, r] of rooms) {
-        if (g === this.group || (!whole && r.queue[kind] > 0) || !this.ctx.mirror.groups.has(g)) continue;
-        const handed = this.ctx.handed.get(g);
-        // What waits there does not fit, or the room would not be free, and what it holds is not written as free.
-        const fit = whole ? wholeRoom(spec, this.zonesFor(spec, g), r, this.ctx.catalog ?? [], short, handed).now : roomLeft(spec, r, this.ctx.catalog ?? [], short, handed);
-        if (fit >= (whole ? spec.tasks : 1) && (!best || fit > best.fit)) best = { g, fit };
-      }
-      // Nothing free anywhere and nothing more to be had here: a group with an empty queue that may still rent.
-      if (!best && this.ctx.catalog && this.ctx.nowMs - job.waitingSinceMs > 2 * MOVE_AFTER_MS && this.fleet.renting.exhausted(spec))
-        for (const c of capableGroups(spec, this.ctx.catalog, this.ctx.groups)) {
-          const r = rooms.get(c.group);
-          if (c.group === this.group || !r || r.queue[kind] > 0 || this.ctx.handed.has(c.group) || !canRent(spec, c.zones, r, this.ctx.catalog)) continue;
-          if (whole && wholeRoom(spec, c.zones, r, this.ctx.catalog, short).soon < spec.tasks) continue;
-          best = { g: c.group, fit: whole ? spec.tasks : Math.ceil(job.waiting.size / 2) };
-          break;
-        }
-      if (!best) continue;
-      // Machines that are on their way for tasks of an array would come for nothing.
-      const movable = whole ? spec.tasks : job.waiting.size - this.fleet.renting.comingFor(spec);
-      if (movable <= 0) continue;
-      best.fit = Math.min(best.fit, movable);
-      this.ctx.noteHanded(best.g, spec, Math.min(best.fit, job.waiting.size));
-      this.move(job, job.waiting.take(whole ? spec.tasks : best.fit), best.g);
-    }
-  }
-
-  private zonesFor(spec: JobSpec, group: string): string[] {
-    return capableGroups(spec, this.ctx.catalog ?? [], this.ctx.groups).find((c) => c.group === group)?.zones ?? [];
-  }
-
-  private move(job: JobRun, tasks: RangeSet, to: string): void {
-    for (const i of tasks) if (this.ledger.hasStrays(job.id, i)) return;
-    const split = new Map([...job.view.split].map(([g, r]) => [g, r.clone()]));
-    split.get(this.group)!.removeAll(tasks);
-    const theirs = split.get(to) ?? RangeSet.empty();
-    theirs.addAll(tasks);
-    split.set(to, theirs);
-    const value = writeJob({ spec: job.view.spec, acceptedAt: job.view.acceptedAt, split });
-    job.moving = { base: job.view.version, tasks, to, value, sent: false, settled: false, open: false };
-    job.waiting.removeAll(tasks);
-    this.ctx.log("info", "moving waiting tasks to an idle group", { job: job.id, tasks: tasks.size, to });
-    this.sendMove(job);
-  }
-
-  private sendMove(job: JobRun): void {
-    const m = job.moving;
-    if (!m || m.sent || m.settled) return;
-    m.sent = true;
-    const key = jobKey(job.id);
-    this.commit([{ key, version: m.base }], [{ op: "put", key, value: m.value }], Urgent.Spare, (end) => {
-      m.sent = false;
-      // Invariant (ran_twice): given tasks come back only if no such commit can have been carried out. After
-      // one without an answer even a conflict proves nothing: the record itself, once the mirror shows it, says
-      // which it is, and until then they stay untouched.
-      if (end === "unknown") m.open = true;
-      else if (end !== "refused") m.settled = true;
-      else if (!m.open && job.moving === m) {
-        job.moving = null;
-        if (!job.gone) this.sync(job.view);
-      }
-    });
-  }
-
-  // ---- shares of the teams' limits -----------------------------------------------------------------------
-
-  /** By team: how much more of its limit this group could use at once, and since when the oldest job waits. */
-  private wants(): Map<string, Want> {
-    const out = new Map<string, Want>();
-    const used = this.usage();
-    for (const j of this.jobs.values()) {
-      const spec = j.view.spec;
-      if (j.waiting.isEmpty || out.size >= 20) continue;
-      const n = spec.shape === "batch" ? 1 : j.waiting.size;
-      const share = this.share(spec.team);
-      const u = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
-      if (withinShare(u, { cpus: spec.cpus * n, gpus: spec.gpus * n }, share)) continue;
-      const all = spec.shape === "batch" ? Math.min(j.waiting.size, 20) : n;
-      const want = {
-        cpus: Math.max(0, u.cpus + spec.cpus * all - share[0]),
-        gpus: Math.max(0, u.gpus + spec.gpus * all - share[1]),
-        since: j.view.acceptedAt,
-      };
-      const had = out.get(spec.team);
-      if (!had || want.since < had.since) out.set(spec.team, want);
-    }
-    return out;
-  }
-
-  /**
-   * Gives what this group does not use of a team's limit to one that wants it, if that has waited longer than
-   * anything here. Invariant (quota): from before the commit is sent this group keeps within what it will have
-   * left, and it does so until the record shows how the commit ended.
-   */
-  private giveShares(): void {
-    const g = this.giving;
-    if (g) {
-      if (this.ctx.mirror.sharesVersion !== g.base) this.giving = null;
-      else return this.sendShares();
-    }
-    if (this.fence) return;
-    const mine = this.wants();
-    for (const [group, room] of this.ctx.mirror.rooms) {
-      if (group === this.group) continue;
-      for (const [name, want] of room.wants) {
-        const team = this.ctx.settings.teams.get(name);
-        const own = mine.get(name);
-        if (!team || (own && (own.since < want.since || (own.since === want.since && this.group < group)))) continue;
-        const share = this.share(name);
-        const used = this.usage().get(name) ?? { cpus: 0, gpus: 0 };
-        const spare = (limit: number, use: number, ask: number): number => (Number.isFinite(limit) ? Math.max(0, Math.min(ask, Math.floor((limit - use) * 100) / 100)) : 0);
-        const give: [number, number] = [spare(share[0], used.cpus, want.cpus), spare(share[1], used.gpus, want.gpus)];
-        if (give[0] <= EPS && give[1] <= EPS) continue;
-        const shares = moveShare(team, this.ctx.groups.names, this.ctx.mirror.shares, this.group, group, give);
-        this.giving = { base: this.ctx.mirror.sharesVersion, team: name, give, value: shares, sent: false, settled: false, open: false };
-        this.ctx.log("info", "giving part of a team's limit to another group", { team: name, to: group, cpus: give[0], gpus: give[1] });
-        return this.sendShares();
-      }
-    }
-  }
-
-  private sendShares(): void {
-    const g = this.giving;
-    if (!g || g.sent || g.settled) return;
-    g.sent = true;
-    this.commit([{ key: QUOTA_KEY, version: g.base }], [{ op: "put", key: QUOTA_KEY, value: g.value }], Urgent.Spare, (end) => {
-      g.sent = false;
-      if (end === "unknown") g.open = true;
-      else if (end !== "refused") g.settled = true;
-      else if (!g.open && this.giving === g) this.giving = null;
-    });
-  }
-
   // ---- time ----------------------------------------------------------------------------------------------
 
   tick(): void {
@@ -1104,14 +870,14 @@
     }
     for (const j of this.jobs.values()) {
       if (now >= j.backoffUntilMs) this.finishJob(j);
-      this.sendMove(j);
+      this.moves.send(j);
     }
     this.roster.flush();
     if (now - this.placedMs >= PLACE_AGAIN_MS) this.dirtyPlace = true;
     this.place();
     if (this.permitted()) {
-      this.giveToIdle();
-      this.giveShares();
+      this.moves.tick();
+      this.sharing.tick();
       this.fleet.tick();
     }
   }
