--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -114,7 +114,7 @@
       job.written.addAll(done);
       job.finished.addAll(done);
     }
-    if (job.moving && view.version > job.moving.base) job.moving = null;
+    if (job.moving && view.version > job.moving.change.base) job.moving = null;
     job.mine = share.clone();
     // A gang's tasks complete together, in whichever group it was seen first.
     if (view.spec.shape === "ensemble" && this.ctx.mirror.finished(view.id).size > 0) job.finished.addAll(job.mine);
@@ -438,7 +438,6 @@
     if (t.stop && t.stop.graceS <= graceS) return;
     t.stop = { graceS, why };
     this.dirtyWorkers.add(t.worker);
-    // Never shown and never sent straight to the machine: the next report settles it.
     this.ctx.log("debug", "stopping task", { task: taskKey(t.job.id, t.index), worker: t.worker.id, why });
   }
 
--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -1,6 +1,7 @@
 import { jobKey, writeJob } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
+import { Handover } from "./handover.js";
 import type { Master } from "./master.js";
 import type { JobSpec } from "./model.js";
 import { goesWhole } from "./placement.js";
@@ -79,7 +80,7 @@
     theirs.addAll(tasks);
     split.set(to, theirs);
     const value = writeJob({ spec: job.view.spec, acceptedAt: job.view.acceptedAt, split });
-    job.moving = { base: job.view.version, tasks, to, value, sent: false, settled: false, open: false };
+    job.moving = { tasks, change: new Handover(job.view.version, value) };
     job.waiting.removeAll(tasks);
     this.ctx.log("info", "moving waiting tasks to an idle group", { job: job.id, tasks: tasks.size, to });
     this.send(job);
@@ -87,20 +88,14 @@
 
   send(job: JobRun): void {
     const m = job.moving;
-    if (!m || m.sent || m.settled) return;
-    m.sent = true;
     const key = jobKey(job.id);
-    this.master.commit([{ key, version: m.base }], [{ op: "put", key, value: m.value }], Urgent.Spare, (end) => {
-      m.sent = false;
-      // Invariant (ran_twice): given tasks come back only if no such commit can have been carried out. After
-      // one without an answer even a conflict proves nothing: the record itself, once the mirror shows it, says
-      // which it is, and until then they stay untouched.
-      if (end === "unknown") m.open = true;
-      else if (end !== "refused") m.settled = true;
-      else if (!m.open && job.moving === m) {
+    m?.change.send(
+      (version, value, done) => this.master.commit([{ key, version }], [{ op: "put", key, value }], Urgent.Spare, done),
+      () => {
+        if (job.moving !== m) return;
         job.moving = null;
         if (!job.gone) this.master.sync(job.view);
-      }
-    });
+      },
+    );
   }
 }
--- a/src/coordination/sharing.ts
+++ b/src/coordination/sharing.ts
@@ -1,6 +1,7 @@
 import { QUOTA_KEY, type Want } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
+import { Handover } from "./handover.js";
 import type { Master } from "./master.js";
 import { EPS } from "./placement.js";
 import { moveShare, shareOf, withinShare } from "./quota.js";
@@ -8,7 +9,7 @@
 /** A group's part of the teams' limits, and giving of it to groups that want more. */
 export class Sharing {
   /** Part of a team's limit on its way to another group. */
-  private giving: { base: number; team: string; give: [number, number]; value: object; sent: boolean; settled: boolean; open: boolean } | null = null;
+  private giving: { team: string; give: [number, number]; change: Handover } | null = null;
 
   constructor(
     private readonly ctx: Context,
@@ -20,7 +21,7 @@
     if (!t) return [0, 0];
     const [cpus, gpus] = shareOf(t, this.master.group, this.ctx.groups.names, this.ctx.mirror.shares);
     const g = this.giving;
-    return g && g.team === team && g.base === this.ctx.mirror.sharesVersion ? [cpus - g.give[0], gpus - g.give[1]] : [cpus, gpus];
+    return g && g.team === team && g.change.base === this.ctx.mirror.sharesVersion ? [cpus - g.give[0], gpus - g.give[1]] : [cpus, gpus];
   }
 
   /** By team: how much more of its limit this group could use at once, and since when the oldest job waits. */
@@ -54,11 +55,12 @@
   tick(): void {
     const g = this.giving;
     if (g) {
-      if (this.ctx.mirror.sharesVersion !== g.base) this.giving = null;
-      else return this.sendShares();
+      if (this.ctx.mirror.sharesVersion !== g.change.base) this.giving = null;
+      else return this.send();
     }
     if (this.master.fenced) return;
     const mine = this.wants();
+    const usage = this.master.usage();
     for (const [group, room] of this.ctx.mirror.rooms) {
       if (group === this.master.group) continue;
       for (const [name, want] of room.wants) {
@@ -66,27 +68,25 @@
         const own = mine.get(name);
         if (!team || (own && (own.since < want.since || (own.since === want.since && this.master.group < group)))) continue;
         const share = this.master.share(name);
-        const used = this.master.usage().get(name) ?? { cpus: 0, gpus: 0 };
+        const used = usage.get(name) ?? { cpus: 0, gpus: 0 };
         const spare = (limit: number, use: number, ask: number): number => (Number.isFinite(limit) ? Math.max(0, Math.min(ask, Math.floor((limit - use) * 100) / 100)) : 0);
         const give: [number, number] = [spare(share[0], used.cpus, want.cpus), spare(share[1], used.gpus, want.gpus)];
         if (give[0] <= EPS && give[1] <= EPS) continue;
         const shares = moveShare(team, this.ctx.groups.names, this.ctx.mirror.shares, this.master.group, group, give);
-        this.giving = { base: this.ctx.mirror.sharesVersion, team: name, give, value: shares, sent: false, settled: false, open: false };
+        this.giving = { team: name, give, change: new Handover(this.ctx.mirror.sharesVersion, shares) };
         this.ctx.log("info", "giving part of a team's limit to another group", { team: name, to: group, cpus: give[0], gpus: give[1] });
-        return this.sendShares();
+        return this.send();
       }
     }
   }
 
-  private sendShares(): void {
+  private send(): void {
     const g = this.giving;
-    if (!g || g.sent || g.settled) return;
-    g.sent = true;
-    this.master.commit([{ key: QUOTA_KEY, version: g.base }], [{ op: "put", key: QUOTA_KEY, value: g.value }], Urgent.Spare, (end) => {
-      g.sent = false;
-      if (end === "unknown") g.open = true;
-      else if (end !== "refused") g.settled = true;
-      else if (!g.open && this.giving === g) this.giving = null;
-    });
+    g?.change.send(
+      (version, value, done) => this.master.commit([{ key: QUOTA_KEY, version }], [{ op: "put", key: QUOTA_KEY, value }], Urgent.Spare, done),
+      () => {
+        if (this.giving === g) this.giving = null;
+      },
+    );
   }
 }
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -1,3 +1,4 @@
+import type { Handover } from "./handover.js";
 import type { JobView } from "./mirror.js";
 import type { Cause, MachineType, TaskState } from "./model.js";
 import type { Amounts } from "./placement.js";
@@ -42,7 +43,7 @@
   /** Machines where it failed, and how often. */
   errors: Map<string, number>;
   /** Handed to another group by a commit that has not shown yet. */
-  moving: { base: number; tasks: RangeSet; to: string; value: object; sent: boolean; settled: boolean; open: boolean } | null;
+  moving: { tasks: RangeSet; change: Handover } | null;
 }
 
 /** A task on a machine that should not be there. */
