Arrays in one zone rent what there is; large gangs are not held to one request's size

Found by reading: an array with samePlace rented nothing unless all its tasks could be had at once, so with no machine in its zone it never ran; a gang above fifty machines was never rented for. Each has a test.

--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -84,8 +84,9 @@
   private send(): void {
     let r = this.rentals[0];
     if (!r) {
-      const next = this.planned.shift();
-      if (!next) return;
+      const plan = this.planned.shift();
+      if (!plan) return;
+      const next = { ...plan, count: Math.min(plan.count, MOST_AT_ONCE) };
       // Invariant: a charter is never used again by anyone. The token belongs to one master of one group.
       const request = `${this.ctx.settings.label}-${this.master.token}-${++this.requests}`;
       r = { ...next, request, rentedMs: this.ctx.nowMs, sent: false, retryMs: 0 };
@@ -168,8 +169,7 @@
           if (this.isEmpty(t.name, zone, spot) || !suits(spec, t, spot, this.ctx.catalog)) continue;
           const planned = this.planned.find((p) => p.type === t.name && p.zone === zone && p.spot === spot)?.count ?? 0;
           // Nothing left when it last rested, and it has rested: there may be any number by now.
-          const known = left.get(offer(t.name, zone, spot)) || Infinity;
-          const most = Math.min(MOST_AT_ONCE, known) - planned;
+          const most = (left.get(offer(t.name, zone, spot)) || Infinity) - planned;
           if (most > 0) yield { t, zone, spot, most };
         }
       }
@@ -228,7 +228,7 @@
       if (!room) continue;
       // What the team may not use now is not waited for: nothing is rented for it.
       const n = Math.min(j.waiting.size, fitCount({ cpus: spec.cpus, gpus: spec.gpus, memGb: 0 }, { ...room, memGb: 0 }));
-      if (n === 0 || (goesWhole(spec) && n < j.waiting.size)) continue;
+      if (n === 0 || (spec.shape === "ensemble" && n < j.waiting.size)) continue;
       room.cpus -= n * spec.cpus;
       room.gpus -= n * spec.gpus;
       const short = isShort(spec, this.ctx.tuning);
@@ -290,8 +290,9 @@
   }
 
   /**
-   * A job that goes whole starts once all of it has room, in one zone if it must: so much as is missing in the zone
-   * where the least is, and only where that can be had. Part of what it needs would stand idle until the rest came.
+   * For a job that goes whole, in one zone if it must: so much as is missing in the zone where the least is. A gang
+   * starts once all of it has room, so only where that can be had: part of what it needs would stand idle until the
+   * rest came. An array in one zone runs on whatever there is: it stays with the zone that has most for it.
    */
   private planWhole(j: JobRun, n: number, mine: readonly Place[], places: Place[], left: ReadonlyMap<string, number>): void {
     const spec = j.view.spec;
@@ -303,7 +304,8 @@
       const lacking = Math.max(0, n - here.reduce((sum, p) => sum + fitCount(spec, p.room), 0));
       let rentable = 0;
       if (lacking > 0) for (const o of this.offers(spec, set, left)) rentable += o.most * fitCount(spec, o.t);
-      if (lacking <= rentable && (!best || lacking < best.lacking)) best = { zones: set, places: here, lacking };
+      const some = spec.shape !== "ensemble" && (lacking < n || rentable > 0);
+      if ((lacking <= rentable || some) && (!best || lacking < best.lacking)) best = { zones: set, places: here, lacking };
     }
     if (best) this.rentFor(spec, j.view.acceptedAt, this.fill(spec, n, best.places), best.zones, places, left);
   }
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -85,6 +85,15 @@
   assert.deepEqual(asked, ["3 plain/b/ordinary", "4 plain/a/ordinary"]);
 });
 
+test("an array in one zone rents whatever can be had there; no request asks for more than the cloud allows", () => {
+  // Sixty places are wanted and ten can be had: a gang asks for no more, an array takes what there is.
+  const array = job({ id: "req-000003", shape: "batch", tasks: 30 });
+  assert.deepEqual(rents([array], [], { "plain/a/ordinary": 10 }), ["30 plain/a/ordinary"]);
+  assert.deepEqual(rents([job({ id: "req-000005", shape: "batch", tasks: 30 })], [], { "plain/b/ordinary": 40 }), ["30 plain/a/ordinary", "30 plain/b/ordinary"]);
+  const large = job({ id: "req-000004", tasks: 60, cpus: 10, memGb: 40 });
+  assert.deepEqual(rents([large], [], { "plain/a/ordinary": 70 }), ["50 plain/a/ordinary", "10 plain/a/ordinary"]);
+});
+
 test("nothing is rented beyond what the team may use", () => {
   assert.deepEqual(rents([job({ tasks: 34, samePlace: false })], [], { "plain/a/ordinary": 100 }), []);
   assert.deepEqual(rents([job({ tasks: 60, shape: "batch", samePlace: false })], [], { "plain/a/ordinary": 100 }), ["33 plain/a/ordinary"]);
