A machine that has reported stays in the roster when the fence is lifted by time

Found by reading the change again: of the machines on the fence all left the roster, also one that had reported but not yet under the new token. It may run tasks, and a crash before the next commit named it again would have left the next master without it on its fence (ran_twice). The test fails without the condition.

--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -857,7 +857,8 @@
     const now = this.ctx.nowMs;
     const leaseMs = this.ctx.settings.leaseS * 1000 * DRIFT + LEASE_SLACK_MS;
     if (this.fence && now - this.sinceMs > leaseMs) {
-      for (const id of this.fence) this.forgetMachine(id);
+      // Invariant (ran_twice): a machine that has reported, though not under this token yet, may run tasks: it stays.
+      for (const id of this.fence) if (!this.workers.has(id)) this.forgetMachine(id);
       this.liftFence("leases of silent machines have ended");
     }
     for (const w of this.workers.values()) {
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -278,3 +278,30 @@
   assert.equal(taken.length, 2, taken.join("\n"));
   for (const l of taken) assert.match(l, /every machine has reported/);
 });
+
+test("a machine that reports before the fence is lifted stays in the roster, whatever token it has seen", () => {
+  const w = new World(12);
+  w.loss = 0;
+  const m = w.cloud.add(w.types[0]!, "east", false, 0);
+  let checked = 0;
+  w.at(10_000, () => {
+    m.hung = true;
+    w.crash("node-a");
+  });
+  w.at(11_000, () => w.boot("node-a"));
+  // It comes back shortly before its lease would be over, and is not told of the new token.
+  const report = (): void => {
+    w.ask("node-a", (req) => ({ is: "report", req, report: { ...m.snapshot(), token: 0 }, relayed: false }), () => {});
+    if (w.now < 28_000) w.at(700, report);
+  };
+  w.at(20_000, report);
+  w.afterStep = (core) => {
+    const master = core.masters.get("node-a");
+    if (w.now < 21_000 || !master?.workers.has(m.id)) return;
+    checked++;
+    assert.ok(master.roster.has(m.id), `at ${w.now}`);
+  };
+  w.run(28_000);
+  assert.ok(checked > 20);
+  assert.ok(w.logs.some((l) => l.includes("leases of silent machines have ended")), "the fence was lifted by time");
+});
