Renting: one word for an offer, due work added in one place; grace and made room looked up once

No behaviour changed. A ceiling keeps its offer instead of taking its key apart again; fleet and preemption share graceOf; a placing pass looks up once for whom room was made, not once for each waiting job; a comment that no longer held is gone.

--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -4,7 +4,7 @@
 import type { JobSpec, ListedMachine, MachineType } from "./model.js";
 import { allowedOn, fits, suits } from "./placement.js";
 import { Renting } from "./renting.js";
-import type { Worker } from "./tasks.js";
+import { graceOf, type Worker } from "./tasks.js";
 
 const WARM_PERIODS = 6;
 
@@ -70,7 +70,7 @@
       const w = this.master.workers.get(id);
       // Its tasks get the time to save; whoever can't is stopped at once.
       if (w && !w.lost && w.tasks.size > 0) {
-        for (const t of w.tasks.values()) this.master.stop(t, t.job.view.spec.checkpointS > 0 ? t.job.view.spec.saveS + 1 : 0, "machine goes back");
+        for (const t of w.tasks.values()) this.master.stop(t, graceOf(t), "machine goes back");
         continue;
       }
       ids.push(id);
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -628,13 +628,14 @@
       this.ctx.tuning,
       this.turn,
     );
+    const madeRoom = new Set(workers.map((w) => w.heldFor?.job));
     const blocked: JobRun[] = [];
     const misfits = new Misfits();
     for (let head = round.head(); head; head = round.head()) {
       const job = head.job;
       const short = isShort(job.view.spec, this.ctx.tuning);
       // Room that was made for a job is hidden from the others.
-      const own = workers.some((w) => w.heldFor?.job === job.id);
+      const own = madeRoom.has(job.id);
       const n = !own && misfits.includes(job.view.spec, short) ? 0 : this.placeSome(job, round.most(), short ? workers : unreserved, free, reserved, used);
       if (n === null) misfits.add(job.view.spec, short);
       if (n) round.served(n);
@@ -783,7 +784,7 @@
     return most;
   }
 
-  /** Higher is better: its image is there, unreserved, no unneeded accelerators, little left over. */
+  /** Higher is better: its image is there, unreserved, little left over. */
   private score(job: JobRun, w: Worker, room: Amounts, reserved: ReadonlySet<string>): number {
     const spec = job.view.spec;
     let s = 0;
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -4,7 +4,7 @@
 import { URGENCIES } from "./model.js";
 import { allowedOn, type Amounts, fitCount, fits, suits } from "./placement.js";
 import { withinShare } from "./quota.js";
-import type { JobRun, TaskRun, Worker } from "./tasks.js";
+import { graceOf, type JobRun, type TaskRun, type Worker } from "./tasks.js";
 
 /** Which running tasks are stopped for a waiting job that comes first. */
 export class Preemption {
@@ -90,7 +90,6 @@
       if (!best || loss < best.loss) best = { rooms, stops, loss };
     }
     if (!best) return;
-    const graceOf = (t: TaskRun): number => (t.job.view.spec.checkpointS > 0 ? t.job.view.spec.saveS + 1 : 0);
     const victims = best.stops.flatMap((o) => o.victims);
     const untilMs = now + Math.max(0, ...victims.map(graceOf)) * 1000 + 2_000 * this.ctx.settings.reportS + 3_000;
     for (const w of [...best.rooms, ...best.stops.map((o) => o.w)]) w.heldFor = { job: job.id, untilMs };
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -7,17 +7,19 @@
 import { queueOf } from "./splitter.js";
 import { freeOn, type JobRun, take } from "./tasks.js";
 
-export interface Booting {
+/** What the cloud has: machines of a type in a zone, spot or ordinary. */
+interface Offer {
   type: string;
   zone: string;
   spot: boolean;
+}
+const same = (a: Offer, b: Offer): boolean => a.type === b.type && a.zone === b.zone && a.spot === b.spot;
+
+export interface Booting extends Offer {
   rentedMs: number;
 }
 /** What is to be asked for next; made anew with every plan. */
-interface Planned {
-  type: string;
-  zone: string;
-  spot: boolean;
+interface Planned extends Offer {
   count: number;
 }
 /** A request that was sent at least once: its charter stands for this offer and count from then on. */
@@ -28,10 +30,7 @@
   retryMs: number;
 }
 /** Room on a machine that is there or will be. */
-interface Place {
-  type: string;
-  zone: string;
-  spot: boolean;
+interface Place extends Offer {
   reserved: boolean;
   room: Amounts;
 }
@@ -53,7 +52,7 @@
   private planned: Planned[] = [];
   private readonly emptyUntilMs = new Map<string, number>();
   /** By offer: machines that the group held when the cloud had no more, the most it can expect to have. */
-  private readonly ceilings = new Map<string, { machines: number; untilMs: number }>();
+  private readonly ceilings = new Map<string, Offer & { machines: number; untilMs: number }>();
   private requests = 0;
   private planMs = -Infinity;
 
@@ -122,7 +121,7 @@
    */
   private noteEmpty(r: Rental): void {
     const what = offer(r.type, r.zone, r.spot);
-    this.ceilings.set(what, { machines: this.held(r.type, r.zone, r.spot), untilMs: this.ctx.nowMs + CEILING_MS });
+    this.ceilings.set(what, { type: r.type, zone: r.zone, spot: r.spot, machines: this.held(r), untilMs: this.ctx.nowMs + CEILING_MS });
     const rate = this.ctx.settings.cloud.rps / this.ctx.groups.names.length;
     const offers = this.zones().length * (this.ctx.catalog?.length ?? 1) * 2;
     this.emptyUntilMs.set(what, this.ctx.nowMs + Math.max(NO_CAPACITY_MS, (offers / (rate / 2)) * 1000));
@@ -131,22 +130,18 @@
   // ---- what there is to be had ---------------------------------------------------------------------------
 
   /** Machines of an offer that the group has, or that are on their way. */
-  private held(type: string, zone: string, spot: boolean): number {
+  private held(o: Offer): number {
     let n = 0;
-    for (const w of this.master.workers.values()) if (w.typeName === type && w.zone === zone && w.spot === spot && !w.lost) n++;
-    for (const b of this.booting.values()) if (b.type === type && b.zone === zone && b.spot === spot) n++;
+    for (const w of this.master.workers.values()) if (w.typeName === o.type && w.zone === o.zone && w.spot === o.spot && !w.lost) n++;
+    for (const b of this.booting.values()) if (same(b, o)) n++;
     return n;
   }
   /** By offer, where a refusal told: how many more machines there may be. */
   left(): Map<string, number> {
     const out = new Map<string, number>();
     for (const [what, c] of this.ceilings) {
-      if (c.untilMs < this.ctx.nowMs) {
-        this.ceilings.delete(what);
-        continue;
-      }
-      const [type, zone, kind] = what.split("/") as [string, string, string];
-      out.set(what, Math.max(0, c.machines - this.held(type, zone, kind === "spot")));
+      if (c.untilMs < this.ctx.nowMs) this.ceilings.delete(what);
+      else out.set(what, Math.max(0, c.machines - this.held(c)));
     }
     return out;
   }
@@ -167,7 +162,7 @@
         if (!couldRun(spec, t, zone)) continue;
         for (const spot of spec.spot ? [true, false] : [false]) {
           if (this.isEmpty(t.name, zone, spot) || !suits(spec, t, spot, this.ctx.catalog)) continue;
-          const planned = this.planned.find((p) => p.type === t.name && p.zone === zone && p.spot === spot)?.count ?? 0;
+          const planned = this.planned.find((p) => same(p, { type: t.name, zone, spot }))?.count ?? 0;
           // Nothing left when it last rested, and it has rested: there may be any number by now.
           const most = (left.get(offer(t.name, zone, spot)) || Infinity) - planned;
           if (most > 0) yield { t, zone, spot, most };
@@ -195,7 +190,7 @@
   /** Machines on their way. */
   private coming(): Place[] {
     const out: Place[] = [];
-    const add = (m: { type: string; zone: string; spot: boolean }): void => {
+    const add = (m: Offer): void => {
       const t = this.typeOf(m.type);
       if (t) out.push({ type: m.type, zone: m.zone, spot: m.spot, reserved: false, room: { cpus: t.cpus, gpus: t.gpus, memGb: t.memGb } });
     };
@@ -217,9 +212,10 @@
     const left = this.left();
     const headroom = this.master.headroom();
     /** Work of arrays that is due so far, by kind of machine, in seconds of one place. */
-    const dueWork = new Map<string, number>();
-    for (const j of this.master.jobs.values())
-      if (j.waiting.isEmpty && j.view.spec.shape === "batch") dueWork.set(queueOf(j.view.spec), (dueWork.get(queueOf(j.view.spec)) ?? 0) + (j.active.size / 2) * j.view.spec.estimateS);
+    const dueWork = { plain: 0, accelerated: 0 };
+    // What runs now is halfway, on the whole.
+    const addDue = (j: JobRun): number => (dueWork[queueOf(j.view.spec)] += (j.waiting.size + j.active.size / 2) * j.view.spec.estimateS);
+    for (const j of this.master.jobs.values()) if (j.waiting.isEmpty && j.view.spec.shape === "batch") addDue(j);
     const due = (j: JobRun): number => j.view.acceptedAt + (j.view.spec.deadlineS ?? 0) * 1000;
     const jobs = [...this.master.jobs.values()].filter((j) => this.master.mayStart(j) && j.errors.size < 3).sort((a, b) => due(a) - due(b));
     for (const j of jobs) {
@@ -236,12 +232,8 @@
       if (goesWhole(spec)) this.planWhole(j, n, mine, places, left);
       else {
         let lacking = this.fill(spec, n, mine);
-        if (spec.shape === "batch" && spec.deadlineS !== null && spec.estimateS > 0) {
-          const kind = queueOf(spec);
-          const work = (dueWork.get(kind) ?? 0) + (j.waiting.size + j.active.size / 2) * spec.estimateS;
-          dueWork.set(kind, work);
-          lacking = this.inTurns(j, lacking, work, places.filter((p) => this.serves(spec, p)));
-        }
+        if (spec.shape === "batch" && spec.deadlineS !== null && spec.estimateS > 0)
+          lacking = this.inTurns(j, lacking, addDue(j), places.filter((p) => this.serves(spec, p)));
         this.rentFor(spec, j.view.acceptedAt, lacking, this.zones(), places, left);
       }
     }
@@ -259,7 +251,7 @@
   /**
    * Places to rent for the tasks of an array with a deadline that found no room: as many as the work that is due
    * until then needs beyond what the present places can do one task after the other. A machine costs as much while
-   * it boots and fetches as while it works. `due`: the work due before, in seconds of one place.
+   * it boots and fetches as while it works. `due`: all work due until then, in seconds of one place.
    */
   private inTurns(j: JobRun, lacking: number, due: number, all: readonly Place[]): number {
     const spec = j.view.spec;
@@ -334,9 +326,10 @@
       const { t, zone, spot } = best;
       const per = fitCount(spec, t);
       const count = Math.min(best.most, Math.ceil(need / per));
-      const same = this.planned.find((p) => p.type === t.name && p.zone === zone && p.spot === spot);
-      if (same) same.count += count;
-      else this.planned.push({ type: t.name, zone, spot, count });
+      const ask = { type: t.name, zone, spot, count };
+      const had = this.planned.find((p) => same(p, ask));
+      if (had) had.count += count;
+      else this.planned.push(ask);
       // What its tasks leave free of the new machines is there for the jobs behind it.
       for (let i = 0; i < count; i++) {
         const room = { cpus: t.cpus, gpus: t.gpus, memGb: t.memGb };
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -92,6 +92,12 @@
   direct: boolean;
 }
 
+/** Time to save for a task that is to be stopped in order; what can't save is stopped at once. */
+export function graceOf(t: TaskRun): number {
+  const spec = t.job.view.spec;
+  return spec.checkpointS > 0 ? spec.saveS + 1 : 0;
+}
+
 export const runKey = (job: string, index: number, attempt: number): string => `${job}/${index}#${attempt}`;
 
 export function newJobRun(view: JobView, old: boolean, nowMs: number): JobRun {
