--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -9,6 +9,11 @@
 const name = v.pipe(v.string(), v.regex(/^[^\s/]{1,64}$/, "1 to 64 characters without spaces or slashes expected"));
 const address = v.pipe(v.string(), v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "IP:PORT expected"));
 
+/** A machine's mark for return, or the end of a job, is one transaction of a few changes. */
+const ops = v.pipe(v.number(), v.integer(), v.minValue(4));
+/** A job's record, with names of usual length, takes half of it. */
+const least = v.pipe(v.number(), v.finite(), v.minValue(1));
+
 /** The file that the platform hands over. Unknown fields are ignored. */
 const PlatformFile = v.object({
   label: name,
@@ -52,8 +57,10 @@
     state: v.object({
       rps: positive,
       write_rps: positive,
-      value_kb: positive,
-      txn_ops: v.pipe(v.number(), v.integer(), v.minValue(4)),
+      value_kb: least,
+      txn_ops: ops,
+      /** What the limits will be from some moment on, without notice. */
+      next: v.optional(v.object({ rps: v.optional(positive), write_rps: v.optional(positive), value_kb: v.optional(least), txn_ops: v.optional(ops) }), {}),
     }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     resources: v.optional(
@@ -80,6 +87,7 @@
   mesh: { host: string; port: number };
   peers: { label: string; area: string; host: string; port: number }[];
   cloud: { host: string; port: number; rps: number; listLagS: number };
+  /** The smaller of the limits now and `state.next`. */
   state: { host: string; port: number; rps: number; writeRps: number; valueBytes: number; txnOps: number };
   zones: string[];
   teams: Map<string, Team>;
@@ -113,6 +121,9 @@
   }
   const f = got.output;
   const c = f.cluster;
+  // Limits that will come without notice are kept from the start: nothing is written that would have to be divided,
+  // or repeated smaller, at a moment that nobody knows.
+  const lower = (field: "rps" | "write_rps" | "value_kb" | "txn_ops"): number => Math.min(c.state[field], c.state.next[field] ?? Infinity);
   const labels = new Set([f.label, ...f.peers.map((p) => p.label)]);
   if (labels.size !== f.peers.length + 1) throw new SettingsError(`${file}: peers: a label is used twice`);
   if (c.workers.cancel_s - c.workers.lease_s < 4)
@@ -126,10 +137,10 @@
     cloud: { ...endpoint(f.outside.cloud), rps: c.cloud.rps, listLagS: c.cloud.list_lag_s },
     state: {
       ...endpoint(f.outside.state),
-      rps: c.state.rps,
-      writeRps: c.state.write_rps,
-      valueBytes: Math.floor(c.state.value_kb * 1024),
-      txnOps: c.state.txn_ops,
+      rps: lower("rps"),
+      writeRps: lower("write_rps"),
+      valueBytes: Math.floor(lower("value_kb") * 1024),
+      txnOps: lower("txn_ops"),
     },
     zones: [...c.zones],
     teams: new Map(
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -20,7 +20,8 @@
   nowMs: number;
   /** Time of day of this step, in ms since the epoch. */
   wallMs: number;
-  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd) => void): void;
+  /** `epoch`: the revision that the commit made, if it ended well. */
+  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd, epoch: number) => void): void;
   cloud(call: CloudCall, urgent: Urgent, done: (reply: CloudReply) => void): void;
   command(address: string, token: number, session: number, orders: Order[], done: (reply: CommandReply) => void): void;
   /** Handed to each group, by splits and moves, since it last wrote its room. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,6 +1,7 @@
 import type { Settings } from "../config/settings.js";
 import type { Condition, Item, StateCall, StateReply, Write } from "../protocol/state.js";
-import { jobKey, NOW, pastKey, readPast, ROOT, roomKey, writeJob, writePast, writeRoom } from "../storage/records.js";
+import { bytesOf, jobKey, type JobRecord, NOW, pastKey, type PastRecord, readPast, ROOT, writeJob, writePast } from "../storage/records.js";
+import { Awaiting } from "./awaiting.js";
 import type { CommitEnd, Context } from "./context.js";
 import { type Answer, OWN_LIMIT, type CloudCall, type CloudReply, type CommandReply, type Effect, type Input, type Level, Urgent } from "./effects.js";
 import { Groups } from "./groups.js";
@@ -10,6 +11,7 @@
 import { Ownership } from "./ownership.js";
 import { EPS } from "./placement.js";
 import { isShort } from "./queues.js";
+import { RangeSet } from "./ranges.js";
 import { capableGroups, type Handed, splitJob } from "./splitter.js";
 
 /** A watch is renewed at least this often: its age is part of the permit. */
@@ -40,6 +42,7 @@
   readonly mirror = new Mirror();
   readonly masters = new Map<string, Master>();
   readonly ownership: Ownership;
+  readonly awaiting: Awaiting;
   private out: Effect[] = [];
   private ops = 0;
   private readonly stateOps = new Map<number, (r: StateReply, sentMs: number) => void>();
@@ -70,6 +73,7 @@
     this.wallMs = wallMs;
     this.groups = new Groups(settings);
     this.maxJobs = Math.floor((settings.memMb * 1024 * JOBS_SHARE) / JOB_KIB);
+    this.awaiting = new Awaiting(this, this.mirror, (spec) => this.cut(spec), (id, done) => this.lookUp(id, done));
     this.ownership = new Ownership(
       this,
       (call, done) => this.state(call, Urgent.Hold, (r, sentMs) => done(r as { is: string; hold?: number }, sentMs)),
@@ -102,7 +106,7 @@
       case "tick":
         return this.tick();
       case "submit":
-        return this.submit(i.req, i.spec);
+        return this.submit(i.req, i.spec, i.awaits ?? []);
       case "status":
         return this.afterRead(i.req, i.id, (req, id) => this.tellStatus(req, id, 200));
       case "withdraw":
@@ -147,10 +151,13 @@
     this.stateOps.set(op, done);
     this.out.push({ do: "state", op, call, urgent });
   }
-  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd) => void): void {
-    this.state({ op: "commit", conditions, writes }, urgent, (r) =>
-      done(r.is === "committed" ? "ok" : r.is === "conflict" ? "conflict" : r.is === "refused" ? "refused" : "unknown"),
-    );
+  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd, epoch: number) => void): void {
+    this.state({ op: "commit", conditions, writes }, urgent, (r) => {
+      if (r.is === "committed") return done("ok", r.epoch);
+      // Repeated unchanged it would be refused for ever: everything written is kept within the limits, now and next.
+      if (r.is === "refused" && r.why === "400") this.log("error", "state service refuses a transaction", { writes: writes.map((w) => [w.op, w.key, w.op === "put" ? bytesOf(w.value as object) : 0]) });
+      done(r.is === "conflict" ? "conflict" : r.is === "refused" ? "refused" : "unknown", 0);
+    });
   }
   cloud(call: CloudCall, urgent: Urgent, done: (reply: CloudReply) => void): void {
     const op = ++this.ops;
@@ -237,9 +244,14 @@
           break;
         case "job":
           for (const m of this.masters.values()) m.sync(s.job);
+          this.awaiting.seen(s.job);
           break;
         case "jobGone":
           for (const m of this.masters.values()) m.jobGone(s.id);
+          this.awaiting.gone(s.id);
+          break;
+        case "past":
+          this.awaiting.settle(s.id, s.past);
           break;
         case "fin": {
           const job = this.mirror.jobs.get(s.id);
@@ -254,6 +266,7 @@
       }
     }
     this.checkMasters();
+    this.awaiting.act();
   }
 
   /** A master exists exactly while the mirror shows its token as this controller's. */
@@ -308,26 +321,38 @@
     });
   }
 
-  /** Calls `then` with what became of a job that is not alive; a final state never changes. */
-  private past(req: number, id: string, then: (p: { status: "done" | "cancelled"; tasks: number; done: number } | null) => void): void {
-    const known = this.mirror.past.get(id);
-    if (known) return then(known);
+  /** A job's final state, read from the state service; null: it has none, or that can't be known now. */
+  private lookUp(id: string, done: (past: PastRecord | null, failed: string | null) => void): void {
     this.state({ op: "get", key: pastKey(id) }, Urgent.User, (r) => {
-      if (r.is !== "item") return this.later(req, "state service does not answer");
+      if (r.is !== "item") return done(null, "state service does not answer");
       const p = r.item ? readPast(r.item.value) : null;
-      if (r.item && !p) return this.later(req, "unreadable record");
-      if (p) this.mirror.keepPast(id, p);
-      then(p);
+      if (p) this.learnt(id, p);
+      done(p, r.item && !p ? "unreadable record" : null);
     });
   }
+  private learnt(id: string, past: PastRecord): void {
+    this.mirror.keepPast(id, past);
+    this.awaiting.settle(id, past);
+  }
+
+  /** Calls `then` with what became of a job that is not alive; a final state never changes. */
+  private past(req: number, id: string, then: (p: PastRecord | null) => void): void {
+    const known = this.mirror.past.get(id);
+    if (known) return then(known);
+    this.lookUp(id, (p, failed) => (failed === null ? then(p) : this.later(req, failed)));
+  }
 
   private tellStatus(req: number, id: string, status: 200 | 201): void {
     const job = this.mirror.past.has(id) ? undefined : this.mirror.jobs.get(id);
     if (job) {
+      // Invariant (orphaned, went_back): another controller may know already that one of these is cancelled.
+      const unsure = this.awaiting.unsure(id);
+      if (unsure !== null) return this.past(req, unsure, (p) => (p ? this.tellStatus(req, id, status) : this.later(req, "not known yet")));
+      if (this.awaiting.isDoomed(id)) return this.answer(req, { is: "job", status, id, state: "cancelled", done: 0, running: 0 });
       let running = 0;
       for (const g of this.groups.names) running += this.masters.get(g)?.runningOf(id) ?? this.mirror.rooms.get(g)?.running.get(id) ?? 0;
       const done = this.mirror.allFinished(id).size;
-      return this.answer(req, { is: "job", status, id, state: running > 0 ? "running" : "queued", done, running });
+      return this.answer(req, { is: "job", status, id, state: running > 0 ? "running" : "queued", done, running, awaits: this.awaiting.waitsFor(id) });
     }
     this.past(req, id, (p) => {
       if (!p) return this.answer(req, { is: "unknownJob" });
@@ -335,7 +360,7 @@
     });
   }
 
-  private submit(req: number, spec: JobSpec): void {
+  private submit(req: number, spec: JobSpec, awaits: readonly string[]): void {
     const id = spec.id;
     if (this.mirror.past.has(id)) return this.tellStatus(req, id, 200);
     if (this.mirror.jobs.has(id)) return this.afterRead(req, id, (r, i) => this.tellStatus(r, i, 200));
@@ -344,30 +369,80 @@
     // Whatever the catalog says today: a job that was accepted once is answered from its record.
     if (no === "undecided") return this.known(req, id, () => this.later(req, "machine types are not known yet"));
     if (no !== null) return this.known(req, id, () => this.answer(req, { is: "never", error: no }));
+    const tooLong = this.tooLong(spec, awaits);
+    if (tooLong !== null) return this.known(req, id, () => this.answer(req, { is: "tooLong", error: tooLong }));
     // Every controller holds all live jobs: more than fit are not accepted, on any of them.
     if (this.mirror.jobs.size >= this.maxJobs) return this.known(req, id, () => this.later(req, "too many unfinished jobs", 10));
-    const capable = capableGroups(spec, this.catalog!, this.groups);
+    if (awaits.length === 0) return this.accept(req, spec, []);
+    this.afterRead(req, id, () => this.judge(req, spec, awaits, []));
+  }
+
+  /**
+   * What a job waits for, name by name, each by a read that was sent after the question: whoever names a job has been
+   * told before that it was accepted. `open`: those found alive; `doomed`: one is cancelled.
+   */
+  private judge(req: number, spec: JobSpec, names: readonly string[], open: readonly string[], doomed = false): void {
+    const id = spec.id;
+    if (this.mirror.past.has(id) || this.mirror.jobs.has(id)) return this.tellStatus(req, id, 200);
+    const [name, ...rest] = names;
+    if (name === undefined) return doomed ? this.acceptCancelled(req, spec) : this.accept(req, spec, open);
+    if (!this.mirror.past.has(name) && this.mirror.jobs.has(name)) {
+      const unsure = this.awaiting.unsure(name);
+      if (unsure !== null) return this.past(req, unsure, (p) => (p ? this.judge(req, spec, names, open, doomed) : this.later(req, "not known yet")));
+      return this.judge(req, spec, rest, [...open, name], doomed || this.awaiting.isDoomed(name));
+    }
+    this.past(req, name, (p) => {
+      if (!p) return this.known(req, id, () => this.answer(req, { is: "never", error: `awaits: ${name} was never accepted` }));
+      this.judge(req, spec, rest, open, doomed || p.status === "cancelled");
+    });
+  }
+
+  /** A job's record must fit a value, while it waits and once it is cut over the groups. */
+  private tooLong(spec: JobSpec, awaits: readonly string[]): string | null {
+    const record = { spec, acceptedAt: this.wallMs, awaits: [], releasedAt: this.wallMs, split: new Map(this.groups.names.map((g) => [g, RangeSet.upTo(spec.tasks)])) };
+    const bytes = Math.max(bytesOf(writeJob(record)), bytesOf(writeJob({ ...record, split: new Map(), awaits })));
+    return bytes > this.settings.state.valueBytes ? `body: names and lists take ${bytes} bytes of a record, at most ${this.settings.state.valueBytes} fit` : null;
+  }
+
+  /** Cuts a job over the groups by their room at this moment; null: not now. */
+  private cut(spec: JobSpec): Map<string, RangeSet> | null {
+    const capable = this.catalog ? capableGroups(spec, this.catalog, this.groups) : [];
+    if (!this.catalog || capable.length === 0) return null;
     const rooms = new Map(this.mirror.rooms);
     for (const [g, m] of this.masters) rooms.set(g, m.room());
-    const split = splitJob(spec, capable, rooms, this.catalog!, isShort(spec, this.tuning), this.handed);
+    const split = splitJob(spec, capable, rooms, this.catalog, isShort(spec, this.tuning), this.handed);
     for (const [g, r] of split) if (!this.masters.has(g)) this.noteHanded(g, spec, r.size);
-    // Accepting is one commit, with the split in it; the masters learn of the job from the record.
-    this.commit(
-      [
-        { key: jobKey(id), version: 0 },
-        { key: pastKey(id), version: 0 },
-      ],
-      [{ op: "put", key: jobKey(id), value: writeJob({ spec, acceptedAt: this.wallMs, split }) }],
-      Urgent.User,
-      (end) => {
-        if (end === "ok") {
-          this.answer(req, { is: "job", status: 201, id, state: "queued" });
-          this.log("debug", "job accepted", { job: id, class: spec.class, tasks: spec.tasks, split: [...split].map(([g, r]) => [g, r.size]) });
-          this.watchSoon();
-        } else if (end === "conflict") this.afterRead(req, id, (r, i) => this.tellStatus(r, i, 200));
-        else this.later(req, "state service does not answer");
-      },
-    );
+    return split;
+  }
+
+  /** Accepting is one commit, with the split in it; the masters learn of the job from the record. */
+  private accept(req: number, spec: JobSpec, awaits: readonly string[]): void {
+    const split = awaits.length > 0 ? new Map<string, RangeSet>() : this.cut(spec);
+    if (!split) return this.later(req, "machine types are not known yet");
+    const record: JobRecord = { spec, acceptedAt: this.wallMs, split, awaits, releasedAt: null };
+    this.commitNew(req, spec.id, { op: "put", key: jobKey(spec.id), value: writeJob(record) }, () => {
+      this.answer(req, { is: "job", status: 201, id: spec.id, state: "queued" });
+      this.log("debug", "job accepted", { job: spec.id, class: spec.class, tasks: spec.tasks, awaits, split: [...split].map(([g, r]) => [g, r.size]) });
+      this.watchSoon();
+    });
+  }
+
+  /** It needs a cancelled job: it is accepted all the same, and cancelled with it. */
+  private acceptCancelled(req: number, spec: JobSpec): void {
+    const past: PastRecord = { status: "cancelled", tasks: spec.tasks, done: 0 };
+    this.commitNew(req, spec.id, { op: "put", key: pastKey(spec.id), value: writePast(past) }, () => {
+      this.learnt(spec.id, past);
+      this.answer(req, { is: "job", status: 201, id: spec.id, state: "cancelled" });
+    });
+  }
+
+  private commitNew(req: number, id: string, write: Write, ok: () => void): void {
+    const absent = [jobKey(id), pastKey(id)].map((key) => ({ key, version: 0 }));
+    this.commit(absent, [write], Urgent.User, (end) => {
+      if (end === "ok") ok();
+      else if (end === "conflict") this.afterRead(req, id, (r, i) => this.tellStatus(r, i, 200));
+      else this.later(req, "state service does not answer");
+    });
   }
 
   noteHanded(group: string, spec: JobSpec, tasks: number): void {
@@ -420,7 +495,7 @@
       Urgent.User,
       (end) => {
         if (end === "ok") {
-          this.mirror.keepPast(id, { status: "cancelled", tasks: job.spec.tasks, done });
+          this.learnt(id, { status: "cancelled", tasks: job.spec.tasks, done });
           this.answer(req, { is: "job", status: 200, id, state: "cancelled" });
         } else if (end === "conflict" && tries > 0) this.afterRead(req, id, (r, i) => this.withdraw(r, i, tries - 1));
         else this.later(req, "state service does not answer");
@@ -458,10 +533,8 @@
     this.watch();
     this.readNow();
     this.askCatalog();
-    for (const [g, m] of this.masters) {
-      m.tick();
-      if (this.ownership.permitted()) m.writeRoomIf(writeRoom, roomKey(g));
-    }
+    for (const m of this.masters.values()) m.tick();
+    this.awaiting.act();
     if (this.nowMs - this.lastSweepMs > 5_000) {
       this.lastSweepMs = this.nowMs;
       this.sweep();
--- a/src/coordination/effects.ts
+++ b/src/coordination/effects.ts
@@ -3,7 +3,7 @@
 
 /** What the core is told. Times come with each input: the core has no clock of its own. */
 export type Input =
-  | { is: "submit"; req: number; spec: JobSpec }
+  | { is: "submit"; req: number; spec: JobSpec; awaits?: readonly string[] }
   | { is: "status"; req: number; id: string }
   | { is: "withdraw"; req: number; id: string }
   /** `relayed`: by a peer that the worker can reach; it is not passed on again. */
@@ -47,8 +47,10 @@
 }
 
 export type Answer =
-  | { is: "job"; status: 200 | 201; id: string; state: "queued" | "running" | "done" | "cancelled"; done?: number; running?: number }
+  | { is: "job"; status: 200 | 201; id: string; state: "queued" | "running" | "done" | "cancelled"; done?: number; running?: number; awaits?: readonly string[] }
   | { is: "never"; error: string }
+  /** Its record would not fit a value of the state service. */
+  | { is: "tooLong"; error: string }
   | { is: "unknownJob" }
   | { is: "later"; afterS: number; why: string }
   | { is: "orders"; token: number; orders: Order[] }
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -1,28 +1,26 @@
 import type { Condition, Write } from "../protocol/state.js";
-import { FIN_CHUNK, finKey, FREE_BYTES, type FreeKind, gangKey, groupKey, jobKey, pastKey, readyKey, type RoomRecord, type RoomRow, RUNNING_BYTES, tenth, writeFin, writePast } from "../storage/records.js";
+import { finBlock, finKey, gangKey, groupKey, inBlock, jobKey, pastKey, readyKey, type RoomRecord, type Want, writeFin, writePast } from "../storage/records.js";
 import { type CommitEnd, type Context, DRIFT } from "./context.js";
 import { type Answer, Urgent } from "./effects.js";
 import { Fleet } from "./fleet.js";
 import type { JobView } from "./mirror.js";
 import type { Cause, JobSpec, Order, Report, ReportedTask } from "./model.js";
 import { taskKey } from "./model.js";
-import { allowedOn, type Amounts, EPS, fitCount, Misfits, suits, zoneCap } from "./placement.js";
+import { allowedOn, type Amounts, fitCount, Misfits, suits, zoneCap } from "./placement.js";
 import { inParts, partStep } from "./parts.js";
 import { Moves } from "./moves.js";
 import { Preemption } from "./preemption.js";
 import { isLate, isShort, Round } from "./queues.js";
 import { Ledger, type Use } from "./ledger.js";
 import { RangeSet } from "./ranges.js";
+import { Room } from "./room.js";
 import { Sharing } from "./sharing.js";
 import { Roster } from "./roster.js";
-import { queueOf } from "./splitter.js";
 import { freeOn, type JobRun, newJobRun, runKey, take, type TaskRun, type Worker } from "./tasks.js";
 
 /** Attempts of one token: with a token below 2^33 they stay below 2^53. */
 const ATTEMPTS = 2 ** 20;
 const LEASE_SLACK_MS = 1_000;
-/** The room is written at most this often. */
-const ROOM_MS = 700;
 /**
  * Placing passes follow each other no faster than this, and what only time can change (back-offs, machines to
  * avoid, urgent work that waited) is looked at this often: reports come by the hundred a second on large groups.
@@ -45,6 +43,7 @@
   private readonly sharing: Sharing;
   private readonly moves: Moves;
   private readonly preemption: Preemption;
+  private readonly writtenRoom: Room;
   private attempts = 0;
   private readonly turn = { sinceLong: 0 };
   /** Machines of the former master that have not reported under this token; null: all accounted for. */
@@ -57,9 +56,6 @@
   /** Placing passes made: tests see by it that reports alone cause none. */
   passes = 0;
   private readonly dirtyWorkers = new Set<Worker>();
-  private lastRoomMs = -Infinity;
-  private lastRoom = "";
-  private roomBusy = false;
 
   constructor(
     private readonly ctx: Context,
@@ -71,7 +67,7 @@
     this.roster = new Roster(
       ctx,
       group,
-      (key, value, done) => this.commit([], [{ op: "put", key, value }], Urgent.Master, done),
+      (conditions, writes, done) => this.commit(conditions, writes, Urgent.Master, done),
       () => {
         this.dirtyPlace = true;
       },
@@ -80,6 +76,7 @@
     this.sharing = new Sharing(ctx, this);
     this.moves = new Moves(ctx, this);
     this.preemption = new Preemption(ctx, this);
+    this.writtenRoom = new Room(ctx, this);
     // Invariant (rules ran_twice, quota, wrong_place): whatever a former master may have started counts as
     // running until every machine it could have used has spoken under this token or is past its lease.
     this.fence = new Set(this.roster.machines().keys());
@@ -93,7 +90,7 @@
   // ---- commits -------------------------------------------------------------------------------------------
 
   /** Every commit of a master depends on its token, so that a late one changes nothing after a takeover. */
-  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd) => void): void {
+  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd, epoch: number) => void): void {
     this.ctx.commit([{ key: groupKey(this.group), version: this.token }, ...conditions], writes, urgent, done);
   }
 
@@ -200,13 +197,13 @@
     fresh.removeAll(job.written);
     const first = fresh.first();
     if (first === undefined) return;
-    const chunk = Math.floor(first / FIN_CHUNK);
-    const covered = job.finished.slice(chunk * FIN_CHUNK, (chunk + 1) * FIN_CHUNK - 1);
+    const block = finBlock(first);
+    const covered = inBlock(job.finished, block);
     job.writing = true;
     this.commit(
       // Without the job's record the ranges would be left behind by a job that is over.
       [{ key: jobKey(job.id), version: job.view.version }],
-      [{ op: "put", key: finKey(job.id, this.group, chunk), value: writeFin(covered, chunk) }],
+      [{ op: "put", key: finKey(job.id, this.group, block), value: writeFin(covered) }],
       Urgent.Master,
       (end) => {
         job.writing = false;
@@ -620,9 +617,9 @@
     const round = new Round(
       ready.map((j) => ({
         spec: j.view.spec,
-        acceptedAt: j.view.acceptedAt,
+        standing: j.view,
         tasks: j.waiting.size,
-        late: isLate(j.view.spec, j.view.acceptedAt, this.ctx.wallMs, this.ctx.settings.objectives),
+        late: isLate(j.view.spec, j.view, this.ctx.wallMs, this.ctx.settings.objectives),
         job: j,
       })),
       this.ctx.tuning,
@@ -671,7 +668,7 @@
     if (chosen.length === 0 || (gang && chosen.length < want)) {
       // Holding freed room: what a waiting gang could use already is not given to those behind it. Not at once: a
       // large gang that holds machines idle keeps many small ones waiting, and most of them are done before it starts.
-      if (gang && want > 1 && this.ctx.wallMs - job.view.acceptedAt > this.ctx.tuning.holdAfterS * 1000) this.hold(chosen, spec, free);
+      if (gang && want > 1 && this.ctx.wallMs - job.view.readyAt > this.ctx.tuning.holdAfterS * 1000) this.hold(chosen, spec, free);
       return null;
     }
     const attempt = inParts(spec, job.view.split.size) ? this.partAttempt(job) : this.token * ATTEMPTS + ++this.attempts;
@@ -805,51 +802,15 @@
   }
 
   room(): RoomRecord {
-    const rows = new Map<string, RoomRow>();
-    // A record must fit a value: a good third of it each for room and for running counts.
-    const bytes = this.ctx.settings.state.valueBytes * 0.35;
-    const most = Math.floor(bytes / FREE_BYTES);
-    const kinds = new Map<string, FreeKind>();
-    const { usable, reserved } = this.usableWorkers();
-    for (const w of usable) {
-      const key = `${w.typeName}/${w.zone}/${w.spot}`;
-      let row = rows.get(key);
-      if (!row) rows.set(key, (row = { type: w.typeName, zone: w.zone, spot: w.spot, machines: 0, free: [], reserved: [] }));
-      row.machines++;
-      const f = freeOn(w);
-      // What is held for a job is not there for others.
-      if ((f.cpus <= EPS && f.gpus <= EPS) || this.holding.has(w) || (w.heldFor && this.ctx.nowMs < w.heldFor.untilMs)) continue;
-      const kind: [number, number, number] = [tenth(f.cpus), tenth(f.gpus), tenth(f.memGb)];
-      const key2 = `${key}/${kind.join("/")}/${reserved.has(w.id)}`;
-      const same = kinds.get(key2);
-      if (same) same[3]++;
-      else if (kinds.size < most) {
-        const entry: FreeKind = [...kind, 1];
-        kinds.set(key2, entry);
-        (reserved.has(w.id) ? row.reserved : row.free).push(entry);
-      }
-    }
-    const queue = { plain: 0, accelerated: 0 };
-    const running = new Map<string, number>();
-    for (const j of this.jobs.values()) {
-      queue[queueOf(j.view.spec)] += j.waiting.size;
-      const n = this.runningOf(j.id);
-      if (n > 0 && running.size < bytes / RUNNING_BYTES) running.set(j.id, n);
-    }
-    return { rows: [...rows.values()], queue, running, soldOut: this.fleet.renting.soldOut(), left: this.fleet.renting.left(), wants: this.sharing.wants() };
+    return this.writtenRoom.now();
   }
-
-  writeRoomIf(write: (r: RoomRecord) => object, key: string): void {
-    if (this.roomBusy || this.ctx.nowMs - this.lastRoomMs < ROOM_MS) return;
-    const value = write(this.room());
-    const text = JSON.stringify(value);
-    if (text === this.lastRoom) return;
-    this.lastRoomMs = this.ctx.nowMs;
-    this.roomBusy = true;
-    this.commit([], [{ op: "put", key, value }], Urgent.Spare, (end) => {
-      this.roomBusy = false;
-      if (end === "ok") this.lastRoom = text;
-    });
+  /** What is held for a job is not there for others. */
+  isHeld(w: Worker): boolean {
+    return this.holding.has(w) || (w.heldFor !== null && this.ctx.nowMs < w.heldFor.untilMs);
+  }
+  /** By team: how much more of its limit this group could use. */
+  wants(): Map<string, Want> {
+    return this.sharing.wants();
   }
 
   // ---- time ----------------------------------------------------------------------------------------------
@@ -880,6 +841,7 @@
       this.moves.tick();
       this.sharing.tick();
       this.fleet.tick();
+      this.writtenRoom.writeIfChanged();
     }
   }
 
--- a/src/coordination/mirror.ts
+++ b/src/coordination/mirror.ts
@@ -19,15 +19,17 @@
   type RosterEntry,
   type Shares,
 } from "../storage/records.js";
-import type { JobSpec } from "./model.js";
+import type { JobSpec, Standing } from "./model.js";
 import { type GangView, NO_GANG } from "./parts.js";
 import { RangeSet } from "./ranges.js";
 
-export interface JobView {
+export interface JobView extends Standing {
   id: string;
   spec: JobSpec;
-  acceptedAt: number;
   split: Map<string, RangeSet>;
+  /** Jobs that it waits for, as its record names them; empty once it may start. */
+  awaits: readonly string[];
+  releasedAt: number | null;
   version: number;
 }
 
@@ -35,11 +37,15 @@
 export type Seen =
   | { kind: "job"; job: JobView; fresh: boolean }
   | { kind: "jobGone"; id: string }
+  | { kind: "past"; id: string; past: PastRecord }
   | { kind: "group" | "claim"; group: string }
   | { kind: "fin"; id: string }
   | { kind: "room"; group: string }
   | { kind: "quota" };
 
+/** When its own deadline is, as time of day. */
+export const ownDueAt = (spec: JobSpec, acceptedAt: number): number => (spec.deadlineS === null ? Infinity : acceptedAt + spec.deadlineS * 1000);
+
 const PAST_KEPT = 5_000;
 
 /**
@@ -75,6 +81,10 @@
   sideKeys(id: string): string[] {
     return [...(this.sides.get(id) ?? [])];
   }
+  /** Revision of a key's last change, as far as seen; 0: it does not exist. */
+  versionOf(key: string): number {
+    return this.versions.get(key) ?? 0;
+  }
   /** Jobs that are over but left such records behind. */
   leftovers(): string[] {
     const out: string[] = [];
@@ -120,8 +130,9 @@
     if (!k) return [];
     if (k.kind === "past") {
       const p = readPast(value);
-      if (p) this.keepPast(k.id, p);
-      return [];
+      if (!p) return [];
+      this.keepPast(k.id, p);
+      return [{ kind: "past", id: k.id, past: p }];
     }
     // A change that this copy has passed already (two reads may overlap) says nothing new.
     if (version <= (this.versions.get(key) ?? 0) || (version <= this.epoch && this.ready)) return [];
@@ -188,10 +199,15 @@
         const old = this.jobs.get(k.id);
         if (old) {
           old.split = r.split;
+          old.awaits = r.awaits;
+          // An earlier version that moves tasks leaves the time of release out.
+          old.releasedAt = r.releasedAt ?? old.releasedAt;
+          old.readyAt = old.releasedAt ?? old.acceptedAt;
           old.version = version;
           return [{ kind: "job", job: old, fresh: false }];
         }
-        const job: JobView = { id: k.id, spec: r.spec, acceptedAt: r.acceptedAt, split: r.split, version };
+        const { spec, ...rest } = r;
+        const job: JobView = { id: k.id, spec, ...rest, readyAt: r.releasedAt ?? r.acceptedAt, urgency: spec.urgency, dueAt: ownDueAt(spec, r.acceptedAt), version };
         this.jobs.set(k.id, job);
         return [{ kind: "job", job, fresh: true }];
       }
--- a/src/coordination/model.ts
+++ b/src/coordination/model.ts
@@ -112,5 +112,17 @@
   directOrders: boolean;
 }
 
+/** What counts of a waiting job beside its own description; for a job that others need, theirs count as well. */
+export interface Standing {
+  /** Time of day when it was accepted. Deadlines count from here. */
+  acceptedAt: number;
+  /** Time of day when it could start: all other times count from here. */
+  readyAt: number;
+  /** Its own urgency, or that of the most urgent job that needs it. */
+  urgency: Urgency;
+  /** Time of day by which it should be done, so that what needs it can be in time too; Infinity: no deadline. */
+  dueAt: number;
+}
+
 /** `req-000412` and 3 make `req-000412/3`. */
 export const taskKey = (job: string, index: number): string => `${job}/${index}`;
--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -1,4 +1,4 @@
-import { jobKey, writeJob } from "../storage/records.js";
+import { bytesOf, jobKey, writeJob } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import { Handover } from "./handover.js";
@@ -79,7 +79,9 @@
     const theirs = split.get(to) ?? RangeSet.empty();
     theirs.addAll(tasks);
     split.set(to, theirs);
-    const value = writeJob({ spec: job.view.spec, acceptedAt: job.view.acceptedAt, split });
+    const value = writeJob({ ...job.view, split });
+    // A record in too many pieces would be refused for ever.
+    if (bytesOf(value) > this.ctx.settings.state.valueBytes) return;
     job.moving = { tasks, change: new Handover(job.view.version, value) };
     job.waiting.removeAll(tasks);
     this.ctx.log("info", "moving waiting tasks to an idle group", { job: job.id, tasks: tasks.size, to });
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -19,7 +19,7 @@
     const other = t.job.view.spec;
     // A gang that loses one task loses all: only single ones are stopped.
     if (t.stop || t.phase === "saving" || (other.shape === "ensemble" && other.tasks > 1)) return false;
-    if (URGENCIES.indexOf(spec.urgency) > URGENCIES.indexOf(other.urgency)) return true;
+    if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(t.job.view.urgency)) return true;
     if (other.team === spec.team) return false;
     const n = this.ctx.groups.names.length;
     const within = (name: string, need: { cpus: number; gpus: number }): boolean => {
--- a/src/coordination/queues.ts
+++ b/src/coordination/queues.ts
@@ -1,9 +1,9 @@
-import { type JobSpec, type Tuning, URGENCIES } from "./model.js";
+import { type JobSpec, type Standing, type Tuning, URGENCIES } from "./model.js";
 
 /** What the queues need to know of a job that has waiting tasks in this group. */
 export interface Queued {
   spec: JobSpec;
-  acceptedAt: number;
+  standing: Pick<Standing, "urgency" | "readyAt">;
   /** Waiting tasks. */
   tasks: number;
   /** It can't be done any more by the time that is expected of it; others still can. */
@@ -24,23 +24,22 @@
  * that it still waits for: small jobs pass large ones, and nothing waits for ever.
  */
 function before(a: Queued, b: Queued): number {
-  const u = URGENCIES.indexOf(b.spec.urgency) - URGENCIES.indexOf(a.spec.urgency);
+  const u = URGENCIES.indexOf(b.standing.urgency) - URGENCIES.indexOf(a.standing.urgency);
   if (u !== 0) return u;
   if (a.late !== b.late) return a.late ? 1 : -1;
   return turnMs(a) - turnMs(b) || (a.spec.id < b.spec.id ? -1 : 1);
 }
-const turnMs = (q: Queued): number => q.acceptedAt + q.spec.estimateS * q.tasks * 1000;
+const turnMs = (q: Queued): number => q.standing.readyAt + q.spec.estimateS * q.tasks * 1000;
 
 /** Nothing is put back for being late for longer than this. */
 const LATE_FOR_MS = 600_000;
 
-export function isLate(spec: JobSpec, acceptedAt: number, wallMs: number, objectives: readonly { kind: string; class?: string; withinS?: number }[]): boolean {
-  const age = wallMs - acceptedAt;
-  if (age > LATE_FOR_MS) return false;
-  let dueS = spec.deadlineS ?? Infinity;
-  for (const o of objectives) if (o.kind === "finished" && o.class === spec.class && o.withinS !== undefined) dueS = Math.min(dueS, o.withinS);
+export function isLate(spec: JobSpec, standing: Standing, wallMs: number, objectives: readonly { kind: string; class?: string; withinS?: number }[]): boolean {
+  if (wallMs - standing.readyAt > LATE_FOR_MS) return false;
+  let { dueAt } = standing;
+  for (const o of objectives) if (o.kind === "finished" && o.class === spec.class && o.withinS !== undefined) dueAt = Math.min(dueAt, standing.readyAt + o.withinS * 1000);
   // Estimates are often wrong by half: only what half of it can't save is given up.
-  return age > (dueS - spec.estimateS * 0.5) * 1000;
+  return wallMs > dueAt - spec.estimateS * 0.5 * 1000;
 }
 
 /**
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -1,7 +1,7 @@
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import type { Master } from "./master.js";
-import type { JobSpec, MachineType } from "./model.js";
+import type { JobSpec, MachineType, Standing } from "./model.js";
 import { allowedOn, type Amounts, couldRun, fitCount, fits, goesWhole, offer, suits } from "./placement.js";
 import { isShort } from "./queues.js";
 import { queueOf } from "./splitter.js";
@@ -216,7 +216,7 @@
     // What runs now is halfway, on the whole.
     const addDue = (j: JobRun): number => (dueWork[queueOf(j.view.spec)] += (j.waiting.size + j.active.size / 2) * j.view.spec.estimateS);
     for (const j of this.master.jobs.values()) if (j.waiting.isEmpty && j.view.spec.shape === "batch") addDue(j);
-    const due = (j: JobRun): number => j.view.acceptedAt + (j.view.spec.deadlineS ?? 0) * 1000;
+    const due = (j: JobRun): number => (Number.isFinite(j.view.dueAt) ? j.view.dueAt : j.view.readyAt);
     const jobs = [...this.master.jobs.values()].filter((j) => this.master.mayStart(j) && j.errors.size < 3).sort((a, b) => due(a) - due(b));
     for (const j of jobs) {
       const spec = j.view.spec;
@@ -234,18 +234,18 @@
         let lacking = this.fill(spec, n, mine);
         if (spec.shape === "batch" && spec.deadlineS !== null && spec.estimateS > 0)
           lacking = this.inTurns(j, lacking, addDue(j), places.filter((p) => this.serves(spec, p)));
-        this.rentFor(spec, j.view.acceptedAt, lacking, this.zones(), places, left);
+        this.rentFor(spec, j.view, lacking, this.zones(), places, left);
       }
     }
     for (const s of spare) {
       const want = this.fill(s.spec, s.places, places.filter((p) => this.serves(s.spec, p)));
-      this.rentFor(s.spec, 0, want, this.zones(), places, left);
+      this.rentFor(s.spec, null, want, this.zones(), places, left);
     }
   }
 
-  /** Time until the job's deadline, in seconds. */
-  private leftS(spec: JobSpec, acceptedAt: number): number {
-    return spec.deadlineS === null ? Infinity : spec.deadlineS - (this.ctx.wallMs - acceptedAt) / 1000;
+  /** Time until the job's own deadline, in seconds: what others need of it makes it no cheaper to be late. */
+  private leftS(spec: JobSpec, standing: Standing | null): number {
+    return spec.deadlineS === null || !standing ? Infinity : (standing.dueAt - this.ctx.wallMs) / 1000;
   }
 
   /**
@@ -255,7 +255,7 @@
    */
   private inTurns(j: JobRun, lacking: number, due: number, all: readonly Place[]): number {
     const spec = j.view.spec;
-    const leftS = this.leftS(spec, j.view.acceptedAt);
+    const leftS = this.leftS(spec, j.view);
     const slots = all.reduce((n, p) => n + fitCount(spec, this.typeOf(p.type)!), 0);
     const lackS = due - (slots * leftS) / SLOW;
     if (lackS <= 0) return 0;
@@ -299,16 +299,19 @@
       const some = spec.shape !== "ensemble" && (lacking < n || rentable > 0);
       if ((lacking <= rentable || some) && (!best || lacking < best.lacking)) best = { zones: set, places: here, lacking };
     }
-    if (best) this.rentFor(spec, j.view.acceptedAt, this.fill(spec, n, best.places), best.zones, places, left);
+    if (best) this.rentFor(spec, j.view, this.fill(spec, n, best.places), best.zones, places, left);
   }
 
   /** Plans machines for `need` tasks, where a task's place costs least. */
-  private rentFor(spec: JobSpec, acceptedAt: number, need: number, zones: readonly string[], places: Place[], left: ReadonlyMap<string, number>): void {
+  private rentFor(spec: JobSpec, standing: Standing | null, need: number, zones: readonly string[], places: Place[], left: ReadonlyMap<string, number>): void {
     // A job that may use cheap machines waits for one as long as a dearer one would still be in time.
-    const ageS = (this.ctx.wallMs - acceptedAt) / 1000;
-    const leftS = this.leftS(spec, acceptedAt);
+    const leftS = this.leftS(spec, standing);
     const early =
-      spec.spot && spec.deadlineS !== null && ageS < spec.deadlineS * this.ctx.tuning.cheapPatience && leftS > this.readyS(spec) + spec.estimateS * SLOW;
+      spec.spot &&
+      standing !== null &&
+      spec.deadlineS !== null &&
+      this.ctx.wallMs - standing.readyAt < (standing.dueAt - standing.readyAt) * this.ctx.tuning.cheapPatience &&
+      leftS > this.readyS(spec) + spec.estimateS * SLOW;
     // A machine that comes too late for the deadline saves nothing: only a cheap one is worth it.
     const lost = spec.spot && leftS < this.readyS(spec) + spec.estimateS / 2;
     while (need > 0) {
--- /dev/null
+++ b/src/coordination/room.ts
@@ -0,0 +1,82 @@
+import { bytesOf, type FreeKind, roomKey, type RoomRecord, type RoomRow, tenth, writeRoom } from "../storage/records.js";
+import type { Context } from "./context.js";
+import { Urgent } from "./effects.js";
+import type { Master } from "./master.js";
+import { EPS } from "./placement.js";
+import { queueOf } from "./splitter.js";
+import { freeOn } from "./tasks.js";
+
+/** The room is written at most this often. */
+const WRITE_MS = 700;
+
+/** The room and the queues of a group, which splits and moves go by, and the writing of them. */
+export class Room {
+  private writtenMs = -Infinity;
+  private written = "";
+  private busy = false;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly master: Master,
+  ) {}
+
+  /** The room as it is, cut to what fits a value: the smallest kinds of free room, then running counts, go first. */
+  now(): RoomRecord {
+    const rows = new Map<string, RoomRow>();
+    const kinds = new Map<string, { list: FreeKind[]; kind: FreeKind }>();
+    const { usable, reserved } = this.master.usableWorkers();
+    for (const w of usable) {
+      const key = `${w.typeName}/${w.zone}/${w.spot}`;
+      let row = rows.get(key);
+      if (!row) rows.set(key, (row = { type: w.typeName, zone: w.zone, spot: w.spot, machines: 0, free: [], reserved: [] }));
+      row.machines++;
+      const f = freeOn(w);
+      if ((f.cpus <= EPS && f.gpus <= EPS) || this.master.isHeld(w)) continue;
+      const kind: FreeKind = [tenth(f.cpus), tenth(f.gpus), tenth(f.memGb), 1];
+      const name = `${key}/${kind.join("/")}/${reserved.has(w.id)}`;
+      const same = kinds.get(name);
+      if (same) same.kind[3]++;
+      else kinds.set(name, { list: reserved.has(w.id) ? row.reserved : row.free, kind });
+    }
+    const queue = { plain: 0, accelerated: 0 };
+    const running: [string, number][] = [];
+    for (const j of this.master.jobs.values()) {
+      queue[queueOf(j.view.spec)] += j.waiting.size;
+      const n = this.master.runningOf(j.id);
+      if (n > 0) running.push([j.id, n]);
+    }
+    const { renting } = this.master.fleet;
+    const soldOut = renting.soldOut();
+    // Nothing left of what is sold out goes without saying.
+    const left = new Map([...renting.left()].filter(([what, n]) => n > 0 || !soldOut.includes(what)));
+    const record: RoomRecord = { rows: [...rows.values()], queue, running: new Map(), soldOut, left, wants: this.master.wants() };
+    const most = this.ctx.settings.state.valueBytes;
+    // Which offers have little left is a hint; it gives way where a deployment has very many.
+    while (bytesOf(writeRoom(record)) > most && record.left.size > 0) record.left.delete([...record.left.keys()].at(-1)!);
+    while (bytesOf(writeRoom(record)) > most && soldOut.length > 0) soldOut.pop();
+    let bytes = most - bytesOf(writeRoom(record));
+    const fits = (entry: readonly unknown[]): boolean => {
+      const takes = bytesOf(entry) + 1;
+      if (takes > bytes) return false;
+      bytes -= takes;
+      return true;
+    };
+    const size = (k: FreeKind): number => k[3] * (k[0] + 100 * k[1]);
+    for (const { list, kind } of [...kinds.values()].sort((x, y) => size(y.kind) - size(x.kind))) if (fits(kind)) list.push(kind);
+    for (const entry of running) if (fits(entry)) record.running.set(...entry);
+    return record;
+  }
+
+  writeIfChanged(): void {
+    if (this.busy || this.ctx.nowMs - this.writtenMs < WRITE_MS) return;
+    const value = writeRoom(this.now());
+    const text = JSON.stringify(value);
+    if (text === this.written) return;
+    this.writtenMs = this.ctx.nowMs;
+    this.busy = true;
+    this.master.commit([], [{ op: "put", key: roomKey(this.master.group), value }], Urgent.Spare, (end) => {
+      this.busy = false;
+      if (end === "ok") this.written = text;
+    });
+  }
+}
--- a/src/coordination/roster.ts
+++ b/src/coordination/roster.ts
@@ -1,6 +1,10 @@
-import { ROSTER_CHUNK, type RosterEntry, rosterKey, writeRoster } from "../storage/records.js";
+import { bytesOf, type RosterEntry, rosterKey, writeRoster } from "../storage/records.js";
+import type { Condition, Write } from "../protocol/state.js";
 import type { CommitEnd, Context } from "./context.js";
 
+/** Left free in each record, for what a mark or another machine type adds. */
+const SLACK_BYTES = 100;
+
 /**
  * The written list of the machines that a group may have started tasks on. A machine is committed before its
  * first start, so that after a takeover the new master knows whom to wait for; a machine to be returned is
@@ -10,18 +14,23 @@
   private readonly want = new Map<number, Map<string, RosterEntry>>();
   private readonly written = new Map<string, RosterEntry>();
   private readonly dirty = new Set<number>();
+  /** Records between which machines were moved: they are committed together or not at all. */
+  private together: ReadonlySet<number> = new Set();
+  /** Revision of each record after this master's last commit of it. */
+  private readonly versions = new Map<number, number>();
   private busy = false;
   private retryMs = 0;
 
   constructor(
     private readonly ctx: Context,
     private readonly group: string,
-    private readonly commit: (key: string, value: object, done: (end: CommitEnd) => void) => void,
+    private readonly commit: (conditions: Condition[], writes: Write[], done: (end: CommitEnd, epoch: number) => void) => void,
     private readonly changed: () => void,
   ) {
     for (const [chunk, m] of ctx.mirror.rosters.get(group) ?? []) {
       this.want.set(chunk, new Map(m));
       for (const [id, e] of m) this.written.set(id, e);
+      if (!this.fits(m)) this.dirty.add(chunk);
     }
   }
 
@@ -39,14 +48,25 @@
     for (const [chunk, m] of this.want) if (m.has(id)) return chunk;
     return undefined;
   }
-  set(id: string, entry: RosterEntry): void {
-    let chunk = this.chunkOf(id);
-    if (chunk === undefined) {
-      chunk = 0;
-      while ((this.want.get(chunk)?.size ?? 0) >= ROSTER_CHUNK) chunk++;
+  private fits(m: ReadonlyMap<string, RosterEntry>): boolean {
+    return bytesOf(writeRoster(m)) <= this.ctx.settings.state.valueBytes;
+  }
+  /** The first record, from `from` on, that has room for this machine. */
+  private roomy(id: string, entry: RosterEntry, from = 0): number {
+    const most = this.ctx.settings.state.valueBytes - SLACK_BYTES;
+    for (let chunk = from; ; chunk++) {
+      const m = this.want.get(chunk);
+      if (!m) {
+        this.want.set(chunk, new Map());
+        return chunk;
+      }
+      if (bytesOf(writeRoster(new Map(m).set(id, entry))) <= most) return chunk;
     }
-    let m = this.want.get(chunk);
-    if (!m) this.want.set(chunk, (m = new Map()));
+  }
+
+  set(id: string, entry: RosterEntry): void {
+    const chunk = this.chunkOf(id) ?? this.roomy(id, entry);
+    const m = this.want.get(chunk)!;
     const old = m.get(id);
     if (old && old.going === entry.going && old.type === entry.type) return;
     m.set(id, entry);
@@ -64,21 +84,56 @@
     this.flush();
   }
 
+  /**
+   * A record that an earlier version wrote may be larger than what the state service takes by now: repeated whole it
+   * would be refused for ever, and its machines neither marked nor returned. Invariant (ran_twice): at every moment each
+   * machine is in one record, so what moves goes in one transaction with the record that it leaves.
+   */
+  private divide(chunk: number): ReadonlySet<number> {
+    const parts = new Set([chunk]);
+    const from = this.want.get(chunk)!;
+    let last = 0;
+    for (const [id, entry] of [...from].reverse()) {
+      if (this.fits(from)) break;
+      let to = this.roomy(id, entry, last);
+      if (to === chunk) to = this.roomy(id, entry, chunk + 1);
+      if (!parts.has(to) && parts.size >= this.ctx.settings.state.txnOps) break;
+      from.delete(id);
+      this.want.get(to)!.set(id, entry);
+      parts.add(to);
+      last = to;
+    }
+    this.ctx.log("info", "dividing a roster record that became too large", { group: this.group, chunk, parts: [...parts] });
+    return parts;
+  }
+
   flush(): void {
     if (this.busy || this.ctx.nowMs < this.retryMs) return;
-    const chunk = this.dirty.values().next().value;
-    if (chunk === undefined) return;
-    const sent = new Map(this.want.get(chunk));
-    this.dirty.delete(chunk);
+    if (this.together.size === 0) {
+      const chunk = this.dirty.values().next().value;
+      if (chunk === undefined) return;
+      this.together = this.fits(this.want.get(chunk)!) ? new Set([chunk]) : this.divide(chunk);
+    }
+    const sent = new Map([...this.together].map((chunk) => [chunk, new Map(this.want.get(chunk))]));
+    for (const chunk of sent.keys()) this.dirty.delete(chunk);
     this.busy = true;
-    this.commit(rosterKey(this.group, chunk), writeRoster(sent), (end) => {
+    // Conditional on what this master last knew of them: a commit without an answer that is carried out after a later
+    // one would take machines off the list on which tasks run.
+    const conditions = [...sent.keys()].map((chunk) => {
+      const key = rosterKey(this.group, chunk);
+      return { key, version: Math.max(this.versions.get(chunk) ?? 0, this.ctx.mirror.versionOf(key)) };
+    });
+    const writes = [...sent].map(([chunk, m]): Write => ({ op: "put", key: rosterKey(this.group, chunk), value: writeRoster(m) }));
+    this.commit(conditions, writes, (end, epoch) => {
       this.busy = false;
       if (end === "ok") {
-        for (const [id, e] of sent) this.written.set(id, e);
-        for (const id of [...this.written.keys()]) if (this.chunkOf(id) === undefined) this.written.delete(id);
+        this.together = new Set();
+        for (const chunk of sent.keys()) this.versions.set(chunk, epoch);
+        // Taken off since, or listed elsewhere by now: only a commit that names it there counts.
+        for (const [chunk, m] of sent) for (const [id, e] of m) if (this.want.get(chunk)!.has(id)) this.written.set(id, e);
         this.changed();
       } else {
-        this.dirty.add(chunk);
+        for (const chunk of sent.keys()) this.dirty.add(chunk);
         this.retryMs = this.ctx.nowMs + 300;
       }
       this.flush();
--- a/src/coordination/sharing.ts
+++ b/src/coordination/sharing.ts
@@ -39,7 +39,7 @@
       const want = {
         cpus: Math.max(0, u.cpus + spec.cpus * all - share[0]),
         gpus: Math.max(0, u.gpus + spec.gpus * all - share[1]),
-        since: j.view.acceptedAt,
+        since: j.view.readyAt,
       };
       const had = out.get(spec.team);
       if (!had || want.since < had.since) out.set(spec.team, want);
--- a/src/coordination/splitter.ts
+++ b/src/coordination/splitter.ts
@@ -148,7 +148,7 @@
 }
 
 /** A fixed shuffle by job id: equal groups take turns without a source of chance in the core. */
-function turn(id: string, n: number): number {
+export function turn(id: string, n: number): number {
   let h = 2166136261;
   for (const ch of id) h = Math.imul(h ^ ch.charCodeAt(0), 16777619) >>> 0;
   return h % n;
--- a/src/protocol/jobs.ts
+++ b/src/protocol/jobs.ts
@@ -5,6 +5,8 @@
 
 export const JOB_ID = /^req-[0-9]{1,40}$/;
 export const MAX_TASKS = 100_000;
+/** Jobs that one may wait for: their names stand in its record, and each is looked up when it is accepted. */
+export const MAX_AWAITS = 64;
 /** Strings and lists in a job are bounded so that its record always fits a value of the state service. */
 const text = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e12));
@@ -31,6 +33,16 @@
   stashEveryS: v.optional(v.nullable(amount), 0),
   stashS: v.optional(v.nullable(amount), 0),
   dueS: v.optional(v.nullable(amount), null),
+  awaits: v.optional(
+    v.nullable(
+      v.pipe(
+        v.array(v.pipe(v.string(), v.regex(JOB_ID, "must look like req-000412"))),
+        v.transform((ids) => [...new Set(ids)]),
+        v.maxLength(MAX_AWAITS, `at most ${MAX_AWAITS} jobs`),
+      ),
+    ),
+    null,
+  ),
 });
 
 export type Parsed<T> = { ok: true; value: T } | { ok: false; error: string };
@@ -52,7 +64,8 @@
   return { ok: true, value: raw };
 }
 
-export function parseJob(body: string): Parsed<JobSpec> {
+/** `awaits`: the jobs that have to be done before this one starts. */
+export function parseJob(body: string): Parsed<{ spec: JobSpec; awaits: string[] }> {
   const raw = parseObject(body);
   if (!raw.ok) return raw;
   const got = v.safeParse(Job, raw.value);
@@ -61,32 +74,35 @@
   return {
     ok: true,
     value: {
-      id: j.id,
-      class: j.jobclass,
-      team: j.crew,
-      shape: j.shape as Shape,
-      urgency: j.urgency as Urgency,
-      tasks: j.shards,
-      cpus: j.cores,
-      gpus: j.accelerators ?? 0,
-      memGb: j.memoryGb,
-      image: j.bundle ?? "",
-      imageGb: j.sizeGb ?? 0,
-      types: j.hulls,
-      zone: j.yard,
-      samePlace: j.samePlace ?? false,
-      spread: j.spread ?? false,
-      spot: j.loaners ?? false,
-      estimateS: j.reckonS ?? 0,
-      checkpointS: j.stashEveryS ?? 0,
-      saveS: j.stashS ?? 0,
-      deadlineS: j.dueS,
+      awaits: j.awaits ?? [],
+      spec: {
+        id: j.id,
+        class: j.jobclass,
+        team: j.crew,
+        shape: j.shape as Shape,
+        urgency: j.urgency as Urgency,
+        tasks: j.shards,
+        cpus: j.cores,
+        gpus: j.accelerators ?? 0,
+        memGb: j.memoryGb,
+        image: j.bundle ?? "",
+        imageGb: j.sizeGb ?? 0,
+        types: j.hulls,
+        zone: j.yard,
+        samePlace: j.samePlace ?? false,
+        spread: j.spread ?? false,
+        spot: j.loaners ?? false,
+        estimateS: j.reckonS ?? 0,
+        checkpointS: j.stashEveryS ?? 0,
+        saveS: j.stashS ?? 0,
+        deadlineS: j.dueS,
+      },
     },
   };
 }
 
 export type JobStatus = "queued" | "running" | "done" | "cancelled";
 
-export function jobBody(id: string, status: JobStatus, counts?: { done: number; running: number }): object {
-  return counts ? { id, status, done: counts.done, running: counts.running } : { id, status };
+export function jobBody(id: string, status: JobStatus, counts?: { done: number; running: number }, awaits: readonly string[] = []): object {
+  return { id, status, ...counts, ...(awaits.length > 0 ? { awaits } : {}) };
 }
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -3,7 +3,9 @@
 import { RangeSet } from "../coordination/ranges.js";
 
 /**
- * Keys and values in the state service. What is alive lies under `lc/now/`, so a starting controller reads
+ * Keys and values in the state service. Controllers of an earlier version read and write them at the same time: nothing
+ * is written that these can't read, and fields that they don't know are lost when they write a record anew
+ * (docs/design.md, "Old beside new"; test/production holds that version). What is alive lies under `lc/now/`, so a starting controller reads
  * only that; finished jobs move to `lc/past/`, are kept for ever and read one by one. One watch on `lc/`
  * shows both.
  */
@@ -14,7 +16,7 @@
 export const claimKey = (g: string): string => `lc/now/claim/${g}`;
 export const jobKey = (id: string): string => `lc/now/job/${id}`;
 export const pastKey = (id: string): string => `lc/past/${id}`;
-export const finKey = (id: string, g: string, chunk: number): string => `lc/now/fin/${id}/${g}/${chunk}`;
+export const finKey = (id: string, g: string, block: number): string => `lc/now/fin/${id}/${g}/${block}`;
 /** The attempt under which the parts of a gang start, and which group is ready for the next one. */
 export const gangKey = (id: string): string => `lc/now/gang/${id}`;
 export const readyKey = (id: string, g: string): string => `lc/now/ready/${id}/${g}`;
@@ -71,8 +73,12 @@
   spec: JobSpec;
   /** Time of day of acceptance, in ms since the epoch. */
   acceptedAt: number;
-  /** Which group runs which tasks. */
+  /** Which group runs which tasks. Empty while the job waits for others: then no controller has anything to start. */
   split: Map<string, RangeSet>;
+  /** Jobs that were not done yet when it was accepted; empty once it was released. */
+  awaits: readonly string[];
+  /** Time of day when the last of them was found done; null: it never waited, or an earlier version wrote this. */
+  releasedAt: number | null;
 }
 export interface PastRecord {
   status: "done" | "cancelled";
@@ -141,7 +147,13 @@
   saveS: v.number(),
   deadlineS: v.nullable(v.number()),
 });
-const Job = v.object({ spec: Spec, at: v.number(), split: v.array(v.tuple([v.string(), pairs])) });
+const Job = v.object({
+  spec: Spec,
+  at: v.number(),
+  split: v.array(v.tuple([v.string(), pairs])),
+  needs: v.optional(v.array(v.string()), []),
+  rel: v.optional(v.nullable(v.number()), null),
+});
 const Past = v.object({ s: v.picklist(["done", "cancelled"]), n: v.number(), d: v.number() });
 const Fin = v.object({ r: v.optional(pairs), b: v.optional(v.string()) });
 const frees = v.array(v.union([v.tuple([v.number(), v.number(), v.number(), v.number()]), v.tuple([v.number(), v.number(), v.number()])]));
@@ -176,13 +188,17 @@
 export const readClaim = (value: unknown): ClaimRecord | null => read(Claim, value);
 export function readJob(value: unknown): JobRecord | null {
   const o = read(Job, value);
-  return o && { spec: o.spec, acceptedAt: o.at, split: new Map(o.split.map(([g, r]) => [g, RangeSet.of(r)])) };
+  return o && { spec: o.spec, acceptedAt: o.at, split: new Map(o.split.map(([g, r]) => [g, RangeSet.of(r)])), awaits: o.needs, releasedAt: o.rel };
 }
 export const writeJob = (j: JobRecord): object => ({
   spec: j.spec,
   at: j.acceptedAt,
   split: [...j.split].filter(([, r]) => !r.isEmpty).map(([g, r]) => [g, r.pairs()]),
+  ...(j.awaits.length > 0 ? { needs: j.awaits } : {}),
+  ...(j.releasedAt === null ? {} : { rel: j.releasedAt }),
 });
+/** Bytes that a record takes at the state service. */
+export const bytesOf = (value: object): number => Buffer.byteLength(JSON.stringify(value));
 export function readPast(value: unknown): PastRecord | null {
   const o = read(Past, value);
   return o && { status: o.s, tasks: o.n, done: o.d };
@@ -190,27 +206,26 @@
 export const writePast = (p: PastRecord): object => ({ s: p.status, n: p.tasks, d: p.done });
 
 /**
- * Finished tasks of one job and group are kept in chunks of this many task numbers, so that a chunk fits
- * the smallest values: as ranges while these are few, else as a bitmap of at most 2.7 KiB.
+ * Finished tasks of one job and group are kept as ranges in blocks of this many task numbers: however scattered, a block
+ * fits the smallest values. The earlier version kept blocks of 16,384, some as bitmaps, and writes its whole block anew
+ * under its number: these numbers begin where its end, and ranges mean the same to it under any number.
  */
-export const FIN_CHUNK = 16_384;
+export const FIN_BLOCK = 128;
+const FIN_FIRST = 1_000;
+const OLD_FIN_BLOCK = 16_384;
 
-export function writeFin(set: RangeSet, chunk: number): object {
-  const ranges = set.slice(chunk * FIN_CHUNK, (chunk + 1) * FIN_CHUNK - 1).pairs();
-  if (ranges.length <= 150) return { r: ranges };
-  const bits = Buffer.alloc(FIN_CHUNK / 8);
-  for (const [lo, hi] of ranges)
-    for (let i = lo - chunk * FIN_CHUNK; i <= hi - chunk * FIN_CHUNK; i++) bits[i >> 3]! |= 1 << (i & 7);
-  return { b: bits.toString("base64") };
-}
-export function readFin(value: unknown, chunk: number): RangeSet | null {
+export const finBlock = (task: number): number => FIN_FIRST + Math.floor(task / FIN_BLOCK);
+/** The members of a set that belong into a block. */
+export const inBlock = (set: RangeSet, block: number): RangeSet => set.slice((block - FIN_FIRST) * FIN_BLOCK, (block - FIN_FIRST + 1) * FIN_BLOCK - 1);
+export const writeFin = (set: RangeSet): object => ({ r: set.pairs() });
+export function readFin(value: unknown, block: number): RangeSet | null {
   const o = read(Fin, value);
   if (!o) return null;
   if (o.r) return RangeSet.of(o.r);
   const bits = Buffer.from(o.b ?? "", "base64");
   const set = RangeSet.empty();
-  for (let i = 0; i < Math.min(bits.length * 8, FIN_CHUNK); i++)
-    if (bits[i >> 3]! & (1 << (i & 7))) set.add(chunk * FIN_CHUNK + i);
+  for (let i = 0; i < Math.min(bits.length * 8, OLD_FIN_BLOCK); i++)
+    if (bits[i >> 3]! & (1 << (i & 7))) set.add(block * OLD_FIN_BLOCK + i);
   return set;
 }
 
@@ -233,9 +248,6 @@
 }
 /** Room is written in tenths, rounded down. */
 export const tenth = (x: number): number => Math.floor(x * 10 + 1e-6) / 10;
-/** Bytes that one kind of free room, and one job's running count, take at most in a written room. */
-export const FREE_BYTES = 28;
-export const RUNNING_BYTES = 24;
 export const writeRoom = (r: RoomRecord): object => ({
   rows: r.rows.map((x) => ({
     t: x.type,
@@ -252,8 +264,6 @@
   want: [...r.wants].map(([t, w]) => [t, w.cpus, w.gpus, w.since]),
 });
 
-/** Machines in one roster record: some 20 bytes each, so that a record stays below 8 KiB. */
-export const ROSTER_CHUNK = 200;
 export function readRoster(value: unknown): Map<string, RosterEntry> | null {
   const o = read(Roster, value);
   return o && new Map(o.m.map(([id, type, going]) => [id, { going: going === 1, type: o.t[type] ?? "" }]));
--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -19,10 +19,14 @@
   malformed(what: string, error: string): void;
 }
 
+const bad = (error: string): Response => Response.json({ error }, { status: 400 });
+
 export function toHttp(a: Answer): Response {
   switch (a.is) {
     case "job":
-      return Response.json(jobBody(a.id, a.state, a.done === undefined ? undefined : { done: a.done, running: a.running ?? 0 }), { status: a.status });
+      return Response.json(jobBody(a.id, a.state, a.done === undefined ? undefined : { done: a.done, running: a.running ?? 0 }, a.awaits), { status: a.status });
+    case "tooLong":
+      return bad(a.error);
     case "never":
       return Response.json({ error: a.error }, { status: 422 });
     case "unknownJob":
@@ -38,8 +42,6 @@
   }
 }
 
-const bad = (error: string): Response => Response.json({ error }, { status: 400 });
-
 /** Users', workers' and health-check requests. */
 export function api(core: Asked): Hono {
   const app = new Hono();
@@ -47,7 +49,7 @@
   app.get("/ready", () => Response.json({ ready: core.ready() }, { status: core.ready() ? 200 : 503 }));
   app.post("/v1/jobs", limit, async (c) => {
     const job = parseJob(await c.req.text());
-    return job.ok ? toHttp(await core.ask((req) => ({ is: "submit", req, spec: job.value }))) : bad(job.error);
+    return job.ok ? toHttp(await core.ask((req) => ({ is: "submit", req, ...job.value }))) : bad(job.error);
   });
   app.get("/v1/jobs/:id", async (c) => {
     const id = c.req.param("id");
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -12,7 +12,7 @@
 import { encode, encodeReply, decodeReply, Frame, FrameReader, MAX_FRAME } from "../src/protocol/frames.js";
 import { parseJob } from "../src/protocol/jobs.js";
 import { parseReport } from "../src/protocol/workers.js";
-import { FIN_CHUNK, readFin, readJob, writeFin, writeJob } from "../src/storage/records.js";
+import { FIN_BLOCK, finBlock, inBlock, readFin, readJob, writeFin, writeJob } from "../src/storage/records.js";
 import { Rng } from "./sim/world.js";
 
 const JOB = {
@@ -22,7 +22,7 @@
 const SPEC = (over: Partial<JobSpec> = {}): JobSpec => {
   const p = parseJob(JSON.stringify(JOB));
   assert.ok(p.ok);
-  return { ...p.value, ...over };
+  return { ...p.value.spec, ...over };
 };
 
 test("range sets agree with plain sets", () => {
@@ -53,17 +53,19 @@
   const set = RangeSet.empty();
   for (let i = 0; i < 100_000; i += 2) set.add(i);
   const back = RangeSet.empty();
-  for (let c = 0; c * FIN_CHUNK < 100_000; c++) {
-    const text = JSON.stringify(writeFin(set, c));
-    assert.ok(text.length < 4_096, `${text.length}`);
-    back.addAll(readFin(JSON.parse(text), c)!);
+  for (let task = 0; task < 100_000; task += FIN_BLOCK) {
+    const block = finBlock(task);
+    const text = JSON.stringify(writeFin(inBlock(set, block)));
+    assert.ok(text.length <= 1_024, `${text.length}`);
+    back.addAll(readFin(JSON.parse(text), block)!);
   }
   assert.deepEqual(back.pairs(), set.pairs());
 });
 
 test("a job's record comes back as it was", () => {
-  const job = { spec: SPEC(), acceptedAt: 17, split: new Map([["a", RangeSet.upTo(16)]]) };
-  assert.deepEqual(readJob(JSON.parse(JSON.stringify(writeJob(job)))), job);
+  const job = { spec: SPEC(), acceptedAt: 17, split: new Map([["a", RangeSet.upTo(16)]]), awaits: [], releasedAt: 40 };
+  const waiting = { ...job, split: new Map(), awaits: ["req-1", "req-2"], releasedAt: null };
+  for (const j of [job, waiting]) assert.deepEqual(readJob(JSON.parse(JSON.stringify(writeJob(j)))), j);
 });
 
 test("jobs: what is missing, ill-typed or out of range is refused, unknown fields are not", () => {
@@ -71,11 +73,17 @@
   const bad: [string, unknown][] = [
     ["id", "req-"], ["id", "job-1"], ["id", 5], ["shards", 0], ["shards", 100_001], ["shards", 1.5], ["cores", -1], ["cores", "2"], ["memoryGb", null],
     ["shape", "heap"], ["urgency", "low"], ["crew", undefined], ["hulls", []], ["hulls", "g8"], ["samePlace", 1], ["dueS", -3],
+    ["awaits", "req-1"], ["awaits", {}], ["awaits", [5]], ["awaits", ["job-1"]], ["awaits", Array.from({ length: 65 }, (_, i) => `req-${i}`)],
   ];
   for (const [field, value] of bad) {
     const got = parseJob(JSON.stringify({ ...JOB, [field]: value }));
     assert.ok(!got.ok && got.error.startsWith(field), `${field}=${String(value)}: ${JSON.stringify(got)}`);
   }
+  const awaits = (list: unknown): unknown => {
+    const got = parseJob(JSON.stringify({ ...JOB, awaits: list }));
+    return got.ok ? got.value.awaits : got.error;
+  };
+  assert.deepEqual([awaits(null), awaits(undefined), awaits([]), awaits(["req-2", "req-1", "req-2"])], [[], [], [], ["req-2", "req-1"]]);
   for (const text of ["", "[]", "null", "3", "{", '{"id":1e999}']) assert.ok(!parseJob(text).ok, text);
 });
 
@@ -111,7 +119,7 @@
   assert.equal(new FrameReader().push(Buffer.from("GET / HTTP/1.1\r\n")), null, "not ours");
 });
 
-const queued = (id: string, estimateS: number, acceptedAt: number) => ({ spec: SPEC({ id, estimateS, urgency: "normal" }), acceptedAt, tasks: 1, late: false });
+const queued = (id: string, estimateS: number, acceptedAt: number) => ({ spec: SPEC({ id, estimateS }), standing: { urgency: "normal" as const, readyAt: acceptedAt }, tasks: 1, late: false });
 
 test("of every W tasks one comes from a waiting long queue, and only the head that was served is skipped", () => {
   const round = new Round([queued("req-1", 10, 1), queued("req-2", 10, 2), queued("req-3", 900, 0)], { ...DEFAULTS, longEvery: 3 }, { sinceLong: 0 });
--- /dev/null
+++ b/test/production/coordination/context.ts
@@ -0,0 +1,33 @@
+import type { Settings } from "../../../src/config/settings.js";
+import type { Condition, Write } from "../../../src/protocol/state.js";
+import type { CloudCall, CloudReply, CommandReply, Level, Urgent } from "./effects.js";
+import type { Groups } from "./groups.js";
+import type { Handed } from "./splitter.js";
+import type { Mirror } from "./mirror.js";
+import type { JobSpec, MachineType, Order, Tuning } from "./model.js";
+
+/** How a commit ended. `unknown`: it may have been carried out, or may yet be. */
+export type CommitEnd = "ok" | "conflict" | "refused" | "unknown";
+
+/** What the parts of the core share; the controller provides it and sets the times before each step. */
+export interface Context {
+  readonly settings: Settings;
+  readonly tuning: Tuning;
+  readonly groups: Groups;
+  readonly mirror: Mirror;
+  catalog: MachineType[] | null;
+  /** Steady time of this step. */
+  nowMs: number;
+  /** Time of day of this step, in ms since the epoch. */
+  wallMs: number;
+  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd) => void): void;
+  cloud(call: CloudCall, urgent: Urgent, done: (reply: CloudReply) => void): void;
+  command(address: string, token: number, session: number, orders: Order[], done: (reply: CommandReply) => void): void;
+  /** Handed to each group, by splits and moves, since it last wrote its room. */
+  readonly handed: ReadonlyMap<string, readonly Handed[]>;
+  noteHanded(group: string, spec: JobSpec, tasks: number): void;
+  log(level: Level, msg: string, fields?: Record<string, unknown>): void;
+}
+
+/** Steady clocks of different machines may drift apart by 0.05%; waiting for another's clock takes this factor. */
+export const DRIFT = 1.0015;
--- /dev/null
+++ b/test/production/coordination/fleet.ts
@@ -0,0 +1,254 @@
+import type { Context } from "./context.js";
+import { Urgent } from "./effects.js";
+import type { Master } from "./master.js";
+import type { JobSpec, ListedMachine, MachineType } from "./model.js";
+import { allowedOn, fits, suits } from "./placement.js";
+import { Renting } from "./renting.js";
+import { graceOf, type Worker } from "./tasks.js";
+
+const WARM_PERIODS = 6;
+
+/** The machines of one group: rents what waiting work needs and gives back what nothing needs. */
+export class Fleet {
+  /** Machines to give back. `marked`: the roster says so. */
+  private readonly going = new Map<string, { why: string; retryMs: number; sent: boolean }>();
+  readonly renting: Renting;
+  private listed = new Map<string, ListedMachine & { seenMs: number }>();
+  private listAfter = "";
+  private listing: Map<string, ListedMachine & { seenMs: number }> | null = null;
+  private nextListMs = 0;
+  /** Machines that were given back: a lagging list may show them for a while. */
+  private readonly goneMs = new Map<string, number>();
+  /** Machines of each type in use at once, the most in each of the last periods. */
+  private readonly peaks = new Map<string, number[]>();
+  private peakMs: number;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly master: Master,
+  ) {
+    this.peakMs = ctx.nowMs;
+    this.renting = new Renting(ctx, master, () => this.zones());
+  }
+
+  cameUp(w: Worker): void {
+    // Found running, not rented by this master: somebody had a use for it.
+    if (!this.renting.booting.delete(w.id)) this.notePeak(w.typeName, this.count(w.typeName));
+    if (w.going) this.giveUp(w, "marked for return by a former master");
+  }
+
+  private typeOf(name: string): MachineType | undefined {
+    return this.ctx.catalog?.find((t) => t.name === name);
+  }
+  private zones(): string[] {
+    const zones = new Set<string>();
+    for (const t of this.ctx.catalog ?? []) for (const z of t.zones) if (this.ctx.groups.of(z) === this.master.group) zones.add(z);
+    return [...zones].sort();
+  }
+
+  // ---- giving back ---------------------------------------------------------------------------------------
+
+  giveUp(w: Worker, why: string): void {
+    w.going = true;
+    this.giveBack(w.id, w.typeName, why);
+  }
+
+  giveBack(id: string, type: string, why: string): void {
+    if (this.going.has(id)) return;
+    this.ctx.log("info", "giving machine back", { worker: id, type, why });
+    this.going.set(id, { why, retryMs: 0, sent: false });
+    this.renting.booting.delete(id);
+    // Marked before the request can leave: a return that is carried out late must find the machine unused.
+    this.master.roster.set(id, { going: true, type });
+  }
+
+  private sendReturns(): void {
+    const now = this.ctx.nowMs;
+    const ids: string[] = [];
+    for (const [id, g] of this.going) {
+      if (g.sent || now < g.retryMs || ids.length >= 100 || !this.master.roster.goingWritten(id)) continue;
+      const w = this.master.workers.get(id);
+      // Its tasks get the time to save; whoever can't is stopped at once.
+      if (w && !w.lost && w.tasks.size > 0) {
+        for (const t of w.tasks.values()) this.master.stop(t, graceOf(t), "machine goes back");
+        continue;
+      }
+      ids.push(id);
+      g.sent = true;
+    }
+    if (ids.length === 0) return;
+    this.ctx.cloud({ op: "return", machines: ids }, Urgent.Spare, (reply) => {
+      if (reply.is === "returned") {
+        for (const id of ids) this.going.delete(id);
+        for (const id of ids) {
+          this.listed.delete(id);
+          this.goneMs.set(id, this.ctx.nowMs);
+        }
+        this.master.machinesGone(ids);
+        return;
+      }
+      for (const id of ids) {
+        const g = this.going.get(id);
+        if (g) {
+          g.sent = false;
+          g.retryMs = this.ctx.nowMs + 2_000;
+        }
+      }
+    });
+  }
+
+  // ---- how many to keep ----------------------------------------------------------------------------------
+
+  private count(type: string): number {
+    let n = 0;
+    for (const w of this.master.workers.values()) if (w.typeName === type && !w.lost && !w.going) n++;
+    return n;
+  }
+  private notePeak(type: string, n: number): void {
+    let p = this.peaks.get(type);
+    if (!p) this.peaks.set(type, (p = Array.from({ length: WARM_PERIODS }, () => 0)));
+    p[0] = Math.max(p[0]!, n);
+  }
+  private peakOf(type: string): number {
+    return Math.max(0, ...(this.peaks.get(type) ?? []));
+  }
+  /** Machines of a type to have free beyond those in use, for the next job that is expected to start at once. */
+  private spareFor(type: string): number {
+    return Math.ceil(this.peakOf(type) * this.ctx.tuning.spareShare);
+  }
+  private notePeaks(): void {
+    const periodMs = (this.ctx.tuning.warmWindowS * 1000) / WARM_PERIODS;
+    if (this.ctx.nowMs - this.peakMs > periodMs) {
+      this.peakMs = this.ctx.nowMs;
+      for (const p of this.peaks.values()) {
+        p.pop();
+        p.unshift(0);
+      }
+    }
+    const busy = new Map<string, number>();
+    for (const w of this.master.workers.values()) if (w.tasks.size > 0) busy.set(w.typeName, (busy.get(w.typeName) ?? 0) + 1);
+    for (const [type, n] of busy) this.notePeak(type, n);
+  }
+
+  /**
+   * Idle machines are justified in two ways: by the most that were in use at once of late, where some class is
+   * expected to start sooner than such a machine boots; else for as long as booting another would take.
+   */
+  private returnIdle(): void {
+    const now = this.ctx.nowMs;
+    const spare = new Map<string, number>();
+    const idle = [...this.master.workers.values()].filter((w) => !w.going && !w.lost && w.idleSinceMs !== null).sort((a, b) => a.idleSinceMs! - b.idleSinceMs!);
+    for (const w of idle) {
+      const boot = this.typeOf(w.typeName)?.bootS ?? 60;
+      if (now - w.idleSinceMs! < Math.max(this.ctx.tuning.idleReturnS, boot * this.ctx.tuning.idleBoots) * 1000 || this.wanted(w)) continue;
+      if (this.ctx.settings.objectives.some((o) => o.kind === "wait" && (o.withinS ?? Infinity) < boot && this.serves(o.class, w))) {
+        const left = spare.get(w.typeName) ?? this.count(w.typeName) - this.peakOf(w.typeName) - this.spareFor(w.typeName);
+        spare.set(w.typeName, left - 1);
+        if (left <= 0) continue;
+      }
+      this.giveUp(w, "idle");
+    }
+    for (const w of this.master.workers.values())
+      if (!w.going && w.lost && now - w.answeredMs > this.ctx.tuning.silentReturnS * 1000) this.giveUp(w, "silent for too long");
+    for (const [id, b] of this.renting.booting) {
+      const usual = (this.typeOf(b.type)?.bootS ?? 60) * 1000;
+      if (now - b.rentedMs > usual * this.ctx.tuning.bootPatience + 5_000) this.giveBack(id, b.type, "never came up");
+    }
+  }
+
+  /** Jobs of this class have run on such machines, or could. */
+  private readonly classNeeds = new Map<string, JobSpec>();
+  noteJob(spec: JobSpec): void {
+    if (this.classNeeds.size < 200) this.classNeeds.set(spec.class, spec);
+  }
+  private serves(cls: string | undefined, w: Worker): boolean {
+    const s = cls === undefined ? undefined : this.classNeeds.get(cls);
+    return s !== undefined && w.type !== null && allowedOn({ ...s, zone: null }, w.typeName, w.zone, w.spot) && fits(s, w.type) && (s.gpus > 0) === w.type.gpus > 0;
+  }
+
+  /** Some waiting task could use it. */
+  private wanted(w: Worker): boolean {
+    for (const j of this.master.jobs.values()) {
+      const s = j.view.spec;
+      if (!j.waiting.isEmpty && allowedOn(s, w.typeName, w.zone, w.spot) && w.type && fits(s, w.type) && suits(s, w.type, w.spot, this.ctx.catalog)) return true;
+    }
+    return false;
+  }
+
+  // ---- the list ------------------------------------------------------------------------------------------
+
+  private pollList(): void {
+    const now = this.ctx.nowMs;
+    if (now < this.nextListMs) return;
+    this.nextListMs = now + 60_000;
+    this.listing ??= new Map();
+    const listing = this.listing;
+    this.ctx.cloud({ op: "list", after: this.listAfter }, Urgent.Spare, (reply) => {
+      if (reply.is !== "list") {
+        this.nextListMs = this.ctx.nowMs + 5_000;
+        return;
+      }
+      for (const m of reply.machines) if (this.ctx.groups.of(m.zone) === this.master.group) listing.set(m.id, { ...m, seenMs: this.ctx.nowMs });
+      const last = reply.machines.at(-1);
+      if (reply.more && last) {
+        this.listAfter = last.id;
+        this.nextListMs = this.ctx.nowMs + 500;
+        return;
+      }
+      this.listAfter = "";
+      this.listing = null;
+      this.listed = listing;
+      this.nextListMs = this.ctx.nowMs + Math.max(8_000, this.ctx.settings.cloud.listLagS * 1000);
+      this.readList();
+    });
+  }
+
+  private readList(): void {
+    const now = this.ctx.nowMs;
+    const lagMs = this.ctx.settings.cloud.listLagS * 2_000;
+    for (const m of this.listed.values()) {
+      if (this.going.has(m.id) || this.goneMs.has(m.id)) continue;
+      if (m.state === "failed") {
+        this.giveBack(m.id, m.type, "failed");
+        continue;
+      }
+      if (this.master.workers.has(m.id)) continue;
+      const known = this.renting.booting.get(m.id);
+      // A rental of a former master, or one carried out late: used like any other once it comes up.
+      // One that runs already may be cut off: it has as long as a new one to make itself heard.
+      if (!known) this.renting.booting.set(m.id, { type: m.type, zone: m.zone, spot: m.spot, rentedMs: m.state === "starting" ? now - m.ageS * 1000 : now });
+    }
+    for (const [id, at] of this.goneMs) if (now - at > 2 * lagMs + 60_000) this.goneMs.delete(id);
+    for (const [id, b] of this.renting.booting)
+      if (!this.listed.has(id) && now - b.rentedMs > lagMs + 30_000) this.renting.booting.delete(id);
+    for (const w of this.master.workers.values()) {
+      // Taken by the cloud: neither heard of nor listed.
+      if (w.lost && !w.going && !this.listed.has(w.id) && now - w.answeredMs > lagMs + 60_000) this.giveUp(w, "gone");
+    }
+  }
+
+  /** Places to keep free where a class is expected to start sooner than a machine boots. */
+  private spare(): { spec: JobSpec; places: number }[] {
+    const out: { spec: JobSpec; places: number }[] = [];
+    for (const o of this.ctx.settings.objectives) {
+      const spec = o.kind === "wait" && o.class !== undefined ? this.classNeeds.get(o.class) : undefined;
+      if (!spec) continue;
+      const types = new Set<string>();
+      for (const w of this.master.workers.values())
+        if (!w.lost && !w.going && w.type && (o.withinS ?? Infinity) < w.type.bootS && this.serves(spec.class, w)) types.add(w.typeName);
+      let places = 0;
+      for (const t of types) places += this.spareFor(t);
+      if (places > 0) out.push({ spec: { ...spec, zone: null, deadlineS: null }, places });
+    }
+    return out;
+  }
+
+  tick(): void {
+    if (!this.ctx.catalog) return;
+    this.pollList();
+    this.notePeaks();
+    this.returnIdle();
+    this.sendReturns();
+    this.renting.tick(() => this.spare());
+  }
+}
--- /dev/null
+++ b/test/production/coordination/mirror.ts
@@ -0,0 +1,245 @@
+import type { Change, Item } from "../../../src/protocol/state.js";
+import {
+  type ClaimRecord,
+  type GroupRecord,
+  type JobRecord,
+  type PastRecord,
+  parseKey,
+  readAttempt,
+  QUOTA_KEY,
+  readClaim,
+  readFin,
+  readGroup,
+  readJob,
+  readPast,
+  readQuota,
+  readRoom,
+  readRoster,
+  type RoomRecord,
+  type RosterEntry,
+  type Shares,
+} from "../storage/records.js";
+import type { JobSpec } from "./model.js";
+import { type GangView, NO_GANG } from "./parts.js";
+import { RangeSet } from "./ranges.js";
+
+export interface JobView {
+  id: string;
+  spec: JobSpec;
+  acceptedAt: number;
+  split: Map<string, RangeSet>;
+  version: number;
+}
+
+/** What changed in the mirror, for those who act on it. */
+export type Seen =
+  | { kind: "job"; job: JobView; fresh: boolean }
+  | { kind: "jobGone"; id: string }
+  | { kind: "group" | "claim"; group: string }
+  | { kind: "fin"; id: string }
+  | { kind: "room"; group: string }
+  | { kind: "quota" };
+
+const PAST_KEPT = 5_000;
+
+/**
+ * A controller's copy of everything alive in the state service, kept up to date by one watch. `epoch` says
+ * how far it goes; it never shows a key older than it has shown before (a late answer changes nothing).
+ */
+export class Mirror {
+  epoch = 0;
+  ready = false;
+  readonly groups = new Map<string, GroupRecord & { version: number }>();
+  readonly claims = new Map<string, ClaimRecord & { version: number }>();
+  readonly jobs = new Map<string, JobView>();
+  readonly rooms = new Map<string, RoomRecord>();
+  /** group -> chunk -> machines */
+  readonly rosters = new Map<string, Map<number, Map<string, RosterEntry>>>();
+  shares: Shares = {};
+  sharesVersion = 0;
+  /** Final states: never change, so they may be kept; the most recent ones only. */
+  readonly past = new Map<string, PastRecord>();
+  private readonly gangs = new Map<string, GangView & { ready: Map<string, number> }>();
+  private readonly fins = new Map<string, Map<string, RangeSet>>();
+  private readonly sides = new Map<string, Set<string>>();
+  private readonly versions = new Map<string, number>();
+
+  /** Finished tasks of a job, by group, as far as they are written. */
+  finished(id: string): ReadonlyMap<string, RangeSet> {
+    return this.fins.get(id) ?? new Map<string, RangeSet>();
+  }
+  gang(id: string): GangView {
+    return this.gangs.get(id) ?? NO_GANG;
+  }
+  /** Records that belong to a job beside its own: they go when it is over. */
+  sideKeys(id: string): string[] {
+    return [...(this.sides.get(id) ?? [])];
+  }
+  /** Jobs that are over but left such records behind. */
+  leftovers(): string[] {
+    const out: string[] = [];
+    for (const id of this.sides.keys()) if (!this.jobs.has(id)) out.push(id);
+    return out;
+  }
+  allFinished(id: string): RangeSet {
+    const all = RangeSet.empty();
+    for (const set of this.finished(id).values()) all.addAll(set);
+    return all;
+  }
+  keepPast(id: string, p: PastRecord): void {
+    this.past.delete(id);
+    this.past.set(id, p);
+    if (this.past.size > PAST_KEPT) this.past.delete(this.past.keys().next().value!);
+  }
+
+  /** The whole of what is alive, read anew: what is absent has gone. */
+  reload(items: readonly Item[], epoch: number): Seen[] {
+    const seen: Seen[] = [];
+    const present = new Set(items.map((i) => i.key));
+    for (const [key, version] of this.versions)
+      if (!present.has(key) && version <= epoch) seen.push(...this.drop(key, epoch));
+    // Groups first, jobs last: a master that starts on its group's record then finds all its jobs as old ones.
+    for (const i of items) seen.push(...this.put(i.key, i.value, i.version));
+    this.epoch = Math.max(this.epoch, epoch);
+    this.ready = true;
+    return seen;
+  }
+
+  apply(changes: readonly Change[], epoch: number): Seen[] {
+    const seen: Seen[] = [];
+    for (const c of changes) {
+      if (c.op === "put") seen.push(...this.put(c.key, c.value, c.version));
+      else seen.push(...this.drop(c.key, c.version));
+    }
+    this.epoch = Math.max(this.epoch, epoch);
+    return seen;
+  }
+
+  private put(key: string, value: unknown, version: number): Seen[] {
+    const k = parseKey(key);
+    if (!k) return [];
+    if (k.kind === "past") {
+      const p = readPast(value);
+      if (p) this.keepPast(k.id, p);
+      return [];
+    }
+    // A change that this copy has passed already (two reads may overlap) says nothing new.
+    if (version <= (this.versions.get(key) ?? 0) || (version <= this.epoch && this.ready)) return [];
+    this.versions.set(key, version);
+    switch (k.kind) {
+      case "group": {
+        const r = readGroup(value);
+        if (!r) return [];
+        this.groups.set(k.group, { ...r, version });
+        return [{ kind: "group", group: k.group }];
+      }
+      case "claim": {
+        const r = readClaim(value);
+        if (!r) return [];
+        this.claims.set(k.group, { ...r, version });
+        return [{ kind: "claim", group: k.group }];
+      }
+      case "room": {
+        const r = readRoom(value);
+        if (!r) return [];
+        this.rooms.set(k.group, r);
+        return [{ kind: "room", group: k.group }];
+      }
+      case "roster": {
+        const r = readRoster(value);
+        if (!r) return [];
+        let chunks = this.rosters.get(k.group);
+        if (!chunks) this.rosters.set(k.group, (chunks = new Map()));
+        chunks.set(k.chunk, r);
+        return [];
+      }
+      case "quota": {
+        this.shares = readQuota(value) ?? {};
+        this.sharesVersion = version;
+        return [{ kind: "quota" }];
+      }
+      case "fin": {
+        const r = readFin(value, k.chunk);
+        if (!r) return [];
+        let byGroup = this.fins.get(k.id);
+        if (!byGroup) this.fins.set(k.id, (byGroup = new Map()));
+        const set = byGroup.get(k.group) ?? RangeSet.empty();
+        set.addAll(r);
+        byGroup.set(k.group, set);
+        this.noteSide(k.id, key);
+        return [{ kind: "fin", id: k.id }];
+      }
+      case "gang":
+      case "ready": {
+        const attempt = readAttempt(value);
+        if (attempt === null) return [];
+        let g = this.gangs.get(k.id);
+        if (!g) this.gangs.set(k.id, (g = { attempt: 0, version: 0, ready: new Map() }));
+        if (k.kind === "gang") {
+          g.attempt = attempt;
+          g.version = version;
+        } else g.ready.set(k.group, attempt);
+        this.noteSide(k.id, key);
+        return [{ kind: "fin", id: k.id }];
+      }
+      case "job": {
+        const r: JobRecord | null = readJob(value);
+        if (!r) return [];
+        const old = this.jobs.get(k.id);
+        if (old) {
+          old.split = r.split;
+          old.version = version;
+          return [{ kind: "job", job: old, fresh: false }];
+        }
+        const job: JobView = { id: k.id, spec: r.spec, acceptedAt: r.acceptedAt, split: r.split, version };
+        this.jobs.set(k.id, job);
+        return [{ kind: "job", job, fresh: true }];
+      }
+    }
+  }
+
+  private noteSide(id: string, key: string): void {
+    let keys = this.sides.get(id);
+    if (!keys) this.sides.set(id, (keys = new Set()));
+    keys.add(key);
+  }
+
+  private drop(key: string, version: number): Seen[] {
+    const k = parseKey(key);
+    if (!k || k.kind === "past") return [];
+    if (version < (this.versions.get(key) ?? 0)) return [];
+    this.versions.delete(key);
+    switch (k.kind) {
+      case "group":
+        this.groups.delete(k.group);
+        return [{ kind: "group", group: k.group }];
+      case "claim":
+        this.claims.delete(k.group);
+        return [{ kind: "claim", group: k.group }];
+      case "room":
+        this.rooms.delete(k.group);
+        return [{ kind: "room", group: k.group }];
+      case "roster":
+        this.rosters.get(k.group)?.delete(k.chunk);
+        return [];
+      case "quota":
+        if (key === QUOTA_KEY) this.shares = {};
+        this.sharesVersion = 0;
+        return [{ kind: "quota" }];
+      case "fin":
+      case "gang":
+      case "ready": {
+        const keys = this.sides.get(k.id);
+        keys?.delete(key);
+        if (keys?.size === 0) {
+          this.sides.delete(k.id);
+          this.fins.delete(k.id);
+          this.gangs.delete(k.id);
+        }
+        return [];
+      }
+      case "job":
+        return this.jobs.delete(k.id) ? [{ kind: "jobGone", id: k.id }] : [];
+    }
+  }
+}
--- /dev/null
+++ b/test/production/coordination/model.ts
@@ -0,0 +1,116 @@
+/** The words used inside: job, task, gang, worker, lease, token, attempt, zone, spot. */
+
+export type Shape = "batch" | "ensemble" | "daemon";
+
+/** Higher is more urgent. */
+export const URGENCIES = ["best_effort", "normal", "high", "prod"] as const;
+export type Urgency = (typeof URGENCIES)[number];
+
+export interface JobSpec {
+  id: string;
+  class: string;
+  team: string;
+  shape: Shape;
+  urgency: Urgency;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memGb: number;
+  image: string;
+  imageGb: number;
+  types: string[] | null;
+  zone: string | null;
+  samePlace: boolean;
+  spread: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+export type TaskState = "fetching" | "waiting" | "running" | "saving" | "exited";
+export type Cause = "done" | "stopped" | "peers" | "incomplete" | "error" | "no_room" | "busy" | "no_such";
+
+export interface ReportedTask {
+  job: string;
+  index: number;
+  attempt: number;
+  state: TaskState;
+  cause: Cause | null;
+  saved: boolean;
+}
+
+export interface Report {
+  worker: string;
+  address: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  tally: number;
+  token: number;
+  noticeS: number | null;
+  tasks: ReportedTask[];
+}
+
+export type Order =
+  | { op: "start"; job: string; index: number; attempt: number }
+  | { op: "stop"; job: string; index: number; attempt: number; graceS: number }
+  | { op: "forget"; job: string; index: number; attempt: number };
+
+export interface MachineType {
+  name: string;
+  cpus: number;
+  gpus: number;
+  memGb: number;
+  cacheGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootS: number;
+  zones: string[];
+}
+
+export interface ListedMachine {
+  id: string;
+  address: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  state: "starting" | "running" | "failed";
+  ageS: number;
+}
+
+/** What the operators may set; every value has a default (config/operator.ts). */
+export interface Tuning {
+  /** Of every W tasks served, at least one comes from a waiting long queue. */
+  longEvery: number;
+  /** Part of a group's machines of a type that serves short tasks only. */
+  reservedShare: number;
+  /** Estimated run time below which a task is short. */
+  shortCutoffS: number;
+  /** The same for gangs: estimated run time times tasks, since a gang takes all its machines at once. */
+  shortGangS: number;
+  /** A waiting gang holds the room that it could use already once it has waited this long. */
+  holdAfterS: number;
+  /** Least idle time before a machine is given back. */
+  idleReturnS: number;
+  /** The same as a multiple of its type's usual boot time. */
+  idleBoots: number;
+  /** How far back the most machines in use at once counts for what is kept warm. */
+  warmWindowS: number;
+  /** Machines to have free beyond those in use, as part of them, where a class should start sooner than one boots. */
+  spareShare: number;
+  /** Part of its time until the deadline that a job waits for a spot machine before an ordinary one is rented. */
+  cheapPatience: number;
+  /** Time without a report after which a machine is given back. */
+  silentReturnS: number;
+  /** Multiple of the type's usual boot time after which a machine that never came up is given back. */
+  bootPatience: number;
+  /** Send starts straight to the workers as well as in report answers. */
+  directOrders: boolean;
+}
+
+/** `req-000412` and 3 make `req-000412/3`. */
+export const taskKey = (job: string, index: number): string => `${job}/${index}`;
--- /dev/null
+++ b/test/production/coordination/renting.ts
@@ -0,0 +1,341 @@
+import type { Context } from "./context.js";
+import { Urgent } from "./effects.js";
+import type { Master } from "./master.js";
+import type { JobSpec, MachineType } from "./model.js";
+import { allowedOn, type Amounts, couldRun, fitCount, fits, goesWhole, offer, suits } from "./placement.js";
+import { isShort } from "./queues.js";
+import { queueOf } from "./splitter.js";
+import { freeOn, type JobRun, take } from "./tasks.js";
+
+/** What the cloud has: machines of a type in a zone, spot or ordinary. */
+interface Offer {
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+const same = (a: Offer, b: Offer): boolean => a.type === b.type && a.zone === b.zone && a.spot === b.spot;
+
+export interface Booting extends Offer {
+  rentedMs: number;
+}
+/** What is to be asked for next; made anew with every plan. */
+interface Planned extends Offer {
+  count: number;
+}
+/** A request that was sent at least once: its charter stands for this offer and count from then on. */
+interface Rental extends Booting {
+  request: string;
+  count: number;
+  sent: boolean;
+  retryMs: number;
+}
+/** Room on a machine that is there or will be. */
+interface Place extends Offer {
+  reserved: boolean;
+  room: Amounts;
+}
+
+const NO_CAPACITY_MS = 15_000;
+/** What a refusal told of an offer's size is believed for this long. */
+const CEILING_MS = 300_000;
+/** PROTOCOL: most machines of one request. */
+const MOST_AT_ONCE = 50;
+const PLAN_MS = 500;
+/** Estimates and boot times are often this much too short. */
+const SLOW = 1.4;
+
+/** What a group rents: decides from waiting work, room and what the cloud refused, and sends the requests. */
+export class Renting {
+  /** Machines that were rented, or that the list shows, and that have not reported yet. */
+  readonly booting = new Map<string, Booting>();
+  private readonly rentals: Rental[] = [];
+  private planned: Planned[] = [];
+  private readonly emptyUntilMs = new Map<string, number>();
+  /** By offer: machines that the group held when the cloud had no more, the most it can expect to have. */
+  private readonly ceilings = new Map<string, Offer & { machines: number; untilMs: number }>();
+  private requests = 0;
+  private planMs = -Infinity;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly master: Master,
+    private readonly zones: () => string[],
+  ) {}
+
+  private typeOf(name: string): MachineType | undefined {
+    return this.ctx.catalog?.find((t) => t.name === name);
+  }
+
+  tick(spare: () => { spec: JobSpec; places: number }[]): void {
+    if (this.ctx.nowMs - this.planMs >= PLAN_MS) {
+      this.planMs = this.ctx.nowMs;
+      this.plan(spare());
+    }
+    this.send();
+  }
+
+  // ---- requests ------------------------------------------------------------------------------------------
+
+  /**
+   * One request at a time: what is not sent yet is planned anew when the answer to the last one is known. With a
+   * small rate limit, requests that stand in line ask for what is not needed any more.
+   */
+  private send(): void {
+    let r = this.rentals[0];
+    if (!r) {
+      const plan = this.planned.shift();
+      if (!plan) return;
+      const next = { ...plan, count: Math.min(plan.count, MOST_AT_ONCE) };
+      // Invariant: a charter is never used again by anyone. The token belongs to one master of one group.
+      const request = `${this.ctx.settings.label}-${this.master.token}-${++this.requests}`;
+      r = { ...next, request, rentedMs: this.ctx.nowMs, sent: false, retryMs: 0 };
+      this.rentals.push(r);
+      this.ctx.log("info", "renting machines", { request, ...next });
+    }
+    if (r.sent || this.ctx.nowMs < r.retryMs) return;
+    const rental = r;
+    rental.sent = true;
+    this.ctx.cloud({ op: "rent", request: r.request, type: r.type, zone: r.zone, spot: r.spot, count: r.count }, Urgent.Master, (reply) => {
+      if (reply.is !== "rented" && reply.is !== "noCapacity") {
+        // The same charter again: whatever became of the request, it rents once.
+        rental.sent = false;
+        rental.retryMs = this.ctx.nowMs + 1_500;
+        return;
+      }
+      this.rentals.splice(this.rentals.indexOf(rental), 1);
+      const { type, zone, spot, count } = rental;
+      const got = reply.is === "rented" ? reply.machines : [];
+      for (const id of got) if (!this.master.workers.has(id)) this.booting.set(id, { type, zone, spot, rentedMs: this.ctx.nowMs });
+      if (got.length > 0) this.ceilings.delete(offer(type, zone, spot));
+      if (got.length < count) {
+        this.noteEmpty(rental);
+        this.ctx.log("info", "cloud has no more machines", { type, zone, spot, asked: count, got: got.length });
+      }
+      this.planMs = -Infinity;
+    });
+  }
+
+  /**
+   * An offer that is sold out rests for no less than it takes this controller to ask for all its offers within half
+   * its part of the cloud's limit: asking for what is not there must not delay what is.
+   */
+  private noteEmpty(r: Rental): void {
+    const what = offer(r.type, r.zone, r.spot);
+    this.ceilings.set(what, { type: r.type, zone: r.zone, spot: r.spot, machines: this.held(r), untilMs: this.ctx.nowMs + CEILING_MS });
+    const rate = this.ctx.settings.cloud.rps / this.ctx.groups.names.length;
+    const offers = this.zones().length * (this.ctx.catalog?.length ?? 1) * 2;
+    this.emptyUntilMs.set(what, this.ctx.nowMs + Math.max(NO_CAPACITY_MS, (offers / (rate / 2)) * 1000));
+  }
+
+  // ---- what there is to be had ---------------------------------------------------------------------------
+
+  /** Machines of an offer that the group has, or that are on their way. */
+  private held(o: Offer): number {
+    let n = 0;
+    for (const w of this.master.workers.values()) if (w.typeName === o.type && w.zone === o.zone && w.spot === o.spot && !w.lost) n++;
+    for (const b of this.booting.values()) if (same(b, o)) n++;
+    return n;
+  }
+  /** By offer, where a refusal told: how many more machines there may be. */
+  left(): Map<string, number> {
+    const out = new Map<string, number>();
+    for (const [what, c] of this.ceilings) {
+      if (c.untilMs < this.ctx.nowMs) this.ceilings.delete(what);
+      else out.set(what, Math.max(0, c.machines - this.held(c)));
+    }
+    return out;
+  }
+  private isEmpty(type: string, zone: string, spot: boolean): boolean {
+    return (this.emptyUntilMs.get(offer(type, zone, spot)) ?? 0) > this.ctx.nowMs;
+  }
+  /** What the cloud refused of late: `type/zone/kind`. */
+  soldOut(): string[] {
+    const out: string[] = [];
+    for (const [k, until] of this.emptyUntilMs) if (until + 30_000 > this.ctx.nowMs) out.push(k);
+    return out;
+  }
+
+  /** Offers of these zones that the job may use and that may have something left, with the most to ask for. */
+  private *offers(spec: JobSpec, zones: readonly string[], left: ReadonlyMap<string, number>): Generator<{ t: MachineType; zone: string; spot: boolean; most: number }> {
+    for (const t of this.ctx.catalog ?? [])
+      for (const zone of zones) {
+        if (!couldRun(spec, t, zone)) continue;
+        for (const spot of spec.spot ? [true, false] : [false]) {
+          if (this.isEmpty(t.name, zone, spot) || !suits(spec, t, spot, this.ctx.catalog)) continue;
+          const planned = this.planned.find((p) => same(p, { type: t.name, zone, spot }))?.count ?? 0;
+          // Nothing left when it last rested, and it has rested: there may be any number by now.
+          const most = (left.get(offer(t.name, zone, spot)) || Infinity) - planned;
+          if (most > 0) yield { t, zone, spot, most };
+        }
+      }
+  }
+
+  /** Nothing that this job could use is on its way or, as far as known, to be had. */
+  exhausted(spec: JobSpec): boolean {
+    for (const c of this.coming()) if (this.serves(spec, c) && fits(spec, c.room)) return false;
+    return this.offers(spec, this.zones(), new Map()).next().done === true;
+  }
+
+  /** Tasks of this job that machines on their way have room for. */
+  comingFor(spec: JobSpec): number {
+    let n = 0;
+    for (const c of this.coming()) if (this.serves(spec, c)) n += fitCount(spec, c.room);
+    return n;
+  }
+
+  private serves(spec: JobSpec, p: Place): boolean {
+    return allowedOn(spec, p.type, p.zone, p.spot) && suits(spec, this.typeOf(p.type) ?? null, p.spot, this.ctx.catalog);
+  }
+
+  /** Machines on their way. */
+  private coming(): Place[] {
+    const out: Place[] = [];
+    const add = (m: Offer): void => {
+      const t = this.typeOf(m.type);
+      if (t) out.push({ type: m.type, zone: m.zone, spot: m.spot, reserved: false, room: { cpus: t.cpus, gpus: t.gpus, memGb: t.memGb } });
+    };
+    for (const b of this.booting.values()) add(b);
+    for (const r of this.rentals) for (let i = 0; i < r.count; i++) add(r);
+    // Up, but not to be used yet: its place in the roster is being written.
+    for (const w of this.master.workers.values()) if (!w.lost && !w.going && !this.master.roster.has(w.id)) add({ type: w.typeName, zone: w.zone, spot: w.spot });
+    return out;
+  }
+
+  // ---- the plan ------------------------------------------------------------------------------------------
+
+  /** Plans what to rent for the waiting tasks that fit neither on what is free nor on what is on its way. */
+  private plan(spare: { spec: JobSpec; places: number }[]): void {
+    this.planned = [];
+    const places = this.coming();
+    const { usable, reserved } = this.master.usableWorkers();
+    for (const w of usable) places.push({ type: w.typeName, zone: w.zone, spot: w.spot, reserved: reserved.has(w.id), room: freeOn(w) });
+    const left = this.left();
+    const headroom = this.master.headroom();
+    /** Work of arrays that is due so far, by kind of machine, in seconds of one place. */
+    const dueWork = { plain: 0, accelerated: 0 };
+    // What runs now is halfway, on the whole.
+    const addDue = (j: JobRun): number => (dueWork[queueOf(j.view.spec)] += (j.waiting.size + j.active.size / 2) * j.view.spec.estimateS);
+    for (const j of this.master.jobs.values()) if (j.waiting.isEmpty && j.view.spec.shape === "batch") addDue(j);
+    const due = (j: JobRun): number => j.view.acceptedAt + (j.view.spec.deadlineS ?? 0) * 1000;
+    const jobs = [...this.master.jobs.values()].filter((j) => this.master.mayStart(j) && j.errors.size < 3).sort((a, b) => due(a) - due(b));
+    for (const j of jobs) {
+      const spec = j.view.spec;
+      const room = headroom.get(spec.team);
+      if (!room) continue;
+      // What the team may not use now is not waited for: nothing is rented for it.
+      const n = Math.min(j.waiting.size, fitCount({ cpus: spec.cpus, gpus: spec.gpus, memGb: 0 }, { ...room, memGb: 0 }));
+      if (n === 0 || (spec.shape === "ensemble" && n < j.waiting.size)) continue;
+      room.cpus -= n * spec.cpus;
+      room.gpus -= n * spec.gpus;
+      const short = isShort(spec, this.ctx.tuning);
+      const mine = places.filter((p) => (short || !p.reserved) && this.serves(spec, p));
+      if (goesWhole(spec)) this.planWhole(j, n, mine, places, left);
+      else {
+        let lacking = this.fill(spec, n, mine);
+        if (spec.shape === "batch" && spec.deadlineS !== null && spec.estimateS > 0)
+          lacking = this.inTurns(j, lacking, addDue(j), places.filter((p) => this.serves(spec, p)));
+        this.rentFor(spec, j.view.acceptedAt, lacking, this.zones(), places, left);
+      }
+    }
+    for (const s of spare) {
+      const want = this.fill(s.spec, s.places, places.filter((p) => this.serves(s.spec, p)));
+      this.rentFor(s.spec, 0, want, this.zones(), places, left);
+    }
+  }
+
+  /** Time until the job's deadline, in seconds. */
+  private leftS(spec: JobSpec, acceptedAt: number): number {
+    return spec.deadlineS === null ? Infinity : spec.deadlineS - (this.ctx.wallMs - acceptedAt) / 1000;
+  }
+
+  /**
+   * Places to rent for the tasks of an array with a deadline that found no room: as many as the work that is due
+   * until then needs beyond what the present places can do one task after the other. A machine costs as much while
+   * it boots and fetches as while it works. `due`: all work due until then, in seconds of one place.
+   */
+  private inTurns(j: JobRun, lacking: number, due: number, all: readonly Place[]): number {
+    const spec = j.view.spec;
+    const leftS = this.leftS(spec, j.view.acceptedAt);
+    const slots = all.reduce((n, p) => n + fitCount(spec, this.typeOf(p.type)!), 0);
+    const lackS = due - (slots * leftS) / SLOW;
+    if (lackS <= 0) return 0;
+    return Math.min(lacking, Math.ceil(lackS / Math.max(spec.estimateS, leftS - this.readyS(spec))));
+  }
+
+  /** Until a machine that is asked for now runs a task: its boot, as slow as most are, and the image. */
+  private readyS(spec: JobSpec): number {
+    let s = Infinity;
+    for (const t of this.ctx.catalog ?? [])
+      if (t.zones.some((z) => couldRun(spec, t, z))) s = Math.min(s, t.bootS * SLOW + (t.fetchGbPerS > 0 ? spec.imageGb / t.fetchGbPerS : 0));
+    return Number.isFinite(s) ? s : 0;
+  }
+
+  /** Takes room for `n` tasks; how many found none. */
+  private fill(spec: JobSpec, n: number, places: readonly Place[]): number {
+    for (const p of places) {
+      if (n === 0) break;
+      const k = Math.min(n, fitCount(spec, p.room));
+      for (let i = 0; i < k; i++) take(p.room, spec);
+      n -= k;
+    }
+    return n;
+  }
+
+  /**
+   * For a job that goes whole, in one zone if it must: so much as is missing in the zone where the least is. A gang
+   * starts once all of it has room, so only where that can be had: part of what it needs would stand idle until the
+   * rest came. An array in one zone runs on whatever there is: it stays with the zone that has most for it.
+   */
+  private planWhole(j: JobRun, n: number, mine: readonly Place[], places: Place[], left: ReadonlyMap<string, number>): void {
+    const spec = j.view.spec;
+    const at = j.active.size > 0 ? new Set([...j.active.values()].map((t) => t.worker.zone)) : null;
+    const zones = this.zones().filter((z) => at === null || !spec.samePlace || at.has(z));
+    let best: { zones: string[]; places: Place[]; lacking: number } | null = null;
+    for (const set of spec.samePlace ? zones.map((z) => [z]) : [zones]) {
+      const here = mine.filter((p) => set.includes(p.zone));
+      const lacking = Math.max(0, n - here.reduce((sum, p) => sum + fitCount(spec, p.room), 0));
+      let rentable = 0;
+      if (lacking > 0) for (const o of this.offers(spec, set, left)) rentable += o.most * fitCount(spec, o.t);
+      const some = spec.shape !== "ensemble" && (lacking < n || rentable > 0);
+      if ((lacking <= rentable || some) && (!best || lacking < best.lacking)) best = { zones: set, places: here, lacking };
+    }
+    if (best) this.rentFor(spec, j.view.acceptedAt, this.fill(spec, n, best.places), best.zones, places, left);
+  }
+
+  /** Plans machines for `need` tasks, where a task's place costs least. */
+  private rentFor(spec: JobSpec, acceptedAt: number, need: number, zones: readonly string[], places: Place[], left: ReadonlyMap<string, number>): void {
+    // A job that may use cheap machines waits for one as long as a dearer one would still be in time.
+    const ageS = (this.ctx.wallMs - acceptedAt) / 1000;
+    const leftS = this.leftS(spec, acceptedAt);
+    const early =
+      spec.spot && spec.deadlineS !== null && ageS < spec.deadlineS * this.ctx.tuning.cheapPatience && leftS > this.readyS(spec) + spec.estimateS * SLOW;
+    // A machine that comes too late for the deadline saves nothing: only a cheap one is worth it.
+    const lost = spec.spot && leftS < this.readyS(spec) + spec.estimateS / 2;
+    while (need > 0) {
+      let best: { t: MachineType; zone: string; spot: boolean; most: number } | null = null;
+      let bestCost = Infinity;
+      for (const o of this.offers(spec, zones, left)) {
+        if ((early || lost) && !o.spot) continue;
+        const cost = (o.spot ? o.t.spotPrice : o.t.price) / Math.min(fitCount(spec, o.t), need);
+        if (cost < bestCost) {
+          best = o;
+          bestCost = cost;
+        }
+      }
+      if (!best) return;
+      const { t, zone, spot } = best;
+      const per = fitCount(spec, t);
+      const count = Math.min(best.most, Math.ceil(need / per));
+      const ask = { type: t.name, zone, spot, count };
+      const had = this.planned.find((p) => same(p, ask));
+      if (had) had.count += count;
+      else this.planned.push(ask);
+      // What its tasks leave free of the new machines is there for the jobs behind it.
+      for (let i = 0; i < count; i++) {
+        const room = { cpus: t.cpus, gpus: t.gpus, memGb: t.memGb };
+        for (let k = 0; k < per && need > 0; k++, need--) take(room, spec);
+        places.push({ type: t.name, zone, spot, reserved: false, room });
+      }
+    }
+  }
+}
--- /dev/null
+++ b/test/production/coordination/tasks.ts
@@ -0,0 +1,141 @@
+import type { Handover } from "./handover.js";
+import type { JobView } from "./mirror.js";
+import type { Cause, MachineType, TaskState } from "./model.js";
+import type { Amounts } from "./placement.js";
+import { RangeSet } from "./ranges.js";
+
+/** One task on one machine, from the start order until the machine is known not to have it any more. */
+export interface TaskRun {
+  job: JobRun;
+  index: number;
+  attempt: number;
+  worker: Worker;
+  /** `ordered`: no report has shown it yet. */
+  phase: "ordered" | Exclude<TaskState, "exited">;
+  sinceMs: number;
+  /** It is to be stopped, with this much time to save. */
+  stop: { graceS: number; why: string } | null;
+}
+
+/** A job as far as it concerns one group. */
+export interface JobRun {
+  id: string;
+  view: JobView;
+  /** Tasks of the job that this group answers for. */
+  mine: RangeSet;
+  waiting: RangeSet;
+  active: Map<number, TaskRun>;
+  /** Finished here, written or not. */
+  finished: RangeSet;
+  /** Finished here and known to be written. */
+  written: RangeSet;
+  writing: boolean;
+  /** From before this master's token: a task that nobody reports may be running somewhere. */
+  old: boolean;
+  /** Over, or not ours any more: whatever still runs has to go. */
+  gone: boolean;
+  finalizing: boolean;
+  waitingSinceMs: number;
+  backoffUntilMs: number;
+  /** A gang in several groups: the attempt that its part here was started under, and whether a record is being written. */
+  tried: number;
+  calling: boolean;
+  /** Machines where it failed, and how often. */
+  errors: Map<string, number>;
+  /** Handed to another group by a commit that has not shown yet. */
+  moving: { tasks: RangeSet; change: Handover } | null;
+}
+
+/** A task on a machine that should not be there. */
+export interface Stray {
+  worker: Worker;
+  job: string;
+  index: number;
+  attempt: number;
+  need: (Amounts & { team: string }) | null;
+  sinceMs: number;
+}
+
+export interface Worker {
+  id: string;
+  address: string;
+  typeName: string;
+  type: MachineType | null;
+  zone: string;
+  spot: boolean;
+  session: number;
+  tally: number;
+  token: number;
+  /** When its last report was answered with 200: its lease ends no later than lease_s after. */
+  answeredMs: number;
+  lost: boolean;
+  firstMs: number;
+  takenAtMs: number | null;
+  tasks: Map<string, TaskRun>;
+  strays: Map<string, Stray>;
+  /** Exited tasks of the last report that wait for a `forget`. */
+  exited: { job: string; index: number; attempt: number; cause: Cause | null }[];
+  /** Images it should have, by last use. */
+  images: Map<string, { gb: number; usedMs: number }>;
+  going: boolean;
+  idleSinceMs: number | null;
+  /** Jobs that failed here since a task last completed. */
+  failed: Set<string>;
+  avoidUntilMs: number;
+  /** Room made here by stopping others belongs to this job for a while. */
+  heldFor: { job: string; untilMs: number } | null;
+  /**
+   * Starts sent straight to it whose message was not answered: it may arrive at any time within this session,
+   * so a `forget` of such a task could start it again.
+   */
+  openStarts: Map<string, number>;
+  direct: boolean;
+}
+
+/** Time to save for a task that is to be stopped in order; what can't save is stopped at once. */
+export function graceOf(t: TaskRun): number {
+  const spec = t.job.view.spec;
+  return spec.checkpointS > 0 ? spec.saveS + 1 : 0;
+}
+
+export const runKey = (job: string, index: number, attempt: number): string => `${job}/${index}#${attempt}`;
+
+export function newJobRun(view: JobView, old: boolean, nowMs: number): JobRun {
+  return {
+    id: view.id,
+    view,
+    mine: RangeSet.empty(),
+    waiting: RangeSet.empty(),
+    active: new Map(),
+    finished: RangeSet.empty(),
+    written: RangeSet.empty(),
+    writing: false,
+    old,
+    gone: false,
+    finalizing: false,
+    waitingSinceMs: nowMs,
+    backoffUntilMs: 0,
+    tried: 0,
+    calling: false,
+    errors: new Map(),
+    moving: null,
+  };
+}
+
+/** What is free on a machine, counting all that is or may be on it. */
+export function freeOn(w: Worker): Amounts {
+  const free = { cpus: w.type?.cpus ?? 0, gpus: w.type?.gpus ?? 0, memGb: w.type?.memGb ?? 0 };
+  for (const t of w.tasks.values()) take(free, t.job.view.spec);
+  for (const s of w.strays.values()) {
+    // A task of a job that nobody knows any more: it may take the whole machine.
+    if (s.need) take(free, s.need);
+    else return { cpus: 0, gpus: 0, memGb: 0 };
+  }
+  return free;
+}
+
+export function take(from: Amounts, need: Amounts): void {
+  from.cpus -= need.cpus;
+  from.gpus -= need.gpus;
+  from.memGb -= need.memGb;
+}
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -3,6 +3,7 @@
 import { DEFAULTS } from "../src/config/operator.js";
 import type { Context } from "../src/coordination/context.js";
 import type { CloudCall, CloudReply } from "../src/coordination/effects.js";
+import { ownDueAt } from "../src/coordination/mirror.js";
 import type { Master } from "../src/coordination/master.js";
 import type { JobSpec, MachineType } from "../src/coordination/model.js";
 import { Misfits, suits } from "../src/coordination/placement.js";
@@ -12,6 +13,7 @@
 import { Renting } from "../src/coordination/renting.js";
 import { splitJob, wholeRoom } from "../src/coordination/splitter.js";
 import { type JobRun, newJobRun, type Worker } from "../src/coordination/tasks.js";
+import type { Write } from "../src/protocol/state.js";
 import type { RoomRecord } from "../src/storage/records.js";
 
 /** What a group rents and where a gang goes: decisions that went wrong on days with hundreds of machines. */
@@ -27,7 +29,7 @@
 
 function job(over: Partial<JobSpec>): JobRun {
   const spec = { ...SPEC, ...over };
-  const j = newJobRun({ id: spec.id, spec, acceptedAt: 0, split: new Map(), version: 1 }, false, 0);
+  const j = newJobRun({ id: spec.id, spec, acceptedAt: 0, readyAt: 0, releasedAt: null, awaits: [], urgency: spec.urgency, dueAt: ownDueAt(spec, 0), split: new Map(), version: 1 }, false, 0);
   j.mine = RangeSet.upTo(spec.tasks);
   j.waiting = RangeSet.upTo(spec.tasks);
   return j;
@@ -164,13 +166,13 @@
 });
 
 test("a machine that left the roster and comes back is in it only once a commit names it again", () => {
-  const sent: { value: object; done: (end: "ok") => void }[] = [];
-  const ctx = { nowMs: 0, mirror: { rosters: new Map() } };
-  const r = new Roster(ctx as unknown as Context, "g", (_key, value, done) => void sent.push({ value, done }), () => {});
+  const sent: { writes: Write[]; done: (end: "ok", epoch: number) => void }[] = [];
+  const ctx = { nowMs: 0, mirror: { rosters: new Map(), versionOf: () => 0 }, settings: { state: { valueBytes: 2048, txnOps: 4 } } };
+  const r = new Roster(ctx as unknown as Context, "g", (_conditions, writes, done) => void sent.push({ writes, done }), () => {});
   const next = (): string => {
     const s = sent.shift()!;
-    s.done("ok");
-    return JSON.stringify(s.value);
+    s.done("ok", 1);
+    return JSON.stringify(s.writes);
   };
   r.set("m1", { going: false, type: "t" });
   assert.ok(!r.has("m1"));
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -66,7 +66,7 @@
     for (const n of w.nodes.values())
       for (const m of n!.core.masters.values()) {
         const room = m.room();
-        assert.ok(JSON.stringify(writeRoom(room)).length <= w.settings.state.valueBytes);
+        assert.ok(JSON.stringify(writeRoom(room)).length <= w.nextLimits.valueBytes);
         for (const row of room.rows) {
           const free = [...m.workers.values()].filter((x) => m.usable(x) && x.typeName === row.type && x.zone === row.zone && x.spot === row.spot && freeOn(x).cpus > 0);
           assert.equal([...row.free, ...row.reserved].reduce((a, f) => a + f[3], 0), free.length);
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -1,4 +1,5 @@
 import type { JobSpec } from "../../src/coordination/model.js";
+import type { Write } from "../../src/protocol/state.js";
 import type { SimWorker, World } from "./world.js";
 
 /** PROTOCOL's rules, checked on what the workers really do and what users are really told. */
@@ -39,6 +40,25 @@
     if (spec.samePlace && zones.size > 1) this.fail("wrong_place", `samePlace: ${job} in ${[...zones.keys()].join()}`);
     if (spec.spread) for (const [z, n] of zones) if (n > Math.ceil(spec.tasks / 2)) this.fail("wrong_place", `spread: ${n} of ${job} in ${z}`);
     this.checkCancelled(job);
+    for (const name of this.world.awaits.get(job) ?? []) if (!this.isDone(name)) this.fail("too_early", `${job}/${index} before ${name}`);
+  }
+  private isDone(job: string): boolean {
+    const n = this.world.specs.get(job)!.tasks;
+    for (let i = 0; i < n; i++) if (!this.world.results.has(`${job}/${i}`)) return false;
+    return true;
+  }
+  /** A job and all that it needs, through any others. */
+  private needed(job: string, met = new Set<string>()): Set<string> {
+    met.add(job);
+    for (const name of this.world.awaits.get(job) ?? []) if (!met.has(name)) this.needed(name, met);
+    return met;
+  }
+  /** What the present version writes fits the limits that are to come, at all times. */
+  committed(node: string, writes: readonly Write[]): void {
+    const { valueBytes, txnOps } = this.world.nextLimits;
+    if (writes.length > txnOps) this.fail("limits", `${node}: ${writes.length} changes`);
+    for (const w of writes)
+      if (w.op === "put" && Buffer.byteLength(JSON.stringify(w.value)) > valueBytes) this.fail("limits", `${node}: ${w.key} takes ${JSON.stringify(w.value).length} bytes`);
   }
   private checkCancelled(job: string): void {
     const at = this.cancelledMs.get(job);
@@ -55,11 +75,12 @@
     if (!this.world.specs.has(id)) this.fail("invented", id);
     const now = status === "done" || status === "cancelled" ? status : "accepted";
     if ((before === "done" || before === "cancelled") && now !== before) this.fail("went_back", `${id}: ${before}, then ${status}`);
-    if (status === "done") {
-      const n = this.world.specs.get(id)!.tasks;
-      for (let i = 0; i < n; i++) if (!this.world.results.has(`${id}/${i}`)) return this.fail("not_done", `${id}/${i}`);
-    }
-    if (status === "cancelled" && !this.asked.has(id)) this.fail("went_back", `${id} was never cancelled`);
+    if (status === "done" && !this.isDone(id)) return this.fail("not_done", id);
+    const needed = [...this.needed(id)];
+    if (status === "cancelled" && !needed.some((x) => this.asked.has(x))) this.fail("went_back", `${id} was never cancelled`);
+    if (now === "accepted")
+      for (const x of needed)
+        if (askedMs > (this.cancelledMs.get(x) ?? Infinity) + this.world.settings.cancelS * 1000) this.fail("orphaned", `${id} is ${status}, it needs ${x}`);
     if (status === "cancelled" && !this.cancelledMs.has(id)) this.cancelledMs.set(id, this.world.now);
     if (final === "done" || final === "cancelled") {
       if (now !== "accepted" && now !== final) this.fail("went_back", `${id}: ${final} and ${now}`);
--- a/test/sim/days.ts
+++ b/test/sim/days.ts
@@ -78,9 +78,42 @@
   else if (a.is === "never") w.checker.refused(id, 422, askedMs);
 };
 
+/**
+ * Lines of four stages, each submitted as soon as what it needs is accepted, some of the last ones late; some are
+ * cancelled, at any stage and any time. Jobs that ended long ago are needed again.
+ */
+export function pipelines(w: World, fromMs: number, untilMs: number): void {
+  const r = w.rng;
+  let n = 500_000;
+  const ended: string[] = [];
+  const stage = (awaits: string[], over: Partial<JobSpec>, delayMs = 0): JobSpec => {
+    const spec = { ...randomJob(w, ++n), team: "blue", shape: "batch" as const, tasks: r.int(1, 4), cpus: 1, gpus: 0, types: null, zone: null, samePlace: false, spread: false, urgency: "best_effort" as const, ...over };
+    w.specs.set(spec.id, spec);
+    w.awaits.set(spec.id, awaits);
+    const whenAccepted = (): void => {
+      if (awaits.some((x) => !w.checker.told.has(x))) return w.at(300, whenAccepted);
+      submit(w, spec, w.now);
+    };
+    w.at(delayMs, whenAccepted);
+    return spec;
+  };
+  const one = (): void => {
+    if (w.now > untilMs) return;
+    const first = stage(ended.length > 0 && r.chance(0.3) ? [r.pick(ended)] : [], {});
+    const middle = Array.from({ length: r.int(1, 4) }, () => stage([first.id], {}).id);
+    const third = stage(middle, { shape: "ensemble", tasks: r.int(2, 4), samePlace: true, urgency: "normal" });
+    const last = stage([first.id, third.id], { urgency: "high", deadlineS: 60 }, r.chance(0.15) ? r.real(10_000, 60_000) : 0);
+    const all = [first.id, ...middle, third.id, last.id];
+    ended.push(...all);
+    if (r.chance(0.3)) w.at(r.real(100, 40_000), () => cancel(w, r.pick(all.filter((x) => w.checker.told.has(x)).concat(first.id))));
+    w.at(r.real(1_000, 8_000), one);
+  };
+  w.at(fromMs, one);
+}
+
 function submit(w: World, spec: JobSpec, sinceMs: number): void {
   const askedMs = w.now;
-  w.ask(w.rng.pick(w.names), (req) => ({ is: "submit", req, spec }), (a) => {
+  w.ask(w.rng.pick(w.names), (req) => ({ is: "submit", req, spec, awaits: w.awaits.get(spec.id) }), (a) => {
     if (a) hear(w, spec.id, a, askedMs);
     if (a?.is === "job") {
       if (!w.polled.has(spec.id)) {
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -7,6 +7,7 @@
 import type { Answer, CloudCall, CloudReply, CommandReply, Effect, Input } from "../../src/coordination/effects.js";
 import type { Cause, JobSpec, MachineType, Order, Report, ReportedTask, TaskState, Tuning } from "../../src/coordination/model.js";
 import type { Change, Item, StateCall, StateReply } from "../../src/protocol/state.js";
+import { Controller as ProductionController } from "../production/coordination/controller.js";
 import { Checker } from "./checker.js";
 
 /** A small world for the core: seeded, in simulated time, with a stand-in for everything around a controller. */
@@ -86,6 +87,10 @@
         return done({ is: "items", items, more: keys.length > 20, epoch: this.epoch });
       }
       case "commit": {
+        // Values and transactions over the limit of the day are refused.
+        const limits = this.world.limitsFell ? this.world.nextLimits : this.world.settings.state;
+        const bytes = Math.max(0, ...call.writes.map((w) => (w.op === "put" ? Buffer.byteLength(JSON.stringify(w.value)) : 0)));
+        if (bytes > limits.valueBytes || call.writes.length > limits.txnOps || call.conditions.length > 4 * limits.txnOps) return done({ is: "refused", why: "400" });
         for (const w of call.writes) if (w.op === "put" && w.hold !== undefined && !this.holds.has(w.hold)) return done({ is: "refused", why: "400" });
         if (call.conditions.some((c) => (this.data.get(c.key)?.version ?? 0) !== c.version)) return done({ is: "conflict" });
         this.epoch++;
@@ -408,6 +413,8 @@
   readonly checker: Checker;
   readonly workers: SimWorker[] = [];
   readonly specs = new Map<string, JobSpec>();
+  /** Jobs that a job needs, as its user named them. */
+  readonly awaits = new Map<string, readonly string[]>();
   readonly results = new Set<string>();
   readonly polled = new Set<string>();
   readonly names = ["node-a", "node-b", "node-c"];
@@ -417,6 +424,11 @@
   /** Nodes that the state service refuses, or whose messages to it are held. */
   readonly stateCut = new Map<string, "refused" | "held">();
   readonly logs: string[] = [];
+  /** The limits that the state service will have once they fell; the present version keeps within them all the time. */
+  readonly nextLimits = { valueBytes: 2048, txnOps: 4 };
+  limitsFell = false;
+  /** Controllers that still run the version in production. */
+  readonly old = new Set<string>();
   /** Looks at a controller after each of its steps. */
   afterStep: ((core: Controller) => void) | null = null;
   starts = 0;
@@ -433,7 +445,9 @@
   constructor(
     seed: number,
     readonly tuning: Tuning = { ...DEFAULTS, silentReturnS: 20 },
+    old: readonly string[] = [],
   ) {
+    for (const name of old) this.old.add(name);
     this.rng = new Rng(seed);
     this.settings = {
       label: "",
@@ -524,7 +538,10 @@
       peers: this.names.map((label, k) => ({ label, area: areas[k]!, host: "0.0.0.0", port: 9 })).filter((p) => p.label !== name),
     };
     const drift = 1 + this.rng.real(0, 0.0005);
-    const node = { core: new Controller(settings, this.tuning, this.now * drift, this.now), life: ++this.lives, drift };
+    const core = this.old.has(name)
+      ? (new ProductionController(settings, this.tuning, this.now * drift, this.now) as unknown as Controller)
+      : new Controller({ ...settings, state: { ...settings.state, ...this.nextLimits } }, this.tuning, this.now * drift, this.now);
+    const node = { core, life: ++this.lives, drift };
     this.nodes.set(name, node);
     const tick = (): void => {
       if (this.nodes.get(name) !== node) return;
@@ -542,6 +559,16 @@
   crash(name: string): void {
     this.nodes.set(name, null);
   }
+  /** Controllers are killed one after the other and come back with the present version. */
+  rollout(atMs: number, everyMs: number): void {
+    this.names.forEach((name, i) =>
+      this.at(atMs + i * everyMs, () => {
+        this.old.delete(name);
+        this.crash(name);
+        this.at(this.rng.real(1_000, 4_000), () => this.nodes.get(name) ?? this.boot(name));
+      }),
+    );
+  }
 
   /** Messages between these two nodes don't arrive. */
   meshCut(a: string, b: string): boolean {
@@ -601,6 +628,7 @@
         };
         const wait = e.call.op === "changes" ? e.call.waitMs + 1500 : 1500;
         this.at(wait, () => reply({ is: "unknown", why: "timeout" }));
+        if (e.call.op === "commit" && !this.old.has(name)) this.checker.committed(name, e.call.writes);
         const cut = this.stateCut.get(name);
         if (cut === "refused") return reply({ is: "refused", why: "503" });
         const held = cut === "held" || this.rng.chance(this.loss / 4);
--- /dev/null
+++ b/test/upgrade.test.ts
@@ -0,0 +1,154 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Context } from "../src/coordination/context.js";
+import { RangeSet } from "../src/coordination/ranges.js";
+import { Roster } from "../src/coordination/roster.js";
+import { RangeSet as OldRangeSet } from "./production/coordination/ranges.js";
+import { bytesOf, FIN_BLOCK, finBlock, finKey, inBlock, parseKey, readFin, readJob, readRoom, readRoster, type RosterEntry, rosterKey, writeFin, writeJob, writeRoom, writeRoster } from "../src/storage/records.js";
+import type { Condition, Write } from "../src/protocol/state.js";
+import * as old from "./production/storage/records.js";
+import { pipelines, randomJob, troubles, users } from "./sim/days.js";
+import { Rng, World } from "./sim/world.js";
+
+/** The version in production and the present one, on each other's records and side by side. */
+
+const stored = (value: unknown): unknown => JSON.parse(JSON.stringify(value));
+
+test("records that one version writes mean the same to the other", () => {
+  const w = new World(1);
+  const spec = randomJob(w, 1);
+  const pairs: [number, number][] = [[0, 3], [7, 7]];
+  const released = { spec, acceptedAt: 5, split: new Map([["g", RangeSet.of(pairs)]]), awaits: [], releasedAt: 9 };
+  const oldJob = old.readJob(stored(writeJob(released)))!;
+  assert.deepEqual([oldJob.spec, oldJob.acceptedAt, oldJob.split.get("g")!.pairs()], [spec, 5, pairs]);
+  // Rewritten by production, the time of release is lost and nothing else.
+  assert.deepEqual(readJob(stored(old.writeJob(oldJob))), { ...released, releasedAt: null });
+  // A waiting job has no tasks for anyone there.
+  assert.equal(old.readJob(stored(writeJob({ ...released, split: new Map(), awaits: ["req-9"], releasedAt: null })))!.split.size, 0);
+
+  const finished = RangeSet.empty();
+  const rng = new Rng(2);
+  for (let i = 0; i < 40_000; i++) if (rng.chance(0.5)) finished.add(i);
+  // Production's whole blocks, as bitmaps, then ours beside them under other keys: together they are everything.
+  const half = finished.slice(0, 19_999);
+  const kept = new Map<string, unknown>();
+  for (const chunk of [0, 1]) kept.set(old.finKey("req-1", "g", chunk), stored(old.writeFin(OldRangeSet.of(half.pairs()), chunk)));
+  for (let task = 20_000 - (20_000 % FIN_BLOCK); task < 40_000; task += FIN_BLOCK) {
+    const key = finKey("req-1", "g", finBlock(task));
+    assert.ok(!kept.has(key));
+    kept.set(key, stored(writeFin(inBlock(finished, finBlock(task)))));
+  }
+  const byOld = RangeSet.empty();
+  const byNew = RangeSet.empty();
+  for (const [key, value] of kept) {
+    const k = old.parseKey(key)!;
+    assert.ok(k.kind === "fin" && parseKey(key)?.kind === "fin");
+    byOld.addAll(RangeSet.of(old.readFin(value, k.chunk)!.pairs()));
+    byNew.addAll(readFin(value, k.chunk)!);
+  }
+  assert.deepEqual(byNew.pairs(), finished.pairs());
+  assert.deepEqual(byOld.pairs(), finished.pairs());
+
+  const machines = new Map([["n-1", { going: false, type: "a" }], ["n-2", { going: true, type: "b" }]]);
+  assert.deepEqual(old.readRoster(stored(writeRoster(machines))), machines);
+  assert.deepEqual(readRoster(stored(old.writeRoster(machines))), machines);
+  const room = { rows: [{ type: "t", zone: "z", spot: true, machines: 3, free: [[1, 0, 2, 3] as [number, number, number, number]], reserved: [] }], queue: { plain: 1, accelerated: 2 }, running: new Map([["req-1", 2]]), soldOut: ["t/z/spot"], left: new Map([["t/z/ordinary", 4]]), wants: new Map([["red", { cpus: 1, gpus: 0, since: 3 }]]) };
+  assert.deepEqual(old.readRoom(stored(writeRoom(room))), room);
+  assert.deepEqual(readRoom(stored(old.writeRoom(room))), room);
+});
+
+test("a roster record that became too large is divided, each machine being in one record at every moment", () => {
+  for (const [seed, count] of [[1, 200], [2, 200], [3, 120]] as const) {
+    const rng = new Rng(seed);
+    const limits = { valueBytes: 2048, txnOps: 4 };
+    const machines = new Map<string, RosterEntry>(Array.from({ length: count }, (_, i) => [`n-${String(i).padStart(6, "0")}`, { going: false, type: rng.pick(["stonerack", "faultglass"]) }]));
+    const state = new Map([[rosterKey("g", 0), { value: stored(writeRoster(machines)), version: 1 }]]);
+    assert.ok(bytesOf(writeRoster(machines)) > limits.valueBytes);
+    let epoch = 1;
+    const pending: (() => void)[] = [];
+    const mirror = {
+      rosters: new Map([["g", new Map([[0, machines]])]]),
+      versionOf: (key: string) => state.get(key)?.version ?? 0,
+    };
+    const ctx = { nowMs: 0, mirror, settings: { state: limits }, log: () => {} };
+    const everywhere = (): [string, boolean][] => [...state.values()].flatMap((d) => [...readRoster(d.value)!].map(([id, e]): [string, boolean] => [id, e.going]));
+    const commit = (conditions: Condition[], writes: Write[], done: (end: "ok" | "conflict" | "refused" | "unknown", epoch: number) => void): void => {
+      assert.ok(writes.length <= limits.txnOps);
+      pending.push(() => {
+        // Some never arrive, some arrive and their answer is lost.
+        const luck = rng.int(0, 3);
+        const ok = luck > 0 && conditions.every((c) => (state.get(c.key)?.version ?? 0) === c.version);
+        if (ok) {
+          epoch++;
+          for (const x of writes) {
+            assert.ok(x.op === "put" && bytesOf(x.value as object) <= limits.valueBytes);
+            state.set(x.key, { value: stored(x.value), version: epoch });
+          }
+        }
+        const ids = everywhere().map(([id]) => id);
+        assert.equal(new Set(ids).size, ids.length, "no machine is in two records");
+        for (const id of machines.keys()) if (!gone.has(id)) assert.ok(ids.includes(id), `${id} is in no record`);
+        done(luck === 0 ? "refused" : luck === 1 ? "unknown" : ok ? "ok" : "conflict", epoch);
+      });
+    };
+    const gone = new Set<string>();
+    const r = new Roster(ctx as unknown as Context, "g", commit, () => {});
+    r.flush();
+    const marked = new Set<string>();
+    for (let k = 0; k < 400; k++) {
+      ctx.nowMs += 400;
+      const id = `n-${String(rng.int(0, count + 30)).padStart(6, "0")}`;
+      if (rng.chance(0.3) && k < 250) {
+        if (rng.chance(0.2) && machines.has(id)) {
+          gone.add(id);
+          r.remove(id);
+        } else if (!gone.has(id)) {
+          marked.add(id);
+          r.set(id, { going: true, type: "stonerack" });
+        }
+      }
+      r.flush();
+      pending.shift()?.();
+    }
+    const end = new Map(everywhere());
+    for (const id of marked) if (!gone.has(id)) assert.ok(end.get(id) && r.goingWritten(id), `${id} is marked`);
+    for (const id of gone) assert.ok(!end.has(id) && !r.has(id));
+  }
+});
+
+/** A day that begins with production's version and data; waiting jobs come once all controllers are new. */
+function upgradeDay(seed: number, withTroubles: boolean): World {
+  const w = new World(seed, undefined, ["node-a", "node-b", "node-c"]);
+  for (const z of w.zones) w.cloud.add(w.types[0]!, z, false, 0);
+  users(w, 150_000);
+  w.rollout(30_000, 12_000);
+  const afterRollout = 75_000;
+  w.at(w.rng.real(afterRollout, 110_000), () => (w.limitsFell = true));
+  pipelines(w, afterRollout, 170_000);
+  if (withTroubles) troubles(w, 190_000);
+  w.run(withTroubles ? 250_000 : 330_000);
+  return w;
+}
+const report = (w: World, seed: number): string => `seed ${seed}: ${w.checker.broken.join("; ")}\n${w.logs.slice(-30).join("\n")}`;
+const stages = (w: World, status: string): string[] => [...w.checker.told].filter(([id, s]) => s === status && w.awaits.has(id)).map(([id]) => id);
+
+test("a quiet upgrade keeps the rules, and every line of jobs comes to its end", () => {
+  for (let seed = 700; seed < 704; seed++) {
+    const w = upgradeDay(seed, false);
+    assert.deepEqual(w.checker.broken, [], report(w, seed));
+    const open = stages(w, "accepted");
+    assert.deepEqual(open, [], `seed ${seed}: ${open.map((id) => `${id} needs ${w.awaits.get(id)!.join()}`).join("; ")}\n${w.logs.slice(-20).join("\n")}`);
+    assert.ok(stages(w, "done").length > 20 && stages(w, "cancelled").length > 3, `${stages(w, "done").length} done, ${stages(w, "cancelled").length} cancelled`);
+    assert.equal(w.logs.filter((l) => l.includes("refuses a transaction")).length, 0, "nothing is over a limit");
+  }
+});
+
+test("upgrades full of troubles keep the rules: kills during them, old data, lowered limits, cancelled lines", () => {
+  let done = 0;
+  for (let seed = 720; seed < 740; seed++) {
+    const w = upgradeDay(seed, true);
+    assert.deepEqual(w.checker.broken, [], report(w, seed));
+    done += stages(w, "done").length;
+  }
+  assert.ok(done > 200, `${done} stages done`);
+});
