--- a/src/cli.ts
+++ b/src/cli.ts
@@ -51,7 +51,8 @@
 function print(o: Common, raw: Record<string, unknown>): void {
   if (o.json) return void process.stdout.write(`${JSON.stringify(raw)}\n`);
   const counts = typeof raw["done"] === "number" ? `, ${raw["done"]} done, ${String(raw["running"])} running` : "";
-  process.stdout.write(`${String(raw["id"])}: ${String(raw["status"])}${counts}\n`);
+  const awaits = Array.isArray(raw["awaits"]) && raw["awaits"].length > 0 ? `, waits for ${raw["awaits"].join(", ")}` : "";
+  process.stdout.write(`${String(raw["id"])}: ${String(raw["status"])}${counts}${awaits}\n`);
 }
 
 export async function cli(argv: readonly string[]): Promise<number> {
--- a/test/daemon.test.ts
+++ b/test/daemon.test.ts
@@ -218,6 +218,17 @@
   assert.equal(sent.out, "req-000003: queued\n");
   assert.equal(JSON.parse((await run(["withdraw", ...at, "req-000003", "--json"])).out).status, "cancelled");
   assert.match((await run(["show", ...at, "req-000003"])).out, /^req-000003: cancelled/);
+  // A line of two: the second waits, is told so, and goes with the first.
+  const submit = (id: string, awaits: string[]): Promise<{ code: number | null; out: string; err: string }> => run(["submit", ...at, "-"], JSON.stringify({ ...JOB, id, awaits }));
+  assert.equal((await submit("req-000004", [])).out, "req-000004: queued\n");
+  assert.equal((await submit("req-000005", ["req-000004"])).out, "req-000005: queued\n");
+  assert.match((await run(["show", ...at, "req-000005"])).out, /^req-000005: queued, 0 done, 0 running, waits for req-000004\n$/);
+  const never = await submit("req-000006", ["req-000099"]);
+  assert.deepEqual([never.code, never.err], [1, "linencove: 422: awaits: req-000099 was never accepted\n"]);
+  const wrong = await submit("req-000006", ["4"]);
+  assert.deepEqual([wrong.code, wrong.err], [1, "linencove: -: awaits.0: must look like req-000412\n"]);
+  assert.equal((await run(["withdraw", ...at, "req-000004"])).code, 0);
+  assert.match((await run(["show", ...at, "req-000005"])).out, /^req-000005: cancelled/);
   const cases: [string[], number, RegExp][] = [
     [["show", ...at, "req-77"], 1, /^linencove: 404: no such job\n$/],
     [["show", "--server", "127.0.0.1:1", "req-77"], 1, /^linencove: 127\.0\.0\.1:1: .*ECONNREFUSED/],
