--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -19,6 +19,8 @@
 const READ_PAUSE_MS = 40;
 const WITHDRAW_TRIES = 4;
 const MAX_WAITING = 400;
+/** A copy read within this time tells a new job's user of every cancellation that was told cancel_s ago. */
+const FRESH_MS = 3_000;
 /** Measured: 2 KiB for a live job, as much again for each group that has a part of it, and the text while it is read. */
 const JOB_KIB = 6;
 /** Of the memory, what live jobs may take: the process itself and its libraries take half. */
@@ -374,6 +376,10 @@
     // Every controller holds all live jobs: more than fit are not accepted, on any of them.
     if (this.mirror.jobs.size >= this.maxJobs) return this.known(req, id, () => this.later(req, "too many unfinished jobs", 10));
     if (awaits.length === 0) return this.accept(req, spec, []);
+    // What this copy shows of a job was so a moment ago: it was accepted. Only what it does not show takes a fresh read,
+    // and what it may be too old for.
+    const shown = awaits.every((name) => this.mirror.past.has(name) || (this.mirror.jobs.has(name) && this.awaiting.unsure(name) === null));
+    if (shown && this.ownership.readAgeMs < FRESH_MS) return this.judge(req, spec, awaits, []);
     this.afterRead(req, id, () => this.judge(req, spec, awaits, []));
   }
 
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -74,8 +74,9 @@
   get staleMs(): number {
     return this.ctx.nowMs - Math.min(this.touchedMs, this.readMs);
   }
-  get holdId(): number | null {
-    return this.hold;
+  /** Age of the copy of the state service's records. */
+  get readAgeMs(): number {
+    return this.ctx.nowMs - this.readMs;
   }
 
   private keepHold(): void {
--- a/src/storage/client.ts
+++ b/src/storage/client.ts
@@ -8,6 +8,9 @@
 /** Our own requests must have failed for this long before a peer is asked. */
 const FAILING_MS = 1_200;
 
+/** Users and holds take what there is; masters leave them a quarter of a burst, written room and moves half of it. */
+const KEPT = [0, 0, 0.25, 0.5];
+
 /** A way to the state service through another controller. */
 export interface Through {
   withState(): string | null;
@@ -32,7 +35,7 @@
   constructor(private readonly settings: Settings) {
     const nodes = settings.peers.length + 1;
     const rates = [settings.state.rps / nodes, settings.state.writeRps / nodes];
-    this.limiter = new Limiter(rates, rates.map((r) => Math.max(1, r)));
+    this.limiter = new Limiter(rates, rates.map((r) => Math.max(1, r)), 500, KEPT);
   }
 
   get ok(): boolean {
--- a/src/transport/limiter.ts
+++ b/src/transport/limiter.ts
@@ -21,6 +21,8 @@
     private readonly rates: readonly number[],
     private readonly bursts: readonly number[],
     private readonly maxQueue = 500,
+    /** Part of a burst that calls of each urgency leave to more urgent ones. */
+    private readonly kept: readonly number[] = [],
   ) {
     this.level = [...bursts];
     this.lastMs = performance.now();
@@ -34,6 +36,16 @@
     this.drain();
   }
 
+  /**
+   * How full a bucket must be for a call: what it costs, and a part left for more urgent ones that may come any moment
+   * (with 5 changes a second, users waited 200 ms for each that went before). A cost above a whole burst would wait for
+   * ever: it goes when the bucket is full.
+   */
+  private needs(j: Job, i: number): number {
+    const cost = j.cost[i]!;
+    return cost === 0 ? 0 : Math.min(this.bursts[i]!, cost + this.bursts[i]! * (this.kept[j.urgent] ?? 0));
+  }
+
   private drain(): void {
     const now = performance.now();
     const passed = (now - this.lastMs) / 1000;
@@ -46,14 +58,14 @@
     }
     while (this.queue.length > 0) {
       const j = this.queue[0]!;
-      // A cost above a whole burst would wait for ever: it goes when the bucket is full.
-      if (j.cost.some((c, i) => this.level[i]! < Math.min(c, this.bursts[i]!))) break;
+      if (j.cost.some((_, i) => this.level[i]! < this.needs(j, i))) break;
       this.queue.shift();
       j.cost.forEach((c, i) => (this.level[i]! -= c));
       j.run();
     }
     if (this.queue.length > 0 && this.timer === null) {
-      const wait = Math.max(...this.queue[0]!.cost.map((c, i) => (Math.min(c, this.bursts[i]!) - this.level[i]!) / this.rates[i]!));
+      const first = this.queue[0]!;
+      const wait = Math.max(...first.cost.map((_, i) => (this.needs(first, i) - this.level[i]!) / this.rates[i]!));
       this.timer = setTimeout(() => {
         this.timer = null;
         this.drain();
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -13,6 +13,7 @@
 import { parseJob } from "../src/protocol/jobs.js";
 import { parseReport } from "../src/protocol/workers.js";
 import { FIN_BLOCK, finBlock, inBlock, readFin, readJob, writeFin, writeJob } from "../src/storage/records.js";
+import { Limiter } from "../src/transport/limiter.js";
 import { Rng } from "./sim/world.js";
 
 const JOB = {
@@ -199,6 +200,19 @@
   }
 });
 
+test("less urgent calls leave part of a limit to users, and all of them go in the end", async () => {
+  // Masters' writes had used up the limit, and each user's submission waited for its next part.
+  const limiter = new Limiter([200], [5], 500, [0, 0, 0.25, 0.5]);
+  const ran: number[] = [];
+  const add = (urgent: number, cost: number): void => limiter.add({ urgent, cost: [cost], deadlineMs: performance.now() + 60_000, run: () => ran.push(urgent), refuse: () => assert.fail("refused") });
+  for (let i = 0; i < 20; i++) add(3, 4);
+  const before = ran.length;
+  assert.ok(before < 3, `${before} went at once`);
+  add(1, 1);
+  assert.equal(ran.at(-1), 1, "the user's goes at once");
+  while (ran.length < 21) await new Promise((r) => setTimeout(r, 5));
+});
+
 const TOML = `label = "n1"
 area = "a"
 client_listen = "127.0.0.1:8080"
