--- a/test/awaiting.test.ts
+++ b/test/awaiting.test.ts
@@ -340,3 +340,32 @@
   assert.ok(most > 5 && most < 40, `${most} calls at once`);
   kept(w);
 });
+
+test("a withdrawal that meets a release: only one of them happens, and everybody is told the same", () => {
+  const ends = new Set<string>();
+  for (let seed = 40; seed < 60; seed++) {
+    const w = world(seed);
+    after(w, 5_000);
+    submit(w, job(w, 1, [], { tasks: 1 }));
+    after(w, 100);
+    const spec = job(w, 2, [1]);
+    submit(w, spec, "node-c");
+    let asked: { answer: Answer | null } | null = null;
+    w.afterStep = () => {
+      if (asked || !w.state.data.has(pastKey("req-000001"))) return;
+      asked = { answer: null };
+      w.at(w.rng.real(0, 40), () => (asked = ask(w, "withdraw", spec.id, w.rng.pick(w.names))));
+    };
+    after(w, 60_000);
+    assert.equal(stateOf(asked!.answer), "cancelled", `seed ${seed}`);
+    ends.add(w.logs.some((l) => l.includes("job released") && l.includes(spec.id)) ? "released first" : "cancelled first");
+    for (const node of w.names) {
+      const told = ask(w, "status", spec.id, node);
+      after(w, 100);
+      assert.equal(stateOf(told.answer), "cancelled");
+    }
+    assert.ok(w.state.data.has(pastKey(spec.id)) && !w.state.data.has(jobKey(spec.id)));
+    kept(w);
+  }
+  assert.equal(ends.size, 2, "both orders were met");
+});
