Long lines of jobs overflow no stack; written room and shares fit a value with any number of teams and types

Cause: urgency and cancellation went along the names by recursion; a line of 5,000 jobs ended the process, and would have ended every controller that read it.

--- a/src/coordination/awaiting.ts
+++ b/src/coordination/awaiting.ts
@@ -104,12 +104,16 @@
     }
   }
 
-  private doom(e: Entry): void {
-    if (e.doomed) return;
-    e.doomed = true;
-    e.sinceMs = this.ctx.nowMs;
-    for (const name of this.needers.get(e.view.id) ?? []) this.doom(this.entries.get(name)!);
-    for (const name of e.names) this.stand(name);
+  /** No recursion, here and in `stand`: users may build lines of thousands of jobs, and a stack that overflows ends the process. */
+  private doom(first: Entry): void {
+    const stack = [first];
+    for (let e = stack.pop(); e; e = stack.pop()) {
+      if (e.doomed) continue;
+      e.doomed = true;
+      e.sinceMs = this.ctx.nowMs;
+      for (const name of this.needers.get(e.view.id) ?? []) stack.push(this.entries.get(name)!);
+      for (const name of e.names) this.stand(name);
+    }
   }
 
   private remove(e: Entry): void {
@@ -155,9 +159,14 @@
    * A job counts as urgent as the most urgent one that needs it, and is due when what follows it can still be done in
    * time. Kept up to date as jobs come and go: only what a change reaches is looked at.
    */
-  private stand(id: string): void {
+  private stand(first: string): void {
+    const stack = [first];
+    for (let id = stack.pop(); id !== undefined; id = stack.pop()) if (this.standOne(id)) stack.push(...(this.entries.get(id)?.open ?? []));
+  }
+  /** Whether anything changed. */
+  private standOne(id: string): boolean {
     const view = this.mirror.jobs.get(id);
-    if (!view) return;
+    if (!view) return false;
     let urgency = view.spec.urgency;
     let dueAt = ownDueAt(view.spec, view.acceptedAt);
     for (const name of this.needers.get(id) ?? []) {
@@ -167,10 +176,10 @@
       if (URGENCIES.indexOf(next.urgency) > URGENCIES.indexOf(urgency)) urgency = next.urgency;
       dueAt = Math.min(dueAt, next.dueAt - next.spec.estimateS * 1000);
     }
-    if (urgency === view.urgency && dueAt === view.dueAt) return;
+    if (urgency === view.urgency && dueAt === view.dueAt) return false;
     view.urgency = urgency;
     view.dueAt = dueAt;
-    for (const name of this.entries.get(id)?.open ?? []) this.stand(name);
+    return true;
   }
 
   // ---- releases and ends ---------------------------------------------------------------------------------
--- a/src/coordination/room.ts
+++ b/src/coordination/room.ts
@@ -58,12 +58,14 @@
   /** What is written of it: what fits a value. Running counts give way first, then the smallest kinds of free room. */
   fitted(): RoomRecord {
     const all = this.now();
-    const record: RoomRecord = { ...all, rows: all.rows.map((r) => ({ ...r, free: [], reserved: [] })), running: new Map() };
-    const { soldOut, left } = record;
+    const rows = all.rows.sort((x, y) => y.machines - x.machines);
+    const record: RoomRecord = { ...all, rows: rows.map((r) => ({ ...r, free: [], reserved: [] })), running: new Map() };
+    const { soldOut, left, wants } = record;
     const most = this.ctx.settings.state.valueBytes;
-    // Which offers have little left is a hint; it gives way where a deployment has very many.
-    while (bytesOf(writeRoom(record)) > most && left.size > 0) left.delete([...left.keys()].at(-1)!);
-    while (bytesOf(writeRoom(record)) > most && soldOut.length > 0) soldOut.pop();
+    // With very many teams, types and zones these give way: hints first, then the rows of the fewest machines. A record
+    // that does not fit would be refused for ever, and the group's room never known again.
+    const cut = [() => left.delete([...left.keys()].at(-1)!), () => soldOut.pop() !== undefined, () => wants.delete([...wants.keys()].at(-1)!), () => record.rows.pop() !== undefined];
+    while (bytesOf(writeRoom(record)) > most && cut.some((one) => one()));
     let bytes = most - bytesOf(writeRoom(record));
     const fits = (entry: readonly unknown[]): boolean => {
       const takes = bytesOf(entry) + 1;
@@ -72,7 +74,7 @@
       return true;
     };
     const size = (k: FreeKind): number => k[3] * (k[0] + 100 * k[1]);
-    const kinds = all.rows.flatMap((r, i) => [...r.free.map((kind) => ({ to: record.rows[i]!.free, kind })), ...r.reserved.map((kind) => ({ to: record.rows[i]!.reserved, kind }))]);
+    const kinds = rows.slice(0, record.rows.length).flatMap((r, i) => [...r.free.map((kind) => ({ to: record.rows[i]!.free, kind })), ...r.reserved.map((kind) => ({ to: record.rows[i]!.reserved, kind }))]);
     for (const { to, kind } of kinds.sort((x, y) => size(y.kind) - size(x.kind))) if (fits(kind)) to.push(kind);
     for (const entry of all.running) if (fits(entry)) record.running.set(...entry);
     return record;
--- a/src/coordination/sharing.ts
+++ b/src/coordination/sharing.ts
@@ -1,4 +1,4 @@
-import { QUOTA_KEY, type Want } from "../storage/records.js";
+import { bytesOf, QUOTA_KEY, type Want } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import { Handover } from "./handover.js";
@@ -73,6 +73,8 @@
         const give: [number, number] = [spare(share[0], used.cpus, want.cpus), spare(share[1], used.gpus, want.gpus)];
         if (give[0] <= EPS && give[1] <= EPS) continue;
         const shares = moveShare(team, this.ctx.groups.names, this.ctx.mirror.shares, this.master.group, group, give);
+        // With very many teams the record would not fit a value: the shares stay as they are.
+        if (bytesOf(shares) > this.ctx.settings.state.valueBytes) continue;
         this.giving = { team: name, give, change: new Handover(this.ctx.mirror.sharesVersion, shares) };
         this.ctx.log("info", "giving part of a team's limit to another group", { team: name, to: group, cpus: give[0], gpus: give[1] });
         return this.send();
--- a/test/awaiting.test.ts
+++ b/test/awaiting.test.ts
@@ -2,8 +2,11 @@
 import { test } from "node:test";
 import type { Answer } from "../src/coordination/effects.js";
 import { Awaiting } from "../src/coordination/awaiting.js";
+import type { Context } from "../src/coordination/context.js";
+import { Mirror } from "../src/coordination/mirror.js";
 import type { JobSpec } from "../src/coordination/model.js";
-import { jobKey, pastKey } from "../src/storage/records.js";
+import { RangeSet } from "../src/coordination/ranges.js";
+import { jobKey, pastKey, writeJob } from "../src/storage/records.js";
 import { pipelines, randomJob } from "./sim/days.js";
 import { World } from "./sim/world.js";
 
@@ -369,3 +372,22 @@
   }
   assert.equal(ends.size, 2, "both orders were met");
 });
+
+test("a line of thousands of jobs, each waiting for the one before, overflows nothing", () => {
+  // Once a controller's stack overflowed at 5,000, as would every controller's that reads such records.
+  const n = 6_000;
+  const mirror = new Mirror();
+  const core = new Awaiting({ nowMs: 0, wallMs: 0 } as unknown as Context, mirror, () => null, () => {});
+  const id = (i: number): string => `req-${String(i).padStart(6, "0")}`;
+  const w = new World(1);
+  for (let i = 1; i <= n; i++) {
+    const spec = { ...randomJob(w, i), urgency: i === n ? ("high" as const) : ("normal" as const), deadlineS: i === n ? 60 : null, estimateS: 1 };
+    const value = writeJob({ spec, acceptedAt: 0, split: new Map(i === 1 ? [["g", RangeSet.upTo(1)]] : []), awaits: i === 1 ? [] : [id(i - 1)], releasedAt: null });
+    for (const s of mirror.apply([{ op: "put", key: jobKey(spec.id), value: JSON.parse(JSON.stringify(value)), version: i }], i)) if (s.kind === "job") core.seen(s.job);
+  }
+  const first = mirror.jobs.get(id(1))!;
+  assert.deepEqual([first.urgency, first.dueAt], ["high", 60_000 - (n - 1) * 1_000]);
+  assert.equal(core.unsure(id(n)), null);
+  core.settle(id(1), { status: "cancelled", tasks: 1, done: 0 });
+  assert.ok(core.isDoomed(id(n)));
+});
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Context } from "../src/coordination/context.js";
+import type { Master } from "../src/coordination/master.js";
 import { RangeSet } from "../src/coordination/ranges.js";
+import { Room } from "../src/coordination/room.js";
 import { Roster } from "../src/coordination/roster.js";
 import { RangeSet as OldRangeSet } from "./production/coordination/ranges.js";
 import { bytesOf, FIN_BLOCK, finBlock, finKey, inBlock, parseKey, readFin, readJob, readRoom, readRoster, type RosterEntry, rosterKey, writeFin, writeJob, writeRoom, writeRoster } from "../src/storage/records.js";
@@ -116,6 +118,30 @@
   }
 });
 
+test("written room fits a value however many types, zones, teams and jobs there are, and says most of what is most", () => {
+  const limits = { valueBytes: 2048, txnOps: 4 };
+  const types = Array.from({ length: 12 }, (_, i) => `type-of-machine-${i}`);
+  const workers = types.flatMap((typeName, i) =>
+    ["zone-a", "zone-b", "zone-c", "zone-d"].flatMap((zone) => Array.from({ length: i + 1 }, (_, k) => ({ id: `n-${typeName}-${zone}-${k}`, typeName, type: { cpus: 32 + k, gpus: 0, memGb: 64 }, zone, spot: false, tasks: new Map(), strays: new Map() }))),
+  );
+  const offers = types.flatMap((t) => ["zone-a", "zone-b"].map((z) => `${t}/${z}/spot`));
+  const master = {
+    group: "g",
+    usableWorkers: () => ({ usable: workers, reserved: new Set<string>() }),
+    isHeld: () => false,
+    jobs: new Map(),
+    runningOf: () => 0,
+    fleet: { renting: { soldOut: () => [...offers], left: () => new Map(offers.map((o) => [o, 3])) } },
+    wants: () => new Map(Array.from({ length: 20 }, (_, i) => [`team-${i}`, { cpus: 1, gpus: 0, since: 1_700_000_000_000 }])),
+  };
+  const room = new Room({ settings: { state: limits } } as unknown as Context, master as unknown as Master);
+  const record = room.fitted();
+  assert.ok(bytesOf(writeRoom(record)) <= limits.valueBytes, `${bytesOf(writeRoom(record))}`);
+  assert.ok(record.rows.length > 10 && record.rows.every((r) => r.machines >= 5), "the rows of the most machines");
+  assert.equal(room.now().rows.length, 48, "the group itself goes by all of it");
+  assert.deepEqual(old.readRoom(stored(writeRoom(record))), record);
+});
+
 /** A day that begins with production's version and data; waiting jobs come once all controllers are new. */
 function upgradeDay(seed: number, withTroubles: boolean): World {
   const w = new World(seed, undefined, ["node-a", "node-b", "node-c"]);
