One way to write a job's end; final records settled once; turns looked up once a pass

Found on reading the whole change again: withdrawals, masters and waiting jobs each built the same transaction; what was looked up for a waiting job was settled twice; Awaiting was handed the mirror that its context has; a case in dividing rosters could not happen; who may act was worked out anew for each waiting job.

--- a/src/coordination/awaiting.ts
+++ b/src/coordination/awaiting.ts
@@ -1,8 +1,8 @@
-import { jobKey, type JobRecord, pastKey, type PastRecord, writeJob, writePast } from "../storage/records.js";
+import { endWrites, jobKey, type JobRecord, type PastRecord, writeJob } from "../storage/records.js";
 import type { Condition, Write } from "../protocol/state.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
-import { type JobView, type Mirror, ownDueAt } from "./mirror.js";
+import { type JobView, ownDueAt } from "./mirror.js";
 import { type JobSpec, URGENCIES } from "./model.js";
 import type { RangeSet } from "./ranges.js";
 import { turn } from "./splitter.js";
@@ -53,10 +53,10 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly mirror: Mirror,
     /** Cuts a job over the groups by the room of this moment; null: that can't be said now. */
     private readonly cut: (spec: JobSpec) => Map<string, RangeSet> | null,
-    private readonly lookUp: (id: string, done: (past: PastRecord | null) => void) => void,
+    /** Reads a job's final record; what it says comes to `settle`. */
+    private readonly lookUp: (id: string) => void,
   ) {}
 
   // ---- what the records say ------------------------------------------------------------------------------
@@ -77,10 +77,10 @@
       const set = this.needers.get(name) ?? new Set();
       this.needers.set(name, set.add(view.id));
       this.unknown.delete(name);
-      const past = this.mirror.past.get(name);
+      const past = this.ctx.mirror.past.get(name);
       if (past) this.settle(name, past);
       else if (this.entries.get(name)?.doomed) this.doom(e);
-      else if (!this.mirror.jobs.has(name)) this.unknown.set(name, 0);
+      else if (!this.ctx.mirror.jobs.has(name)) this.unknown.set(name, 0);
     }
     this.stand(view.id);
     for (const name of e.open) this.stand(name);
@@ -90,7 +90,7 @@
   gone(id: string): void {
     const e = this.entries.get(id);
     if (e) this.remove(e);
-    if (this.needers.has(id) && !this.mirror.past.has(id)) this.unknown.set(id, 0);
+    if (this.needers.has(id) && !this.ctx.mirror.past.has(id)) this.unknown.set(id, 0);
   }
 
   /** What became of a job, once and for all. */
@@ -165,7 +165,7 @@
   }
   /** Whether anything changed. */
   private standOne(id: string): boolean {
-    const view = this.mirror.jobs.get(id);
+    const view = this.ctx.mirror.jobs.get(id);
     if (!view) return false;
     let urgency = view.spec.urgency;
     let dueAt = ownDueAt(view.spec, view.acceptedAt);
@@ -186,28 +186,30 @@
 
   /** Looks up, releases and ends what is due for it. */
   act(): void {
-    if (this.ctx.nowMs - this.lookedMs < LOOK_MS) return;
+    if (this.entries.size === 0 || this.ctx.nowMs - this.lookedMs < LOOK_MS) return;
     this.lookedMs = this.ctx.nowMs;
     for (const [name, againMs] of this.unknown) {
       if (this.ctx.nowMs < againMs) continue;
       this.unknown.set(name, this.ctx.nowMs + AGAIN_MS);
-      this.lookUp(name, (past) => past && this.settle(name, past));
+      this.lookUp(name);
     }
     const over: Entry[] = [];
+    const able = this.able();
     for (const e of this.entries.values()) {
-      if (e.busy || this.ctx.nowMs < e.againMs || !this.myTurn(e)) continue;
+      if ((!e.doomed && e.open.size > 0) || e.busy || this.ctx.nowMs < e.againMs || !this.myTurn(e, able)) continue;
       if (e.doomed) over.push(e);
       else if (this.sent < AT_ONCE) this.release(e);
     }
     this.end(over);
   }
 
-  /** Those that hold a group come by turns, beginning with one that the job's name decides. */
-  private myTurn(e: Entry): boolean {
-    if (!e.doomed && e.open.size > 0) return false;
-    const { names } = this.ctx.groups;
-    const owners = new Set([...this.mirror.groups.values()].map((g) => g.owner));
-    const able = names.filter((n) => owners.has(n) || n === this.ctx.settings.label);
+  /** Controllers that hold a group, and this one. */
+  private able(): string[] {
+    const owners = new Set([...this.ctx.mirror.groups.values()].map((g) => g.owner));
+    return this.ctx.groups.names.filter((n) => owners.has(n) || n === this.ctx.settings.label);
+  }
+  /** They come by turns, beginning with one that the job's name decides. */
+  private myTurn(e: Entry, able: readonly string[]): boolean {
     const first = turn(e.view.id, able.length);
     const rank = (able.indexOf(this.ctx.settings.label) - first + able.length) % able.length;
     return this.ctx.nowMs - e.sinceMs >= rank * TURN_MS;
@@ -228,10 +230,7 @@
     const each = Math.max(1, Math.floor(this.ctx.settings.state.txnOps / 2));
     for (let i = 0; i < over.length && this.sent < AT_ONCE; i += each) {
       const some = over.slice(i, i + each);
-      const writes = some.flatMap((e): Write[] => [
-        { op: "put", key: pastKey(e.view.id), value: writePast({ status: "cancelled", tasks: e.view.spec.tasks, done: 0 }) },
-        { op: "delete", key: jobKey(e.view.id) },
-      ]);
+      const writes = some.flatMap((e) => endWrites(e.view.id, { status: "cancelled", tasks: e.view.spec.tasks, done: 0 }));
       this.commit(some, writes, Urgent.Spare, () => this.ctx.log("info", "jobs cancelled with one that they need", { jobs: some.map((e) => e.view.id) }));
     }
   }
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,6 +1,6 @@
 import type { Settings } from "../config/settings.js";
 import type { Condition, Item, StateCall, StateReply, Write } from "../protocol/state.js";
-import { bytesOf, jobKey, type JobRecord, NOW, pastKey, type PastRecord, readPast, ROOT, writeJob, writePast } from "../storage/records.js";
+import { bytesOf, endWrites, jobKey, type JobRecord, NOW, pastKey, type PastRecord, readPast, ROOT, writeJob, writePast } from "../storage/records.js";
 import { Awaiting } from "./awaiting.js";
 import type { CommitEnd, Context } from "./context.js";
 import { type Answer, OWN_LIMIT, type CloudCall, type CloudReply, type CommandReply, type Effect, type Input, type Level, Urgent } from "./effects.js";
@@ -77,7 +77,7 @@
     this.wallMs = wallMs;
     this.groups = new Groups(settings);
     this.maxJobs = Math.floor((settings.memMb * 1024 * JOBS_SHARE) / JOB_KIB);
-    this.awaiting = new Awaiting(this, this.mirror, (spec) => this.cut(spec), (id, done) => this.lookUp(id, done));
+    this.awaiting = new Awaiting(this, (spec) => this.cut(spec), (id) => this.lookUp(id, () => {}));
     this.ownership = new Ownership(
       this,
       (call, done) => this.state(call, Urgent.Hold, (r, sentMs) => done(r as { is: string; hold?: number }, sentMs)),
@@ -505,20 +505,16 @@
     if (!job) {
       return this.past(req, id, (p) => this.answer(req, p ? { is: "job", status: 200, id, state: p.status } : { is: "unknownJob" }));
     }
-    const done = this.mirror.allFinished(id).size;
-    const fins = this.mirror.sideKeys(id).slice(0, this.settings.state.txnOps - 2);
+    const past: PastRecord = { status: "cancelled", tasks: job.spec.tasks, done: this.mirror.allFinished(id).size };
+    const beside = this.mirror.sideKeys(id).slice(0, this.settings.state.txnOps - 2);
     // Invariant (went_back): cancelled and done are conditional on the same record, so only one of them happens.
     this.commit(
       [{ key: jobKey(id), version: job.version }],
-      [
-        { op: "put", key: pastKey(id), value: writePast({ status: "cancelled", tasks: job.spec.tasks, done }) },
-        { op: "delete", key: jobKey(id) },
-        ...fins.map((key): Write => ({ op: "delete", key })),
-      ],
+      endWrites(id, past, beside),
       Urgent.User,
       (end) => {
         if (end === "ok") {
-          this.learnt(id, { status: "cancelled", tasks: job.spec.tasks, done });
+          this.learnt(id, past);
           this.answer(req, { is: "job", status: 200, id, state: "cancelled" });
         } else if (end === "conflict" && tries > 0) this.afterRead(req, id, (r, i) => this.withdraw(r, i, tries - 1));
         else this.later(req, "state service does not answer");
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -1,5 +1,5 @@
 import type { Condition, Write } from "../protocol/state.js";
-import { finBlock, finKey, gangKey, groupKey, inBlock, jobKey, pastKey, readyKey, type RoomRecord, type Want, writeFin, writePast } from "../storage/records.js";
+import { endWrites, finBlock, finKey, gangKey, groupKey, inBlock, jobKey, readyKey, type RoomRecord, type Want, writeFin } from "../storage/records.js";
 import { type CommitEnd, type Context, DRIFT } from "./context.js";
 import { type Answer, Urgent } from "./effects.js";
 import { Fleet } from "./fleet.js";
@@ -176,15 +176,11 @@
     if (job.finalizing || job.moving) return;
     job.finalizing = true;
     const id = job.id;
-    const fins = this.ctx.mirror.sideKeys(id).slice(0, this.ctx.settings.state.txnOps - 2);
+    const beside = this.ctx.mirror.sideKeys(id).slice(0, this.ctx.settings.state.txnOps - 2);
     const n = job.view.spec.tasks;
     this.commit(
       [{ key: jobKey(id), version: job.view.version }],
-      [
-        { op: "put", key: pastKey(id), value: writePast({ status: "done", tasks: n, done: n }) },
-        { op: "delete", key: jobKey(id) },
-        ...fins.map((key): Write => ({ op: "delete", key })),
-      ],
+      endWrites(id, { status: "done", tasks: n, done: n }, beside),
       Urgent.Master,
       (end) => {
         job.finalizing = false;
@@ -197,9 +193,11 @@
     if (job.writing) return;
     // Ranges are batched, as the design has it: with 5 changes a second, a write for each finished task kept users
     // waiting. What completes this group's part goes at once, for another group may be waiting for it to end the job.
-    const unfinished = job.mine.clone();
-    unfinished.removeAll(job.finished);
-    if (!unfinished.isEmpty && this.ctx.nowMs - job.wroteMs < FINISHED_MS) return;
+    if (this.ctx.nowMs - job.wroteMs < FINISHED_MS) {
+      const unfinished = job.mine.clone();
+      unfinished.removeAll(job.finished);
+      if (!unfinished.isEmpty) return;
+    }
     const fresh = job.finished.clone();
     fresh.removeAll(job.written);
     const first = fresh.first();
--- a/src/coordination/roster.ts
+++ b/src/coordination/roster.ts
@@ -95,8 +95,8 @@
     let last = 0;
     for (const [id, entry] of [...from].reverse()) {
       if (this.fits(from)) break;
-      let to = this.roomy(id, entry, last);
-      if (to === chunk) to = this.roomy(id, entry, chunk + 1);
+      // Never the record itself: it has no room while it does not fit.
+      const to = this.roomy(id, entry, last);
       if (!parts.has(to) && parts.size >= this.ctx.settings.state.txnOps) break;
       from.delete(id);
       this.want.get(to)!.set(id, entry);
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -1,6 +1,7 @@
 import * as v from "valibot";
 import { type JobSpec, URGENCIES } from "../coordination/model.js";
 import { RangeSet } from "../coordination/ranges.js";
+import type { Write } from "../protocol/state.js";
 
 /**
  * Keys and values in the state service. Controllers of an earlier version read and write them at the same time: nothing
@@ -197,6 +198,11 @@
   ...(j.awaits.length > 0 ? { needs: j.awaits } : {}),
   ...(j.releasedAt === null ? {} : { rel: j.releasedAt }),
 });
+/** A job's end, in one transaction: its final record in place of the live one, and of records `beside` it as many as are named. */
+export const endWrites = (id: string, past: PastRecord, beside: readonly string[] = []): Write[] => [
+  { op: "put", key: pastKey(id), value: writePast(past) },
+  ...[jobKey(id), ...beside].map((key): Write => ({ op: "delete", key })),
+];
 /** Bytes that a record takes at the state service. */
 export const bytesOf = (value: object): number => Buffer.byteLength(JSON.stringify(value));
 export function readPast(value: unknown): PastRecord | null {
--- a/test/awaiting.test.ts
+++ b/test/awaiting.test.ts
@@ -377,7 +377,7 @@
   // Once a controller's stack overflowed at 5,000, as would every controller's that reads such records.
   const n = 6_000;
   const mirror = new Mirror();
-  const core = new Awaiting({ nowMs: 0, wallMs: 0 } as unknown as Context, mirror, () => null, () => {});
+  const core = new Awaiting({ nowMs: 0, wallMs: 0, mirror } as unknown as Context, () => null, () => {});
   const id = (i: number): string => `req-${String(i).padStart(6, "0")}`;
   const w = new World(1);
   for (let i = 1; i <= n; i++) {
