--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -8,6 +8,17 @@
 
 const WARM_PERIODS = 6;
 
+/** What is alike for all machines of one type, zone and kind is worked out once for each: there are hundreds of machines and few kinds. */
+function memo<T>(of: (w: Worker) => T): (w: Worker) => T {
+  const known = new Map<string, T>();
+  return (w) => {
+    const key = w.type ? w.kind : `?${w.kind}`;
+    let value = known.get(key);
+    if (value === undefined) known.set(key, (value = of(w)));
+    return value;
+  };
+}
+
 /** The machines of one group: rents what waiting work needs and gives back what nothing needs. */
 export class Fleet {
   /** Machines to give back. `marked`: the roster says so. */
@@ -137,11 +148,15 @@
   private returnIdle(): void {
     const now = this.ctx.nowMs;
     const spare = new Map<string, number>();
-    const idle = [...this.master.workers.values()].filter((w) => !w.going && !w.lost && w.idleSinceMs !== null).sort((a, b) => a.idleSinceMs! - b.idleSinceMs!);
-    for (const w of idle) {
-      const boot = this.typeOf(w.typeName)?.bootS ?? 60;
-      if (now - w.idleSinceMs! < Math.max(this.ctx.tuning.idleReturnS, boot * this.ctx.tuning.idleBoots) * 1000 || this.wanted(w)) continue;
-      if (this.ctx.settings.objectives.some((o) => o.kind === "wait" && (o.withinS ?? Infinity) < boot && this.serves(o.class, w))) {
+    const idle: Worker[] = [];
+    const bootS = memo((w: Worker) => this.typeOf(w.typeName)?.bootS ?? 60);
+    for (const w of this.master.workers.values())
+      if (!w.going && !w.lost && w.idleSinceMs !== null && now - w.idleSinceMs >= Math.max(this.ctx.tuning.idleReturnS, bootS(w) * this.ctx.tuning.idleBoots) * 1000) idle.push(w);
+    const wanted = memo((w: Worker) => this.wanted(w));
+    const expected = memo((w: Worker) => this.ctx.settings.objectives.some((o) => o.kind === "wait" && (o.withinS ?? Infinity) < bootS(w) && this.serves(o.class, w)));
+    for (const w of idle.sort((a, b) => a.idleSinceMs! - b.idleSinceMs!)) {
+      if (wanted(w)) continue;
+      if (expected(w)) {
         const left = spare.get(w.typeName) ?? this.count(w.typeName) - this.peakOf(w.typeName) - this.spareFor(w.typeName);
         spare.set(w.typeName, left - 1);
         if (left <= 0) continue;
@@ -234,8 +249,9 @@
       const spec = o.kind === "wait" && o.class !== undefined ? this.classNeeds.get(o.class) : undefined;
       if (!spec) continue;
       const types = new Set<string>();
+      const serves = memo((w: Worker) => this.serves(spec.class, w));
       for (const w of this.master.workers.values())
-        if (!w.lost && !w.going && w.type && (o.withinS ?? Infinity) < w.type.bootS && this.serves(spec.class, w)) types.add(w.typeName);
+        if (!w.lost && !w.going && w.type && (o.withinS ?? Infinity) < w.type.bootS && !types.has(w.typeName) && serves(w)) types.add(w.typeName);
       let places = 0;
       for (const t of types) places += this.spareFor(t);
       if (places > 0) out.push({ spec: { ...spec, zone: null, deadlineS: null }, places });
--- a/src/coordination/ledger.ts
+++ b/src/coordination/ledger.ts
@@ -26,14 +26,17 @@
   }
 
   put(t: TaskRun): void {
+    t.worker.free = null;
     t.worker.tasks.set(runKey(t.job.id, t.index, t.attempt), t);
     this.use(t.job.view.spec.team, t.job.view.spec, 1);
   }
   drop(t: TaskRun): void {
+    t.worker.free = null;
     if (t.worker.tasks.delete(runKey(t.job.id, t.index, t.attempt))) this.use(t.job.view.spec.team, t.job.view.spec, -1);
   }
 
   addStray(s: Stray): void {
+    s.worker.free = null;
     s.worker.strays.set(runKey(s.job, s.index, s.attempt), s);
     let of = this.strays.get(s.job);
     if (!of) this.strays.set(s.job, (of = new Set()));
@@ -42,6 +45,8 @@
     else this.blind.set(s.worker, (this.blind.get(s.worker) ?? 0) + 1);
   }
   clearStrays(w: Worker): void {
+    if (w.strays.size === 0) return;
+    w.free = null;
     for (const s of w.strays.values()) {
       const of = this.strays.get(s.job)!;
       of.delete(s);
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -6,7 +6,7 @@
 import type { JobView } from "./mirror.js";
 import type { Cause, JobSpec, Order, Report, ReportedTask } from "./model.js";
 import { taskKey } from "./model.js";
-import { allowedOn, type Amounts, fitCount, Misfits, suits, zoneCap } from "./placement.js";
+import { allowedOn, type Amounts, fitCount, Misfits, offer, suits, zoneCap } from "./placement.js";
 import { inParts, partStep } from "./parts.js";
 import { Moves } from "./moves.js";
 import { Preemption } from "./preemption.js";
@@ -167,7 +167,8 @@
     if (job.gone || job.finished.isEmpty || job.view.spec.shape === "daemon") return;
     const all = this.ctx.mirror.allFinished(job.id);
     all.addAll(job.finished);
-    if (all.size >= job.view.spec.tasks) this.finalize(job);
+    job.complete = all.size >= job.view.spec.tasks;
+    if (job.complete) this.finalize(job);
     else if (job.written.size < job.finished.size) this.writeFinished(job);
   }
 
@@ -247,7 +248,10 @@
     w.address = r.address;
     w.takenAtMs = r.noticeS === null ? null : now + r.noticeS * 1000;
     w.answeredMs = now;
-    w.type ??= this.ctx.catalog?.find((t) => t.name === r.type) ?? null;
+    if (!w.type) {
+      w.type = this.ctx.catalog?.find((t) => t.name === r.type) ?? null;
+      w.free = null;
+    }
     if (!w.going) this.roster.set(w.id, { going: false, type: w.typeName });
     this.reconcile(w, r.tasks);
     if (r.token === this.token) this.accountFor(w.id);
@@ -268,6 +272,8 @@
       type: this.ctx.catalog?.find((t) => t.name === r.type) ?? null,
       zone: r.zone,
       spot: r.spot,
+      kind: offer(r.type, r.zone, r.spot),
+      free: null,
       session: r.session,
       tally: -1,
       token: 0,
@@ -581,10 +587,15 @@
     return this.fence !== null;
   }
   /** Machines that may be used now, and which of them serve short tasks only. */
-  usableWorkers(): { usable: Worker[]; reserved: Set<string> } {
-    const usable = [...this.workers.values()].filter((w) => this.usable(w));
-    return { usable, reserved: this.reserved(usable) };
-  }
+  usableWorkers(): { usable: readonly Worker[]; reserved: ReadonlySet<string> } {
+    const usable: Worker[] = [];
+    for (const w of this.workers.values()) if (this.usable(w)) usable.push(w);
+    // Which are reserved follows from which are usable: mostly the same as the last time, several times a second.
+    const last = this.lastUsable;
+    if (usable.length === last.usable.length && usable.every((w, i) => w === last.usable[i])) return last;
+    return (this.lastUsable = { usable, reserved: this.reserved(usable) });
+  }
+  private lastUsable: { usable: readonly Worker[]; reserved: ReadonlySet<string> } = { usable: [], reserved: new Set() };
   /** By team: what it may still use in this group. */
   headroom(): Map<string, Use> {
     const used = this.usage();
@@ -810,6 +821,10 @@
   room(): RoomRecord {
     return this.writtenRoom.now();
   }
+  /** Tasks that wait here, by kind of machine. */
+  queue(): { plain: number; accelerated: number } {
+    return this.writtenRoom.queue();
+  }
   /** What is held for a job is not there for others. */
   isHeld(w: Worker): boolean {
     return this.holding.has(w) || (w.heldFor !== null && this.ctx.nowMs < w.heldFor.untilMs);
@@ -837,7 +852,7 @@
       this.forgetMachine(w.id);
     }
     for (const j of this.jobs.values()) {
-      if (now >= j.backoffUntilMs) this.finishJob(j);
+      if (now >= j.backoffUntilMs && (j.complete || j.written.size < j.finished.size)) this.finishJob(j);
       this.moves.send(j);
     }
     this.roster.flush();
--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -32,7 +32,7 @@
     this.gaveMs = this.ctx.nowMs;
     const waiting = [...this.master.jobs.values()].filter((j) => !j.waiting.isEmpty);
     if (waiting.length === 0) return;
-    const own = this.master.room().queue;
+    const own = this.master.queue();
     const rooms = this.ctx.mirror.rooms;
     for (const job of waiting) {
       const spec = job.view.spec;
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -15,11 +15,15 @@
 
   /** PROTOCOL, "Preemption": for a job of higher urgency, or to give a team its guarantee back. */
   private mayPreempt(job: JobRun, t: TaskRun, used: ReadonlyMap<string, { cpus: number; gpus: number }>): boolean {
+    return !t.stop && t.phase !== "saving" && this.comesBefore(job, t.job, used);
+  }
+
+  private comesBefore(job: JobRun, running: JobRun, used: ReadonlyMap<string, Use>): boolean {
     const spec = job.view.spec;
-    const other = t.job.view.spec;
+    const other = running.view.spec;
     // A gang that loses one task loses all: only single ones are stopped.
-    if (t.stop || t.phase === "saving" || (other.shape === "ensemble" && other.tasks > 1)) return false;
-    if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(t.job.view.urgency)) return true;
+    if (other.shape === "ensemble" && other.tasks > 1) return false;
+    if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(running.view.urgency)) return true;
     if (other.team === spec.team) return false;
     const n = this.ctx.groups.names.length;
     const within = (name: string, need: { cpus: number; gpus: number }): boolean => {
@@ -30,6 +34,12 @@
     return within(spec.team, spec) && !within(other.team, { cpus: 0, gpus: 0 });
   }
 
+  /** Whether any job here runs tasks that may be stopped for this one: mostly none does, and no machine need be looked at. */
+  private anyBehind(job: JobRun, used: ReadonlyMap<string, Use>): boolean {
+    for (const j of this.master.jobs.values()) if (j.active.size > 0 && this.comesBefore(job, j, used)) return true;
+    return false;
+  }
+
   /** What stopping a task loses, in seconds of its CPUs. */
   private lossOf(t: TaskRun): number {
     const spec = t.job.view.spec;
@@ -66,7 +76,7 @@
     if (gang && (job.active.size > 0 || job.waiting.size < spec.tasks || this.master.ledger.hasStrays(job.id))) return;
     const want = gang ? spec.tasks : 1;
     if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, { cpus: spec.cpus * want, gpus: spec.gpus * want }, this.master.share(spec.team))) return;
-    if (!this.master.fleet.renting.exhausted(spec)) return;
+    if (!this.anyBehind(job, used) || !this.master.fleet.renting.exhausted(spec)) return;
     const now = this.ctx.nowMs;
     if (workers.some((w) => w.heldFor?.job === job.id && now < w.heldFor.untilMs)) return;
     const may = workers.filter(
--- a/src/coordination/room.ts
+++ b/src/coordination/room.ts
@@ -20,31 +20,38 @@
     private readonly master: Master,
   ) {}
 
+  /** Tasks that wait, by kind of machine. */
+  queue(): { plain: number; accelerated: number } {
+    const queue = { plain: 0, accelerated: 0 };
+    for (const j of this.master.jobs.values()) queue[queueOf(j.view.spec)] += j.waiting.size;
+    return queue;
+  }
+
   /** The room as it is. */
   now(): RoomRecord {
     const rows = new Map<string, RoomRow>();
     const kinds = new Map<string, FreeKind>();
     const { usable, reserved } = this.master.usableWorkers();
     for (const w of usable) {
-      const key = `${w.typeName}/${w.zone}/${w.spot}`;
+      const key = w.kind;
       let row = rows.get(key);
       if (!row) rows.set(key, (row = { type: w.typeName, zone: w.zone, spot: w.spot, machines: 0, free: [], reserved: [] }));
       row.machines++;
       const f = freeOn(w);
       if ((f.cpus <= EPS && f.gpus <= EPS) || this.master.isHeld(w)) continue;
       const kind: FreeKind = [tenth(f.cpus), tenth(f.gpus), tenth(f.memGb), 1];
-      const name = `${key}/${kind.join("/")}/${reserved.has(w.id)}`;
+      const isReserved = reserved.has(w.id);
+      const name = `${key}/${kind[0]}/${kind[1]}/${kind[2]}/${isReserved}`;
       const same = kinds.get(name);
       if (same) same[3]++;
       else {
         kinds.set(name, kind);
-        (reserved.has(w.id) ? row.reserved : row.free).push(kind);
+        (isReserved ? row.reserved : row.free).push(kind);
       }
     }
-    const queue = { plain: 0, accelerated: 0 };
+    const queue = this.queue();
     const running = new Map<string, number>();
     for (const j of this.master.jobs.values()) {
-      queue[queueOf(j.view.spec)] += j.waiting.size;
       const n = this.master.runningOf(j.id);
       if (n > 0) running.set(j.id, n);
     }
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -30,6 +30,8 @@
   /** Finished here and known to be written. */
   written: RangeSet;
   writing: boolean;
+  /** All of its tasks are known to be finished, here or elsewhere: its end is to be written. */
+  complete: boolean;
   /** When finished tasks were last written. */
   wroteMs: number;
   /** From before this master's token: a task that nobody reports may be running somewhere. */
@@ -65,6 +67,10 @@
   type: MachineType | null;
   zone: string;
   spot: boolean;
+  /** Type, zone and kind as one word: machines that share it are alike to every job. */
+  kind: string;
+  /** What is free on it, as last counted; null: something came or went since. */
+  free: Readonly<Amounts> | null;
   session: number;
   tally: number;
   token: number;
@@ -112,6 +118,7 @@
     finished: RangeSet.empty(),
     written: RangeSet.empty(),
     writing: false,
+    complete: false,
     wroteMs: -Infinity,
     old,
     gone: false,
@@ -125,8 +132,12 @@
   };
 }
 
-/** What is free on a machine, counting all that is or may be on it. */
+/** What is free on a machine, counting all that is or may be on it. The ledger forgets the count when that changes. */
 export function freeOn(w: Worker): Amounts {
+  w.free ??= countFree(w);
+  return { cpus: w.free.cpus, gpus: w.free.gpus, memGb: w.free.memGb };
+}
+function countFree(w: Worker): Amounts {
   const free = { cpus: w.type?.cpus ?? 0, gpus: w.type?.gpus ?? 0, memGb: w.type?.memGb ?? 0 };
   for (const t of w.tasks.values()) take(free, t.job.view.spec);
   for (const s of w.strays.values()) {
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -122,7 +122,7 @@
   const limits = { valueBytes: 2048, txnOps: 4 };
   const types = Array.from({ length: 12 }, (_, i) => `type-of-machine-${i}`);
   const workers = types.flatMap((typeName, i) =>
-    ["zone-a", "zone-b", "zone-c", "zone-d"].flatMap((zone) => Array.from({ length: i + 1 }, (_, k) => ({ id: `n-${typeName}-${zone}-${k}`, typeName, type: { cpus: 32 + k, gpus: 0, memGb: 64 }, zone, spot: false, tasks: new Map(), strays: new Map() }))),
+    ["zone-a", "zone-b", "zone-c", "zone-d"].flatMap((zone) => Array.from({ length: i + 1 }, (_, k) => ({ id: `n-${typeName}-${zone}-${k}`, typeName, type: { cpus: 32 + k, gpus: 0, memGb: 64 }, zone, spot: false, kind: `${typeName}/${zone}`, free: null, tasks: new Map(), strays: new Map() }))),
   );
   const offers = types.flatMap((t) => ["zone-a", "zone-b"].map((z) => `${t}/${z}/spot`));
   const master = {
