Connections by kind: silent ones are closed, the oldest idle one goes before a new one is refused

Cause: the connections of users, workers and health checks were limited as one number and kept for 75 s, so that those of machines that are dead or cut off, which nobody closes, kept users out. Each kind has a share now; a worker's connection is closed when it is silent for longer than a report and its time-out explain; where there is no room the oldest idle one of the kind furthest over its share goes. None with a request in progress is closed. A seeded test compares with a plain model.

--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -1,4 +1,5 @@
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { serve } from "@hono/node-server";
 import { Hono, type MiddlewareHandler } from "hono";
 import { bodyLimit } from "hono/body-limit";
@@ -6,6 +7,7 @@
 import { jobBody, JOB_ID, parseJob } from "../protocol/jobs.js";
 import { answerBody, parseReport, redirectBody } from "../protocol/workers.js";
 import type { Settings } from "../config/settings.js";
+import { Connections, type Kind } from "./connections.js";
 
 const MAX_BODY = 64 * 1024;
 
@@ -100,13 +102,39 @@
   return app;
 }
 
+/** A report comes every report_s, give or take a quarter; one without an answer is given up after this. */
+const REPORT_TIMEOUT_MS = 4_000;
+const KEEP_ALIVE_MS = 75_000;
+const SWEEP_MS = 1_000;
+/** Between closing a connection and its socket being free again. */
+const CLOSING = 16;
+
+/** Sockets for users, workers and health checks; the rest is left for the state service, the cloud, the workers and the other controllers. */
+export const clientSockets = (settings: Pick<Settings, "maxSockets">): number => Math.max(8, Math.floor(settings.maxSockets * 0.65));
+
+const kindOf = (path: string | undefined): Kind => (path === "/hello" ? "worker" : path === "/ready" ? "probe" : "user");
+
 export function listen(app: Hono, settings: Settings): Promise<Server> {
   return new Promise((resolve, reject) => {
     const server = serve({ fetch: app.fetch, hostname: settings.clientListen.host, port: settings.clientListen.port }, () => resolve(server)) as Server;
-    server.keepAliveTimeout = 75_000;
+    server.keepAliveTimeout = KEEP_ALIVE_MS;
     server.requestTimeout = 20_000;
-    // Room is left for the state service, the cloud, the workers and the other controllers.
-    server.maxConnections = Math.floor(settings.maxSockets * 0.65);
+    const most = clientSockets(settings);
+    server.maxConnections = most;
+    const workerMs = settings.reportS * 1_250 + REPORT_TIMEOUT_MS + SWEEP_MS;
+    const open = new Connections<Socket>(Math.max(4, most - CLOSING), { fresh: 10_000, probe: 10_000, user: KEEP_ALIVE_MS, worker: workerMs });
+    server.on("connection", (socket: Socket) => {
+      socket.once("close", () => open.closed(socket));
+      open.opened(socket, performance.now())?.destroy();
+    });
+    server.prependListener("request", (req: IncomingMessage, res: ServerResponse) => {
+      const { socket } = req;
+      open.asked(socket, kindOf(req.url));
+      res.once("close", () => open.answered(socket, performance.now()));
+    });
+    setInterval(() => {
+      for (const socket of open.silent(performance.now())) socket.destroy();
+    }, SWEEP_MS).unref();
     server.on("error", reject);
   });
 }
--- a/test/transport.test.ts
+++ b/test/transport.test.ts
@@ -3,7 +3,9 @@
 import { DEFAULTS } from "../src/config/operator.js";
 import { parseSettings } from "../src/config/settings.js";
 import { Daemon } from "../src/daemon.js";
+import { Connections, KINDS, type Kind } from "../src/transport/connections.js";
 import { api } from "../src/transport/server.js";
+import { Rng } from "./sim/world.js";
 
 /** What stands between the sockets and the core. */
 
@@ -69,3 +71,73 @@
   assert.equal(await post(chunks(long)), 400);
   assert.deepEqual(got, [2, 2]);
 });
+
+test("connections: bounded, the oldest idle of the kind furthest over its share goes first, none in use", () => {
+  const most = 40;
+  const silentMs = { fresh: 3_000, probe: 3_000, user: 60_000, worker: 8_000 };
+  for (let seed = 1; seed <= 30; seed++) {
+    const rng = new Rng(seed);
+    const table = new Connections<number>(most, silentMs);
+    const model = new Map<number, { kind: Kind; busy: boolean; sinceMs: number }>();
+    let now = 0;
+    let ids = 0;
+    for (let k = 0; k < 3_000; k++) {
+      now += rng.int(0, 120);
+      const open = [...model];
+      const busy = open.filter(([, c]) => c.busy);
+      const what = rng.int(0, 9);
+      if (what < 4) {
+        const s = ++ids;
+        const idle = open.filter(([, c]) => !c.busy);
+        const out = table.opened(s, now);
+        model.set(s, { kind: "fresh", busy: false, sinceMs: now });
+        if (out === null) assert.ok(model.size <= most);
+        else {
+          assert.equal(open.length, most, "nothing is closed while there is room");
+          if (out === s) {
+            assert.equal(idle.length, 0, "refused while another is idle");
+          } else {
+            const c = model.get(out)!;
+            assert.ok(!c.busy && idle.every(([, o]) => o.kind !== c.kind || o.sinceMs >= c.sinceMs), "the oldest idle of its kind");
+          }
+          model.delete(out);
+        }
+      } else if (what < 7 && open.length > 0) {
+        const [s, c] = rng.pick(open);
+        if (!c.busy) {
+          c.kind = rng.pick(KINDS.slice(1));
+          c.busy = true;
+          table.asked(s, c.kind);
+        }
+      } else if (what === 7 && busy.length > 0) {
+        const [s, c] = rng.pick(busy);
+        c.busy = false;
+        c.sinceMs = now;
+        table.answered(s, now);
+      } else if (what === 8 && open.length > 0) {
+        const [s] = rng.pick(open);
+        model.delete(s);
+        table.closed(s);
+      } else {
+        const due = open.filter(([, c]) => !c.busy && now - c.sinceMs > silentMs[c.kind]).map(([s]) => s);
+        assert.deepEqual(table.silent(now).sort(), due.sort());
+        for (const s of due) model.delete(s);
+      }
+      assert.equal(table.size, model.size);
+    }
+    assert.ok(ids > 500);
+  }
+  // Workers that nobody hears of any more don't keep a user out, nor do users a worker.
+  const table = new Connections<string>(10, silentMs);
+  for (let i = 0; i < 10; i++) {
+    table.opened(`w${i}`, i);
+    table.asked(`w${i}`, "worker");
+    table.answered(`w${i}`, 100 + i);
+  }
+  for (let i = 0; i < 3; i++) {
+    assert.equal(table.opened(`u${i}`, 200), `w${i}`);
+    table.asked(`u${i}`, "user");
+    table.answered(`u${i}`, 300 + i);
+  }
+  assert.equal(table.opened("x", 400), "u0", "users are further over theirs now");
+});
