--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,9 +1,10 @@
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
-import type { Master } from "./master.js";
+import type { Holdings } from "./holdings.js";
 import type { JobSpec, ListedMachine, MachineType } from "./model.js";
 import { allowedOn, fits, suits } from "./placement.js";
 import { Renting } from "./renting.js";
+import type { Sharing } from "./sharing.js";
 import { graceOf, type Worker } from "./tasks.js";
 
 const WARM_PERIODS = 6;
@@ -36,10 +37,11 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly master: Master,
+    private readonly own: Holdings,
+    sharing: Sharing,
   ) {
     this.peakMs = ctx.nowMs;
-    this.renting = new Renting(ctx, master, () => this.zones());
+    this.renting = new Renting(ctx, own, sharing, () => this.zones());
   }
 
   cameUp(w: Worker): void {
@@ -53,7 +55,7 @@
   }
   private zones(): string[] {
     const zones = new Set<string>();
-    for (const t of this.ctx.catalog ?? []) for (const z of t.zones) if (this.ctx.groups.of(z) === this.master.group) zones.add(z);
+    for (const t of this.ctx.catalog ?? []) for (const z of t.zones) if (this.ctx.groups.of(z) === this.own.group) zones.add(z);
     return [...zones].sort();
   }
 
@@ -70,18 +72,18 @@
     this.going.set(id, { why, retryMs: 0, sent: false });
     this.renting.booting.delete(id);
     // Marked before the request can leave: a return that is carried out late must find the machine unused.
-    this.master.roster.set(id, { going: true, type });
+    this.own.roster.set(id, { going: true, type });
   }
 
   private sendReturns(): void {
     const now = this.ctx.nowMs;
     const ids: string[] = [];
     for (const [id, g] of this.going) {
-      if (g.sent || now < g.retryMs || ids.length >= 100 || !this.master.roster.goingWritten(id)) continue;
-      const w = this.master.workers.get(id);
+      if (g.sent || now < g.retryMs || ids.length >= 100 || !this.own.roster.goingWritten(id)) continue;
+      const w = this.own.workers.get(id);
       // Its tasks get the time to save; whoever can't is stopped at once.
       if (w && !w.lost && w.tasks.size > 0) {
-        for (const t of w.tasks.values()) this.master.stop(t, graceOf(t), "machine goes back");
+        for (const t of w.tasks.values()) this.own.stop(t, graceOf(t), "machine goes back");
         continue;
       }
       ids.push(id);
@@ -95,7 +97,7 @@
           this.listed.delete(id);
           this.goneMs.set(id, this.ctx.nowMs);
         }
-        this.master.machinesGone(ids);
+        this.own.machinesGone(ids);
         return;
       }
       for (const id of ids) {
@@ -112,7 +114,7 @@
 
   private count(type: string): number {
     let n = 0;
-    for (const w of this.master.workers.values()) if (w.typeName === type && !w.lost && !w.going) n++;
+    for (const w of this.own.workers.values()) if (w.typeName === type && !w.lost && !w.going) n++;
     return n;
   }
   private notePeak(type: string, n: number): void {
@@ -137,7 +139,7 @@
       }
     }
     const busy = new Map<string, number>();
-    for (const w of this.master.workers.values()) if (w.tasks.size > 0) busy.set(w.typeName, (busy.get(w.typeName) ?? 0) + 1);
+    for (const w of this.own.workers.values()) if (w.tasks.size > 0) busy.set(w.typeName, (busy.get(w.typeName) ?? 0) + 1);
     for (const [type, n] of busy) this.notePeak(type, n);
   }
 
@@ -150,7 +152,7 @@
     const spare = new Map<string, number>();
     const idle: Worker[] = [];
     const bootS = memo((w: Worker) => this.typeOf(w.typeName)?.bootS ?? 60);
-    for (const w of this.master.workers.values())
+    for (const w of this.own.workers.values())
       if (!w.going && !w.lost && w.idleSinceMs !== null && now - w.idleSinceMs >= Math.max(this.ctx.tuning.idleReturnS, bootS(w) * this.ctx.tuning.idleBoots) * 1000) idle.push(w);
     const wanted = memo((w: Worker) => this.wanted(w));
     const expected = memo((w: Worker) => this.ctx.settings.objectives.some((o) => o.kind === "wait" && (o.withinS ?? Infinity) < bootS(w) && this.serves(o.class, w)));
@@ -163,7 +165,7 @@
       }
       this.giveUp(w, "idle");
     }
-    for (const w of this.master.workers.values())
+    for (const w of this.own.workers.values())
       if (!w.going && w.lost && now - w.answeredMs > this.ctx.tuning.silentReturnS * 1000) this.giveUp(w, "silent for too long");
     for (const [id, b] of this.renting.booting) {
       const usual = (this.typeOf(b.type)?.bootS ?? 60) * 1000;
@@ -183,7 +185,7 @@
 
   /** Some waiting task could use it. */
   private wanted(w: Worker): boolean {
-    for (const j of this.master.jobs.values()) {
+    for (const j of this.own.jobs.values()) {
       const s = j.view.spec;
       if (!j.waiting.isEmpty && allowedOn(s, w.typeName, w.zone, w.spot) && w.type && fits(s, w.type) && suits(s, w.type, w.spot, this.ctx.catalog)) return true;
     }
@@ -203,7 +205,7 @@
         this.nextListMs = this.ctx.nowMs + 5_000;
         return;
       }
-      for (const m of reply.machines) if (this.ctx.groups.of(m.zone) === this.master.group) listing.set(m.id, { ...m, seenMs: this.ctx.nowMs });
+      for (const m of reply.machines) if (this.ctx.groups.of(m.zone) === this.own.group) listing.set(m.id, { ...m, seenMs: this.ctx.nowMs });
       const last = reply.machines.at(-1);
       if (reply.more && last) {
         this.listAfter = last.id;
@@ -227,7 +229,7 @@
         this.giveBack(m.id, m.type, "failed");
         continue;
       }
-      if (this.master.workers.has(m.id)) continue;
+      if (this.own.workers.has(m.id)) continue;
       const known = this.renting.booting.get(m.id);
       // A rental of a former master, or one carried out late: used like any other once it comes up.
       // One that runs already may be cut off: it has as long as a new one to make itself heard.
@@ -236,7 +238,7 @@
     for (const [id, at] of this.goneMs) if (now - at > 2 * lagMs + 60_000) this.goneMs.delete(id);
     for (const [id, b] of this.renting.booting)
       if (!this.listed.has(id) && now - b.rentedMs > lagMs + 30_000) this.renting.booting.delete(id);
-    for (const w of this.master.workers.values()) {
+    for (const w of this.own.workers.values()) {
       // Taken by the cloud: neither heard of nor listed.
       if (w.lost && !w.going && !this.listed.has(w.id) && now - w.answeredMs > lagMs + 60_000) this.giveUp(w, "gone");
     }
@@ -250,7 +252,7 @@
       if (!spec) continue;
       const types = new Set<string>();
       const serves = memo((w: Worker) => this.serves(spec.class, w));
-      for (const w of this.master.workers.values())
+      for (const w of this.own.workers.values())
         if (!w.lost && !w.going && w.type && (o.withinS ?? Infinity) < w.type.bootS && !types.has(w.typeName) && serves(w)) types.add(w.typeName);
       let places = 0;
       for (const t of types) places += this.spareFor(t);
--- /dev/null
+++ b/src/coordination/holdings.ts
@@ -0,0 +1,267 @@
+import type { Condition, Write } from "../protocol/state.js";
+import { groupKey } from "../storage/records.js";
+import { type CommitEnd, type Context, DRIFT } from "./context.js";
+import { Urgent } from "./effects.js";
+import { Ledger, type Use } from "./ledger.js";
+import { taskKey } from "./model.js";
+import { Roster } from "./roster.js";
+import { queueOf } from "./splitter.js";
+import type { JobRun, TaskRun, Worker } from "./tasks.js";
+
+const LEASE_SLACK_MS = 1_000;
+
+/**
+ * What the master of a group knows under its token: machines, jobs, what is or may be on the machines, what is held for whom, and
+ * what a former master may have left running. All parts of a master read it and change it by what is offered here, which
+ * keeps it consistent; none of them owns a part of it, and nothing here calls any of them.
+ */
+export class Holdings {
+  readonly workers = new Map<string, Worker>();
+  readonly jobs = new Map<string, JobRun>();
+  readonly ledger = new Ledger();
+  readonly roster: Roster;
+  /** Something changed that placing goes by. */
+  dirty = true;
+  /** Machines with orders that they were not told yet. */
+  readonly untold = new Set<Worker>();
+  /** Machines whose room a gang held in the last placing pass. */
+  readonly holding = new Set<Worker>();
+  /** Machines of the former master that have not reported under this token; null: all accounted for. */
+  private fence: Set<string> | null;
+  private readonly sinceMs: number;
+
+  constructor(
+    private readonly ctx: Context,
+    readonly group: string,
+    readonly token: number,
+    /** Whether this controller may act for the group at this moment. */
+    readonly permitted: () => boolean,
+  ) {
+    this.sinceMs = ctx.nowMs;
+    this.roster = new Roster(
+      ctx,
+      group,
+      (conditions, writes, done) => this.commit(conditions, writes, Urgent.Master, done),
+      () => {
+        this.dirty = true;
+      },
+    );
+    // Invariant (rules ran_twice, quota, wrong_place): whatever a former master may have started counts as
+    // running until every machine it could have used has spoken under this token or is past its lease.
+    this.fence = new Set(this.roster.machines().keys());
+    if (this.fence.size === 0) this.fence = null;
+  }
+
+  /** Every commit of a master depends on its token, so that a late one changes nothing after a takeover. */
+  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd, epoch: number) => void): void {
+    this.ctx.commit([{ key: groupKey(this.group), version: this.token }, ...conditions], writes, urgent, done);
+  }
+
+  // ---- tasks ---------------------------------------------------------------------------------------------
+
+  requeue(t: TaskRun): void {
+    const { job, index } = t;
+    if (job.active.get(index) === t) job.active.delete(index);
+    this.ledger.drop(t);
+    if (!job.gone && job.mine.has(index) && !job.finished.has(index) && !job.moving?.tasks.has(index)) {
+      if (job.waiting.isEmpty) job.waitingSinceMs = this.ctx.nowMs;
+      job.waiting.add(index);
+    }
+    this.noteIdle(t.worker);
+    this.dirty = true;
+  }
+
+  /** What waits of a job: all of this group's part that is neither finished, nor on a machine, nor being handed over. */
+  refresh(job: JobRun): void {
+    const waiting = job.mine.clone();
+    waiting.removeAll(job.finished);
+    for (const i of job.active.keys()) waiting.remove(i);
+    if (job.moving) waiting.removeAll(job.moving.tasks);
+    if (job.waiting.isEmpty && !waiting.isEmpty) job.waitingSinceMs = this.ctx.nowMs;
+    job.waiting = waiting;
+    this.dirty = true;
+  }
+
+  stop(t: TaskRun, graceS: number, why: string): void {
+    if (t.stop && t.stop.graceS <= graceS) return;
+    t.stop = { graceS, why };
+    this.untold.add(t.worker);
+    this.ctx.log("debug", "stopping task", { task: taskKey(t.job.id, t.index), worker: t.worker.id, why });
+  }
+
+  mayStart(job: JobRun): boolean {
+    return (
+      !job.gone &&
+      !job.waiting.isEmpty &&
+      this.ctx.nowMs >= job.backoffUntilMs &&
+      // See the fence: a task of an older record may be running on a machine that has not spoken yet.
+      !(this.fence && job.old)
+    );
+  }
+
+  runningOf(id: string): number {
+    let n = 0;
+    for (const t of this.jobs.get(id)?.active.values() ?? []) if (t.phase === "running" || t.phase === "saving") n++;
+    return n;
+  }
+
+  /** Tasks that wait, by kind of machine. */
+  queue(): { plain: number; accelerated: number } {
+    const queue = { plain: 0, accelerated: 0 };
+    for (const j of this.jobs.values()) queue[queueOf(j.view.spec)] += j.waiting.size;
+    return queue;
+  }
+
+  /** What each team uses in this group, counting all that may be running. */
+  usage(): Map<string, Use> {
+    const used = this.ledger.used();
+    const blind = this.ledger.blindUse();
+    const add = (team: string, need: Use, n = 1): void => {
+      const u = used.get(team) ?? { cpus: 0, gpus: 0 };
+      u.cpus += need.cpus * n;
+      u.gpus += need.gpus * n;
+      used.set(team, u);
+    };
+    if (this.fence) {
+      for (const j of this.jobs.values()) if (j.old) add(j.view.spec.team, j.view.spec, j.waiting.size);
+      // A silent machine may also run tasks of jobs that are over, of any team.
+      for (const id of this.fence) {
+        if (this.workers.has(id)) continue;
+        const type = this.ctx.catalog?.find((t) => t.name === this.roster.machines().get(id)?.type);
+        blind.cpus += type?.cpus ?? Infinity;
+        blind.gpus += type?.gpus ?? Infinity;
+      }
+    }
+    for (const team of this.ctx.settings.teams.keys()) add(team, blind);
+    return used;
+  }
+
+  // ---- machines ------------------------------------------------------------------------------------------
+
+  noteIdle(w: Worker): void {
+    if (w.tasks.size + w.strays.size > 0) w.idleSinceMs = null;
+    else w.idleSinceMs ??= this.ctx.nowMs;
+  }
+
+  releaseAll(w: Worker, why: string): void {
+    if (w.tasks.size > 0) this.ctx.log("info", "tasks lost with their machine's session", { worker: w.id, tasks: w.tasks.size, why });
+    for (const t of [...w.tasks.values()]) this.requeue(t);
+    this.ledger.clearStrays(w);
+    this.noteIdle(w);
+  }
+
+  /** Heard lately enough to expect that it takes orders. */
+  private isHeard(w: Worker): boolean {
+    return !w.lost && this.ctx.nowMs - w.answeredMs < 2_000 * this.ctx.settings.reportS + 1_000;
+  }
+
+  /** Most of its workers have not been heard of for longer than a report and its retry take. */
+  deaf(): boolean {
+    const limit = (this.ctx.settings.reportS * 1.25 + 4) * 1000;
+    let silent = 0;
+    let all = 0;
+    for (const w of this.workers.values()) {
+      if (w.lost && this.ctx.nowMs - w.answeredMs > 60_000) continue;
+      all++;
+      if (this.ctx.nowMs - w.answeredMs > limit) silent++;
+    }
+    if (all === 0) return this.ctx.nowMs - this.sinceMs > limit;
+    return silent * 2 > all;
+  }
+
+  usable(w: Worker): boolean {
+    return !w.going && w.takenAtMs === null && w.type !== null && this.ctx.nowMs >= w.avoidUntilMs && this.isHeard(w) && this.roster.has(w.id);
+  }
+
+  /** Machines that may be used now, and which of them serve short tasks only. */
+  usableWorkers(): { usable: readonly Worker[]; reserved: ReadonlySet<string> } {
+    const usable: Worker[] = [];
+    for (const w of this.workers.values()) if (this.usable(w)) usable.push(w);
+    // Which are reserved follows from which are usable: mostly the same as the last time, several times a second.
+    const last = this.lastUsable;
+    if (usable.length === last.usable.length && usable.every((w, i) => w === last.usable[i])) return last;
+    return (this.lastUsable = { usable, reserved: this.reserved(usable) });
+  }
+  private lastUsable: { usable: readonly Worker[]; reserved: ReadonlySet<string> } = { usable: [], reserved: new Set() };
+
+  /** Reserved for short tasks: the machines of each type that come last by name. */
+  private reserved(usable: readonly Worker[]): Set<string> {
+    const byType = new Map<string, string[]>();
+    for (const w of usable) {
+      const list = byType.get(w.typeName) ?? [];
+      list.push(w.id);
+      byType.set(w.typeName, list);
+    }
+    const out = new Set<string>();
+    for (const ids of byType.values()) {
+      ids.sort();
+      const n = Math.floor(ids.length * this.ctx.tuning.reservedShare);
+      for (const id of ids.slice(ids.length - n)) out.add(id);
+    }
+    return out;
+  }
+
+  /** What is held for a job is not there for others. */
+  isHeld(w: Worker): boolean {
+    return this.holding.has(w) || (w.heldFor !== null && this.ctx.nowMs < w.heldFor.untilMs);
+  }
+
+  // ---- the fence, and what is gone -----------------------------------------------------------------------
+
+  /** A former master's tasks are not all accounted for yet. */
+  get fenced(): boolean {
+    return this.fence !== null;
+  }
+
+  accountFor(id: string): void {
+    if (!this.fence) return;
+    this.fence.delete(id);
+    if (this.fence.size === 0) this.liftFence("every machine has reported");
+  }
+
+  private liftFence(why: string): void {
+    this.ctx.log("info", "takeover complete", { group: this.group, token: this.token, why, silent: [...(this.fence ?? [])].slice(0, 10), afterMs: Math.round(this.ctx.nowMs - this.sinceMs) });
+    this.fence = null;
+    this.dirty = true;
+  }
+
+  /**
+   * Past its lease a machine has killed all its tasks and takes no older message: nothing may run there until it has
+   * reported and is in the roster again. Left in the roster, machines that are gone made every later master wait for a
+   * whole lease (docs/incidents/tremorline-grown-crashes.md).
+   */
+  forgetMachine(id: string): void {
+    if (!this.roster.goingWritten(id)) this.roster.remove(id);
+  }
+
+  /** The cloud has said that these machines are gone, with everything on them. */
+  machinesGone(ids: readonly string[]): void {
+    for (const id of ids) {
+      const w = this.workers.get(id);
+      if (w) {
+        this.releaseAll(w, "machine returned");
+        this.workers.delete(id);
+      }
+      this.roster.remove(id);
+      this.accountFor(id);
+    }
+  }
+
+  /** Leases that have ended: of the machines that a takeover waits for, and of those that fell silent. */
+  expire(): void {
+    const now = this.ctx.nowMs;
+    const leaseMs = this.ctx.settings.leaseS * 1000 * DRIFT + LEASE_SLACK_MS;
+    if (this.fence && now - this.sinceMs > leaseMs) {
+      // Invariant (ran_twice): a machine that has reported, though not under this token yet, may run tasks: it stays.
+      for (const id of this.fence) if (!this.workers.has(id)) this.forgetMachine(id);
+      this.liftFence("leases of silent machines have ended");
+    }
+    for (const w of this.workers.values()) {
+      if (w.lost || now - w.answeredMs <= leaseMs) continue;
+      w.lost = true;
+      this.ctx.log("info", "worker is silent past its lease", { worker: w.id, tasks: w.tasks.size });
+      this.releaseAll(w, "lease ended");
+      this.forgetMachine(w.id);
+    }
+  }
+}
--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -2,11 +2,12 @@
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import { Handover } from "./handover.js";
-import type { Master } from "./master.js";
+import type { Holdings } from "./holdings.js";
 import type { JobSpec } from "./model.js";
 import { goesWhole } from "./placement.js";
 import { isShort } from "./queues.js";
 import { RangeSet } from "./ranges.js";
+import type { Renting } from "./renting.js";
 import { canRent, capableGroups, queueOf, roomLeft, wholeRoom } from "./splitter.js";
 import type { JobRun } from "./tasks.js";
 
@@ -19,7 +20,8 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly master: Master,
+    private readonly own: Holdings,
+    private readonly renting: Renting,
   ) {}
 
   /**
@@ -28,41 +30,41 @@
    * and starts none of them itself from before that commit is sent.
    */
   tick(): void {
-    if (this.master.fenced || this.ctx.nowMs - this.gaveMs < MOVE_AFTER_MS) return;
+    if (this.own.fenced || this.ctx.nowMs - this.gaveMs < MOVE_AFTER_MS) return;
     this.gaveMs = this.ctx.nowMs;
-    const waiting = [...this.master.jobs.values()].filter((j) => !j.waiting.isEmpty);
+    const waiting = [...this.own.jobs.values()].filter((j) => !j.waiting.isEmpty);
     if (waiting.length === 0) return;
-    const own = this.master.queue();
+    const own = this.own.queue();
     const rooms = this.ctx.mirror.rooms;
     for (const job of waiting) {
       const spec = job.view.spec;
       const kind = queueOf(spec);
-      if (job.moving || job.finalizing || spec.spread || !this.master.mayStart(job) || this.ctx.nowMs - job.waitingSinceMs < MOVE_AFTER_MS) continue;
+      if (job.moving || job.finalizing || spec.spread || !this.own.mayStart(job) || this.ctx.nowMs - job.waitingSinceMs < MOVE_AFTER_MS) continue;
       const whole = goesWhole(spec);
       const short = isShort(spec, this.ctx.tuning);
       // A part of an array comes from the longest queue; a gang that can't start here goes to whoever holds it whole.
-      if (!whole && [...rooms].some(([g, r]) => g !== this.master.group && r.queue[kind] > own[kind])) continue;
-      if (whole && (job.waiting.size < spec.tasks || this.master.ledger.hasStrays(job.id))) continue;
+      if (!whole && [...rooms].some(([g, r]) => g !== this.own.group && r.queue[kind] > own[kind])) continue;
+      if (whole && (job.waiting.size < spec.tasks || this.own.ledger.hasStrays(job.id))) continue;
       let best: { g: string; fit: number } | null = null;
       for (const [g, r] of rooms) {
-        if (g === this.master.group || (!whole && r.queue[kind] > 0) || !this.ctx.mirror.groups.has(g)) continue;
+        if (g === this.own.group || (!whole && r.queue[kind] > 0) || !this.ctx.mirror.groups.has(g)) continue;
         const handed = this.ctx.handed.get(g);
         // What waits there does not fit, or the room would not be free, and what it holds is not written as free.
         const fit = whole ? wholeRoom(spec, this.zonesFor(spec, g), r, this.ctx.catalog ?? [], short, handed).now : roomLeft(spec, r, this.ctx.catalog ?? [], short, handed);
         if (fit >= (whole ? spec.tasks : 1) && (!best || fit > best.fit)) best = { g, fit };
       }
       // Nothing free anywhere and nothing more to be had here: a group with an empty queue that may still rent.
-      if (!best && this.ctx.catalog && this.ctx.nowMs - job.waitingSinceMs > 2 * MOVE_AFTER_MS && this.master.fleet.renting.exhausted(spec))
+      if (!best && this.ctx.catalog && this.ctx.nowMs - job.waitingSinceMs > 2 * MOVE_AFTER_MS && this.renting.exhausted(spec))
         for (const c of capableGroups(spec, this.ctx.catalog, this.ctx.groups)) {
           const r = rooms.get(c.group);
-          if (c.group === this.master.group || !r || r.queue[kind] > 0 || this.ctx.handed.has(c.group) || !canRent(spec, c.zones, r, this.ctx.catalog)) continue;
+          if (c.group === this.own.group || !r || r.queue[kind] > 0 || this.ctx.handed.has(c.group) || !canRent(spec, c.zones, r, this.ctx.catalog)) continue;
           if (whole && wholeRoom(spec, c.zones, r, this.ctx.catalog, short).soon < spec.tasks) continue;
           best = { g: c.group, fit: whole ? spec.tasks : Math.ceil(job.waiting.size / 2) };
           break;
         }
       if (!best) continue;
       // Machines that are on their way for tasks of an array would come for nothing.
-      const movable = whole ? spec.tasks : job.waiting.size - this.master.fleet.renting.comingFor(spec);
+      const movable = whole ? spec.tasks : job.waiting.size - this.renting.comingFor(spec);
       if (movable <= 0) continue;
       best.fit = Math.min(best.fit, movable);
       this.ctx.noteHanded(best.g, spec, Math.min(best.fit, job.waiting.size));
@@ -75,9 +77,9 @@
   }
 
   private move(job: JobRun, tasks: RangeSet, to: string): void {
-    for (const i of tasks) if (this.master.ledger.hasStrays(job.id, i)) return;
+    for (const i of tasks) if (this.own.ledger.hasStrays(job.id, i)) return;
     const split = new Map([...job.view.split].map(([g, r]) => [g, r.clone()]));
-    split.get(this.master.group)!.removeAll(tasks);
+    split.get(this.own.group)!.removeAll(tasks);
     const theirs = split.get(to) ?? RangeSet.empty();
     theirs.addAll(tasks);
     split.set(to, theirs);
@@ -94,11 +96,11 @@
     const m = job.moving;
     const key = jobKey(job.id);
     m?.change.send(
-      (version, value, done) => this.master.commit([{ key, version }], [{ op: "put", key, value }], Urgent.Spare, done),
+      (version, value, done) => this.own.commit([{ key, version }], [{ op: "put", key, value }], Urgent.Spare, done),
       () => {
         if (job.moving !== m) return;
         job.moving = null;
-        if (!job.gone) this.master.sync(job.view);
+        if (!job.gone) this.own.refresh(job);
       },
     );
   }
--- /dev/null
+++ b/src/coordination/placing.ts
@@ -0,0 +1,237 @@
+import { gangKey, jobKey, readyKey } from "../storage/records.js";
+import type { Context } from "./context.js";
+import { Urgent } from "./effects.js";
+import type { Holdings } from "./holdings.js";
+import type { Use } from "./ledger.js";
+import { type JobSpec, taskKey } from "./model.js";
+import { inParts, partStep } from "./parts.js";
+import { allowedOn, type Amounts, fitCount, Misfits, suits, zoneCap } from "./placement.js";
+import type { Preemption } from "./preemption.js";
+import { isLate, isShort, Round } from "./queues.js";
+import type { Sharing } from "./sharing.js";
+import { freeOn, type JobRun, take, type TaskRun, type Worker } from "./tasks.js";
+
+/** Attempts of one token: with a token below 2^33 they stay below 2^53. */
+const ATTEMPTS = 2 ** 20;
+/**
+ * Placing passes follow each other no faster than this, and what only time can change (back-offs, machines to
+ * avoid, urgent work that waited) is looked at this often: reports come by the hundred a second on large groups.
+ */
+const PLACE_GAP_MS = 60;
+const PLACE_AGAIN_MS = 1_000;
+/** A task waits this long before others are stopped for it. */
+const PREEMPT_AFTER_MS = 2_000;
+
+/** Which waiting task starts where: Pigeon's two queues over the machines of a group. */
+export class Placing {
+  private attempts = 0;
+  private readonly turn = { sinceLong: 0 };
+  private placedMs = -Infinity;
+  /** Placing passes made: tests see by it that reports alone cause none. */
+  passes = 0;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly own: Holdings,
+    private readonly sharing: Sharing,
+    private readonly preemption: Preemption,
+  ) {}
+
+  /** What only time can change is looked at now and then. */
+  tick(): void {
+    if (this.ctx.nowMs - this.placedMs >= PLACE_AGAIN_MS) this.own.dirty = true;
+    this.place();
+  }
+
+  place(): void {
+    // With thousands of waiting jobs a pass takes longer: it may take no more than a small part of the time.
+    if (!this.own.dirty || this.ctx.nowMs - this.placedMs < Math.max(PLACE_GAP_MS, this.own.jobs.size / 5) || !this.own.permitted()) return;
+    this.own.dirty = false;
+    this.placedMs = this.ctx.nowMs;
+    this.passes++;
+    this.own.holding.clear();
+    const ready = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j));
+    if (ready.length === 0) return;
+    const used = this.own.usage();
+    const { usable: workers, reserved } = this.own.usableWorkers();
+    const free = new Map<Worker, Amounts>(workers.map((w) => [w, freeOn(w)]));
+    const unreserved = workers.filter((w) => !reserved.has(w.id));
+    const round = new Round(
+      ready.map((j) => ({
+        spec: j.view.spec,
+        standing: j.view,
+        tasks: j.waiting.size,
+        late: isLate(j.view.spec, j.view, this.ctx.wallMs, this.ctx.settings.objectives),
+        job: j,
+      })),
+      this.ctx.tuning,
+      this.turn,
+    );
+    const madeRoom = new Set(workers.map((w) => w.heldFor?.job));
+    const blocked: JobRun[] = [];
+    const misfits = new Misfits();
+    for (let head = round.head(); head; head = round.head()) {
+      const job = head.job;
+      const short = isShort(job.view.spec, this.ctx.tuning);
+      // Room that was made for a job is hidden from the others.
+      const own = madeRoom.has(job.id);
+      const n = !own && misfits.includes(job.view.spec, short) ? 0 : this.placeSome(job, round.most(), short ? workers : unreserved, free, reserved, used);
+      if (n === null) misfits.add(job.view.spec, short);
+      if (n) round.served(n);
+      else if (blocked.length < 3) blocked.push(job);
+      if (!n || job.waiting.isEmpty) round.skip();
+    }
+    for (const job of blocked) if (this.ctx.nowMs - job.waitingSinceMs > PREEMPT_AFTER_MS) this.preemption.consider(job, workers, free, used);
+  }
+
+  /** Places a whole gang, or up to `most` tasks on one machine; the number of tasks placed, null: no room. */
+  private placeSome(
+    job: JobRun,
+    most: number,
+    open: readonly Worker[],
+    free: Map<Worker, Amounts>,
+    reserved: ReadonlySet<string>,
+    used: Map<string, Use>,
+  ): number | null {
+    const spec = job.view.spec;
+    const gang = spec.shape === "ensemble";
+    // A gang starts anew only when nothing of its last attempt is left; its tasks complete or fail together.
+    if (gang && (job.active.size > 0 || job.waiting.size < job.mine.size || this.own.ledger.hasStrays(job.id))) return 0;
+    const team = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    const share = this.sharing.share(spec.team);
+    const allowed = fitCount({ cpus: spec.cpus, gpus: spec.gpus, memGb: 0 }, { cpus: share[0] - team.cpus, gpus: share[1] - team.gpus, memGb: 0 });
+    // Invariant (rule ran_twice): nothing is started that may still be on some machine.
+    const startable = (i: number): boolean => !this.own.ledger.hasStrays(job.id, i);
+    const want = gang ? job.waiting.size : Math.min(most, allowed, job.waiting.size);
+    if (want === 0 || allowed < want) return 0;
+    const indices = [...job.waiting.take(gang ? want : want + this.own.ledger.straysOf(job.id).size)].filter(startable).slice(0, want);
+    if (indices.length === 0) return 0;
+    const chosen = this.choose(job, indices.length, gang, open, free, reserved);
+    if (chosen.length === 0 || (gang && chosen.length < want)) {
+      // Holding freed room: what a waiting gang could use already is not given to those behind it. Not at once: a
+      // large gang that holds machines idle keeps many small ones waiting, and most of them are done before it starts.
+      if (gang && want > 1 && this.ctx.wallMs - job.view.readyAt > this.ctx.tuning.holdAfterS * 1000) this.hold(chosen, spec, free);
+      return null;
+    }
+    const attempt = inParts(spec, job.view.split.size) ? this.partAttempt(job) : this.own.token * ATTEMPTS + ++this.attempts;
+    if (attempt === null) {
+      // The other parts are not ready yet: its room is held until they are.
+      this.hold(chosen, spec, free);
+      return null;
+    }
+    for (const [k, w] of chosen.entries()) {
+      const index = indices[k]!;
+      job.waiting.remove(index);
+      const t: TaskRun = { job, index, attempt, worker: w, phase: "ordered", sinceMs: this.ctx.nowMs, stop: null };
+      job.active.set(index, t);
+      this.own.ledger.put(t);
+      w.idleSinceMs = null;
+      this.ctx.log("debug", "starting task", { task: taskKey(job.id, index), attempt, worker: w.id });
+      take(free.get(w)!, spec);
+      team.cpus += spec.cpus;
+      team.gpus += spec.gpus;
+      this.own.untold.add(w);
+    }
+    used.set(spec.team, team);
+    return chosen.length;
+  }
+
+  /** Keeps the room that a gang could use already from those behind it in this pass, and from other groups' gangs. */
+  private hold(chosen: readonly Worker[], spec: JobSpec, free: ReadonlyMap<Worker, Amounts>): void {
+    for (const w of chosen) {
+      take(free.get(w)!, spec);
+      this.own.holding.add(w);
+    }
+  }
+
+  /** The attempt under which a part of a gang is to start now; null: not yet. */
+  private partAttempt(job: JobRun): number | null {
+    if (job.calling) return null;
+    const gang = this.ctx.mirror.gang(job.id);
+    const step = partStep([...job.view.split.keys()], this.own.group, gang, job.tried);
+    if (step.is === "start") return (job.tried = step.attempt);
+    if (step.is === "wait") return null;
+    job.calling = true;
+    const done = (): void => {
+      job.calling = false;
+    };
+    const alive = { key: jobKey(job.id), version: job.view.version };
+    if (step.is === "ready") this.own.commit([alive], [{ op: "put", key: readyKey(job.id, this.own.group), value: { attempt: step.after } }], Urgent.Master, done);
+    else this.own.commit([alive, { key: gangKey(job.id), version: gang.version }], [{ op: "put", key: gangKey(job.id), value: { attempt: this.own.token * ATTEMPTS + ++this.attempts } }], Urgent.Master, done);
+    return null;
+  }
+
+  /** Zones where tasks of this job are or may be, with their number: tasks of old attempts count. */
+  private zonesOf(job: JobRun): Map<string, number> {
+    const zones = new Map<string, number>();
+    const add = (zone: string): void => void zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    for (const t of job.active.values()) add(t.worker.zone);
+    for (const s of this.own.ledger.straysOf(job.id)) add(s.worker.zone);
+    return zones;
+  }
+
+  /**
+   * Machines for `want` tasks of a job, fewer if there is no room for all: for a gang one after the other, best
+   * first; else only the best one, as often as it has room.
+   */
+  private choose(
+    job: JobRun,
+    want: number,
+    gang: boolean,
+    open: readonly Worker[],
+    free: ReadonlyMap<Worker, Amounts>,
+    reserved: ReadonlySet<string>,
+  ): Worker[] {
+    const spec = job.view.spec;
+    const at = this.zonesOf(job);
+    const cap = zoneCap(spec);
+    // Invariant (rule wrong_place): with `samePlace` only the zone where any of its tasks still is.
+    if (spec.samePlace && at.size > 1) return [];
+    const only = spec.samePlace && at.size === 1 ? [...at.keys()][0]! : null;
+    const byZone = new Map<string, { w: Worker; n: number; score: number }[]>();
+    let best: { w: Worker; n: number; score: number } | null = null;
+    for (const w of open) {
+      if (only !== null && w.zone !== only) continue;
+      if (w.heldFor && w.heldFor.job !== job.id && this.ctx.nowMs < w.heldFor.untilMs) continue;
+      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || !suits(spec, w.type, w.spot, this.ctx.catalog)) continue;
+      const room = free.get(w)!;
+      // Invariant (rule wrong_place): with `spread`, no zone holds more than half, old attempts included.
+      const n = Math.min(fitCount(spec, room), cap - (at.get(w.zone) ?? 0));
+      if (n <= 0) continue;
+      const c = { w, n, score: this.score(job, w, room, reserved) };
+      if (!best || c.score > best.score) best = c;
+      const key = spec.samePlace ? w.zone : "";
+      const list = byZone.get(key);
+      if (list) list.push(c);
+      else byZone.set(key, [c]);
+    }
+    if (!best) return [];
+    if (!gang && !spec.samePlace) return Array.from({ length: Math.min(want, best.n) }, () => best.w);
+    let most: Worker[] = [];
+    for (const list of byZone.values()) {
+      const out: Worker[] = [];
+      const count = new Map(at);
+      list.sort((a, b) => b.score - a.score);
+      for (const { w, n } of list) {
+        if (out.length === want) break;
+        const k = Math.min(n, want - out.length, cap - (count.get(w.zone) ?? 0));
+        for (let i = 0; i < k; i++) out.push(w);
+        count.set(w.zone, (count.get(w.zone) ?? 0) + Math.max(0, k));
+      }
+      if (out.length > most.length) most = out;
+    }
+    return most;
+  }
+
+  /** Higher is better: its image is there, unreserved, little left over. */
+  private score(job: JobRun, w: Worker, room: Amounts, reserved: ReadonlySet<string>): number {
+    const spec = job.view.spec;
+    let s = 0;
+    if (job.errors.has(w.id)) s -= 1_000;
+    if (!spec.image || w.images.has(spec.image)) s += 200;
+    if (reserved.has(w.id)) s -= 100;
+    for (const t of w.tasks.values()) if (t.job.view.spec.image === spec.image) s += 50;
+    const rest = w.type ? (room.cpus - spec.cpus) / (w.type.cpus || 1) : 0;
+    return s - rest * 10;
+  }
+}
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -1,16 +1,20 @@
 import type { Context } from "./context.js";
+import type { Holdings } from "./holdings.js";
 import type { Use } from "./ledger.js";
-import type { Master } from "./master.js";
 import { URGENCIES } from "./model.js";
 import { allowedOn, type Amounts, fitCount, fits, suits } from "./placement.js";
 import { withinShare } from "./quota.js";
+import type { Renting } from "./renting.js";
+import type { Sharing } from "./sharing.js";
 import { graceOf, type JobRun, type TaskRun, type Worker } from "./tasks.js";
 
 /** Which running tasks are stopped for a waiting job that comes first. */
 export class Preemption {
   constructor(
     private readonly ctx: Context,
-    private readonly master: Master,
+    private readonly own: Holdings,
+    private readonly sharing: Sharing,
+    private readonly renting: Renting,
   ) {}
 
   /** PROTOCOL, "Preemption": for a job of higher urgency, or to give a team its guarantee back. */
@@ -36,7 +40,7 @@
 
   /** Whether any job here runs tasks that may be stopped for this one: mostly none does, and no machine need be looked at. */
   private anyBehind(job: JobRun, used: ReadonlyMap<string, Use>): boolean {
-    for (const j of this.master.jobs.values()) if (j.active.size > 0 && this.comesBefore(job, j, used)) return true;
+    for (const j of this.own.jobs.values()) if (j.active.size > 0 && this.comesBefore(job, j, used)) return true;
     return false;
   }
 
@@ -73,10 +77,10 @@
     const spec = job.view.spec;
     const gang = spec.shape === "ensemble";
     if (spec.spread || (spec.samePlace && !gang)) return;
-    if (gang && (job.active.size > 0 || job.waiting.size < spec.tasks || this.master.ledger.hasStrays(job.id))) return;
+    if (gang && (job.active.size > 0 || job.waiting.size < spec.tasks || this.own.ledger.hasStrays(job.id))) return;
     const want = gang ? spec.tasks : 1;
-    if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, { cpus: spec.cpus * want, gpus: spec.gpus * want }, this.master.share(spec.team))) return;
-    if (!this.anyBehind(job, used) || !this.master.fleet.renting.exhausted(spec)) return;
+    if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, { cpus: spec.cpus * want, gpus: spec.gpus * want }, this.sharing.share(spec.team))) return;
+    if (!this.anyBehind(job, used) || !this.renting.exhausted(spec)) return;
     const now = this.ctx.nowMs;
     if (workers.some((w) => w.heldFor?.job === job.id && now < w.heldFor.untilMs)) return;
     const may = workers.filter(
@@ -104,6 +108,6 @@
     const untilMs = now + Math.max(0, ...victims.map(graceOf)) * 1000 + 2_000 * this.ctx.settings.reportS + 3_000;
     for (const w of [...best.rooms, ...best.stops.map((o) => o.w)]) w.heldFor = { job: job.id, untilMs };
     this.ctx.log("info", "stopping tasks for a job that comes first", { job: job.id, workers: best.stops.map((o) => o.w.id), tasks: victims.length });
-    for (const t of victims) this.master.stop(t, graceOf(t), "preempted");
+    for (const t of victims) this.own.stop(t, graceOf(t), "preempted");
   }
 }
--- /dev/null
+++ b/src/coordination/reading.ts
@@ -0,0 +1,155 @@
+import type { Item, StateCall, StateReply } from "../protocol/state.js";
+import { NOW, ROOT } from "../storage/records.js";
+import type { Context } from "./context.js";
+import { Urgent } from "./effects.js";
+import type { Seen } from "./mirror.js";
+import type { Ownership } from "./ownership.js";
+
+/** A watch is renewed at least this often: its age is part of the permit. */
+const WATCH_MS = 2_000;
+/** Reads follow each other no faster than this: one serves all that asked meanwhile. */
+const READ_PAUSE_MS = 60;
+const MAX_WAITING = 400;
+
+interface Waiting {
+  req: number;
+  id: string;
+  next: (req: number, id: string) => void;
+}
+
+/** Keeps a controller's copy of the state service's records up to date: one watch, and reads for questions that need one. */
+export class Reading {
+  private watching = false;
+  private loading = false;
+  private reading = false;
+  private nextWatchMs = 0;
+  private nextReadMs = 0;
+  private waking = false;
+  private waiting: Waiting[] = [];
+  private stateDown = false;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly ownership: Pick<Ownership, "read" | "staleMs" | "permitUntilMs">,
+    private readonly state: (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void) => void,
+    /** Acts on what the copy shows now. */
+    private readonly see: (seen: readonly Seen[]) => void,
+    /** Asks to be called again. */
+    private readonly ask: (afterMs: number) => void,
+    /** Tells a question that it can't be answered now. */
+    private readonly refuse: (req: number, why: string) => void,
+  ) {}
+
+  /** What was asked for by `ask`. */
+  woken(): void {
+    this.waking = false;
+    this.watch();
+    this.readNow();
+  }
+
+  private load(after = "", items: Item[] = [], since: number | null = null, firstSentMs = 0): void {
+    this.loading = true;
+    this.state({ op: "list", prefix: NOW, after }, Urgent.Hold, (r, sentMs) => {
+      if (r.is !== "items") {
+        this.loading = false;
+        this.nextWatchMs = this.ctx.nowMs + 300;
+        this.noteState(false);
+        return;
+      }
+      const all = [...items, ...r.items];
+      const from = since ?? r.epoch;
+      const sent = since === null ? sentMs : firstSentMs;
+      const last = r.items.at(-1);
+      if (r.more && last) return this.load(last.key, all, from, sent);
+      this.loading = false;
+      this.see(this.ctx.mirror.reload(all, from));
+      this.ownership.read(sent);
+      this.noteState(true);
+      this.watch();
+    });
+  }
+
+  watch(): void {
+    if (this.watching || this.loading || this.ctx.nowMs < this.nextWatchMs) return;
+    if (!this.ctx.mirror.ready) return this.load();
+    this.watching = true;
+    this.changes(WATCH_MS, (ok) => {
+      this.watching = false;
+      this.nextWatchMs = this.ctx.nowMs + (ok ? READ_PAUSE_MS : 300);
+      if (ok) this.wakeIn(READ_PAUSE_MS);
+    });
+  }
+
+  /**
+   * Ticks are 200 ms apart: a watch that was opened again, or questions that were read for, only by the next one left
+   * users and every stage of a line of jobs waiting that long.
+   */
+  private wakeIn(afterMs: number): void {
+    if (this.waking) return;
+    this.waking = true;
+    this.ask(afterMs);
+  }
+
+  private changes(waitMs: number, done: (ok: boolean) => void): void {
+    this.state({ op: "changes", prefix: ROOT, since: this.ctx.mirror.epoch, waitMs }, Urgent.Hold, (r, sentMs) => {
+      if (r.is === "changes") {
+        this.ownership.read(sentMs);
+        this.noteState(true);
+        this.see(this.ctx.mirror.apply(r.changes, r.epoch));
+        done(true);
+      } else {
+        if (r.is === "gone") {
+          this.ctx.log("warn", "watch fell too far behind; reading everything again");
+          if (!this.loading) this.load();
+        } else this.noteState(false);
+        done(false);
+      }
+    });
+  }
+
+  private noteState(up: boolean): void {
+    if (up === !this.stateDown) return;
+    if (!up && this.ownership.staleMs < 3_000) return;
+    this.stateDown = !up;
+    if (up) this.ctx.log("info", "state service answers again");
+    else this.ctx.log("warn", "state service does not answer", { permitLeftMs: Math.round(this.ownership.permitUntilMs - this.ctx.nowMs) });
+  }
+
+  /**
+   * Invariant (rules forgotten, went_back): an answer that is not final rests on a read that was sent after the
+   * question came. One read serves all questions that came before it.
+   */
+  afterRead(req: number, id: string, next: (req: number, id: string) => void): void {
+    const past = this.ctx.mirror.past.get(id);
+    if (past) return next(req, id);
+    if (!this.ctx.mirror.ready) return this.refuse(req, "not ready yet");
+    if (this.waiting.length >= MAX_WAITING) return this.refuse(req, "too many requests");
+    this.waiting.push({ req, id, next });
+    this.readNow();
+  }
+
+  readNow(): void {
+    if (this.reading || this.waiting.length === 0) return;
+    if (this.ctx.nowMs < this.nextReadMs) return this.wakeIn(this.nextReadMs - this.ctx.nowMs);
+    this.reading = true;
+    const served = this.waiting;
+    this.waiting = [];
+    this.changes(0, (ok) => {
+      this.reading = false;
+      this.nextReadMs = this.ctx.nowMs + READ_PAUSE_MS;
+      for (const w of served) {
+        if (ok) w.next(w.req, w.id);
+        else this.refuse(w.req, "state service does not answer");
+      }
+      this.readNow();
+    });
+  }
+
+  /** The open watch shows a commit at once; if none is open, one is opened. */
+  watchSoon(): void {
+    if (!this.watching) {
+      this.nextWatchMs = this.ctx.nowMs;
+      this.watch();
+    }
+  }
+}
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -1,9 +1,10 @@
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
-import type { Master } from "./master.js";
+import type { Holdings } from "./holdings.js";
 import type { JobSpec, MachineType, Standing } from "./model.js";
 import { allowedOn, type Amounts, couldRun, fitCount, fits, goesWhole, offer, suits } from "./placement.js";
 import { isShort } from "./queues.js";
+import type { Sharing } from "./sharing.js";
 import { queueOf } from "./splitter.js";
 import { freeOn, type JobRun, take } from "./tasks.js";
 
@@ -58,7 +59,8 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly master: Master,
+    private readonly own: Holdings,
+    private readonly sharing: Sharing,
     private readonly zones: () => string[],
   ) {}
 
@@ -87,7 +89,7 @@
       if (!plan) return;
       const next = { ...plan, count: Math.min(plan.count, MOST_AT_ONCE) };
       // Invariant: a charter is never used again by anyone. The token belongs to one master of one group.
-      const request = `${this.ctx.settings.label}-${this.master.token}-${++this.requests}`;
+      const request = `${this.ctx.settings.label}-${this.own.token}-${++this.requests}`;
       r = { ...next, request, rentedMs: this.ctx.nowMs, sent: false, retryMs: 0 };
       this.rentals.push(r);
       this.ctx.log("info", "renting machines", { request, ...next });
@@ -105,7 +107,7 @@
       this.rentals.splice(this.rentals.indexOf(rental), 1);
       const { type, zone, spot, count } = rental;
       const got = reply.is === "rented" ? reply.machines : [];
-      for (const id of got) if (!this.master.workers.has(id)) this.booting.set(id, { type, zone, spot, rentedMs: this.ctx.nowMs });
+      for (const id of got) if (!this.own.workers.has(id)) this.booting.set(id, { type, zone, spot, rentedMs: this.ctx.nowMs });
       if (got.length > 0) this.ceilings.delete(offer(type, zone, spot));
       if (got.length < count) {
         this.noteEmpty(rental);
@@ -132,7 +134,7 @@
   /** Machines of an offer that the group has, or that are on their way. */
   private held(o: Offer): number {
     let n = 0;
-    for (const w of this.master.workers.values()) if (w.typeName === o.type && w.zone === o.zone && w.spot === o.spot && !w.lost) n++;
+    for (const w of this.own.workers.values()) if (w.typeName === o.type && w.zone === o.zone && w.spot === o.spot && !w.lost) n++;
     for (const b of this.booting.values()) if (same(b, o)) n++;
     return n;
   }
@@ -197,7 +199,7 @@
     for (const b of this.booting.values()) add(b);
     for (const r of this.rentals) for (let i = 0; i < r.count; i++) add(r);
     // Up, but not to be used yet: its place in the roster is being written.
-    for (const w of this.master.workers.values()) if (!w.lost && !w.going && !this.master.roster.has(w.id)) add({ type: w.typeName, zone: w.zone, spot: w.spot });
+    for (const w of this.own.workers.values()) if (!w.lost && !w.going && !this.own.roster.has(w.id)) add({ type: w.typeName, zone: w.zone, spot: w.spot });
     return out;
   }
 
@@ -207,17 +209,17 @@
   private plan(spare: { spec: JobSpec; places: number }[]): void {
     this.planned = [];
     const places = this.coming();
-    const { usable, reserved } = this.master.usableWorkers();
+    const { usable, reserved } = this.own.usableWorkers();
     for (const w of usable) places.push({ type: w.typeName, zone: w.zone, spot: w.spot, reserved: reserved.has(w.id), room: freeOn(w) });
     const left = this.left();
-    const headroom = this.master.headroom();
+    const headroom = this.sharing.headroom();
     /** Work of arrays that is due so far, by kind of machine, in seconds of one place. */
     const dueWork = { plain: 0, accelerated: 0 };
     // What runs now is halfway, on the whole.
     const addDue = (j: JobRun): number => (dueWork[queueOf(j.view.spec)] += (j.waiting.size + j.active.size / 2) * j.view.spec.estimateS);
-    for (const j of this.master.jobs.values()) if (j.waiting.isEmpty && j.view.spec.shape === "batch") addDue(j);
+    for (const j of this.own.jobs.values()) if (j.waiting.isEmpty && j.view.spec.shape === "batch") addDue(j);
     const due = (j: JobRun): number => (Number.isFinite(j.view.dueAt) ? j.view.dueAt : j.view.readyAt);
-    const jobs = [...this.master.jobs.values()].filter((j) => this.master.mayStart(j) && j.errors.size < 3).sort((a, b) => due(a) - due(b));
+    const jobs = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j) && j.errors.size < 3).sort((a, b) => due(a) - due(b));
     for (const j of jobs) {
       const spec = j.view.spec;
       const room = headroom.get(spec.team);
--- a/src/coordination/room.ts
+++ b/src/coordination/room.ts
@@ -1,9 +1,10 @@
 import { bytesOf, type FreeKind, roomKey, type RoomRecord, type RoomRow, tenth, writeRoom } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
-import type { Master } from "./master.js";
+import type { Holdings } from "./holdings.js";
 import { EPS } from "./placement.js";
-import { queueOf } from "./splitter.js";
+import type { Renting } from "./renting.js";
+import type { Sharing } from "./sharing.js";
 import { freeOn } from "./tasks.js";
 
 /** The room is written at most this often. */
@@ -17,28 +18,23 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly master: Master,
+    private readonly own: Holdings,
+    private readonly sharing: Sharing,
+    private readonly renting: Renting,
   ) {}
 
-  /** Tasks that wait, by kind of machine. */
-  queue(): { plain: number; accelerated: number } {
-    const queue = { plain: 0, accelerated: 0 };
-    for (const j of this.master.jobs.values()) queue[queueOf(j.view.spec)] += j.waiting.size;
-    return queue;
-  }
-
   /** The room as it is. */
   now(): RoomRecord {
     const rows = new Map<string, RoomRow>();
     const kinds = new Map<string, FreeKind>();
-    const { usable, reserved } = this.master.usableWorkers();
+    const { usable, reserved } = this.own.usableWorkers();
     for (const w of usable) {
       const key = w.kind;
       let row = rows.get(key);
       if (!row) rows.set(key, (row = { type: w.typeName, zone: w.zone, spot: w.spot, machines: 0, free: [], reserved: [] }));
       row.machines++;
       const f = freeOn(w);
-      if ((f.cpus <= EPS && f.gpus <= EPS) || this.master.isHeld(w)) continue;
+      if ((f.cpus <= EPS && f.gpus <= EPS) || this.own.isHeld(w)) continue;
       const kind: FreeKind = [tenth(f.cpus), tenth(f.gpus), tenth(f.memGb), 1];
       const isReserved = reserved.has(w.id);
       const name = `${key}/${kind[0]}/${kind[1]}/${kind[2]}/${isReserved}`;
@@ -49,17 +45,17 @@
         (isReserved ? row.reserved : row.free).push(kind);
       }
     }
-    const queue = this.queue();
+    const queue = this.own.queue();
     const running = new Map<string, number>();
-    for (const j of this.master.jobs.values()) {
-      const n = this.master.runningOf(j.id);
+    for (const j of this.own.jobs.values()) {
+      const n = this.own.runningOf(j.id);
       if (n > 0) running.set(j.id, n);
     }
-    const { renting } = this.master.fleet;
+    const { renting } = this;
     const soldOut = renting.soldOut();
     // Nothing left of what is sold out goes without saying.
     const left = new Map([...renting.left()].filter(([what, n]) => n > 0 || !soldOut.includes(what)));
-    return { rows: [...rows.values()], queue, running, soldOut, left, wants: this.master.wants() };
+    return { rows: [...rows.values()], queue, running, soldOut, left, wants: this.sharing.wants() };
   }
 
   /** What is written of it: what fits a value. Running counts give way first, then the smallest kinds of free room. */
@@ -94,7 +90,7 @@
     if (text === this.written) return;
     this.writtenMs = this.ctx.nowMs;
     this.busy = true;
-    this.master.commit([], [{ op: "put", key: roomKey(this.master.group), value }], Urgent.Spare, (end) => {
+    this.own.commit([], [{ op: "put", key: roomKey(this.own.group), value }], Urgent.Spare, (end) => {
       this.busy = false;
       if (end === "ok") this.written = text;
     });
--- a/src/coordination/sharing.ts
+++ b/src/coordination/sharing.ts
@@ -2,7 +2,8 @@
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import { Handover } from "./handover.js";
-import type { Master } from "./master.js";
+import type { Holdings } from "./holdings.js";
+import type { Use } from "./ledger.js";
 import { EPS } from "./placement.js";
 import { moveShare, shareOf, withinShare } from "./quota.js";
 
@@ -13,26 +14,38 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly master: Master,
+    private readonly own: Holdings,
   ) {}
 
   share(team: string): [number, number] {
     const t = this.ctx.settings.teams.get(team);
     if (!t) return [0, 0];
-    const [cpus, gpus] = shareOf(t, this.master.group, this.ctx.groups.names, this.ctx.mirror.shares);
+    const [cpus, gpus] = shareOf(t, this.own.group, this.ctx.groups.names, this.ctx.mirror.shares);
     const g = this.giving;
     return g && g.team === team && g.change.base === this.ctx.mirror.sharesVersion ? [cpus - g.give[0], gpus - g.give[1]] : [cpus, gpus];
   }
 
+  /** By team: what it may still use in this group. */
+  headroom(): Map<string, Use> {
+    const used = this.own.usage();
+    const out = new Map<string, Use>();
+    for (const team of this.ctx.settings.teams.keys()) {
+      const share = this.share(team);
+      const u = used.get(team) ?? { cpus: 0, gpus: 0 };
+      out.set(team, { cpus: share[0] - u.cpus, gpus: share[1] - u.gpus });
+    }
+    return out;
+  }
+
   /** By team: how much more of its limit this group could use at once, and since when the oldest job waits. */
   wants(): Map<string, Want> {
     const out = new Map<string, Want>();
-    const used = this.master.usage();
-    for (const j of this.master.jobs.values()) {
+    const used = this.own.usage();
+    for (const j of this.own.jobs.values()) {
       const spec = j.view.spec;
       if (j.waiting.isEmpty || out.size >= 20) continue;
       const n = spec.shape === "batch" ? 1 : j.waiting.size;
-      const share = this.master.share(spec.team);
+      const share = this.share(spec.team);
       const u = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
       if (withinShare(u, { cpus: spec.cpus * n, gpus: spec.gpus * n }, share)) continue;
       const all = spec.shape === "batch" ? Math.min(j.waiting.size, 20) : n;
@@ -58,21 +71,21 @@
       if (this.ctx.mirror.sharesVersion !== g.change.base) this.giving = null;
       else return this.send();
     }
-    if (this.master.fenced) return;
+    if (this.own.fenced) return;
     const mine = this.wants();
-    const usage = this.master.usage();
+    const usage = this.own.usage();
     for (const [group, room] of this.ctx.mirror.rooms) {
-      if (group === this.master.group) continue;
+      if (group === this.own.group) continue;
       for (const [name, want] of room.wants) {
         const team = this.ctx.settings.teams.get(name);
         const own = mine.get(name);
-        if (!team || (own && (own.since < want.since || (own.since === want.since && this.master.group < group)))) continue;
-        const share = this.master.share(name);
+        if (!team || (own && (own.since < want.since || (own.since === want.since && this.own.group < group)))) continue;
+        const share = this.share(name);
         const used = usage.get(name) ?? { cpus: 0, gpus: 0 };
         const spare = (limit: number, use: number, ask: number): number => (Number.isFinite(limit) ? Math.max(0, Math.min(ask, Math.floor((limit - use) * 100) / 100)) : 0);
         const give: [number, number] = [spare(share[0], used.cpus, want.cpus), spare(share[1], used.gpus, want.gpus)];
         if (give[0] <= EPS && give[1] <= EPS) continue;
-        const shares = moveShare(team, this.ctx.groups.names, this.ctx.mirror.shares, this.master.group, group, give);
+        const shares = moveShare(team, this.ctx.groups.names, this.ctx.mirror.shares, this.own.group, group, give);
         // With very many teams the record would not fit a value: the shares stay as they are.
         if (bytesOf(shares) > this.ctx.settings.state.valueBytes) continue;
         this.giving = { team: name, give, change: new Handover(this.ctx.mirror.sharesVersion, shares) };
@@ -85,7 +98,7 @@
   private send(): void {
     const g = this.giving;
     g?.change.send(
-      (version, value, done) => this.master.commit([{ key: QUOTA_KEY, version }], [{ op: "put", key: QUOTA_KEY, value }], Urgent.Spare, done),
+      (version, value, done) => this.own.commit([{ key: QUOTA_KEY, version }], [{ op: "put", key: QUOTA_KEY, value }], Urgent.Spare, done),
       () => {
         if (this.giving === g) this.giving = null;
       },
--- a/test/awaiting.test.ts
+++ b/test/awaiting.test.ts
@@ -62,7 +62,7 @@
   assert.ok(told.answer?.is === "job" && told.answer.state === "queued");
   assert.deepEqual([...told.answer.awaits!].sort(), ["req-000001", "req-000002"]);
   // While it waits no master has anything of it: no queue, no share of a limit.
-  for (const n of w.nodes.values()) for (const m of n!.core.masters.values()) assert.ok(!m.jobs.has(last.id));
+  for (const n of w.nodes.values()) for (const m of n!.core.masters.values()) assert.ok(!m.own.jobs.has(last.id));
   after(w, 60_000);
   const end = ask(w, "status", last.id, "node-a");
   after(w, 100);
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -4,13 +4,14 @@
 import type { Context } from "../src/coordination/context.js";
 import type { CloudCall, CloudReply } from "../src/coordination/effects.js";
 import { ownDueAt } from "../src/coordination/mirror.js";
-import type { Master } from "../src/coordination/master.js";
+import type { Holdings } from "../src/coordination/holdings.js";
 import type { JobSpec, MachineType } from "../src/coordination/model.js";
 import { Misfits, suits } from "../src/coordination/placement.js";
 import { isShort } from "../src/coordination/queues.js";
 import { RangeSet } from "../src/coordination/ranges.js";
 import { Roster } from "../src/coordination/roster.js";
 import { Renting } from "../src/coordination/renting.js";
+import type { Sharing } from "../src/coordination/sharing.js";
 import { splitJob, wholeRoom } from "../src/coordination/splitter.js";
 import { type JobRun, newJobRun, type Worker } from "../src/coordination/tasks.js";
 import type { Write } from "../src/protocol/state.js";
@@ -59,7 +60,7 @@
       pending.push(() => done(got > 0 ? { is: "rented", machines: Array.from({ length: got }, (_, i) => `m-${asked.length}-${i}`) } : { is: "noCapacity" }));
     },
   };
-  const master = {
+  const own = {
     group: "n",
     token: 7,
     jobs: new Map(jobs.map((j) => [j.id, j])),
@@ -67,9 +68,9 @@
     roster: { has: () => true },
     mayStart: () => true,
     usableWorkers: () => ({ usable: workers, reserved: new Set<string>() }),
-    headroom: () => new Map([["t", { cpus: 1000, gpus: 100 }]]),
   };
-  const r = new Renting(ctx as unknown as Context, master as unknown as Master, () => ["a", "b"]);
+  const sharing = { headroom: () => new Map([["t", { cpus: 1000, gpus: 100 }]]) };
+  const r = new Renting(ctx as unknown as Context, own as unknown as Holdings, sharing as unknown as Sharing, () => ["a", "b"]);
   for (let k = 0; k < 20; k++) {
     ctx.nowMs += 600;
     r.tick(() => []);
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Master } from "../src/coordination/master.js";
+import { Holdings } from "../src/coordination/holdings.js";
 import { Ownership } from "../src/coordination/ownership.js";
+import { Sharing } from "../src/coordination/sharing.js";
 import { freeOn } from "../src/coordination/tasks.js";
 import { largeJob, largeTroubles, randomJob, troubles, users } from "./sim/days.js";
 import { World } from "./sim/world.js";
@@ -66,7 +67,7 @@
       for (const m of n!.core.masters.values()) {
         const room = m.room();
         for (const row of room.rows) {
-          const free = [...m.workers.values()].filter((x) => m.usable(x) && x.typeName === row.type && x.zone === row.zone && x.spot === row.spot && freeOn(x).cpus > 0);
+          const free = [...m.own.workers.values()].filter((x) => m.own.usable(x) && x.typeName === row.type && x.zone === row.zone && x.spot === row.spot && freeOn(x).cpus > 0);
           assert.equal([...row.free, ...row.reserved].reduce((a, f) => a + f[3], 0), free.length);
         }
       }
@@ -118,7 +119,7 @@
       for (const m of core.masters.values()) {
         const teams = new Map<string, number>();
         const strays = new Map<string, number>();
-        for (const x of m.workers.values()) {
+        for (const x of m.own.workers.values()) {
           for (const t of x.tasks.values()) teams.set(t.job.view.spec.team, (teams.get(t.job.view.spec.team) ?? 0) + t.job.view.spec.cpus);
           for (const s of x.strays.values()) {
             strays.set(s.job, (strays.get(s.job) ?? 0) + 1);
@@ -129,10 +130,10 @@
           x.free = null;
           assert.deepEqual(freeOn(x), kept);
         }
-        for (const [team, u] of m.ledger.used()) assert.ok(Math.abs(u.cpus - (teams.get(team) ?? 0)) < 1e-6, `${team}: ${u.cpus}`);
-        for (const [team, cpus] of teams) assert.ok(Math.abs((m.ledger.used().get(team)?.cpus ?? 0) - cpus) < 1e-6, `${team}: ${cpus}`);
-        for (const [job, n] of strays) assert.equal(m.ledger.straysOf(job).size, n);
-        for (const id of core.mirror.jobs.keys()) assert.equal(m.ledger.straysOf(id).size, strays.get(id) ?? 0);
+        for (const [team, u] of m.own.ledger.used()) assert.ok(Math.abs(u.cpus - (teams.get(team) ?? 0)) < 1e-6, `${team}: ${u.cpus}`);
+        for (const [team, cpus] of teams) assert.ok(Math.abs((m.own.ledger.used().get(team)?.cpus ?? 0) - cpus) < 1e-6, `${team}: ${cpus}`);
+        for (const [job, n] of strays) assert.equal(m.own.ledger.straysOf(job).size, n);
+        for (const id of core.mirror.jobs.keys()) assert.equal(m.own.ledger.straysOf(id).size, strays.get(id) ?? 0);
       }
     };
     for (const z of w.zones) w.cloud.add(w.types[0]!, z, false, 0);
@@ -254,7 +255,7 @@
 
 test("the checker catches a master without a fence", () => {
   mustCatch("ran_twice", () => {
-    const proto = Master.prototype as unknown as { mayStart: (j: { gone: boolean; waiting: { isEmpty: boolean } }) => boolean };
+    const proto = Holdings.prototype as unknown as { mayStart: (j: { gone: boolean; waiting: { isEmpty: boolean } }) => boolean };
     const before = proto.mayStart;
     proto.mayStart = (j) => !j.gone && !j.waiting.isEmpty;
     return () => (proto.mayStart = before);
@@ -263,12 +264,12 @@
 
 test("the checker catches shares that ignore the other groups", () => {
   mustCatch("quota", () => {
-    const before = Master.prototype.share;
-    Master.prototype.share = function (team) {
+    const before = Sharing.prototype.share;
+    Sharing.prototype.share = function (team) {
       const [c, g] = before.call(this, team);
       return [c * 3, g * 3];
     };
-    return () => (Master.prototype.share = before);
+    return () => (Sharing.prototype.share = before);
   });
 });
 
@@ -400,10 +401,10 @@
   };
   w.at(20_000, report);
   w.afterStep = (core) => {
-    const master = core.masters.get("node-a");
-    if (w.now < 21_000 || !master?.workers.has(m.id)) return;
+    const own = core.masters.get("node-a")?.own;
+    if (w.now < 21_000 || !own?.workers.has(m.id)) return;
     checked++;
-    assert.ok(master.roster.has(m.id), `at ${w.now}`);
+    assert.ok(own.roster.has(m.id), `at ${w.now}`);
   };
   w.run(28_000);
   assert.ok(checked > 20);
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Context } from "../src/coordination/context.js";
-import type { Master } from "../src/coordination/master.js";
+import type { Holdings } from "../src/coordination/holdings.js";
+import type { Renting } from "../src/coordination/renting.js";
+import type { Sharing } from "../src/coordination/sharing.js";
 import { RangeSet } from "../src/coordination/ranges.js";
 import { Room } from "../src/coordination/room.js";
 import { Roster } from "../src/coordination/roster.js";
@@ -125,16 +127,17 @@
     ["zone-a", "zone-b", "zone-c", "zone-d"].flatMap((zone) => Array.from({ length: i + 1 }, (_, k) => ({ id: `n-${typeName}-${zone}-${k}`, typeName, type: { cpus: 32 + k, gpus: 0, memGb: 64 }, zone, spot: false, kind: `${typeName}/${zone}`, free: null, tasks: new Map(), strays: new Map() }))),
   );
   const offers = types.flatMap((t) => ["zone-a", "zone-b"].map((z) => `${t}/${z}/spot`));
-  const master = {
+  const own = {
     group: "g",
     usableWorkers: () => ({ usable: workers, reserved: new Set<string>() }),
     isHeld: () => false,
     jobs: new Map(),
     runningOf: () => 0,
-    fleet: { renting: { soldOut: () => [...offers], left: () => new Map(offers.map((o) => [o, 3])) } },
-    wants: () => new Map(Array.from({ length: 20 }, (_, i) => [`team-${i}`, { cpus: 1, gpus: 0, since: 1_700_000_000_000 }])),
+    queue: () => ({ plain: 0, accelerated: 0 }),
   };
-  const room = new Room({ settings: { state: limits } } as unknown as Context, master as unknown as Master);
+  const renting = { soldOut: () => [...offers], left: () => new Map(offers.map((o) => [o, 3])) };
+  const sharing = { wants: () => new Map(Array.from({ length: 20 }, (_, i) => [`team-${i}`, { cpus: 1, gpus: 0, since: 1_700_000_000_000 }])) };
+  const room = new Room({ settings: { state: limits } } as unknown as Context, own as unknown as Holdings, sharing as unknown as Sharing, renting as unknown as Renting);
   const record = room.fitted();
   assert.ok(bytesOf(writeRoom(record)) <= limits.valueBytes, `${bytesOf(writeRoom(record))}`);
   assert.ok(record.rows.length > 10 && record.rows.every((r) => r.machines >= 5), "the rows of the most machines");
