A team's limit goes only to who waited longest, and to nobody who has no machine to use it on

What fitted into the own share was not counted as waiting, so it was given away; with it gone, the job wanted it back. Now a group keeps what its own jobs that have waited longer are going to use, and neither keeps nor asks for jobs that no machine here has or may get room for. What is given goes one way, by age.

--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -37,7 +37,7 @@
   ) {
     const own = new Holdings(ctx, group, token, permitted);
     this.own = own;
-    this.sharing = new Sharing(ctx, own);
+    this.sharing = new Sharing(ctx, own, (spec) => this.fleet.renting.hasPlace(spec));
     this.fleet = new Fleet(ctx, own, this.sharing);
     const { renting } = this.fleet;
     this.moves = new Moves(ctx, own, renting);
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -221,6 +221,13 @@
     return this.offers(spec, this.zones(), new Map()).next().done === true;
   }
 
+  /** Some machine has room for a task of this job, or one that has may be had. */
+  hasPlace(spec: JobSpec): boolean {
+    for (const w of this.own.usableWorkers().usable)
+      if (allowedOn(spec, w.typeName, w.zone, w.spot) && suits(spec, w.type, w.spot, this.ctx.catalog) && fits(spec, freeOn(w))) return true;
+    return !this.exhausted(spec);
+  }
+
   /** Tasks of this job that machines on their way have room for. */
   comingFor(spec: JobSpec): number {
     let n = 0;
--- a/src/coordination/sharing.ts
+++ b/src/coordination/sharing.ts
@@ -4,6 +4,7 @@
 import { Handover } from "./handover.js";
 import type { Holdings } from "./holdings.js";
 import type { Use } from "./ledger.js";
+import type { JobSpec } from "./model.js";
 import { EPS } from "./placement.js";
 import { moveShare, shareOf, withinShare } from "./quota.js";
 
@@ -15,6 +16,8 @@
   constructor(
     private readonly ctx: Context,
     private readonly own: Holdings,
+    /** Whether this group has, or may get, a machine with room for a task of such a job. */
+    private readonly hasPlace: (spec: JobSpec) => boolean,
   ) {}
 
   share(team: string): [number, number] {
@@ -41,13 +44,14 @@
   wants(): Map<string, Want> {
     const out = new Map<string, Want>();
     const used = this.own.usage();
+    const hasPlace = this.places();
     for (const j of this.own.jobs.values()) {
       const spec = j.view.spec;
       if (j.waiting.isEmpty || out.size >= 20) continue;
       const n = spec.shape === "batch" ? 1 : j.waiting.size;
       const share = this.share(spec.team);
       const u = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
-      if (withinShare(u, { cpus: spec.cpus * n, gpus: spec.gpus * n }, share)) continue;
+      if (withinShare(u, { cpus: spec.cpus * n, gpus: spec.gpus * n }, share) || !hasPlace(spec)) continue;
       const all = spec.shape === "batch" ? Math.min(j.waiting.size, 20) : n;
       const want = {
         cpus: Math.max(0, u.cpus + spec.cpus * all - share[0]),
@@ -60,6 +64,34 @@
     return out;
   }
 
+  /** The same for all jobs that ask for the same kind of place. */
+  private places(): (spec: JobSpec) => boolean {
+    const known = new Map<string, boolean>();
+    return (s) => {
+      const key = JSON.stringify([s.cpus, s.gpus, s.memGb, s.types, s.zone, s.spot]);
+      let has = known.get(key);
+      if (has === undefined) known.set(key, (has = this.hasPlace(s)));
+      return has;
+    };
+  }
+
+  /**
+   * What this group's waiting jobs of a team are going to use before whoever has waited since then. Without it two groups
+   * whose jobs found no machine handed the same part to and fro, several times a second, and neither had it when one
+   * came (docs/incidents/claimdesk-fleet-limit-to-and-fro.md). Who has waited for longer keeps it, so it goes one way only.
+   */
+  private kept(team: string, want: Want, to: string): Use {
+    const hasPlace = this.places();
+    const sum = { cpus: 0, gpus: 0 };
+    for (const j of this.own.jobs.values()) {
+      const { spec, readyAt } = j.view;
+      if (spec.team !== team || j.waiting.isEmpty || readyAt > want.since || (readyAt === want.since && this.own.group > to) || !hasPlace(spec)) continue;
+      sum.cpus += spec.cpus * j.waiting.size;
+      sum.gpus += spec.gpus * j.waiting.size;
+    }
+    return sum;
+  }
+
   /**
    * Gives what this group does not use of a team's limit to one that wants it, if that has waited longer than
    * anything here. Invariant (quota): from before the commit is sent this group keeps within what it will have
@@ -81,7 +113,10 @@
         const own = mine.get(name);
         if (!team || (own && (own.since < want.since || (own.since === want.since && this.own.group < group)))) continue;
         const share = this.share(name);
-        const used = usage.get(name) ?? { cpus: 0, gpus: 0 };
+        const used = { ...(usage.get(name) ?? { cpus: 0, gpus: 0 }) };
+        const kept = this.kept(name, want, group);
+        used.cpus += kept.cpus;
+        used.gpus += kept.gpus;
         const spare = (limit: number, use: number, ask: number): number => (Number.isFinite(limit) ? Math.max(0, Math.min(ask, Math.floor((limit - use) * 100) / 100)) : 0);
         const give: [number, number] = [spare(share[0], used.cpus, want.cpus), spare(share[1], used.gpus, want.gpus)];
         if (give[0] <= EPS && give[1] <= EPS) continue;
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -254,6 +254,31 @@
   assert.fail(`${rule} was not caught`);
 }
 
+test("a team's limit is not handed to and fro between groups whose jobs wait for machines, and both run once there are some", () => {
+  const w = new World(21);
+  w.loss = 0;
+  w.capacity = 0;
+  w.settings.teams.set("red", { name: "red", cpus: 0, gpus: 0, cpusMax: 40, gpusMax: Infinity });
+  for (const n of w.names) {
+    w.crash(n);
+    w.boot(n);
+  }
+  // Each fits into the whole limit, and both together don't.
+  const gang = (n: number, zone: string): JobSpec => ({ ...randomJob(w, n), team: "red", shape: "ensemble", tasks: 3, cpus: 8, gpus: 0, types: ["small"], zone, samePlace: true, spread: false, spot: false, estimateS: 10, checkpointS: 0 });
+  for (const [n, zone] of [[1, "east"], [2, "mid"]] as const) {
+    const spec = gang(n, zone);
+    w.specs.set(spec.id, spec);
+    w.at(5_000 + n * 1_000, () => w.ask("node-c", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
+  }
+  w.run(65_000);
+  const given = (): number => w.logs.filter((l) => l.includes("giving part")).length;
+  assert.ok(given() <= 40, `handed over ${given()} times`);
+  w.capacity = 3;
+  w.run(140_000);
+  assert.deepEqual(w.checker.broken, [], report(w, 21));
+  for (const id of ["req-000001", "req-000002"]) for (let i = 0; i < 3; i++) assert.ok(w.results.has(`${id}/${i}`), `${id}\n${w.logs.slice(-20).join("\n")}`);
+});
+
 test("while memory is short new jobs are refused, known ones answered, cancelled and finished", () => {
   const w = new World(8);
   w.loss = 0;
