Late jobs rent ordinary machines while their class may still be done in time

Cause, same incident: accelerated jobs past their deadline were given only cheap machines, which were sold out, while their class was expected to be done within 450 s. A machine is too late only for what nothing is expected of any more.

Sites whose objectives name no such time are not touched.

--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -312,6 +312,18 @@
     return spec.deadlineS === null || !standing ? Infinity : (standing.dueAt - this.ctx.wallMs) / 1000;
   }
 
+  /**
+   * Until nothing is expected of the job any more, in seconds: beside its own deadline, its class may have a time by which
+   * most are to be done. By the deadline alone, late jobs waited for cheap machines that were sold out
+   * (docs/incidents/claimdesk-fleet-late-jobs.md).
+   */
+  private hopeS(spec: JobSpec, standing: Standing | null, leftS: number): number {
+    let s = leftS;
+    for (const o of this.ctx.settings.objectives)
+      if (standing && o.kind === "finished" && o.class === spec.class && o.withinS !== undefined) s = Math.max(s, (standing.readyAt - this.ctx.wallMs) / 1000 + o.withinS);
+    return s;
+  }
+
   /**
    * Places to rent for the tasks of an array with a deadline that found no room: as many as the work that is due
    * until then needs beyond what the present places can do one task after the other. A machine costs as much while
@@ -379,8 +391,8 @@
       spec.deadlineS !== null &&
       this.ctx.wallMs - standing.readyAt < (standing.dueAt - standing.readyAt) * this.ctx.tuning.cheapPatience &&
       leftS > this.readyS(spec) + spec.estimateS * SLOW;
-    // A machine that comes too late for the deadline saves nothing: only a cheap one is worth it.
-    const lost = spec.spot && leftS < this.readyS(spec) + spec.estimateS / 2;
+    // A machine that comes too late for all that is expected saves nothing: only a cheap one is worth it.
+    const lost = spec.spot && this.hopeS(spec, standing, leftS) < this.readyS(spec) + spec.estimateS / 2;
     while (need > 0) {
       let best: { t: MachineType; zone: string; spot: boolean; most: number } | null = null;
       let bestCost = Infinity;
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -39,11 +39,11 @@
   ({ id, typeName: type.name, type, zone, spot: false, tasks: new Map(), strays: new Map(), lost: false, going: false }) as unknown as Worker;
 
 /** Plans, sends, and answers every request from `stock`, until nothing more is asked for. */
-function rents(jobs: JobRun[], workers: Worker[], stock: Record<string, number>, wallMs = 0): string[] {
+function rents(jobs: JobRun[], workers: Worker[], stock: Record<string, number>, wallMs = 0, objectives: object[] = []): string[] {
   const asked: string[] = [];
   const pending: (() => void)[] = [];
   const ctx = {
-    settings: { label: "n", cloud: { rps: 3 } },
+    settings: { label: "n", cloud: { rps: 3 }, objectives },
     tuning: DEFAULTS,
     groups: { names: ["n"] },
     catalog: TYPES,
@@ -112,6 +112,17 @@
   assert.deepEqual(rents([job(array)], [], { "plain/a/ordinary": 100 }, 2_000_000).filter((x) => x.endsWith("ordinary")), []);
 });
 
+test("a late job gets a dear machine only while its class may still be done in time", () => {
+  const late = job({ shape: "batch", tasks: 4, samePlace: false, gpus: 1, estimateS: 90, deadlineS: 200, spot: true });
+  const finished = [{ kind: "finished", class: "c", withinS: 450 }];
+  const stock = (): Record<string, number> => ({ "gpu/a/ordinary": 3 });
+  // Too late for its own deadline, and no cheap machine to be had.
+  assert.ok(!rents([late], [], stock(), 180_000).some((x) => x.includes("ordinary")));
+  assert.ok(rents([late], [], stock(), 180_000, finished).some((x) => x.includes("gpu/a/ordinary")));
+  assert.ok(!rents([late], [], stock(), 400_000, finished).some((x) => x.includes("ordinary")));
+  assert.ok(!rents([late], [], stock(), 180_000, [{ ...finished[0], class: "other" }]).some((x) => x.includes("ordinary")));
+});
+
 test("plain work gets an accelerated machine only at a like price, or where nothing else could run it", () => {
   const plain = { ...SPEC, spot: true };
   assert.ok(!suits(plain, TYPES[1]!, false, TYPES));
