--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -79,6 +79,8 @@
 function standingStill(seed: number): World {
   const w = new World(seed, undefined, [], [1, 2, 3, 5][seed % 4]!);
   for (const z of w.zones) w.cloud.add(w.types[0]!, z, false, 0);
+  // In a zone that no setting names.
+  w.cloud.add(w.types[0]!, "cellar", false, 0);
   users(w, 150_000);
   troubles(w, 150_000);
   largeTroubles(w, 160_000);
