Work that is due counts although a job without a deadline asked for the same in vain

Found on reading again: a kind of request that was in vain was skipped for jobs with a deadline too, whose work then did not count as due for those behind them. A test fails without it.

--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -71,7 +71,8 @@
     const short = isShort(spec, this.tuning);
     const place = JSON.stringify([spec.cpus, spec.gpus, spec.memGb, spec.types, spec.zone, spec.spot, short]);
     const whole = goesWhole(spec);
-    const key = whole ? `${place}/${spec.shape}/${spec.samePlace}/${n}/${active > 0 ? spec.id : ""}` : place;
+    // What jobs with a deadline ask for depends on the work that is due: each of them is looked at.
+    const key = `${place}/${spec.deadlineS === null}/${whole ? `${spec.shape}/${spec.samePlace}/${n}/${active > 0 ? spec.id : ""}` : ""}`;
     let ask = this.known.get(key);
     if (!ask) this.known.set(key, (ask = { vain: false, roomy: (s, places) => this.roomy(s, short, place, places) }));
     return ask;
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -112,6 +112,17 @@
   assert.deepEqual(rents([job(array)], [], { "plain/a/ordinary": 100 }, 2_000_000).filter((x) => x.endsWith("ordinary")), []);
 });
 
+test("work that is due counts although a job without a deadline asked for the same in vain before it", () => {
+  const array = (id: string, over: Partial<JobSpec>): JobRun => job({ id, shape: "batch", samePlace: false, tasks: 4, ...over });
+  const vain = array("req-000001", { zone: "nowhere", cpus: 5 });
+  const due = array("req-000002", { zone: "nowhere", cpus: 5, tasks: 100, deadlineS: 1_000 });
+  const next = array("req-000003", { zone: "a", cpus: 17, deadlineS: 1_001 });
+  const stock = (): Record<string, number> => ({ "plain/a/ordinary": 10 });
+  const with100 = rents([due, next], [], stock());
+  assert.deepEqual(rents([vain, due, next], [], stock()), with100);
+  assert.notDeepEqual(rents([vain, next], [], stock()), with100);
+});
+
 test("a late job gets a dear machine only while its class may still be done in time", () => {
   const late = job({ shape: "batch", tasks: 4, samePlace: false, gpus: 1, estimateS: 90, deadlineS: 200, spot: true });
   const finished = [{ kind: "finished", class: "c", withinS: 450 }];
