Read once more: one word for what a job asks of a place, one length of a report's gap, state that nothing read

- The key of a kind of place was written twice (renting, sharing): placeAsked.
Renting's hasPlace repeated serves.
- The longest gap between reports was written in holdings and in the server: reportGapMs beside the report's schema.
- Sharing worked out anew for each group that wants something which jobs have a place: once a pass.
- Connections kept a time that nothing read; a function was exported for nobody; the heap's bound was worked out at every collection.
- The roster handed a size from one method to the next through a field; room began with a made-up record; the master passed on three calls to its room, which is there to be asked itself.

--- a/src/coordination/holdings.ts
+++ b/src/coordination/holdings.ts
@@ -1,4 +1,5 @@
 import type { Condition, Write } from "../protocol/state.js";
+import { reportGapMs } from "../protocol/workers.js";
 import { groupKey } from "../storage/records.js";
 import { type CommitEnd, type Context, DRIFT } from "./context.js";
 import { Urgent } from "./effects.js";
@@ -158,7 +159,7 @@
 
   /** Most of its workers have not been heard of for longer than a report and its retry take. */
   deaf(): boolean {
-    const limit = (this.ctx.settings.reportS * 1.25 + 4) * 1000;
+    const limit = reportGapMs(this.ctx.settings.reportS);
     let silent = 0;
     let all = 0;
     for (const w of this.workers.values()) {
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -1,11 +1,10 @@
-import type { RoomRecord } from "../storage/records.js";
 import type { Context } from "./context.js";
 import type { Answer } from "./effects.js";
 import { Finishing } from "./finishing.js";
 import { Fleet } from "./fleet.js";
 import { Holdings } from "./holdings.js";
 import type { JobView } from "./mirror.js";
-import { type Cause, type JobSpec, type Order, type Report, type ReportedTask, taskKey } from "./model.js";
+import { type Cause, type Order, type Report, type ReportedTask, taskKey } from "./model.js";
 import { Moves } from "./moves.js";
 import { allowedOn, offer } from "./placement.js";
 import { Placing } from "./placing.js";
@@ -13,7 +12,6 @@
 import { RangeSet } from "./ranges.js";
 import { Room } from "./room.js";
 import { Sharing } from "./sharing.js";
-import type { Handed } from "./splitter.js";
 import { newJobRun, runKey, type TaskRun, type Worker } from "./tasks.js";
 
 /**
@@ -27,7 +25,7 @@
   private readonly moves: Moves;
   private readonly placing: Placing;
   private readonly finishing: Finishing;
-  private readonly writtenRoom: Room;
+  readonly room: Room;
 
   constructor(
     private readonly ctx: Context,
@@ -43,7 +41,7 @@
     this.moves = new Moves(ctx, own, renting);
     this.placing = new Placing(ctx, own, this.sharing, new Preemption(ctx, own, this.sharing, renting));
     this.finishing = new Finishing(ctx, own);
-    this.writtenRoom = new Room(ctx, own, this.sharing, renting);
+    this.room = new Room(ctx, own, this.sharing, renting);
     // Whether a machine marked for return was returned is not known: it is given back once more, and the cloud's word
     // that it is gone takes it off the fence.
     for (const [id, e] of own.roster.machines()) if (e.going) this.fleet.giveBack(id, e.type, "marked for return by a former master");
@@ -331,17 +329,6 @@
 
   // ---- what others ask -----------------------------------------------------------------------------------
 
-  /** The room as it is. */
-  room(): RoomRecord {
-    return this.writtenRoom.now();
-  }
-  /** For splits: see Room. */
-  roomLately(): { room: RoomRecord; handed: readonly Handed[] } {
-    return this.writtenRoom.lately();
-  }
-  noteHanded(spec: JobSpec, tasks: number): void {
-    this.writtenRoom.noteHanded(spec, tasks);
-  }
   /** Placing passes made so far. */
   get passes(): number {
     return this.placing.passes;
@@ -361,7 +348,7 @@
       this.moves.tick();
       this.sharing.tick();
       this.fleet.tick();
-      this.writtenRoom.writeIfChanged();
+      this.room.writeIfChanged();
     }
   }
   place(): void {
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -53,6 +53,9 @@
 /** All tasks go to one group: gangs start together, and `samePlace` wants one zone. */
 export const goesWhole = (spec: JobSpec): boolean => spec.shape === "ensemble" || spec.samePlace;
 
+/** What a job asks of the place of a task, as one word: jobs that share it can use the same machines. */
+export const placeAsked = (s: JobSpec): string => JSON.stringify([s.cpus, s.gpus, s.memGb, s.types, s.zone, s.spot]);
+
 /** A type in a zone, spot or ordinary, as one word. */
 export const offer = (type: string, zone: string, spot: boolean): string => `${type}/${zone}/${spot ? "spot" : "ordinary"}`;
 
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -2,7 +2,7 @@
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
 import type { JobSpec, MachineType, Standing, Tuning } from "./model.js";
-import { allowedOn, type Amounts, couldRun, fitCount, fits, goesWhole, offer, suits } from "./placement.js";
+import { allowedOn, type Amounts, couldRun, fitCount, fits, goesWhole, offer, placeAsked, suits } from "./placement.js";
 import { isShort } from "./queues.js";
 import type { Sharing } from "./sharing.js";
 import { queueOf } from "./splitter.js";
@@ -69,7 +69,7 @@
   /** `n`: places that it asks for; `active`: its tasks that run, which may bind it to a zone. */
   of(spec: JobSpec, n: number, active: number): Ask {
     const short = isShort(spec, this.tuning);
-    const place = JSON.stringify([spec.cpus, spec.gpus, spec.memGb, spec.types, spec.zone, spec.spot, short]);
+    const place = `${placeAsked(spec)}/${short}`;
     const whole = goesWhole(spec);
     // What jobs with a deadline ask for depends on the work that is due: each of them is looked at.
     const key = `${place}/${spec.deadlineS === null}/${whole ? `${spec.shape}/${spec.samePlace}/${n}/${active > 0 ? spec.id : ""}` : ""}`;
@@ -225,7 +225,7 @@
   /** Some machine has room for a task of this job, or one that has may be had. */
   hasPlace(spec: JobSpec): boolean {
     for (const w of this.own.usableWorkers().usable)
-      if (allowedOn(spec, w.typeName, w.zone, w.spot) && suits(spec, w.type, w.spot, this.ctx.catalog) && fits(spec, freeOn(w))) return true;
+      if (this.serves(spec, { type: w.typeName, zone: w.zone, spot: w.spot }) && fits(spec, freeOn(w))) return true;
     return !this.exhausted(spec);
   }
 
@@ -236,8 +236,8 @@
     return n;
   }
 
-  private serves(spec: JobSpec, p: Place): boolean {
-    return allowedOn(spec, p.type, p.zone, p.spot) && suits(spec, this.typeOf(p.type) ?? null, p.spot, this.ctx.catalog);
+  private serves(spec: JobSpec, o: Offer): boolean {
+    return allowedOn(spec, o.type, o.zone, o.spot) && suits(spec, this.typeOf(o.type) ?? null, o.spot, this.ctx.catalog);
   }
 
   /** The same for all jobs that are looked at in one step; not to be changed. */
--- a/src/coordination/room.ts
+++ b/src/coordination/room.ts
@@ -25,9 +25,7 @@
     private readonly own: Holdings,
     private readonly sharing: Sharing,
     private readonly renting: Renting,
-  ) {
-    this.recent = { atMs: -Infinity, room: { rows: [], queue: { plain: 0, accelerated: 0 }, running: new Map(), soldOut: [], left: new Map(), wants: new Map() }, handed: [] };
-  }
+  ) {}
 
   /** The room as it is. */
   now(): RoomRecord {
@@ -66,13 +64,13 @@
 
   /** For splits: the room as it was a moment ago, and what splits have handed to the group since. */
   lately(): { room: RoomRecord; handed: readonly Handed[] } {
-    if (this.ctx.nowMs - this.recent.atMs >= SPLIT_MS) this.recent = { atMs: this.ctx.nowMs, room: this.now(), handed: [] };
+    if (!this.recent || this.ctx.nowMs - this.recent.atMs >= SPLIT_MS) this.recent = { atMs: this.ctx.nowMs, room: this.now(), handed: [] };
     return this.recent;
   }
   noteHanded(spec: JobSpec, tasks: number): void {
-    this.recent.handed.push({ spec, tasks });
+    this.recent?.handed.push({ spec, tasks });
   }
-  private recent: { atMs: number; room: RoomRecord; handed: Handed[] };
+  private recent: { atMs: number; room: RoomRecord; handed: Handed[] } | null = null;
 
   /** What is written of it: what fits a value. Running counts give way first, then the smallest kinds of free room. */
   fitted(): RoomRecord {
--- a/src/coordination/roster.ts
+++ b/src/coordination/roster.ts
@@ -58,36 +58,32 @@
     return size;
   }
   private readonly sizes = new Map<number, number>();
-  /** What a record takes once the machine is in it that room was found for last. */
-  private grown = { id: "", size: 0 };
 
-  /** The first record, from `from` on, that has room for this machine. */
-  private roomy(id: string, entry: RosterEntry, from = 0): number {
+  /** The first record, from `from` on, that has room for this machine, and the bytes that it takes with it, if that was worked out. */
+  private roomy(id: string, entry: RosterEntry, from = 0): { chunk: number; size?: number } {
     const most = this.ctx.settings.state.valueBytes - SLACK_BYTES;
     for (let chunk = from; ; chunk++) {
       const m = this.want.get(chunk);
       if (!m) {
         this.want.set(chunk, new Map());
-        return chunk;
+        return { chunk };
       }
       // It takes at least its name and seven signs: most records are full, and known to be.
       if (this.sizeOf(chunk, m) + id.length + 7 > most) continue;
       const size = bytesOf(writeRoster(new Map(m).set(id, entry)));
-      if (size > most) continue;
-      this.grown = { id, size };
-      return chunk;
+      if (size <= most) return { chunk, size };
     }
   }
 
   set(id: string, entry: RosterEntry): void {
-    const chunk = this.chunkOf(id) ?? this.roomy(id, entry);
+    const known = this.chunkOf(id);
+    const { chunk, size } = known === undefined ? this.roomy(id, entry) : { chunk: known, size: undefined };
     const m = this.want.get(chunk)!;
     const old = m.get(id);
     if (old && old.going === entry.going && old.type === entry.type) return;
     m.set(id, entry);
-    if (!old && this.grown.id === id) this.sizes.set(chunk, this.grown.size);
-    else this.sizes.delete(chunk);
-    this.grown.id = "";
+    if (size === undefined) this.sizes.delete(chunk);
+    else this.sizes.set(chunk, size);
     this.dirty.add(chunk);
     this.flush();
   }
@@ -115,7 +111,7 @@
     for (const [id, entry] of [...from].reverse()) {
       if (this.fits(from)) break;
       // Never the record itself: it has no room while it does not fit.
-      const to = this.roomy(id, entry, last);
+      const to = this.roomy(id, entry, last).chunk;
       if (!parts.has(to) && parts.size >= this.ctx.settings.state.txnOps) break;
       from.delete(id);
       this.want.get(to)!.set(id, entry);
--- a/src/coordination/sharing.ts
+++ b/src/coordination/sharing.ts
@@ -5,7 +5,7 @@
 import type { Holdings } from "./holdings.js";
 import type { Use } from "./ledger.js";
 import type { JobSpec } from "./model.js";
-import { EPS } from "./placement.js";
+import { EPS, placeAsked } from "./placement.js";
 import { moveShare, shareOf, withinShare } from "./quota.js";
 
 /** A group's part of the teams' limits, and giving of it to groups that want more. */
@@ -41,10 +41,9 @@
   }
 
   /** By team: how much more of its limit this group could use at once, and since when the oldest job waits. */
-  wants(): Map<string, Want> {
+  wants(hasPlace = this.places()): Map<string, Want> {
     const out = new Map<string, Want>();
     const used = this.own.usage();
-    const hasPlace = this.places();
     for (const j of this.own.jobs.values()) {
       const spec = j.view.spec;
       if (j.waiting.isEmpty || out.size >= 20) continue;
@@ -68,7 +67,7 @@
   private places(): (spec: JobSpec) => boolean {
     const known = new Map<string, boolean>();
     return (s) => {
-      const key = JSON.stringify([s.cpus, s.gpus, s.memGb, s.types, s.zone, s.spot]);
+      const key = placeAsked(s);
       let has = known.get(key);
       if (has === undefined) known.set(key, (has = this.hasPlace(s)));
       return has;
@@ -80,8 +79,7 @@
    * whose jobs found no machine handed the same part to and fro, several times a second, and neither had it when one
    * came (docs/incidents/claimdesk-fleet-late-jobs.md). Who has waited for longer keeps it, so it goes one way only.
    */
-  private kept(team: string, want: Want, to: string): Use {
-    const hasPlace = this.places();
+  private kept(team: string, want: Want, to: string, hasPlace: (spec: JobSpec) => boolean): Use {
     const sum = { cpus: 0, gpus: 0 };
     for (const j of this.own.jobs.values()) {
       const { spec, readyAt } = j.view;
@@ -104,7 +102,8 @@
       else return this.send();
     }
     if (this.own.fenced) return;
-    const mine = this.wants();
+    const hasPlace = this.places();
+    const mine = this.wants(hasPlace);
     const usage = this.own.usage();
     for (const [group, room] of this.ctx.mirror.rooms) {
       if (group === this.own.group) continue;
@@ -114,7 +113,7 @@
         if (!team || (own && (own.since < want.since || (own.since === want.since && this.own.group < group)))) continue;
         const share = this.share(name);
         const used = { ...(usage.get(name) ?? { cpus: 0, gpus: 0 }) };
-        const kept = this.kept(name, want, group);
+        const kept = this.kept(name, want, group, hasPlace);
         used.cpus += kept.cpus;
         used.gpus += kept.gpus;
         const spare = (limit: number, use: number, ask: number): number => (Number.isFinite(limit) ? Math.max(0, Math.min(ask, Math.floor((limit - use) * 100) / 100)) : 0);
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -147,14 +147,14 @@
     const rooms = new Map(this.ctx.mirror.rooms);
     const handed = new Map(this.ctx.handed);
     for (const [g, m] of this.masters) {
-      const own = m.roomLately();
+      const own = m.room.lately();
       rooms.set(g, own.room);
       handed.set(g, own.handed);
     }
     const split = splitJob(spec, capable, rooms, this.ctx.catalog, isShort(spec, this.ctx.tuning), handed);
     for (const [g, r] of split) {
       const m = this.masters.get(g);
-      if (m) m.noteHanded(spec, r.size);
+      if (m) m.room.noteHanded(spec, r.size);
       else this.ctx.noteHanded(g, spec, r.size);
     }
     return split;
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -62,9 +62,10 @@
 
   /** What a full collection leaves is what is really needed; between them the heap may look full and hold little. */
   private watchMemory(): void {
+    const most = heapMb() * HEAP_FULL * 2 ** 20;
     new PerformanceObserver((list) => {
       if (!list.getEntries().some((e) => (e as { detail?: { kind?: number } }).detail?.kind === constants.NODE_PERFORMANCE_GC_MAJOR)) return;
-      this.feed({ is: "memory", short: getHeapStatistics().used_heap_size > heapMb() * HEAP_FULL * 2 ** 20 });
+      this.feed({ is: "memory", short: getHeapStatistics().used_heap_size > most });
     }).observe({ entryTypes: ["gc"] });
   }
 
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -39,6 +39,9 @@
   return index < MAX_TASKS ? { job: key.slice(0, at), index } : null;
 }
 
+/** The longest that a worker in touch is silent: a report comes every `report_s`, give or take a quarter, and is given up after 4 s. */
+export const reportGapMs = (reportS: number): number => (reportS * 1.25 + 4) * 1000;
+
 export function parseReport(body: string): Parsed<Report> {
   const raw = parseObject(body);
   if (!raw.ok) return raw;
--- a/src/transport/connections.ts
+++ b/src/transport/connections.ts
@@ -14,7 +14,7 @@
  * Times are steady time in ms.
  */
 export class Connections<S> {
-  private readonly all = new Map<S, { kind: Kind; busy: number; sinceMs: number }>();
+  private readonly all = new Map<S, { kind: Kind; busy: number }>();
   /** By kind: idle connections, those that have been so for longest first. */
   private readonly idle: Record<Kind, Map<S, number>> = { fresh: new Map(), probe: new Map(), user: new Map(), worker: new Map() };
   private readonly sizes: Record<Kind, number> = { fresh: 0, probe: 0, user: 0, worker: 0 };
@@ -31,7 +31,7 @@
 
   /** A new connection; what has to be closed for it: maybe itself. */
   opened(s: S, nowMs: number): S | null {
-    this.all.set(s, { kind: "fresh", busy: 0, sinceMs: nowMs });
+    this.all.set(s, { kind: "fresh", busy: 0 });
     this.sizes.fresh++;
     this.idle.fresh.set(s, nowMs);
     if (this.all.size <= this.most) return null;
--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -5,7 +5,7 @@
 import { bodyLimit } from "hono/body-limit";
 import type { Answer, Input } from "../coordination/effects.js";
 import { jobBody, JOB_ID, parseJob } from "../protocol/jobs.js";
-import { answerBody, parseReport, redirectBody } from "../protocol/workers.js";
+import { answerBody, parseReport, redirectBody, reportGapMs } from "../protocol/workers.js";
 import type { Settings } from "../config/settings.js";
 import { Connections, type Kind } from "./connections.js";
 
@@ -102,16 +102,11 @@
   return app;
 }
 
-/** A report comes every report_s, give or take a quarter; one without an answer is given up after this. */
-const REPORT_TIMEOUT_MS = 4_000;
 const KEEP_ALIVE_MS = 75_000;
 const SWEEP_MS = 1_000;
 /** Between closing a connection and its socket being free again. */
 const CLOSING = 16;
 
-/** Sockets for users, workers and health checks; the rest is left for the state service, the cloud, the workers and the other controllers. */
-export const clientSockets = (settings: Pick<Settings, "maxSockets">): number => Math.max(8, Math.floor(settings.maxSockets * 0.65));
-
 const kindOf = (path: string | undefined): Kind => (path === "/hello" ? "worker" : path === "/ready" ? "probe" : "user");
 
 export function listen(app: Hono, settings: Settings): Promise<Server> {
@@ -119,9 +114,10 @@
     const server = serve({ fetch: app.fetch, hostname: settings.clientListen.host, port: settings.clientListen.port }, () => resolve(server)) as Server;
     server.keepAliveTimeout = KEEP_ALIVE_MS;
     server.requestTimeout = 20_000;
-    const most = clientSockets(settings);
+    // Room is left for the state service, the cloud, the workers and the other controllers.
+    const most = Math.max(8, Math.floor(settings.maxSockets * 0.65));
     server.maxConnections = most;
-    const workerMs = settings.reportS * 1_250 + REPORT_TIMEOUT_MS + SWEEP_MS;
+    const workerMs = reportGapMs(settings.reportS) + SWEEP_MS;
     const open = new Connections<Socket>(Math.max(4, most - CLOSING), { fresh: 10_000, probe: 10_000, user: KEEP_ALIVE_MS, worker: workerMs });
     server.on("connection", (socket: Socket) => {
       socket.once("close", () => open.closed(socket));
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -66,7 +66,7 @@
     // Room leaves no machine out, however many there are: it once named forty at most. What is written of it fits: see the checker.
     for (const n of w.nodes.values())
       for (const m of n!.core.masters.values()) {
-        const room = m.room();
+        const room = m.room.now();
         for (const row of room.rows) {
           const free = [...m.own.workers.values()].filter((x) => m.own.usable(x) && x.typeName === row.type && x.zone === row.zone && x.spot === row.spot && freeOn(x).cpus > 0);
           assert.equal([...row.free, ...row.reserved].reduce((a, f) => a + f[3], 0), free.length);
