--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -16,6 +16,7 @@
   silentReturnS: 90,
   bootPatience: 3.5,
   directOrders: true,
+  tellEnds: false,
 };
 
 /** The message that the operators' file holds, in protobuf text format. */
@@ -35,8 +36,81 @@
   optional double spare_share = 11;
   optional double short_gang_s = 12;
   optional double hold_after_s = 13;
+  optional Hooks hooks = 20;
+  optional bool metrics = 21;
+}
+message Hooks {
+  message Key {
+    optional string id = 1;
+    optional string file = 2;
+    optional string variable = 3;
+  }
+  repeated Key key = 1;
+  repeated string allow = 2;
+  optional bool only_listed = 3;
+  optional bool allow_http = 4;
+  optional string ca_file = 5;
+  optional uint32 in_flight = 6 [default = 32];
+  optional uint32 parallel = 7 [default = 4];
+  optional double deadline_s = 8 [default = 10];
+  optional uint32 answer_bytes = 9 [default = 16384];
+  optional double horizon_s = 10 [default = 259200];
+  optional double retry_base_s = 11 [default = 2];
+  optional double retry_most_s = 12 [default = 3600];
+  optional uint32 breaker_after = 13 [default = 5];
+  optional double breaker_base_s = 14 [default = 5];
+  optional double breaker_most_s = 15 [default = 600];
+  optional double changes_share = 16 [default = 0.3];
+  optional uint32 spool_batches = 17 [default = 2000];
+  optional uint32 subscriptions = 18 [default = 200];
 }`;
 
+/** What turns hooks on, as the operators' file says it; docs/hooks.md has unit and effect of each. */
+export interface HooksFile {
+  key: { id: string; file: string; variable: string }[];
+  allow: string[];
+  onlyListed: boolean;
+  allowHttp: boolean;
+  caFile: string;
+  inFlight: number;
+  parallel: number;
+  deadlineS: number;
+  answerBytes: number;
+  horizonS: number;
+  retryBaseS: number;
+  retryMostS: number;
+  breakerAfter: number;
+  breakerBaseS: number;
+  breakerMostS: number;
+  changesShare: number;
+  spoolBatches: number;
+  subscriptions: number;
+}
+/** The operators' file: the core's settings, and what is turned on beside the core. */
+export interface Operator {
+  tuning: Tuning;
+  /** null: off. */
+  hooks: HooksFile | null;
+  metrics: boolean;
+}
+
+/** Least and most of each number in `hooks`. */
+const HOOK_BOUNDS: Partial<Record<keyof HooksFile, [number, number]>> = {
+  inFlight: [1, 512],
+  parallel: [1, 64],
+  deadlineS: [0.1, 60],
+  answerBytes: [0, 1 << 20],
+  horizonS: [1, 60 * 86_400],
+  retryBaseS: [0.01, 3_600],
+  retryMostS: [0.01, 86_400],
+  breakerAfter: [1, 1_000],
+  breakerBaseS: [0.01, 3_600],
+  breakerMostS: [0.01, 86_400],
+  changesShare: [0.01, 0.9],
+  spoolBatches: [1, 100_000],
+  subscriptions: [1, 1_000],
+};
+
 /** Least and most of each number. */
 const BOUNDS: Partial<Record<keyof Tuning, [number, number]>> = {
   longEvery: [1, 1_000_000],
@@ -57,22 +131,30 @@
  * Reads the operators' file. protobufjs is loaded only when there is one: a controller that starts again after a
  * crash should not pay for it.
  */
-export async function parseOperator(text: string, file: string): Promise<Tuning> {
+export async function parseOperator(text: string, file: string): Promise<Operator> {
   const { default: protobuf } = await import("protobufjs");
   const { default: textformat } = (await import("protobufjs/ext/textformat.js")) as unknown as { default: { install(): void } };
   textformat.install();
   const type = protobuf.parse(SCHEMA).root.lookupType("Operator") as ReturnType<typeof protobuf.Root.prototype.lookupType> & { fromText(text: string): object };
   let given: Record<string, unknown>;
+  let hooks: HooksFile | null;
   try {
-    given = type.toObject(type.fromText(text) as never);
+    const message = type.fromText(text) as unknown as { hooks?: object | null };
+    given = type.toObject(message as never);
+    hooks = message.hooks ? (type.root.lookupType("Hooks").toObject(message.hooks as never, { defaults: true, arrays: true }) as HooksFile) : null;
   } catch (e) {
     throw new SettingsError(`${file}: ${(e instanceof Error ? e.message : String(e)).split("\n")[0]}`);
   }
-  for (const [key, [lo, hi]] of Object.entries(BOUNDS)) {
-    const value = given[key];
-    const field = key.replace(/[A-Z]/g, (c) => `_${c.toLowerCase()}`);
-    if (value !== undefined && !(typeof value === "number" && value >= lo && value <= hi))
-      throw new SettingsError(`${file}: ${field}: must lie within ${lo} and ${hi}`);
-  }
-  return { ...DEFAULTS, ...given };
+  const within = (of: object, bounds: object, path: string): void => {
+    for (const [key, [lo, hi]] of Object.entries(bounds) as [string, [number, number]][]) {
+      const value = (of as Record<string, unknown>)[key];
+      const field = path + key.replace(/[A-Z]/g, (c) => `_${c.toLowerCase()}`);
+      if (value !== undefined && !(typeof value === "number" && value >= lo && value <= hi))
+        throw new SettingsError(`${file}: ${field}: must lie within ${lo} and ${hi}`);
+    }
+  };
+  within(given, BOUNDS, "");
+  if (hooks) within(hooks, HOOK_BOUNDS, "hooks.");
+  const { hooks: _, metrics, ...tuning } = given;
+  return { tuning: { ...DEFAULTS, ...tuning, tellEnds: hooks !== null }, hooks, metrics: metrics === true };
 }
--- a/src/coordination/awaiting.ts
+++ b/src/coordination/awaiting.ts
@@ -2,6 +2,7 @@
 import type { Condition, Write } from "../protocol/state.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
+import { finalRecord } from "./finishing.js";
 import { type JobView, ownDueAt } from "./mirror.js";
 import { type JobSpec, URGENCIES } from "./model.js";
 import type { RangeSet } from "./ranges.js";
@@ -230,7 +231,7 @@
     const each = Math.max(1, Math.floor(this.ctx.settings.state.txnOps / 2));
     for (let i = 0; i < over.length && this.sent < AT_ONCE; i += each) {
       const some = over.slice(i, i + each);
-      const writes = some.flatMap((e) => endWrites(e.view.id, { status: "cancelled", tasks: e.view.spec.tasks, done: 0 }));
+      const writes = some.flatMap((e) => endWrites(e.view.id, finalRecord(this.ctx, e.view.spec, "cancelled", 0)));
       this.commit(some, writes, Urgent.Spare, () => this.ctx.log("info", "jobs cancelled with one that they need", { jobs: some.map((e) => e.view.id) }));
     }
   }
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,6 +1,6 @@
 import type { Settings } from "../config/settings.js";
-import { type Condition, HOLD_ENDED, type StateCall, type StateReply, type Write } from "../protocol/state.js";
-import { bytesOf } from "../storage/records.js";
+import { type Change, type Condition, HOLD_ENDED, type StateCall, type StateReply, type Write } from "../protocol/state.js";
+import { bytesOf, parseKey, PAST } from "../storage/records.js";
 import { Awaiting } from "./awaiting.js";
 import type { CommitEnd, Context } from "./context.js";
 import { type Answer, OWN_LIMIT, type CloudCall, type CloudReply, type CommandReply, type Effect, type Input, type Level, Urgent } from "./effects.js";
@@ -59,7 +59,7 @@
     );
     const state = (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void): void => this.state(call, urgent, done);
     const later = (req: number, why: string, afterS = 1): void => this.answer(req, { is: "later", afterS, why });
-    this.reading = new Reading(this, this.ownership, state, (seen) => this.see(seen), (afterMs) => this.out.push({ do: "wake", afterMs }), later);
+    this.reading = new Reading(this, this.ownership, state, (seen) => this.see(seen), (from, to, changes) => this.tell(from, to, changes), (afterMs) => this.out.push({ do: "wake", afterMs }), later);
     this.users = new Users(this, this.masters, this.ownership, this.awaiting, this.reading, state, (req, answer) => this.answer(req, answer), later);
   }
 
@@ -195,6 +195,33 @@
     this.awaiting.act();
   }
 
+  /** For those who follow the ends of jobs; this core has no need of it. */
+  private tell(from: number, to: number, changes: readonly Change[]): void {
+    if (!this.tuning.tellEnds) return;
+    const theirs = changes.filter((c) => c.key.startsWith(PAST) || parseKey(c.key) === null);
+    this.out.push({ do: "seen", from, to, changes: theirs });
+  }
+  /** The hold that this controller lives under, and until when (steady time, ms) it may act on what it owns under it. */
+  get permit(): { hold: number | null; untilMs: number } {
+    return { hold: this.ownership.holdId, untilMs: this.ownership.permitUntilMs };
+  }
+
+  /** How things stand, for metrics: of the groups whose master this controller is. */
+  get figures(): { unfinished: number; groups: number; machines: number; idle: number; queuedPlain: number; queuedAccelerated: number; running: number } {
+    const f = { unfinished: this.mirror.jobs.size, groups: this.masters.size, machines: 0, idle: 0, queuedPlain: 0, queuedAccelerated: 0, running: 0 };
+    for (const { own } of this.masters.values()) {
+      const q = own.queue();
+      f.queuedPlain += q.plain;
+      f.queuedAccelerated += q.accelerated;
+      f.machines += own.workers.size;
+      for (const w of own.workers.values()) {
+        f.running += w.tasks.size;
+        if (w.tasks.size === 0) f.idle++;
+      }
+    }
+    return f;
+  }
+
   /** A master exists exactly while the mirror shows its token as this controller's. */
   private checkMasters(): void {
     for (const [group, m] of this.masters) {
--- a/src/coordination/effects.ts
+++ b/src/coordination/effects.ts
@@ -1,4 +1,4 @@
-import type { StateCall, StateReply } from "../protocol/state.js";
+import type { Change, StateCall, StateReply } from "../protocol/state.js";
 import type { JobSpec, ListedMachine, MachineType, Order, Report } from "./model.js";
 
 /** What the core is told. Times come with each input: the core has no clock of its own. */
@@ -69,6 +69,11 @@
   | { do: "state"; op: number; call: StateCall; urgent: Urgent }
   | { do: "cloud"; op: number; call: CloudCall; urgent: Urgent }
   | { do: "command"; op: number; address: string; token: number; session: number; orders: Order[] }
+  /**
+   * All changes of final records and of records that this core does not know itself, between two revisions. After a gap `from` is
+   * later than the last `to`. Only with `tellEnds`.
+   */
+  | { do: "seen"; from: number; to: number; changes: Change[] }
   /** To be called again after this time, sooner than by the next tick; one at a time. */
   | { do: "wake"; afterMs: number }
   | { do: "log"; level: Level; msg: string; fields: Record<string, unknown> };
--- a/src/coordination/finishing.ts
+++ b/src/coordination/finishing.ts
@@ -1,12 +1,21 @@
-import { endWrites, finBlock, finKey, inBlock, jobKey, writeFin } from "../storage/records.js";
+import { endWrites, finBlock, finKey, inBlock, jobKey, type PastRecord, writeFin } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
+import type { JobSpec } from "./model.js";
 import type { JobRun } from "./tasks.js";
 
 /** What a group has finished of a job is written at most this often, until its part is complete. */
 const FINISHED_MS = 1_500;
 
+/**
+ * A job's final record. Invariant (hooks, nothing lost): it is all that hooks are sent from, so what they need of the job is
+ * written in the very transaction that ends it, whichever way that is.
+ */
+export function finalRecord(ctx: Context, spec: JobSpec, status: PastRecord["status"], done: number): PastRecord {
+  return { status, tasks: spec.tasks, done, ...(ctx.tuning.tellEnds ? { end: { team: spec.team, class: spec.class, at: Math.round(ctx.wallMs) } } : {}) };
+}
+
 /** The writing of what a group has finished: ranges of tasks, and the ends of jobs. */
 export class Finishing {
   constructor(
@@ -38,10 +47,9 @@
     job.finalizing = true;
     const id = job.id;
     const beside = this.ctx.mirror.sideKeys(id).slice(0, this.ctx.settings.state.txnOps - 2);
-    const n = job.view.spec.tasks;
     this.own.commit(
       [{ key: jobKey(id), version: job.view.version }],
-      endWrites(id, { status: "done", tasks: n, done: n }, beside),
+      endWrites(id, finalRecord(this.ctx, job.view.spec, "done", job.view.spec.tasks), beside),
       Urgent.Master,
       (end) => {
         job.finalizing = false;
--- a/src/coordination/model.ts
+++ b/src/coordination/model.ts
@@ -110,6 +110,8 @@
   bootPatience: number;
   /** Send starts straight to the workers as well as in report answers. */
   directOrders: boolean;
+  /** Final records hold what hooks need, and changes are passed on to those who follow them. */
+  tellEnds: boolean;
 }
 
 /** What counts of a waiting job beside its own description; for a job that others need, theirs count as well. */
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -67,6 +67,9 @@
   get permitUntilMs(): number {
     return this.hold === null ? -Infinity : Math.min(this.touchedMs, this.readMs) + this.ttlMs * 0.998 - 100;
   }
+  get holdId(): number | null {
+    return this.hold;
+  }
   permitted(): boolean {
     return this.ctx.nowMs < this.permitUntilMs;
   }
--- a/src/coordination/reading.ts
+++ b/src/coordination/reading.ts
@@ -1,4 +1,4 @@
-import type { Item, StateCall, StateReply } from "../protocol/state.js";
+import type { Change, Item, StateCall, StateReply } from "../protocol/state.js";
 import { NOW, ROOT } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
@@ -34,6 +34,8 @@
     private readonly state: (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void) => void,
     /** Acts on what the copy shows now. */
     private readonly see: (seen: readonly Seen[]) => void,
+    /** Passes on what was read, beyond what the copy keeps. */
+    private readonly tell: (from: number, to: number, changes: readonly Change[]) => void,
     /** Asks to be called again. */
     private readonly ask: (afterMs: number) => void,
     /** Tells a question that it can't be answered now. */
@@ -91,11 +93,13 @@
   }
 
   private changes(waitMs: number, done: (ok: boolean) => void): void {
-    this.state({ op: "changes", prefix: ROOT, since: this.ctx.mirror.epoch, waitMs }, Urgent.Hold, (r, sentMs) => {
+    const since = this.ctx.mirror.epoch;
+    this.state({ op: "changes", prefix: ROOT, since, waitMs }, Urgent.Hold, (r, sentMs) => {
       if (r.is === "changes") {
         this.ownership.read(sentMs);
         this.noteState(true);
         this.see(this.ctx.mirror.apply(r.changes, r.epoch));
+        this.tell(since, r.epoch, r.changes);
         done(true);
       } else {
         if (r.is === "gone") {
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -3,6 +3,7 @@
 import type { Awaiting } from "./awaiting.js";
 import type { Context } from "./context.js";
 import { type Answer, Urgent } from "./effects.js";
+import { finalRecord } from "./finishing.js";
 import type { Master } from "./master.js";
 import type { JobSpec } from "./model.js";
 import type { Ownership } from "./ownership.js";
@@ -174,7 +175,7 @@
 
   /** It needs a cancelled job: it is accepted all the same, and cancelled with it. */
   private acceptCancelled(req: number, spec: JobSpec): void {
-    const past: PastRecord = { status: "cancelled", tasks: spec.tasks, done: 0 };
+    const past = finalRecord(this.ctx, spec, "cancelled", 0);
     this.commitNew(req, spec.id, { op: "put", key: pastKey(spec.id), value: writePast(past) }, () => {
       this.learnt(spec.id, past);
       this.answer(req, { is: "job", status: 201, id: spec.id, state: "cancelled" });
@@ -214,7 +215,7 @@
     if (!job) {
       return this.past(req, id, (p) => this.answer(req, p ? { is: "job", status: 200, id, state: p.status } : { is: "unknownJob" }));
     }
-    const past: PastRecord = { status: "cancelled", tasks: job.spec.tasks, done: this.ctx.mirror.allFinished(id).size };
+    const past = finalRecord(this.ctx, job.spec, "cancelled", this.ctx.mirror.allFinished(id).size);
     const beside = this.ctx.mirror.sideKeys(id).slice(0, this.ctx.settings.state.txnOps - 2);
     // Invariant (went_back): cancelled and done are conditional on the same record, so only one of them happens.
     this.ctx.commit(
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -1,14 +1,15 @@
 import { constants, PerformanceObserver } from "node:perf_hooks";
 import { getHeapStatistics } from "node:v8";
 import { pino } from "pino";
+import type { Hono, MiddlewareHandler } from "hono";
 import type { Settings } from "./config/settings.js";
 import { Controller } from "./coordination/controller.js";
-import type { Answer, Effect, Input } from "./coordination/effects.js";
+import type { Answer, CloudCall, CloudReply, Effect, Input, Level } from "./coordination/effects.js";
 import type { Tuning } from "./coordination/model.js";
 import { StateClient } from "./storage/client.js";
 import { CloudClient } from "./transport/cloud.js";
 import { Frame } from "./protocol/frames.js";
-import type { StateCall } from "./protocol/state.js";
+import type { StateCall, StateReply } from "./protocol/state.js";
 import { parseReport } from "./protocol/workers.js";
 import { json } from "./transport/client.js";
 import { Mesh } from "./transport/mesh.js";
@@ -25,6 +26,17 @@
   return stated === undefined ? (getHeapStatistics().heap_size_limit / 2 ** 20) * 0.7 : Number(stated);
 }
 
+/** What may be turned on beside the core. */
+export interface Extra {
+  routes?(limit: MiddlewareHandler): Hono;
+  seen?(e: Extract<Effect, { do: "seen" }>): void;
+  tick?(): void;
+  /** A line of the log, whether it is written or not. */
+  logged?(msg: string): void;
+  /** A call ended. `waitedMs`: for this controller's own limit. */
+  called?(service: "state" | "cloud", op: string, outcome: string, waitedMs: number, tookMs: number): void;
+}
+
 /** Runs one controller: feeds inputs to the core and carries out what it returns. */
 export class Daemon implements Asked {
   private readonly log;
@@ -37,6 +49,7 @@
   private readonly pending = new Map<number, (a: Answer) => void>();
   private requests = 0;
   private faults = 0;
+  private readonly extras: Extra[] = [];
 
   constructor(
     private readonly settings: Settings,
@@ -51,9 +64,43 @@
     this.state.through = this.mesh;
   }
 
+  /** Before `run`. */
+  add(extra: Extra): void {
+    this.extras.push(extra);
+  }
+  get permit(): { hold: number | null; untilMs: number } {
+    return this.core.permit;
+  }
+  get figures(): Controller["figures"] {
+    return this.core.figures;
+  }
+  /** A call to the state service on behalf of something turned on. */
+  async callForExtra(call: StateCall, urgent: number): Promise<StateReply> {
+    return (await this.callState(call, urgent)).reply;
+  }
+  write(level: Level, fields: Record<string, unknown>, msg: string): void {
+    for (const x of this.extras) x.logged?.(msg);
+    this.log[level](fields, msg);
+  }
+  private async callState(call: StateCall, urgent: number): Promise<{ reply: StateReply; sentMs: number }> {
+    if (this.extras.length === 0) return this.state.call(call, urgent);
+    const askedMs = performance.now();
+    const r = await this.state.call(call, urgent);
+    for (const x of this.extras) x.called?.("state", call.op, r.reply.is, r.sentMs - askedMs, performance.now() - r.sentMs);
+    return r;
+  }
+
+  private async callCloud(call: CloudCall, urgent: number): Promise<CloudReply> {
+    if (this.extras.length === 0) return this.cloud.call(call, urgent);
+    const askedMs = performance.now();
+    const reply = await this.cloud.call(call, urgent);
+    for (const x of this.extras) x.called?.("cloud", call.op, reply.is, 0, performance.now() - askedMs);
+    return reply;
+  }
+
   async run(): Promise<void> {
     await this.mesh.listen();
-    await listen(api(this), this.settings);
+    await listen(api(this, this.extras.flatMap((x) => (x.routes ? [x.routes.bind(x)] : []))), this.settings);
     this.log.info({ area: this.settings.area, groups: this.core.groups.names }, "controller started");
     this.feed({ is: "tick" });
     setInterval(() => this.tick(), TICK_MS);
@@ -77,6 +124,7 @@
       this.feed({ is: "peers", up });
     }
     this.feed({ is: "tick" });
+    for (const x of this.extras) x.tick?.();
   }
 
   /** What a peer asks for: to answer a worker's report, or to carry a call to the state service. */
@@ -140,10 +188,13 @@
         this.pending.delete(e.req);
         break;
       case "state":
-        void this.state.call(e.call, e.urgent).then(({ reply, sentMs }) => this.feed({ is: "state", op: e.op, reply, sentMs }));
+        void this.callState(e.call, e.urgent).then(({ reply, sentMs }) => this.feed({ is: "state", op: e.op, reply, sentMs }));
         break;
       case "cloud":
-        void this.cloud.call(e.call, e.urgent).then((reply) => this.feed({ is: "cloud", op: e.op, reply }));
+        void this.callCloud(e.call, e.urgent).then((reply) => this.feed({ is: "cloud", op: e.op, reply }));
+        break;
+      case "seen":
+        for (const x of this.extras) x.seen?.(e);
         break;
       case "command":
         void this.workers.command(e.address, e.token, e.session, e.orders).then((reply) => this.feed({ is: "command", op: e.op, reply }));
@@ -152,7 +203,7 @@
         setTimeout(() => this.feed({ is: "wake" }), e.afterMs);
         break;
       case "log":
-        this.log[e.level](e.fields, e.msg);
+        this.write(e.level, e.fields, e.msg);
         break;
     }
   }
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -16,7 +16,9 @@
 export const groupKey = (g: string): string => `lc/now/group/${g}`;
 export const claimKey = (g: string): string => `lc/now/claim/${g}`;
 export const jobKey = (id: string): string => `lc/now/job/${id}`;
-export const pastKey = (id: string): string => `lc/past/${id}`;
+/** Final records: kept for ever. */
+export const PAST = "lc/past/";
+export const pastKey = (id: string): string => `${PAST}${id}`;
 export const finKey = (id: string, g: string, block: number): string => `lc/now/fin/${id}/${g}/${block}`;
 /** The attempt under which the parts of a gang start, and which group is ready for the next one. */
 export const gangKey = (id: string): string => `lc/now/gang/${id}`;
@@ -85,6 +87,8 @@
   status: "done" | "cancelled";
   tasks: number;
   done: number;
+  /** What those who asked for it are told beside: only with hooks turned on. */
+  end?: { team: string; class: string; /** Time of day, ms since the epoch. */ at: number };
 }
 /** One row of a group's written room: what is free on its machines of one type, zone and kind. */
 export interface RoomRow {
@@ -155,7 +159,13 @@
   needs: v.optional(v.array(v.string()), []),
   rel: v.optional(v.nullable(v.number()), null),
 });
-const Past = v.object({ s: v.picklist(["done", "cancelled"]), n: v.number(), d: v.number() });
+const Past = v.object({
+  s: v.picklist(["done", "cancelled"]),
+  n: v.number(),
+  d: v.number(),
+  // An earlier version leaves it out, and does not mind it.
+  h: v.optional(v.tuple([v.string(), v.string(), v.number()])),
+});
 const Fin = v.object({ r: v.optional(pairs), b: v.optional(v.string()) });
 const frees = v.array(v.union([v.tuple([v.number(), v.number(), v.number(), v.number()]), v.tuple([v.number(), v.number(), v.number()])]));
 const Room = v.object({
@@ -207,9 +217,9 @@
 export const bytesOf = (value: object): number => Buffer.byteLength(JSON.stringify(value));
 export function readPast(value: unknown): PastRecord | null {
   const o = read(Past, value);
-  return o && { status: o.s, tasks: o.n, done: o.d };
+  return o && { status: o.s, tasks: o.n, done: o.d, ...(o.h ? { end: { team: o.h[0], class: o.h[1], at: o.h[2] } } : {}) };
 }
-export const writePast = (p: PastRecord): object => ({ s: p.status, n: p.tasks, d: p.done });
+export const writePast = (p: PastRecord): object => ({ s: p.status, n: p.tasks, d: p.done, ...(p.end ? { h: [p.end.team, p.end.class, p.end.at] } : {}) });
 
 /**
  * Finished tasks of one job and group are kept as ranges in blocks of this many task numbers: however scattered, a block
--- a/src/transport/client.ts
+++ b/src/transport/client.ts
@@ -3,6 +3,8 @@
 /** `refused`: nothing reached the other side, now or later. `unknown`: it may have, or may yet. */
 export type Fetched = { is: "answered"; status: number; body: string } | { is: "refused"; why: string } | { is: "unknown"; why: string };
 
+export type Method = "GET" | "POST" | "PATCH" | "DELETE";
+
 const MAX_BODY = 16 * 1024 * 1024;
 
 /** A keep-alive HTTP client for one service or for many workers. Every request ends: answered or given up. */
@@ -13,7 +15,7 @@
     this.agent = new http.Agent({ keepAlive: true, maxTotalSockets: maxSockets, maxFreeSockets: keep, noDelay: true });
   }
 
-  fetch(host: string, port: number, method: "GET" | "POST", path: string, body: string | undefined, timeoutMs: number): Promise<Fetched> {
+  fetch(host: string, port: number, method: Method, path: string, body: string | undefined, timeoutMs: number): Promise<Fetched> {
     return new Promise((resolve) => {
       let sent = false;
       let over = false;
--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -62,9 +62,10 @@
 }
 
 /** Users', workers' and health-check requests. */
-export function api(core: Asked): Hono {
+export function api(core: Asked, more: readonly ((limit: MiddlewareHandler) => Hono)[] = []): Hono {
   const app = new Hono();
   const limit = bounded();
+  for (const make of more) app.route("/", make(limit));
   app.get("/ready", () => Response.json({ ready: core.ready() }, { status: core.ready() ? 200 : 503 }));
   app.post("/v1/jobs", limit, async (c) => {
     const job = parseJob(await c.req.text());
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -257,8 +257,8 @@
   assert.throws(() => parseSettings(TOML.replace("8081", "port"), "f.toml"), /mesh_addr: IP:PORT expected/);
   assert.throws(() => parseSettings("label = ", "f.toml"), /f\.toml: not TOML: line 1/);
   assert.throws(() => parseSettings(TOML.replace("cancel_s = 40.0", "cancel_s = 12.0"), "f.toml"), /cancel_s/);
-  assert.deepEqual(await parseOperator("", "o"), DEFAULTS);
-  assert.equal((await parseOperator("long_every: 9 # often\nreserved_share: 0.25", "o")).longEvery, 9);
+  assert.deepEqual(await parseOperator("", "o"), { tuning: DEFAULTS, hooks: null, metrics: false });
+  assert.equal((await parseOperator("long_every: 9 # often\nreserved_share: 0.25", "o")).tuning.longEvery, 9);
   await assert.rejects(parseOperator("long_evry: 9", "o.txtpb"), /o\.txtpb: .*long_evry/);
   await assert.rejects(parseOperator("reserved_share: 1.5", "o.txtpb"), /o\.txtpb: reserved_share: must lie within 0 and 0\.9/);
   await assert.rejects(parseOperator("reserved_share: x y", "o.txtpb"), /o\.txtpb: /);
