--- a/src/hooks/records.ts
+++ b/src/hooks/records.ts
@@ -150,7 +150,15 @@
 type PackedEntry = v.InferOutput<typeof Packed>;
 
 const ATTEMPT_DIGITS = 7;
-const CLASS_CUT = 20;
+const LEAST_NAME = 24;
+const quoted = (text: string): number => Buffer.byteLength(JSON.stringify(text));
+/** As much of a name as takes so many bytes. */
+function cut(name: string, most: number): string {
+  if (quoted(name) <= most) return name;
+  const chars = [...name];
+  while (quoted(chars.join("")) > most) chars.pop();
+  return chars.join("");
+}
 /** Packs entries until no more fit into so many bytes; teams and classes are written once and referred to by place. */
 export class Packer {
   readonly names: string[] = [];
@@ -159,24 +167,20 @@
 
   constructor(private readonly most: number) {}
 
-  private place(name: string): number {
+  private place(whole: string): number {
+    // The same cut whatever else is packed: a notification that fits no record would stop all after it, and one that fits but once
+    // would be forgotten when the record is written anew.
+    const name = cut(whole, Math.max(LEAST_NAME, this.most / 4));
     const at = this.names.indexOf(name);
     if (at >= 0) return at;
     this.names.push(name);
     return this.names.length - 1;
   }
-  /**
-   * False: it does not fit, nothing changed. The first one always does, if need be with its class cut short: a notification that
-   * fits no record would stop all after it.
-   */
+  /** False: it does not fit, nothing changed. */
   add(o: Owed): boolean {
-    if (this.tryAdd(o, o.end.class)) return true;
-    return this.entries.length === 0 && this.tryAdd(o, [...o.end.class].slice(0, CLASS_CUT).join(""));
-  }
-  private tryAdd(o: Owed, ofClass: string): boolean {
     const before = this.names.length;
     const e = o.end;
-    const packed: PackedEntry = [e.id, CODES.indexOf(e.outcome) as 0 | 1 | 2, e.tasks, e.done, this.place(e.team), this.place(ofClass), e.at, e.since - e.at, o.attempts];
+    const packed: PackedEntry = [e.id, CODES.indexOf(e.outcome) as 0 | 1 | 2, e.tasks, e.done, this.place(e.team), this.place(e.class), e.at, e.since - e.at, o.attempts];
     // An entry that was written once fits again when its attempts have become more.
     const room = ATTEMPT_DIGITS - String(o.attempts).length;
     const more = room + Buffer.byteLength(JSON.stringify(packed)) + 1 + this.names.slice(before).reduce((n, x) => n + Buffer.byteLength(JSON.stringify(x)) + 1, 0);
