--- a/src/hooks/core.ts
+++ b/src/hooks/core.ts
@@ -203,7 +203,9 @@
   // ---- what is read --------------------------------------------------------------------------------------
 
   private seen(from: number, to: number, changes: readonly Change[]): void {
+    const { unnamed } = this.tail;
     this.tail.push(from, to, changes);
+    if (this.tail.unnamed > unnamed) this.log("warn", "jobs ended on a controller without hooks; nobody is told of them", { jobs: this.tail.unnamed - unnamed });
     if (this.listing) {
       this.backlog.push({ from, to, changes });
       return;
--- a/src/hooks/tail.ts
+++ b/src/hooks/tail.ts
@@ -37,6 +37,8 @@
   start: number | null = null;
   end = 0;
   private ends: Ended[] = [];
+  /** Final records that do not say whose job it was: written by a controller without hooks. Nobody hears of these. */
+  unnamed = 0;
 
   constructor(private readonly most = 1_500) {}
 
@@ -47,6 +49,7 @@
       this.start = from;
       this.end = from;
     }
+    for (const c of changes) if (c.version > this.end && c.op === "put" && c.key.startsWith(PAST) && !endingOf(c)) this.unnamed++;
     // Two reads may overlap.
     const fresh = endingsOf(changes).filter((e) => e.at.version > this.end);
     this.ends.push(...fresh);
--- a/test/hooks/days.ts
+++ b/test/hooks/days.ts
@@ -31,6 +31,8 @@
   mood: Mood = "well";
   /** Probability of trouble of a call, whatever the mood. */
   readonly has = new Map<string, number>();
+  /** When each came first, in simulated ms. */
+  readonly firstMs = new Map<string, number>();
   readonly calls: { hook: string; id: string; attempt: number; reason: string | null; node: string; atMs: number }[] = [];
   constructor(readonly rng: Rng) {}
 
@@ -84,7 +86,7 @@
   readonly receivers = new Map<string, Receiver>();
   readonly broken: string[] = [];
   /** What each hook is owed, by id. */
-  readonly ended = new Map<string, { team: string; outcome: "done" | "cancelled" }>();
+  readonly ended = new Map<string, { team: string; outcome: "done" | "cancelled"; atMs: number }>();
   readonly order: string[] = [];
   readonly dead: string[] = [];
   readonly replies = new Map<number, { status: number; body: Record<string, unknown> }>();
@@ -283,6 +285,7 @@
     if (l.ask && r.mood === "well" && r.has.has(l.end.id)) return end({ is: "had" }, 20);
     r.calls.push({ hook, id: l.end.id, attempt: l.attempt, reason: l.reason, node: n.label, atMs: this.now });
     const c = r.call();
+    if (c.got && !r.firstMs.has(l.end.id)) r.firstMs.set(l.end.id, this.now);
     if (c.got) r.has.set(l.end.id, (r.has.get(l.end.id) ?? 0) + 1);
     end(c.result ?? { is: "failed", why: "timeout" }, c.result ? c.afterMs : DEADLINE_MS);
   }
@@ -315,7 +318,7 @@
     const commit = (writes: Write[]): void => this.store.handle({ op: "commit", conditions: [], writes }, (r) => {
         if (r.is !== "committed") return this.at(50, () => commit(writes));
         if (!this.ended.has(id)) this.order.push(id);
-        this.ended.set(id, { team, outcome });
+        this.ended.set(id, { team, outcome, atMs: this.now });
       });
     commit([put(!broken)]);
     if (broken && !this.rng.chance(0.01)) this.at(this.rng.real(1, 50), () => commit([put(true)]));
