A sender that goes away in the middle of a body is not logged as a fault

Cause: the platform's own ECONNRESET came to the handler for defects: an error line with a stack, and an alert, for a client that hung up. It is answered as before and told apart. Tried with a socket that closes in the middle; a defect is still logged.

--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -97,7 +97,8 @@
   app.notFound(() => Response.json({ error: "no such path" }, { status: 404 }));
   // Not known whether it was carried out: a 4xx would end a submission that is accepted already, or lose a cancellation.
   app.onError((e) => {
-    core.fault(e);
+    // Who asked has gone in the middle of the body: nothing was asked, and no defect is to be looked for.
+    if ((e as NodeJS.ErrnoException).code !== "ECONNRESET") core.fault(e);
     return Response.json({ error: "unexpected fault" }, { status: 503, headers: { "retry-after": "1" } });
   });
   return app;
--- a/test/transport.test.ts
+++ b/test/transport.test.ts
@@ -4,7 +4,7 @@
 import { parseSettings } from "../src/config/settings.js";
 import { Daemon } from "../src/daemon.js";
 import { Connections, KINDS, type Kind } from "../src/transport/connections.js";
-import { api } from "../src/transport/server.js";
+import { api, type Asked } from "../src/transport/server.js";
 import { Rng } from "./sim/world.js";
 
 /** What stands between the sockets and the core. */
@@ -141,3 +141,18 @@
   }
   assert.equal(table.opened("x", 400), "u0", "users are further over theirs now");
 });
+
+test("who goes away in the middle of a body is no fault of the program", async () => {
+  const faults: Error[] = [];
+  const core: Asked = { ask: () => Promise.resolve({ is: "unknownJob" }), ready: () => true, relay: () => Promise.resolve(null), malformed: () => {}, fault: (e) => faults.push(e) };
+  const app = api(core);
+  const broken = (e: Error): Promise<Response> => {
+    const body = new ReadableStream({ start: (c) => c.error(e) });
+    return Promise.resolve(app.request("/v1/jobs", { method: "POST", body, headers: { "content-length": "100" }, duplex: "half" } as RequestInit));
+  };
+  // As Node's own request says it.
+  assert.equal((await broken(Object.assign(new Error("aborted"), { code: "ECONNRESET" }))).status, 503);
+  assert.deepEqual(faults, []);
+  assert.equal((await broken(new Error("a defect"))).status, 503);
+  assert.equal(faults.length, 1);
+});
