--- a/src/hooks/sender.ts
+++ b/src/hooks/sender.ts
@@ -1,6 +1,7 @@
 import http from "node:http";
 import https from "node:https";
 import { isIP } from "node:net";
+import { rootCertificates } from "node:tls";
 import type { Attempted, Launch } from "./delivery.js";
 import { Blocked, type Networks } from "./networks.js";
 import { messageBody, signature, webhookId } from "./signing.js";
@@ -45,7 +46,7 @@
   constructor(private readonly s: SenderSettings) {
     const options = { keepAlive: true, maxTotalSockets: s.maxSockets, maxFreeSockets: Math.ceil(s.maxSockets / 4), timeout: s.deadlineMs, lookup: s.networks.lookup() };
     this.plain = new http.Agent(options);
-    this.secure = new https.Agent({ ...options, ...(s.ca === null ? {} : { ca: s.ca }) });
+    this.secure = new https.Agent({ ...options, ...(s.ca === null ? {} : { ca: [...rootCertificates, s.ca] }) });
   }
 
   /** Why a URL can't be sent to; null: it can, as far as can be said without resolving its name. */
