--- a/src/hooks/sender.ts
+++ b/src/hooks/sender.ts
@@ -46,7 +46,8 @@
   constructor(private readonly s: SenderSettings) {
     const options = { keepAlive: true, maxTotalSockets: s.maxSockets, maxFreeSockets: Math.ceil(s.maxSockets / 4), timeout: s.deadlineMs, lookup: s.networks.lookup() };
     this.plain = new http.Agent(options);
-    this.secure = new https.Agent({ ...options, ...(s.ca === null ? {} : { ca: [...rootCertificates, s.ca] }) });
+    // No sessions are resumed: a certificate that has expired since would not be looked at.
+    this.secure = new https.Agent({ ...options, maxCachedSessions: 0, ...(s.ca === null ? {} : { ca: [...rootCertificates, s.ca] }) });
   }
 
   /** Why a URL can't be sent to; null: it can, as far as can be said without resolving its name. */
--- a/test/hooks-sending.test.ts
+++ b/test/hooks-sending.test.ts
@@ -177,6 +177,20 @@
   }
 });
 
+test("a certificate that expires between two connections is seen, although the first session could be resumed", async () => {
+  const day = 86_400_000;
+  const valid = await certificate(-day, day);
+  const expired = await certificate(-2 * day, -day);
+  const tls = https.createServer(valid, (_, res) => res.writeHead(204, { connection: "close" }).end());
+  const at = `https${await serve(tls)}`;
+  const s = sender({ ca: `${valid.cert}\n${expired.cert}` });
+  assert.equal((await s.attempt(1, "h", launch(at))).is, "answered");
+  tls.setSecureContext(expired);
+  assert.deepEqual(await s.attempt(2, "h", launch(at)), { is: "failed", why: "tls" });
+  tls.close();
+  tls.closeAllConnections();
+});
+
 test("signatures: the published example, several keys; secrets are never shown", () => {
   const secret = "whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw";
   const body = '{"test": 2432232314}';
