Hooks and metrics: one piece for what stood twice

Two copies of the sending of a commit until it is known to be carried out are one (Delivery.perform); the reading of a record, the first issue of a bad body and the parsing of JSON are the ones that the project had; a map of tokens that the deliveries held already, a method and a list that nothing read are gone; who is present is not cut out of a string for each hook and step; gauges are made in one place.

--- a/src/hooks/core.ts
+++ b/src/hooks/core.ts
@@ -79,7 +79,6 @@
   private presentSinceMs = 0;
   // ---- what this controller does
   private readonly deliveries = new Map<string, Delivery>();
-  private readonly tokens = new Map<string, number>();
   private readonly writing = new Set<string>();
   private readonly againMs = new Map<string, number>();
   private readonly breakers = new Map<string, Breaker>();
@@ -301,7 +300,7 @@
     const byLane = new Map<number, string[]>();
     for (const name of this.ats.keys()) byLane.set(laneOf(name), [...(byLane.get(laneOf(name)) ?? []), name]);
     for (let lane = 0; lane < LANES; lane++) this.keepLane(lane, byLane.get(lane) ?? [], present, hold);
-    this.deliver();
+    this.deliver(present);
     this.writeUpto(byLane);
   }
 
@@ -310,7 +309,7 @@
     const token = this.tokenOf(lane);
     const settled = this.nowMs - this.presentSinceMs >= SETTLED_MS && present.includes(this.label);
     const mine = chosen(lane, present) === this.label;
-    for (const name of names) if (this.deliveries.has(name) && this.tokens.get(name) !== token) this.drop(name);
+    for (const name of names) if (this.deliveries.has(name) && this.deliveries.get(name)!.token !== token) this.drop(name);
     const take = (version: number): void =>
       this.put(`lane ${lane}`, [{ key: ownKey(lane), version }], [{ op: "put", key: ownKey(lane), value: { owner: this.label, hold }, hold }]);
     if (token === null) {
@@ -339,24 +338,22 @@
     const at = readAt(kept.value);
     if (!at) return;
     const upto = this.upto.value[lane] ?? 0;
-    this.tokens.set(name, token);
     this.deliveries.set(name, new Delivery(this, name, token, { key: ownKey(lane), version: token }, () => this.subs.get(name)?.value ?? null, kept.version, at, upto));
   }
   private drop(name: string): void {
     this.deliveries.get(name)?.stop();
     this.deliveries.delete(name);
-    this.tokens.delete(name);
   }
   private dropAll(): void {
     for (const name of [...this.deliveries.keys()]) this.drop(name);
   }
 
-  private deliver(): void {
+  private deliver(present: readonly string[]): void {
     // Who wrote longest ago comes first with what there is of changes: by turns of the steps alone some waited ten seconds.
     for (const [name, d] of [...this.deliveries].sort(([, x], [, y]) => x.wroteMs - y.wroteMs)) {
       const at = this.ats.get(name);
       if (d.foreign || !at) this.drop(name);
-      else d.act(chosen(laneOf(name), this.present.split(",")) === this.label);
+      else d.act(chosen(laneOf(name), present) === this.label);
     }
   }
 
@@ -402,8 +399,4 @@
     for (const b of this.breakers.values()) f.receivers[b.state(this.nowMs)]++;
     return f;
   }
-  /** Who sends for a subscription, as far as this controller knows. */
-  ownerOf(name: string): string | null {
-    return this.owns.get(laneOf(name))?.value.owner ?? null;
-  }
 }
--- a/src/hooks/delivery.ts
+++ b/src/hooks/delivery.ts
@@ -133,7 +133,7 @@
   constructor(
     private readonly host: Host,
     readonly name: string,
-    private readonly token: number,
+    readonly token: number,
     private readonly owner: Condition,
     /** The subscription as it is now; null: it was removed. */
     private readonly sub: () => Subscription | null,
@@ -429,20 +429,10 @@
       this.rec.spool.next++;
       this.rec.cursor = to;
     };
-    this.busy = true;
-    this.wroteMs = this.host.nowMs;
     // On the record's condition, for taking from the batch changes it: a copy of this commit that is carried out later, when the batch
     // is gone again, would leave it behind for ever. Without a change of the record: whoever comes next finds the batches beyond those that the record names, and each says how far it goes.
-    const send = (): void =>
-      this.host.state({ op: "commit", conditions: [this.owner, { key: atKey(this.name), version: this.version }, { key, version: 0 }], writes: [{ op: "put", key, value: writeBatch(batch, to) }] }, (r) => {
-        if (this.stopped) return;
-        if (r.is === "committed") {
-          done();
-          this.busy = false;
-        } else if (r.is === "conflict") this.proof(key, (item) => item !== null, done);
-        else this.again(send);
-      });
-    send();
+    const conditions = [this.owner, { key: atKey(this.name), version: this.version }, { key, version: 0 }];
+    this.perform({ op: "commit", conditions, writes: [{ op: "put", key, value: writeBatch(batch, to) }] }, key, (item) => item !== null, done);
   }
 
   /** Dead letters go to the end of the spool, a batch at a time, with their horizon anew. */
@@ -506,6 +496,15 @@
       this.rec = rec;
       ok();
     };
+    const mine = (item: Item | null): boolean => {
+      const at = item && readAt(item.value);
+      return at?.seq === rec.seq && at.token === rec.token;
+    };
+    this.perform(call, key, mine, done);
+  }
+
+  /** Sends a commit, again until it is known to be carried out. `mine`: what `key` holds then, and otherwise does not. */
+  private perform(call: StateCall, key: string, mine: (item: Item | null) => boolean, done: (version: number) => void): void {
     this.busy = true;
     this.wroteMs = this.host.nowMs;
     const send = (): void =>
@@ -514,11 +513,7 @@
         if (r.is === "committed") {
           done(r.epoch);
           this.busy = false;
-        } else if (r.is === "conflict")
-          this.proof(key, (item) => {
-            const at = item && readAt(item.value);
-            return at?.seq === rec.seq && at.token === rec.token;
-          }, done);
+        } else if (r.is === "conflict") this.proof(key, mine, done);
         else this.again(send);
       });
     send();
--- a/src/hooks/http.ts
+++ b/src/hooks/http.ts
@@ -1,4 +1,5 @@
 import { Hono, type MiddlewareHandler } from "hono";
+import { json } from "../transport/client.js";
 import type { HookRequest } from "./requests.js";
 
 export type AskHooks = (request: HookRequest) => Promise<{ status: number; body: object }>;
@@ -13,13 +14,8 @@
     return Response.json(r.body, { status: r.status, ...(r.status === 503 ? { headers: { "retry-after": "1" } } : {}) });
   };
   const withBody = async (text: string, make: (body: unknown) => HookRequest): Promise<Response> => {
-    let body: unknown;
-    try {
-      body = JSON.parse(text);
-    } catch {
-      return Response.json({ error: "body: not JSON" }, { status: 400 });
-    }
-    return answer(make(body));
+    const body = json(text);
+    return body === undefined ? Response.json({ error: "body: not JSON" }, { status: 400 }) : answer(make(body));
   };
   app.get("/v1/hooks", () => answer({ is: "list" }));
   app.post("/v1/hooks", limit, async (c) => withBody(await c.req.text(), (body) => ({ is: "add", body })));
--- a/src/hooks/records.ts
+++ b/src/hooks/records.ts
@@ -1,4 +1,5 @@
 import * as v from "valibot";
+import { read } from "../storage/records.js";
 
 /**
  * What hooks keep in the state service, all under `lc/hook/`, which a controller without hooks does not read:
@@ -135,11 +136,6 @@
   entries: Owed[];
 }
 
-function read<S extends v.GenericSchema>(schema: S, value: unknown): v.InferOutput<S> | null {
-  const got = v.safeParse(schema, value);
-  return got.success ? got.output : null;
-}
-
 export function readSub(value: unknown): Subscription | null {
   const o = read(Sub, value);
   return o && { url: o.u, teams: o.t, classes: o.c, outcomes: o.o, keys: o.k, ordered: o.ord, ask: o.ask, state: o.st, redrives: o.rd, tests: o.ts };
--- a/src/hooks/requests.ts
+++ b/src/hooks/requests.ts
@@ -1,4 +1,5 @@
 import * as v from "valibot";
+import { firstIssue } from "../protocol/jobs.js";
 import type { StateCall, StateReply } from "../protocol/state.js";
 import { atKey, deadPrefix, newAt, OUTCOMES, readBatch, readSub, subKey, SUBS, type Subscription, writeSub } from "./records.js";
 
@@ -131,7 +132,7 @@
 
   private add(body: unknown, reply: Reply): void {
     const got = v.safeParse(Add, body);
-    if (!got.success) return reply(400, { error: issueOf(got.issues) });
+    if (!got.success) return reply(400, { error: firstIssue(got.issues) });
     const f = got.output;
     const no = this.wrong(f);
     if (no !== null) return reply(422, { error: no });
@@ -160,7 +161,7 @@
 
   private change(name: string, body: unknown, reply: Reply): void {
     const got = v.safeParse(Change, body);
-    if (!got.success) return reply(400, { error: issueOf(got.issues) });
+    if (!got.success) return reply(400, { error: firstIssue(got.issues) });
     const f = got.output;
     const no = this.wrong(f);
     if (no !== null) return reply(422, { error: no });
@@ -198,8 +199,3 @@
     });
   }
 }
-
-function issueOf(issues: readonly v.BaseIssue<unknown>[]): string {
-  const issue = issues[0]!;
-  return `${v.getDotPath(issue as never) ?? "body"}: ${issue.message}`;
-}
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -24,16 +24,7 @@
     /** What is left of the permit, in ms. */
     permitMs: () => number,
   ) {
-    const gauge = (name: string, help: string, value: () => number): void => {
-      new Gauge({
-        name: `linencove_${name}`,
-        help,
-        registers: [this.registry],
-        collect() {
-          this.set(value());
-        },
-      });
-    };
+    const gauge = this.gauge.bind(this);
     gauge("jobs_unfinished", "Jobs that are not over, on all controllers", () => figures().unfinished);
     gauge("groups", "Groups whose master this controller is", () => figures().groups);
     gauge("machines", "Machines of these groups", () => figures().machines);
@@ -50,17 +41,20 @@
     });
   }
 
+  /** Read whenever it is asked for. */
+  private gauge(name: string, help: string, value: () => number): void {
+    new Gauge({
+      name: `linencove_${name}`,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(value());
+      },
+    });
+  }
+
   watchHooks(figures: () => HookCore["figures"]): void {
-    const gauge = (name: string, help: string, value: (f: HookCore["figures"]) => number): void => {
-      new Gauge({
-        name: `linencove_hook_${name}`,
-        help,
-        registers: [this.registry],
-        collect() {
-          this.set(value(figures()));
-        },
-      });
-    };
+    const gauge = (name: string, help: string, value: (f: HookCore["figures"]) => number): void => this.gauge(`hook_${name}`, help, () => value(figures()));
     gauge("owned", "Hooks that this controller sends for", (f) => f.owned);
     gauge("in_flight", "Attempts in flight", (f) => f.inFlight);
     gauge("window", "Notifications that may have been sent and are not known to have arrived", (f) => f.window);
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -190,7 +190,8 @@
 const Roster = v.object({ t: v.array(v.string()), m: v.array(v.tuple([v.string(), v.number(), v.number()])) });
 const Quota = v.record(v.string(), v.record(v.string(), v.tuple([v.number(), v.number()])));
 
-function read<S extends v.GenericSchema>(schema: S, value: unknown): v.InferOutput<S> | null {
+/** What a record says; null if it is not of that form. */
+export function read<S extends v.GenericSchema>(schema: S, value: unknown): v.InferOutput<S> | null {
   const got = v.safeParse(schema, value);
   return got.success ? got.output : null;
 }
--- a/test/hooks/days.ts
+++ b/test/hooks/days.ts
@@ -29,7 +29,7 @@
 /** A receiver that keeps what it was told, and logs every call. */
 export class Receiver {
   mood: Mood = "well";
-  /** Probability of trouble of a call, whatever the mood. */
+  /** By id: how often it came. */
   readonly has = new Map<string, number>();
   /** When each came first, in simulated ms. */
   readonly firstMs = new Map<string, number>();
@@ -67,7 +67,7 @@
   hold: number | null = null;
   epoch = -1;
   untilMs = -Infinity;
-  /** Steady time of this controller differs from the world's by a constant: nothing may depend on whose it is. */
+  /** Counts the starts: what was begun in an earlier life is not told to a later one. */
   life = 0;
   flights = new Map<number, { hook: string; id: string }>();
   /** Can't reach the state service. */
@@ -88,7 +88,6 @@
   /** What each hook is owed, by id. */
   readonly ended = new Map<string, { team: string; outcome: "done" | "cancelled"; atMs: number }>();
   readonly order: string[] = [];
-  readonly dead: string[] = [];
   readonly replies = new Map<number, { status: number; body: Record<string, unknown> }>();
   /** Calls and answers that get lost: a commit without an answer. */
   lossy = 0;
@@ -247,7 +246,6 @@
         this.replies.set(e.req, { status: e.status, body: e.body as Record<string, unknown> });
         return;
       case "settled":
-        if (e.outcome === "dead") this.dead.push(e.hook);
         return;
       case "log":
         if (e.level === "error") this.fail(`${n.label}: ${e.msg} ${JSON.stringify(e.fields)}`);
