--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -16,6 +16,8 @@
   silentReturnS: 90,
   bootPatience: 3.5,
   directOrders: true,
+  guaranteeOrder: true,
+  dividedLimits: false,
   tellEnds: false,
 };
 
@@ -38,6 +40,8 @@
   optional double hold_after_s = 13;
   optional Hooks hooks = 20;
   optional bool metrics = 21;
+  optional bool guarantee_order = 22;
+  optional bool divided_limits = 23;
 }
 message Hooks {
   message Key {
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -25,6 +25,8 @@
   cloud(call: CloudCall, urgent: Urgent, done: (reply: CloudReply) => void): void;
   command(address: string, token: number, session: number, orders: Order[], done: (reply: CommandReply) => void): void;
   /** Handed to each group, by splits and moves, since it last wrote its room. */
+  /** Age of the copy of the state service's records, in ms. */
+  readAgeMs(): number;
   readonly handed: ReadonlyMap<string, readonly Handed[]>;
   noteHanded(group: string, spec: JobSpec, tasks: number): void;
   log(level: Level, msg: string, fields?: Record<string, unknown>): void;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -5,6 +5,7 @@
 import type { CommitEnd, Context } from "./context.js";
 import { type Answer, OWN_LIMIT, type CloudCall, type CloudReply, type CommandReply, type Effect, type Input, type Level, Urgent } from "./effects.js";
 import { Groups } from "./groups.js";
+import { Beliefs } from "./limits/index.js";
 import { Master } from "./master.js";
 import { Mirror, type Seen } from "./mirror.js";
 import type { JobSpec, MachineType, Order, Report, Tuning } from "./model.js";
@@ -26,6 +27,7 @@
   readonly masters = new Map<string, Master>();
   readonly ownership: Ownership;
   readonly awaiting: Awaiting;
+  private readonly beliefs: Beliefs;
   private readonly reading: Reading;
   private readonly users: Users;
   private out: Effect[] = [];
@@ -49,6 +51,7 @@
     this.nowMs = nowMs;
     this.wallMs = wallMs;
     this.groups = new Groups(settings);
+    this.beliefs = new Beliefs(this);
     this.awaiting = new Awaiting(this, (spec) => this.users.cut(spec), (id) => this.users.lookUp(id, () => {}));
     this.ownership = new Ownership(
       this,
@@ -243,6 +246,10 @@
     this.masters.clear();
   }
 
+  readAgeMs(): number {
+    return this.ownership.readAgeMs;
+  }
+
   // ---- users ---------------------------------------------------------------------------------------------
 
   noteHanded(group: string, spec: JobSpec, tasks: number): void {
@@ -280,7 +287,9 @@
     this.reading.watch();
     this.reading.readNow();
     this.askCatalog();
-    for (const m of this.masters.values()) m.tick();
+    this.beliefs.tick(this.ownership.holdId);
+    const agreed = this.beliefs.agreed();
+    for (const m of this.masters.values()) m.tick(agreed);
     this.awaiting.act();
     if (this.nowMs - this.lastSweepMs > 5_000) {
       this.lastSweepMs = this.nowMs;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -4,7 +4,7 @@
 import type { JobSpec, ListedMachine, MachineType } from "./model.js";
 import { allowedOn, fits, suits } from "./placement.js";
 import { Renting } from "./renting.js";
-import type { Sharing } from "./sharing.js";
+import type { Sharing } from "./limits/index.js";
 import { graceOf, type Worker } from "./tasks.js";
 
 const WARM_PERIODS = 6;
--- a/src/coordination/handover.ts
+++ b/src/coordination/handover.ts
@@ -6,19 +6,19 @@
  * commit can have been carried out. After one without an answer even a conflict proves nothing: the record itself, once
  * the mirror shows it at another version than `base`, says which it is, and until then what is given stays untouched.
  */
-export class Handover {
+export class Handover<B = number, V = object> {
   private sent = false;
   private settled = false;
   /** A commit was not answered: it may have been carried out, or may yet be. */
   private open = false;
 
   constructor(
-    readonly base: number,
-    private readonly value: object,
+    readonly base: B,
+    private readonly value: V,
   ) {}
 
   /** Sends the commit, again after a refusal; `undone`: it was surely not carried out. */
-  send(commit: (base: number, value: object, done: (end: CommitEnd) => void) => void, undone: () => void): void {
+  send(commit: (base: B, value: V, done: (end: CommitEnd) => void) => void, undone: () => void): void {
     if (this.sent || this.settled) return;
     this.sent = true;
     commit(this.base, this.value, (end) => {
--- /dev/null
+++ b/src/coordination/limits/beliefs.ts
@@ -0,0 +1,42 @@
+import { createHash } from "node:crypto";
+import type { Settings } from "../../config/settings.js";
+import type { Context } from "../context.js";
+import { Urgent } from "../effects.js";
+import { beliefKey } from "../../storage/records.js";
+
+/** All teams' limits as one short word: controllers with the same limits in their settings have the same. */
+export function limitsHash(teams: Settings["teams"]): string {
+  const all = [...teams.values()].map((t) => [t.name, t.cpusMax === Infinity ? 0 : t.cpusMax, t.gpusMax === Infinity ? 0 : t.gpusMax]).sort((a, b) => (a[0]! < b[0]! ? -1 : 1));
+  return createHash("sha256").update(JSON.stringify(all)).digest("hex").slice(0, 16);
+}
+
+/**
+ * Which limits this controller goes by, told under its hold, so that it ends with it. A limit is raised only when every
+ * live controller goes by the raised one: the smallest that anybody believes in holds. Lowering waits for nobody.
+ */
+export class Beliefs {
+  private readonly mine: string;
+  private toldUnder: number | null = null;
+  private telling = false;
+
+  constructor(private readonly ctx: Context) {
+    this.mine = limitsHash(ctx.settings.teams);
+  }
+
+  /** Whoever owns a group and says nothing is an earlier version, or has not come to say it yet. */
+  agreed(): boolean {
+    const { beliefs, groups } = this.ctx.mirror;
+    for (const b of beliefs.values()) if (b !== this.mine) return false;
+    for (const g of groups.values()) if (beliefs.get(g.owner) !== this.mine) return false;
+    return beliefs.get(this.ctx.settings.label) === this.mine;
+  }
+
+  tick(hold: number | null): void {
+    if (hold === null || this.telling || this.toldUnder === hold) return;
+    this.telling = true;
+    this.ctx.commit([], [{ op: "put", key: beliefKey(this.ctx.settings.label), value: { limits: this.mine }, hold }], Urgent.Master, (end) => {
+      this.telling = false;
+      if (end === "ok") this.toldUnder = hold;
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/limits/demand.ts
@@ -0,0 +1,101 @@
+import type { Context } from "../context.js";
+import type { Holdings } from "../holdings.js";
+import type { JobSpec } from "../model.js";
+import { allowedOn, fitCount, goesWhole, suits } from "../placement.js";
+import { isShort } from "../queues.js";
+import { freeOn } from "../tasks.js";
+import type { Pair } from "./shares.js";
+
+/** Tasks of one job that wait for a part of a limit. */
+export interface Waiting {
+  /** What they take together. */
+  need: Pair;
+  /** Time of day, in ms, since which they could run. */
+  since: number;
+  /** They have a place at once, or have waited for so long that they count as if they had. */
+  now: boolean;
+}
+
+/** Looked at anew no more often than this. */
+const LOOK_MS = 300;
+/**
+ * Who has waited for this long comes before younger work that has a place already, though its own place is yet to be
+ * rented: a stream of small jobs would keep a part of the limit from it for ever.
+ */
+const AGED_MS = 20_000;
+/** Tasks of an array whose places are yet to be rented ask for so much at once: the rest will ask as these start. */
+const SOON_TASKS = 20;
+/** The oldest waiting jobs of a team that are looked at. */
+const MOST_JOBS = 100;
+
+/**
+ * What waits here of each team, whether it has a place, and since when. Work without any place, now or to be rented,
+ * wants nothing: a part of a limit that it had would be kept from others for nothing.
+ */
+export class Waits {
+  private lookedMs = -Infinity;
+  private byTeam = new Map<string, Waiting[]>();
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly own: Holdings,
+    private readonly hasPlace: (spec: JobSpec) => boolean,
+  ) {}
+
+  /** Oldest first. */
+  of(team: string): readonly Waiting[] {
+    if (this.ctx.nowMs - this.lookedMs >= LOOK_MS) this.look();
+    return this.byTeam.get(team) ?? [];
+  }
+
+  private look(): void {
+    this.lookedMs = this.ctx.nowMs;
+    this.byTeam = new Map();
+    const jobs = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j) && !j.moving).sort((a, b) => a.view.readyAt - b.view.readyAt || (a.id < b.id ? -1 : 1));
+    const kinds = new Map<string, { has: boolean; places: number }>();
+    const seen = new Map<string, number>();
+    for (const j of jobs) {
+      const { spec, readyAt } = j.view;
+      const n = (seen.get(spec.team) ?? 0) + 1;
+      seen.set(spec.team, n);
+      // The limit of a team without one is never short.
+      const team = this.ctx.settings.teams.get(spec.team);
+      if (n > MOST_JOBS || !team) continue;
+      const short = isShort(spec, this.ctx.tuning);
+      // Jobs whose amounts differ by little share one look.
+      const key = JSON.stringify([Math.ceil(spec.cpus), spec.gpus, Math.ceil(spec.memGb / 8), spec.types, spec.zone, spec.spot, spec.samePlace, short]);
+      let kind = kinds.get(key);
+      if (!kind) kinds.set(key, (kind = { has: this.hasPlace(spec), places: this.placesNow(spec, short) }));
+      if (!kind.has && kind.places === 0) continue;
+      const all = j.waiting.size;
+      const list = this.byTeam.get(spec.team) ?? [];
+      this.byTeam.set(spec.team, list);
+      const add = (tasks: number, now: boolean): void => {
+        if (tasks > 0) list.push({ need: [spec.cpus * tasks, spec.gpus * tasks], since: readyAt, now });
+      };
+      const whole = goesWhole(spec) || spec.shape === "daemon";
+      const fit = whole && kind.places < all ? 0 : Math.min(all, kind.places);
+      kind.places -= fit;
+      const aged = this.ctx.wallMs - readyAt > AGED_MS;
+      if (whole) add(all, fit === all || aged);
+      else {
+        const later = Math.min(all - fit, SOON_TASKS);
+        add(fit + (aged ? later : 0), true);
+        if (!aged) add(later, false);
+      }
+    }
+  }
+
+  /** Tasks of such a job that would start at once if the limit let them; with `samePlace` in the best zone. */
+  private placesNow(spec: JobSpec, short: boolean): number {
+    const { usable, reserved } = this.own.usableWorkers();
+    const zones = new Map<string, number>();
+    for (const w of usable) {
+      if ((!short && reserved.has(w.id)) || this.own.isHeld(w)) continue;
+      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || !suits(spec, w.type, w.spot, this.ctx.catalog)) continue;
+      const key = spec.samePlace ? w.zone : "";
+      zones.set(key, (zones.get(key) ?? 0) + fitCount(spec, freeOn(w)));
+    }
+    return Math.max(0, ...zones.values());
+  }
+}
--- /dev/null
+++ b/src/coordination/limits/index.ts
@@ -0,0 +1,6 @@
+/** Teams' limits and guarantees over all controllers: docs/design/limits.md. */
+export { Beliefs, limitsHash } from "./beliefs.js";
+export { Guarantees } from "./guarantees.js";
+export { Reclaims } from "./reclaims.js";
+export { Sharing } from "./sharing.js";
+export { type Pair, withinShare } from "./shares.js";
--- /dev/null
+++ b/src/coordination/limits/shares.ts
@@ -0,0 +1,127 @@
+import type { Team } from "../../config/settings.js";
+import { bytesOf, limitKey, QUOTA_KEY, type Shares } from "../../storage/records.js";
+import { EPS } from "../placement.js";
+
+/**
+ * The records of the teams' limits, as a pure matter of values. For each team a record holds the parts of its limit
+ * by group, and the limit that they are parts of (its `cap`: the generation of the entry). What is written holds,
+ * whatever the settings of whoever reads it say: a group that a team's entry does not name has no part of it.
+ *
+ * Rule `quota`: a group starts tasks only within its own part; a part is lessened only by the group that has it,
+ * which keeps below what it will have left from before that commit is sent; a part grows only out of what such a
+ * commit, or nobody, has. So what groups may use never adds up to more than the cap, whichever commits are lost,
+ * late, doubled or unanswered. Design: docs/design/limits.md.
+ */
+export type Pair = [cpus: number, gpus: number];
+
+/** Parts are written in hundredths, rounded down: sums of them don't pass the limit. */
+export const hundredth = (x: number): number => Math.floor(x * 100 + 1e-6) / 100;
+/** What is asked for is rounded up: a hundredth too little would start nothing. */
+export const hundredthUp = (x: number): number => Math.ceil(x * 100 - 1e-6) / 100;
+/** Sums of earlier versions' unrounded parts differ from the limit by less than this. */
+export const SLACK = 0.05;
+
+export const DIMS = [0, 1] as const;
+export const limitOf = (t: Team): Pair => [t.cpusMax, t.gpusMax];
+
+/**
+ * Under this name a record holds the cap of each team in it. No team can have it, for names have no slashes; the
+ * version before reads it as one more team and writes it back as it is.
+ */
+export const CAPS = "/cap";
+
+export interface LimitRecord {
+  shares: Shares;
+  version: number;
+}
+/** Records by key. */
+export type LimitRecords = ReadonlyMap<string, LimitRecord>;
+
+/** What a record says of one team. */
+export interface Entry {
+  key: string;
+  parts: Record<string, Pair>;
+  /** Infinity: none. */
+  cap: Pair;
+  /** All parts together. */
+  sum: Pair;
+}
+
+export function entryIn(key: string, shares: Shares, team: string): Entry | null {
+  const parts = shares[team];
+  if (!parts || team === CAPS) return null;
+  const sum: Pair = [0, 0];
+  for (const p of Object.values(parts)) for (const d of DIMS) sum[d] += p[d];
+  // Without a cap it was written by the version before, whose parts make up the whole limit.
+  const written = shares[CAPS]?.[team] ?? sum;
+  // JSON knows no Infinity: 0 stands for it.
+  return { key, parts, sum, cap: [written[0] || Infinity, written[1] || Infinity] };
+}
+
+export function entryOf(records: LimitRecords, team: string): Entry | null {
+  const root = records.get(QUOTA_KEY);
+  const first = root && entryIn(QUOTA_KEY, root.shares, team);
+  if (first) return first;
+  for (const [key, r] of records) {
+    const e = key === QUOTA_KEY ? null : entryIn(key, r.shares, team);
+    if (e) return e;
+  }
+  return null;
+}
+
+/** More is handed out than the limit allows, until the groups have given back what they don't use of it. */
+export const overdrawn = (e: Entry, d: 0 | 1): boolean => e.sum[d] > e.cap[d] + EPS;
+
+/**
+ * Up to how much a group may start tasks of a team, by what is written and by its own settings; `use`: what it uses
+ * already. Where more is handed out than the smallest limit that is known of, nothing starts: tasks that run go on.
+ */
+export function mayUse(team: Team, entry: Entry | null, group: string, use: () => Pair): Pair {
+  const limit = limitOf(team);
+  return DIMS.map((d) => {
+    if (!entry) return limit[d] === Infinity ? Infinity : use()[d];
+    const cap = entry.cap[d];
+    if (cap === Infinity) return limit[d] === Infinity ? Infinity : use()[d];
+    // A limit lowered in the own settings is to be written first, so that all go by it.
+    if (cap > limit[d] + SLACK || overdrawn(entry, d)) return use()[d];
+    return entry.parts[group]?.[d] ?? 0;
+  }) as Pair;
+}
+
+/** An entry as it is to be written. */
+export interface NewEntry {
+  parts: Record<string, Pair>;
+  cap: Pair;
+}
+
+/**
+ * The records with some entries written anew, each value within `most` bytes: what has no room in its record goes to
+ * the next one that has. Null: it would take more than `writes` records at once.
+ */
+export function withEntries(records: LimitRecords, changed: ReadonlyMap<string, NewEntry>, most: number, writes: number): Map<string, Shares> | null {
+  const out = new Map<string, Shares>();
+  const get = (key: string): Shares => out.get(key) ?? records.get(key)?.shares ?? {};
+  const put = (key: string, team: string, e: NewEntry): boolean => {
+    const had = get(key);
+    const caps = { ...had[CAPS], [team]: e.cap.map((x) => (x === Infinity ? 0 : x)) as Pair };
+    const value = { ...had, [CAPS]: caps, [team]: e.parts };
+    if (bytesOf(value) > most) return false;
+    out.set(key, value);
+    return true;
+  };
+  for (const [team, e] of changed) {
+    const at = entryOf(records, team)?.key;
+    if (at !== undefined && put(at, team, e)) continue;
+    if (at !== undefined) {
+      const { [team]: _, ...rest } = get(at);
+      const { [team]: __, ...caps } = rest[CAPS] ?? {};
+      out.set(at, { ...rest, [CAPS]: caps });
+    }
+    let n = 0;
+    for (let key = QUOTA_KEY; key === at || !put(key, team, e); key = limitKey(n++)) if (bytesOf({ [CAPS]: { [team]: e.cap }, [team]: e.parts }) > most) return null;
+  }
+  return out.size > writes ? null : out;
+}
+
+export const withinShare = (used: { cpus: number; gpus: number }, need: { cpus: number; gpus: number }, share: Readonly<Pair>): boolean =>
+  used.cpus + need.cpus <= share[0] + EPS && used.gpus + need.gpus <= share[1] + EPS;
--- /dev/null
+++ b/src/coordination/limits/sharing.ts
@@ -0,0 +1,265 @@
+import type { Team } from "../../config/settings.js";
+import { groupKey, QUOTA_KEY, type Shares, type TeamRow, type Want } from "../../storage/records.js";
+import { type Context, DRIFT } from "../context.js";
+import { Urgent } from "../effects.js";
+import { Handover } from "../handover.js";
+import type { Holdings } from "../holdings.js";
+import type { Use } from "../ledger.js";
+import type { JobSpec } from "../model.js";
+import { EPS } from "../placement.js";
+import { Waits } from "./demand.js";
+import { type Demand, planShares, type Situation } from "./plan.js";
+import { CAPS, type Entry, entryOf, hundredthUp, mayUse, type Pair } from "./shares.js";
+
+/** Parts are given no more often than this: what comes together goes together. */
+const GIVE_GAP_MS = 600;
+/** The copy of the records must be this fresh for a group's absence to count. */
+const FRESH_MS = 3_000;
+const LEASE_SLACK_MS = 2_000;
+
+/** What a plan's commit depends on and says. */
+interface Bases {
+  records: [key: string, version: number][];
+  gone: string[];
+}
+
+/** A group's part of the teams' limits, and giving of it to groups that want more. */
+export class Sharing {
+  private changing: { reserved: Map<string, Pair>; urgent: Urgent; change: Handover<Bases, Map<string, Shares>> } | null = null;
+  private nextMs = -Infinity;
+  private readonly waits: Waits;
+  private readonly absent = new Map<string, { changed: number; sinceMs: number }>();
+  private entries = new Map<string, Entry | null>();
+  private entriesSeq = -1;
+  /** Given away since this master began, by team; for metrics. */
+  readonly given = new Map<string, number>();
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly own: Holdings,
+    /** Whether this group has, or may get, a machine with room for a task of such a job. */
+    hasPlace: (spec: JobSpec) => boolean,
+  ) {
+    this.waits = new Waits(ctx, own, hasPlace);
+  }
+
+  /** What is written of a team's limit. */
+  entry(team: string): Entry | null {
+    const { mirror } = this.ctx;
+    if (this.entriesSeq !== mirror.limitsSeq) {
+      this.entriesSeq = mirror.limitsSeq;
+      this.entries = new Map();
+    }
+    let e = this.entries.get(team);
+    if (e === undefined) this.entries.set(team, (e = entryOf(mirror.limits, team)));
+    return e;
+  }
+
+  /**
+   * Up to how much this group may start tasks of a team, in CPUs and accelerators; Infinity: no limit. Invariant (quota):
+   * what is on its way to others is not used from before the commit that gives it is sent.
+   */
+  share(team: string): Pair {
+    const t = this.ctx.settings.teams.get(team);
+    if (!t) return [0, 0];
+    const [cpus, gpus] = mayUse(t, this.entry(team), this.own.group, () => this.uses()(team));
+    const r = this.changing?.reserved.get(team);
+    return r && !this.settled() ? [cpus - r[0], gpus - r[1]] : [cpus, gpus];
+  }
+
+  /** The record shows how the last change ended. */
+  private settled(): boolean {
+    return this.changing !== null && this.changing.change.base.records.some(([key, version]) => this.versionOf(key) !== version);
+  }
+  private versionOf(key: string): number {
+    return this.ctx.mirror.limits.get(key)?.version ?? 0;
+  }
+
+  private uses(): (team: string) => Pair {
+    const used = this.own.usage();
+    return (team) => {
+      const u = used.get(team);
+      return u ? [u.cpus, u.gpus] : [0, 0];
+    };
+  }
+
+  /** By team: what it may still use in this group. */
+  headroom(): Map<string, Use> {
+    const use = this.uses();
+    const out = new Map<string, Use>();
+    for (const team of this.ctx.settings.teams.keys()) {
+      const share = this.share(team);
+      const u = use(team);
+      out.set(team, { cpus: share[0] - u[0], gpus: share[1] - u[1] });
+    }
+    return out;
+  }
+
+  /** By team: what this group could use beyond its part. */
+  private demands(use: (team: string) => Pair): Map<string, Demand> {
+    const out = new Map<string, Demand>();
+    for (const team of this.ctx.settings.teams.keys()) {
+      const d = this.demand(team, use(team));
+      if (d) out.set(team, d);
+    }
+    return out;
+  }
+
+  private demand(team: string, use: Pair): Demand | null {
+    const waiting = this.waits.of(team);
+    if (waiting.length === 0) return null;
+    const beyond = this.share(team);
+    const d: Demand = { now: [0, 0], nowSince: Infinity, soon: [0, 0], soonSince: Infinity, beyond };
+    const spare: Pair = [beyond[0] - use[0], beyond[1] - use[1]];
+    // Who can start at once takes what there is first; what it lacks is wanted.
+    for (const now of [true, false])
+      for (const w of waiting) {
+        if (w.now !== now) continue;
+        const lack = [0, 1].map((k) => Math.max(0, hundredthUp(Math.min(w.need[k]!, w.need[k]! - spare[k]!)))) as Pair;
+        spare[0] -= w.need[0];
+        spare[1] -= w.need[1];
+        if (lack[0] <= EPS && lack[1] <= EPS) continue;
+        const to = now ? d.now : d.soon;
+        to[0] += lack[0];
+        to[1] += lack[1];
+        if (now) d.nowSince = Math.min(d.nowSince, w.since);
+        else d.soonSince = Math.min(d.soonSince, w.since);
+      }
+    return Number.isFinite(d.nowSince) || Number.isFinite(d.soonSince) ? d : null;
+  }
+
+  /** What is written with the room, by team: use, wants, and what waits; and the wants as an earlier version reads them. */
+  rows(): { teams: Map<string, TeamRow>; wants: Map<string, Want> } {
+    const teams = new Map<string, TeamRow>();
+    const wants = new Map<string, Want>();
+    const use = this.uses();
+    const known = this.own.ledger.used();
+    for (const t of this.ctx.settings.teams.values()) {
+      const d = this.demand(t.name, use(t.name));
+      const k = known.get(t.name) ?? { cpus: 0, gpus: 0 };
+      const waits: Pair = [0, 0];
+      for (const w of this.waits.of(t.name)) for (const i of [0, 1] as const) waits[i] += w.need[i];
+      const may = this.own.fenced ? this.bounded(t, use(t.name)) : ([k.cpus, k.gpus] as Pair);
+      if (!d && k.cpus <= EPS && k.gpus <= EPS && may[0] <= EPS && may[1] <= EPS && waits[0] <= EPS && waits[1] <= EPS) continue;
+      const finite = (p: Pair): Pair => [Number.isFinite(p[0]) ? p[0] : 0, Number.isFinite(p[1]) ? p[1] : 0];
+      teams.set(t.name, { use: [k.cpus, k.gpus], may, now: d?.now ?? [0, 0], nowSince: d?.nowSince ?? Infinity, soon: d?.soon ?? [0, 0], soonSince: d?.soonSince ?? Infinity, beyond: finite(d?.beyond ?? [0, 0]), waits });
+      if (d) wants.set(t.name, { cpus: d.now[0] + d.soon[0], gpus: d.now[1] + d.soon[1], since: Math.min(d.nowSince, d.soonSince) });
+    }
+    return { teams, wants };
+  }
+  /** During a takeover: no more than what the former master could have started. */
+  private bounded(t: Team, use: Pair): Pair {
+    const e = this.entry(t.name)?.parts[this.own.group];
+    return [0, 1].map((d) => Math.min(use[d]!, e && Number.isFinite([t.cpusMax, t.gpusMax][d]!) ? Math.max(e[d]!, 0) : 1e9)) as Pair;
+  }
+
+  /** What other groups want, as they last wrote it. */
+  private others(): Map<string, Map<string, Demand>> {
+    const out = new Map<string, Map<string, Demand>>();
+    for (const [group, room] of this.ctx.mirror.rooms) {
+      if (group === this.own.group) continue;
+      const of = new Map<string, Demand>();
+      if (room.teams) for (const [team, r] of room.teams) of.set(team, r);
+      // An earlier version wants beyond what it has at the moment.
+      else
+        for (const [team, w] of room.wants) {
+          const p = this.entry(team)?.parts[group] ?? [0, 0];
+          of.set(team, { now: [w.cpus, w.gpus], nowSince: w.since, soon: [0, 0], soonSince: Infinity, beyond: [p[0], p[1]] });
+        }
+      out.set(group, of);
+    }
+    return out;
+  }
+
+  /**
+   * Groups that the settings do not name and that have a part still, once nothing of theirs can run: nobody has owned
+   * them for as long as a lease lasts. Their last owner's permit ended before its record did, and with its last answer
+   * its machines' leases begin to end; whoever serves those machines since then counts what is on them itself.
+   */
+  private goneGroups(): Set<string> {
+    const gone = new Set<string>();
+    const { mirror, nowMs } = this.ctx;
+    const fresh = this.ctx.readAgeMs() < FRESH_MS;
+    const needMs = this.ctx.settings.leaseS * 1000 * DRIFT + LEASE_SLACK_MS;
+    for (const { shares } of mirror.limits.values())
+      for (const [team, parts] of Object.entries(shares))
+        for (const [g, p] of Object.entries(parts)) {
+          if (team === CAPS || this.ctx.groups.names.includes(g) || (p[0] <= EPS && p[1] <= EPS)) continue;
+          const changed = mirror.ownerChanged.get(g) ?? 0;
+          const a = this.absent.get(g);
+          if (mirror.groups.has(g) || !fresh) this.absent.delete(g);
+          else if (!a || a.changed !== changed) this.absent.set(g, { changed, sinceMs: nowMs });
+          else if (nowMs - a.sinceMs > needMs) gone.add(g);
+        }
+    return gone;
+  }
+
+  tick(agreed: boolean): void {
+    if (this.changing) {
+      if (!this.settled()) return this.send();
+      this.changing = null;
+    }
+    if (this.ctx.nowMs < this.nextMs) return;
+    const { settings, tuning, mirror } = this.ctx;
+    const use = this.uses();
+    const known = this.own.fenced ? null : this.own.ledger.used();
+    const situation: Situation = {
+      group: this.own.group,
+      groups: this.ctx.groups.names,
+      teams: settings.teams,
+      records: mirror.limits,
+      valueBytes: settings.state.valueBytes,
+      writes: Math.min(3, settings.state.txnOps),
+      use,
+      known: (team) => known && [known.get(team)?.cpus ?? 0, known.get(team)?.gpus ?? 0],
+      mine: this.demands(use),
+      others: this.others(),
+      keep: (team, since, group, now) => this.keep(team, since, group, now),
+      agreed,
+      gone: this.goneGroups(),
+      // The version before takes an equal part of what the first record does not name, so elsewhere nothing may move
+      // while one of its controllers can come back.
+      movable: (key) => key === QUOTA_KEY || tuning.dividedLimits,
+    };
+    const plan = planShares(situation);
+    if (!plan) return;
+    this.nextMs = this.ctx.nowMs + GIVE_GAP_MS;
+    const base: Bases = { records: [...plan.writes.keys()].map((key) => [key, this.versionOf(key)]), gone: plan.gone };
+    this.changing = { reserved: plan.reserved, urgent: plan.caps.length > 0 ? Urgent.Master : Urgent.Spare, change: new Handover(base, plan.writes) };
+    for (const g of plan.given) {
+      this.given.set(g.team, (this.given.get(g.team) ?? 0) + 1);
+      this.ctx.log("info", "giving part of a team's limit to another group", { team: g.team, to: g.to, cpus: g.give[0], gpus: g.give[1] });
+    }
+    for (const team of plan.caps) this.ctx.log("info", "writing a team's limit", { team, agreed });
+    for (const group of plan.gone) this.ctx.log("info", "parts of a group that is gone come back", { group });
+    this.send();
+  }
+
+  /** What the own waiting tasks that come before such a demand are going to use. */
+  private keep(team: string, since: number, group: string, now: boolean): Pair {
+    const sum: Pair = [0, 0];
+    for (const w of this.waits.of(team)) {
+      const older = w.since < since || (w.since === since && this.own.group < group);
+      if (now ? !(w.now && older) : !(w.now || older)) continue;
+      sum[0] += w.need[0];
+      sum[1] += w.need[1];
+    }
+    return sum;
+  }
+
+  private send(): void {
+    const c = this.changing;
+    c?.change.send(
+      (base, value, done) =>
+        this.own.commit(
+          [...base.records.map(([key, version]) => ({ key, version })), ...base.gone.map((g) => ({ key: groupKey(g), version: 0 }))],
+          [...value].map(([key, shares]) => ({ op: "put" as const, key, value: shares })),
+          c.urgent,
+          done,
+        ),
+      () => {
+        if (this.changing === c) this.changing = null;
+      },
+    );
+  }
+}
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -3,6 +3,7 @@
 import { Finishing } from "./finishing.js";
 import { Fleet } from "./fleet.js";
 import { Holdings } from "./holdings.js";
+import { Guarantees, Reclaims, Sharing } from "./limits/index.js";
 import type { JobView } from "./mirror.js";
 import { type Cause, type Order, type Report, type ReportedTask, taskKey } from "./model.js";
 import { Moves } from "./moves.js";
@@ -11,7 +12,6 @@
 import { Preemption } from "./preemption.js";
 import { RangeSet } from "./ranges.js";
 import { Room } from "./room.js";
-import { Sharing } from "./sharing.js";
 import { newJobRun, runKey, type TaskRun, type Worker } from "./tasks.js";
 
 /**
@@ -21,7 +21,9 @@
 export class Master {
   readonly own: Holdings;
   private readonly fleet: Fleet;
-  private readonly sharing: Sharing;
+  readonly sharing: Sharing;
+  readonly guarantees: Guarantees;
+  readonly reclaims: Reclaims;
   private readonly moves: Moves;
   private readonly placing: Placing;
   private readonly finishing: Finishing;
@@ -39,7 +41,9 @@
     this.fleet = new Fleet(ctx, own, this.sharing);
     const { renting } = this.fleet;
     this.moves = new Moves(ctx, own, renting);
-    this.placing = new Placing(ctx, own, this.sharing, new Preemption(ctx, own, this.sharing, renting));
+    this.guarantees = new Guarantees(ctx, own);
+    this.reclaims = new Reclaims(ctx, own, this.guarantees);
+    this.placing = new Placing(ctx, own, this.sharing, this.guarantees, new Preemption(ctx, own, this.sharing, renting, this.reclaims));
     this.finishing = new Finishing(ctx, own);
     this.room = new Room(ctx, own, this.sharing, renting);
     // Whether a machine marked for return was returned is not known: it is given back once more, and the cloud's word
@@ -336,7 +340,8 @@
 
   // ---- time ----------------------------------------------------------------------------------------------
 
-  tick(): void {
+  /** `agreed`: all live controllers go by the same limits. */
+  tick(agreed: boolean): void {
     this.own.expire();
     for (const j of this.own.jobs.values()) {
       this.finishing.tick(j);
@@ -346,7 +351,7 @@
     this.placing.tick();
     if (this.own.permitted()) {
       this.moves.tick();
-      this.sharing.tick();
+      this.sharing.tick(agreed);
       this.fleet.tick();
       this.room.writeIfChanged();
     }
--- a/src/coordination/mirror.ts
+++ b/src/coordination/mirror.ts
@@ -6,7 +6,6 @@
   type PastRecord,
   parseKey,
   readAttempt,
-  QUOTA_KEY,
   readClaim,
   readFin,
   readGroup,
@@ -17,8 +16,11 @@
   readRoster,
   type RoomRecord,
   type RosterEntry,
-  type Shares,
+  readBelief,
+  readReclaims,
+  type Reclaim,
 } from "../storage/records.js";
+import type { LimitRecord } from "./limits/shares.js";
 import type { JobSpec, Standing } from "./model.js";
 import { type GangView, NO_GANG } from "./parts.js";
 import { RangeSet } from "./ranges.js";
@@ -41,7 +43,7 @@
   | { kind: "group" | "claim"; group: string }
   | { kind: "fin"; id: string }
   | { kind: "room"; group: string }
-  | { kind: "quota" };
+  | { kind: "limits" | "belief" };
 
 /** When its own deadline is, as time of day. */
 export const ownDueAt = (spec: JobSpec, acceptedAt: number): number => (spec.deadlineS === null ? Infinity : acceptedAt + spec.deadlineS * 1000);
@@ -61,8 +63,15 @@
   readonly rooms = new Map<string, RoomRecord>();
   /** group -> chunk -> machines */
   readonly rosters = new Map<string, Map<number, Map<string, RosterEntry>>>();
-  shares: Shares = {};
-  sharesVersion = 0;
+  /** Counts changes of `limits`. */
+  limitsSeq = 0;
+  /** Parts of the teams' limits, by key. */
+  readonly limits = new Map<string, LimitRecord>();
+  /** Which limits the live controllers go by, as their hash. */
+  readonly beliefs = new Map<string, string>();
+  reclaims: ReadonlyMap<string, readonly Reclaim[]> = new Map();
+  /** By group: the revision of the last change of who owns it, its end included. */
+  readonly ownerChanged = new Map<string, number>();
   /** Final states: never change, so they may be kept; the most recent ones only. */
   readonly past = new Map<string, PastRecord>();
   private readonly gangs = new Map<string, GangView & { ready: Map<string, number> }>();
@@ -142,6 +151,7 @@
         const r = readGroup(value);
         if (!r) return [];
         this.groups.set(k.group, { ...r, version });
+        this.ownerChanged.set(k.group, version);
         return [{ kind: "group", group: k.group }];
       }
       case "claim": {
@@ -164,11 +174,18 @@
         chunks.set(k.chunk, r);
         return [];
       }
-      case "quota": {
-        this.shares = readQuota(value) ?? {};
-        this.sharesVersion = version;
-        return [{ kind: "quota" }];
+      case "limits":
+        this.limitsSeq++;
+        this.limits.set(key, { shares: readQuota(value) ?? {}, version });
+        return [{ kind: "limits" }];
+      case "belief": {
+        const limits = readBelief(value);
+        if (limits !== null) this.beliefs.set(k.label, limits);
+        return [{ kind: "belief" }];
       }
+      case "reclaim":
+        this.reclaims = readReclaims(value) ?? new Map();
+        return [];
       case "fin": {
         const r = readFin(value, k.chunk);
         if (!r) return [];
@@ -228,6 +245,7 @@
     switch (k.kind) {
       case "group":
         this.groups.delete(k.group);
+        this.ownerChanged.set(k.group, version);
         return [{ kind: "group", group: k.group }];
       case "claim":
         this.claims.delete(k.group);
@@ -238,10 +256,16 @@
       case "roster":
         this.rosters.get(k.group)?.delete(k.chunk);
         return [];
-      case "quota":
-        if (key === QUOTA_KEY) this.shares = {};
-        this.sharesVersion = 0;
-        return [{ kind: "quota" }];
+      case "limits":
+        this.limitsSeq++;
+        this.limits.delete(key);
+        return [{ kind: "limits" }];
+      case "belief":
+        this.beliefs.delete(k.label);
+        return [{ kind: "belief" }];
+      case "reclaim":
+        this.reclaims = new Map();
+        return [];
       case "fin":
       case "gang":
       case "ready": {
--- a/src/coordination/model.ts
+++ b/src/coordination/model.ts
@@ -110,6 +110,10 @@
   bootPatience: number;
   /** Send starts straight to the workers as well as in report answers. */
   directOrders: boolean;
+  /** At equal urgency teams within their guarantee come first, then those with the smaller share of it. */
+  guaranteeOrder: boolean;
+  /** Limits of teams that the first record has no room for move between groups: only once no controller of 0.1 can come back. */
+  dividedLimits: boolean;
   /** Final records hold what hooks need, and changes are passed on to those who follow them. */
   tellEnds: boolean;
 }
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -3,12 +3,12 @@
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
 import type { Use } from "./ledger.js";
+import type { Guarantees, Sharing } from "./limits/index.js";
 import { type JobSpec, taskKey } from "./model.js";
 import { inParts, partStep } from "./parts.js";
 import { allowedOn, type Amounts, fitCount, Misfits, suits, zoneCap } from "./placement.js";
 import type { Preemption } from "./preemption.js";
 import { isLate, isShort, Round } from "./queues.js";
-import type { Sharing } from "./sharing.js";
 import { freeOn, type JobRun, take, type TaskRun, type Worker } from "./tasks.js";
 
 /** Attempts of one token: with a token below 2^33 they stay below 2^53. */
@@ -22,6 +22,8 @@
 /** A task waits this long before others are stopped for it. */
 const PREEMPT_AFTER_MS = 2_000;
 
+const NO_USE: Use = { cpus: 0, gpus: 0 };
+
 /** Which waiting task starts where: Pigeon's two queues over the machines of a group. */
 export class Placing {
   private attempts = 0;
@@ -34,6 +36,7 @@
     private readonly ctx: Context,
     private readonly own: Holdings,
     private readonly sharing: Sharing,
+    private readonly guarantees: Guarantees,
     private readonly preemption: Preemption,
   ) {}
 
@@ -66,6 +69,7 @@
       })),
       this.ctx.tuning,
       this.turn,
+      this.ctx.tuning.guaranteeOrder ? (team) => this.guarantees.standing(team, used.get(team) ?? NO_USE) : null,
     );
     const madeRoom = new Set(workers.map((w) => w.heldFor?.job));
     const blocked: JobRun[] = [];
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -1,11 +1,10 @@
 import type { Context } from "./context.js";
 import type { Holdings } from "./holdings.js";
 import type { Use } from "./ledger.js";
+import { type Pair, type Reclaims, type Sharing, withinShare } from "./limits/index.js";
 import { URGENCIES } from "./model.js";
-import { allowedOn, type Amounts, fitCount, fits, suits } from "./placement.js";
-import { withinShare } from "./quota.js";
+import { allowedOn, type Amounts, EPS, fitCount, fits, suits } from "./placement.js";
 import type { Renting } from "./renting.js";
-import type { Sharing } from "./sharing.js";
 import { graceOf, type JobRun, type TaskRun, type Worker } from "./tasks.js";
 
 /** Which running tasks are stopped for a waiting job that comes first. */
@@ -15,32 +14,38 @@
     private readonly own: Holdings,
     private readonly sharing: Sharing,
     private readonly renting: Renting,
+    private readonly reclaims: Reclaims,
   ) {}
 
   /** PROTOCOL, "Preemption": for a job of higher urgency, or to give a team its guarantee back. */
-  private mayPreempt(job: JobRun, t: TaskRun, used: ReadonlyMap<string, { cpus: number; gpus: number }>): boolean {
-    return !t.stop && t.phase !== "saving" && this.comesBefore(job, t.job, used);
+  private mayPreempt(job: JobRun, t: TaskRun, why: Why): boolean {
+    return !t.stop && t.phase !== "saving" && !isGang(t.job) && this.comesBefore(job, t.job, why);
   }
 
-  private comesBefore(job: JobRun, running: JobRun, used: ReadonlyMap<string, Use>): boolean {
-    const spec = job.view.spec;
-    const other = running.view.spec;
-    // A gang that loses one task loses all: only single ones are stopped.
-    if (other.shape === "ensemble" && other.tasks > 1) return false;
+  private comesBefore(job: JobRun, running: JobRun, why: Why): boolean {
     if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(running.view.urgency)) return true;
-    if (other.team === spec.team) return false;
-    const n = this.ctx.groups.names.length;
-    const within = (name: string, need: { cpus: number; gpus: number }): boolean => {
-      const team = this.ctx.settings.teams.get(name);
-      const u = used.get(name) ?? { cpus: 0, gpus: 0 };
-      return team !== undefined && withinShare(u, need, [team.cpus / n, (team.gpus || Infinity) / n]);
-    };
-    return within(spec.team, spec) && !within(other.team, { cpus: 0, gpus: 0 });
+    return why.has(running.view.spec.team);
+  }
+
+  /**
+   * Teams that work may be taken of for the guarantee of the job's team, with how much: they are surely beyond their own,
+   * whole fleet and claims of all groups counted, and the job fits into what its team is promised.
+   */
+  private givers(job: JobRun, want: number): Why {
+    const { spec } = job.view;
+    const out = new Map<string, Pair>();
+    if (!this.reclaims.mayClaim(spec.team, [spec.cpus * want, spec.gpus * want])) return out;
+    for (const team of this.ctx.settings.teams.keys()) {
+      if (team === spec.team) continue;
+      const left = this.reclaims.left(team);
+      if (left[0] > EPS || left[1] > EPS) out.set(team, left);
+    }
+    return out;
   }
 
   /** Whether any job here runs tasks that may be stopped for this one: mostly none does, and no machine need be looked at. */
-  private anyBehind(job: JobRun, used: ReadonlyMap<string, Use>): boolean {
-    for (const j of this.own.jobs.values()) if (j.active.size > 0 && this.comesBefore(job, j, used)) return true;
+  private anyBehind(job: JobRun, why: Why): boolean {
+    for (const j of this.own.jobs.values()) if (j.active.size > 0 && this.comesBefore(job, j, why)) return true;
     return false;
   }
 
@@ -51,23 +56,36 @@
     return 5 + (spec.checkpointS > 0 ? spec.saveS : ran) * Math.max(1, spec.cpus);
   }
 
-  /** Tasks to stop on one machine so that one of the job's fits: the least lost first; null: that can't be had there. */
-  private victimsOn(w: Worker, job: JobRun, free: Amounts, used: ReadonlyMap<string, Use>): { victims: TaskRun[]; loss: number } | null {
+  /**
+   * Tasks to stop on one machine so that one of the job's fits: the least lost first; null: that can't be had there.
+   * `left`: what may still be taken of each team for a guarantee.
+   */
+  private victimsOn(w: Worker, job: JobRun, free: Amounts, why: Why, left: Map<string, Pair>): { victims: TaskRun[]; loss: number } | null {
     const spec = job.view.spec;
     const room = { ...free };
     const victims: TaskRun[] = [];
     let loss = 0;
-    for (const t of [...w.tasks.values()].filter((x) => this.mayPreempt(job, x, used)).sort((x, y) => this.lossOf(x) - this.lossOf(y))) {
+    for (const t of [...w.tasks.values()].filter((x) => this.mayPreempt(job, x, why)).sort((x, y) => this.lossOf(x) - this.lossOf(y))) {
       if (fits(spec, room)) break;
+      if (!this.charge(t, job, left)) continue;
       victims.push(t);
       loss += this.lossOf(t);
-      room.cpus += t.job.view.spec.cpus;
-      room.gpus += t.job.view.spec.gpus;
-      room.memGb += t.job.view.spec.memGb;
+      addTo(room, t.job.view.spec);
     }
     return victims.length > 0 && fits(spec, room) ? { victims, loss } : null;
   }
 
+  /** Counts a task against what may be taken of its team, if it is stopped for a guarantee; false: nothing may be any more. */
+  private charge(t: TaskRun, job: JobRun, left: Map<string, Pair>): boolean {
+    const { spec, urgency } = t.job.view;
+    if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(urgency)) return true;
+    const l = left.get(spec.team);
+    // The last task may go beyond, so that no guarantee stays unmet for the size of a task.
+    if (!l || !((spec.cpus > 0 && l[0] > EPS) || (spec.gpus > 0 && l[1] > EPS))) return false;
+    left.set(spec.team, [l[0] - spec.cpus, l[1] - spec.gpus]);
+    return true;
+  }
+
   /**
    * Stops tasks that may be stopped for a waiting job that fits nowhere, where nothing more can be rented: on the
    * machines where the least is lost, for a gang as many as it lacks, in one zone if it must be. The room is held for
@@ -80,34 +98,119 @@
     if (gang && (job.active.size > 0 || job.waiting.size < spec.tasks || this.own.ledger.hasStrays(job.id))) return;
     const want = gang ? spec.tasks : 1;
     if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, { cpus: spec.cpus * want, gpus: spec.gpus * want }, this.sharing.share(spec.team))) return;
-    if (!this.anyBehind(job, used) || !this.renting.exhausted(spec)) return;
     const now = this.ctx.nowMs;
     if (workers.some((w) => w.heldFor?.job === job.id && now < w.heldFor.untilMs)) return;
+    const why = this.givers(job, want);
+    if (!this.anyBehind(job, why) || !this.renting.exhausted(spec)) return;
     const may = workers.filter(
       (w) => allowedOn(spec, w.typeName, w.zone, w.spot) && suits(spec, w.type, w.spot, this.ctx.catalog) && !(w.heldFor && now < w.heldFor.untilMs) && !job.errors.has(w.id),
     );
-    let best: { rooms: Worker[]; stops: { w: Worker; victims: TaskRun[] }[]; loss: number } | null = null;
+    let best: Choice | null = null;
     for (const zone of spec.samePlace ? new Set(may.map((w) => w.zone)) : [null]) {
       const here = zone === null ? may : may.filter((w) => w.zone === zone);
       const rooms = here.filter((w) => fits(spec, free.get(w)!));
       const lacking = want - rooms.reduce((n, w) => n + fitCount(spec, free.get(w)!), 0);
-      const options = here
-        .filter((w) => !rooms.includes(w))
-        .flatMap((w) => {
-          const v = this.victimsOn(w, job, free.get(w)!, used);
-          return v ? [{ w, ...v }] : [];
-        })
-        .sort((x, y) => x.loss - y.loss);
-      if (lacking <= 0 || options.length < lacking) continue;
-      const stops = options.slice(0, lacking);
-      const loss = stops.reduce((n, o) => n + o.loss, 0);
-      if (!best || loss < best.loss) best = { rooms, stops, loss };
+      if (lacking <= 0) continue;
+      const choice = this.tasksFor(job, here, rooms, lacking, free, why) ?? this.gangFor(job, here, rooms, lacking, free, why);
+      if (choice && (!best || choice.loss < best.loss)) best = choice;
     }
-    if (!best) return;
-    const victims = best.stops.flatMap((o) => o.victims);
-    const untilMs = now + Math.max(0, ...victims.map(graceOf)) * 1000 + 2_000 * this.ctx.settings.reportS + 3_000;
-    for (const w of [...best.rooms, ...best.stops.map((o) => o.w)]) w.heldFor = { job: job.id, untilMs };
-    this.ctx.log("info", "stopping tasks for a job that comes first", { job: job.id, workers: best.stops.map((o) => o.w.id), tasks: victims.length });
-    for (const t of victims) this.own.stop(t, graceOf(t), "preempted");
+    if (best) this.carryOut(job, want, best);
   }
+
+  /** Single tasks, machine by machine, where the least is lost. */
+  private tasksFor(job: JobRun, here: readonly Worker[], rooms: readonly Worker[], lacking: number, free: ReadonlyMap<Worker, Amounts>, why: Why): Choice | null {
+    const options = here
+      .filter((w) => !rooms.includes(w))
+      .flatMap((w) => {
+        const v = this.victimsOn(w, job, free.get(w)!, why, new Map(why));
+        return v ? [{ w, loss: v.loss }] : [];
+      })
+      .sort((x, y) => x.loss - y.loss);
+    if (options.length < lacking) return null;
+    // Chosen in this order, what may be taken of a team is charged once for all machines.
+    const left = new Map(why);
+    const out: Choice = { workers: [...rooms], victims: [], loss: 0 };
+    let found = 0;
+    for (const { w } of options) {
+      if (found === lacking) break;
+      const v = this.victimsOn(w, job, free.get(w)!, why, left);
+      if (!v) continue;
+      found++;
+      out.workers.push(w);
+      out.victims.push(...v.victims);
+      out.loss += v.loss;
+    }
+    return found === lacking ? out : null;
+  }
+
+  /**
+   * Only gangs may give: the one that loses the least and makes enough room, whole and by an orderly stop. One that can't
+   * save, or that other groups have a part of, is left alone.
+   */
+  private gangFor(job: JobRun, here: readonly Worker[], rooms: readonly Worker[], lacking: number, free: ReadonlyMap<Worker, Amounts>, why: Why): Choice | null {
+    const spec = job.view.spec;
+    let best: Choice | null = null;
+    for (const g of this.own.jobs.values()) {
+      const other = g.view.spec;
+      if (!isGang(g) || other.checkpointS <= 0 || g.active.size < other.tasks || !why.has(other.team) || !this.comesBefore(job, g, why)) continue;
+      const tasks = [...g.active.values()];
+      if (tasks.some((t) => t.stop || t.phase !== "running")) continue;
+      if (!this.charge(tasks[0]!, job, new Map(why))) continue;
+      const room = new Map<Worker, Amounts>();
+      for (const t of tasks) {
+        const r = room.get(t.worker) ?? { ...(free.get(t.worker) ?? { cpus: 0, gpus: 0, memGb: 0 }) };
+        addTo(r, other);
+        room.set(t.worker, r);
+      }
+      const makes = [...room].filter(([w]) => here.includes(w) && !rooms.includes(w));
+      if (makes.reduce((n, [, r]) => n + fitCount(spec, r), 0) < lacking) continue;
+      const loss = tasks.reduce((n, t) => n + this.lossOf(t), 0);
+      if (!best || loss < best.loss) best = { workers: [...rooms, ...makes.map(([w]) => w)], victims: tasks, loss };
+    }
+    return best;
+  }
+
+  private carryOut(job: JobRun, want: number, { workers, victims }: Choice): void {
+    const spec = job.view.spec;
+    const grace = Math.max(0, ...victims.map(graceOf));
+    const stop = (): void => {
+      // It may have begun, or ended, while the claim was written.
+      if (job.gone || job.waiting.isEmpty) return;
+      const untilMs = this.ctx.nowMs + grace * 1000 + 2_000 * this.ctx.settings.reportS + 3_000;
+      for (const w of workers) w.heldFor = { job: job.id, untilMs };
+      const still = victims.filter((t) => !t.stop && t.job.active.get(t.index) === t);
+      this.ctx.log("info", "stopping tasks for a job that comes first", { job: job.id, team: spec.team, workers: [...new Set(still.map((t) => t.worker.id))], tasks: still.length });
+      for (const t of still) {
+        this.own.stop(t, isGang(t.job) ? grace : graceOf(t), "preempted");
+        // It does not come up elsewhere a moment later: whoever it was stopped for comes first there, too.
+        t.job.backoffUntilMs = Math.max(t.job.backoffUntilMs, untilMs);
+      }
+    };
+    const from = new Map<string, Pair>();
+    for (const t of victims) {
+      const v = t.job.view;
+      if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(v.urgency)) continue;
+      const p = from.get(v.spec.team) ?? [0, 0];
+      from.set(v.spec.team, [p[0] + v.spec.cpus, p[1] + v.spec.gpus]);
+    }
+    if (from.size === 0) return stop();
+    this.reclaims.claim(spec.team, [spec.cpus * want, spec.gpus * want], from, grace, stop);
+  }
+}
+
+/** Teams that work may be taken of for a guarantee, with how much. */
+type Why = ReadonlyMap<string, Pair>;
+interface Choice {
+  /** Where the room is, or will be. */
+  workers: Worker[];
+  victims: TaskRun[];
+  loss: number;
+}
+/** A gang that loses one task loses all. */
+const isGang = (j: JobRun): boolean => j.view.spec.shape === "ensemble" && j.view.spec.tasks > 1;
+
+function addTo(room: Amounts, spec: Amounts): void {
+  room.cpus += spec.cpus;
+  room.gpus += spec.gpus;
+  room.memGb += spec.memGb;
 }
--- a/src/coordination/queues.ts
+++ b/src/coordination/queues.ts
@@ -42,40 +42,96 @@
   return wallMs > dueAt - spec.estimateS * 0.5 * 1000;
 }
 
+/** Where a team stands, for the order between teams; null: that does not count. */
+export type Rank = (team: string) => { within: boolean; share: number };
+
+/** Between the first jobs of two teams, at equal urgency: within its guarantee first, then the smaller share of it. */
+function teamBefore(a: Queued, b: Queued, rank: Rank): number {
+  if (a.spec.team === b.spec.team) return before(a, b);
+  const u = URGENCIES.indexOf(b.standing.urgency) - URGENCIES.indexOf(a.standing.urgency);
+  if (u !== 0) return u;
+  const x = rank(a.spec.team);
+  const y = rank(b.spec.team);
+  if (x.within !== y.within) return x.within ? -1 : 1;
+  // Both have what they were promised, or both have not yet: for the latter it is age that counts.
+  if (!x.within && x.share !== y.share) return x.share - y.share;
+  return before(a, b);
+}
+
+/** One queue of a group, kept by team inside: who is first follows from what the teams use at that moment. */
+class Queue<T extends Queued> {
+  private readonly teams = new Map<string, T[]>();
+
+  constructor(private readonly rank: Rank | null) {}
+
+  add(q: T): void {
+    const team = this.rank ? q.spec.team : "";
+    const list = this.teams.get(team);
+    if (list) list.push(q);
+    else this.teams.set(team, [q]);
+  }
+  sort(): void {
+    // The last is the first: taking it away moves nothing.
+    for (const list of this.teams.values()) list.sort((a, b) => before(b, a));
+  }
+  get isEmpty(): boolean {
+    return this.teams.size === 0;
+  }
+  first(): T | undefined {
+    let best: T | undefined;
+    for (const list of this.teams.values()) {
+      const q = list.at(-1)!;
+      if (!best || (this.rank && teamBefore(q, best, this.rank) < 0)) best = q;
+    }
+    return best;
+  }
+  drop(q: T): void {
+    const team = this.rank ? q.spec.team : "";
+    const list = this.teams.get(team)!;
+    list.pop();
+    if (list.length === 0) this.teams.delete(team);
+  }
+}
+
 /**
  * The short and the long queue of a group (Pigeon, section 2.2): short first, yet of every W tasks served one
  * comes from the long queue while anything waits there. A job that can't go on now leaves the round, so that
  * what stands behind it may use what it can't.
  */
 export class Round<T extends Queued> {
-  private readonly short: T[] = [];
-  private readonly long: T[] = [];
-  /** The queue of the present head: serving it may change whose turn is next. */
-  private from = this.short;
+  private readonly short: Queue<T>;
+  private readonly long: Queue<T>;
+  /** The present head, and its queue: serving it may change whose turn is next. */
+  private from: Queue<T>;
+  private at: T | undefined;
 
   constructor(
     jobs: Iterable<T>,
     private readonly tuning: Tuning,
     private readonly turn: { sinceLong: number },
+    rank: Rank | null = null,
   ) {
-    for (const j of jobs) (isShort(j.spec, tuning) ? this.short : this.long).push(j);
-    this.short.sort(before);
-    this.long.sort(before);
+    this.short = new Queue(rank);
+    this.long = new Queue(rank);
+    this.from = this.short;
+    for (const j of jobs) (isShort(j.spec, tuning) ? this.short : this.long).add(j);
+    this.short.sort();
+    this.long.sort();
   }
 
   private longsTurn(): boolean {
-    if (this.long.length === 0) return false;
-    return this.short.length === 0 || this.turn.sinceLong >= this.tuning.longEvery - 1;
+    if (this.long.isEmpty) return false;
+    return this.short.isEmpty || this.turn.sinceLong >= this.tuning.longEvery - 1;
   }
   /** The job to serve next; `served` and `skip` speak of it. */
   head(): T | undefined {
     this.from = this.longsTurn() ? this.long : this.short;
-    return this.from[0];
+    return (this.at = this.from.first());
   }
   /** Tasks of the head that may be served before the other queue has its turn. */
   most(): number {
-    if (this.from === this.long) return this.short.length === 0 ? Infinity : 1;
-    return this.long.length === 0 ? Infinity : Math.max(1, this.tuning.longEvery - 1 - this.turn.sinceLong);
+    if (this.from === this.long) return this.short.isEmpty ? Infinity : 1;
+    return this.long.isEmpty ? Infinity : Math.max(1, this.tuning.longEvery - 1 - this.turn.sinceLong);
   }
   /** `n` tasks of the head were served. */
   served(n: number): void {
@@ -83,6 +139,6 @@
   }
   /** The head can't go on in this round. */
   skip(): void {
-    this.from.shift();
+    if (this.at) this.from.drop(this.at);
   }
 }
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -4,7 +4,7 @@
 import type { JobSpec, MachineType, Standing, Tuning } from "./model.js";
 import { allowedOn, type Amounts, couldRun, fitCount, fits, goesWhole, offer, placeAsked, suits } from "./placement.js";
 import { isShort } from "./queues.js";
-import type { Sharing } from "./sharing.js";
+import type { Sharing } from "./limits/index.js";
 import { queueOf } from "./splitter.js";
 import { freeOn, type JobRun, take } from "./tasks.js";
 
--- a/src/coordination/room.ts
+++ b/src/coordination/room.ts
@@ -5,7 +5,7 @@
 import type { JobSpec } from "./model.js";
 import { EPS } from "./placement.js";
 import type { Renting } from "./renting.js";
-import type { Sharing } from "./sharing.js";
+import type { Sharing } from "./limits/index.js";
 import type { Handed } from "./splitter.js";
 import { freeOn } from "./tasks.js";
 
@@ -59,7 +59,7 @@
     const soldOut = renting.soldOut();
     // Nothing left of what is sold out goes without saying.
     const left = new Map([...renting.left()].filter(([what, n]) => n > 0 || !soldOut.includes(what)));
-    return { rows: [...rows.values()], queue, running, soldOut, left, wants: this.sharing.wants() };
+    return { rows: [...rows.values()], queue, running, soldOut, left, ...this.sharing.rows(), cut: false };
   }
 
   /** For splits: the room as it was a moment ago, and what splits have handed to the group since. */
@@ -78,10 +78,11 @@
     const rows = all.rows.sort((x, y) => y.machines - x.machines);
     const record: RoomRecord = { ...all, rows: rows.map((r) => ({ ...r, free: [], reserved: [] })), running: new Map() };
     const { soldOut, left, wants } = record;
+    const teams = (record.teams = new Map(all.teams));
     const most = this.ctx.settings.state.valueBytes;
     // With very many teams, types and zones these give way: hints first, then the rows of the fewest machines. A record
     // that does not fit would be refused for ever, and the group's room never known again.
-    const cut = [() => left.delete([...left.keys()].at(-1)!), () => soldOut.pop() !== undefined, () => wants.delete([...wants.keys()].at(-1)!), () => record.rows.pop() !== undefined];
+    const cut = [() => left.delete([...left.keys()].at(-1)!), () => soldOut.pop() !== undefined, () => wants.delete([...wants.keys()].at(-1)!), () => teams.delete([...teams.keys()].at(-1)!) && (record.cut = true), () => record.rows.pop() !== undefined];
     while (bytesOf(writeRoom(record)) > most && cut.some((one) => one()));
     let bytes = most - bytesOf(writeRoom(record));
     const fits = (entry: readonly unknown[]): boolean => {
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -25,7 +25,16 @@
 export const readyKey = (id: string, g: string): string => `lc/now/ready/${id}/${g}`;
 export const rosterKey = (g: string, chunk: number): string => `lc/now/roster/${g}/${chunk}`;
 export const roomKey = (g: string): string => `lc/now/room/${g}`;
+/**
+ * Parts of the teams' limits. The first record is the one that the version before knows; it reads any key below it as
+ * the same record, so teams that it has no room for are elsewhere.
+ */
 export const QUOTA_KEY = "lc/now/quota";
+export const limitKey = (n: number): string => `lc/now/limit/${n}`;
+/** Which limits a live controller goes by; ends with its hold. */
+export const beliefKey = (label: string): string => `lc/now/belief/${label}`;
+/** What controllers stop of teams that are beyond their guarantee, for teams that are not. */
+export const RECLAIM_KEY = "lc/now/reclaim";
 
 export type Key =
   | { kind: "group" | "claim" | "room"; group: string }
@@ -34,7 +43,8 @@
   | { kind: "roster"; group: string; chunk: number }
   | { kind: "gang"; id: string }
   | { kind: "ready"; id: string; group: string }
-  | { kind: "quota" };
+  | { kind: "limits" | "reclaim" }
+  | { kind: "belief"; label: string };
 
 export function parseKey(key: string): Key | null {
   const p = key.split("/");
@@ -57,7 +67,13 @@
     case "ready":
       return p.length === 5 ? { kind: "ready", id: p[3]!, group: p[4]! } : null;
     case "quota":
-      return { kind: "quota" };
+      return p.length === 3 ? { kind: "limits" } : null;
+    case "limit":
+      return p.length === 4 ? { kind: "limits" } : null;
+    case "reclaim":
+      return p.length === 3 ? { kind: "reclaim" } : null;
+    case "belief":
+      return p.length === 4 ? { kind: "belief", label: p[3]! } : null;
     default:
       return null;
   }
@@ -108,6 +124,24 @@
   /** Time of day since which the oldest such job waits. */
   since: number;
 }
+/** What a group uses and wants of one team; of pairs, CPUs and accelerators. */
+export interface TeamRow {
+  /** On machines, known to be there. */
+  use: [number, number];
+  /** The most that may be: after a takeover more than what is known. */
+  may: [number, number];
+  /** Beyond the group's part of the limit: for tasks that have a place at once, or waited for long. */
+  now: [number, number];
+  /** Time of day, in ms, since which the oldest of them waits; Infinity: there is none. */
+  nowSince: number;
+  /** For tasks whose place is yet to be rented. */
+  soon: [number, number];
+  soonSince: number;
+  /** The part that this is beyond. */
+  beyond: [number, number];
+  /** Waiting tasks within the group's part that have a place once others make it, in all. */
+  waits: [number, number];
+}
 export interface RoomRecord {
   rows: RoomRow[];
   /** Tasks waiting, by whether they need accelerators: these compete for different machines. */
@@ -120,6 +154,10 @@
   left: Map<string, number>;
   /** By team: more of its limit that the group could use. */
   wants: Map<string, Want>;
+  /** By team; null: an earlier version wrote it. */
+  teams: Map<string, TeamRow> | null;
+  /** Not all teams found room in the record. */
+  cut: boolean;
 }
 export interface RosterEntry {
   /** Marked for return: never used again. */
@@ -128,6 +166,7 @@
 }
 
 const pairs = v.array(v.tuple([v.number(), v.number()]));
+const many = (n: number): v.NumberSchema<undefined>[] => Array.from({ length: n }, () => v.number());
 const Group = v.object({ owner: v.string(), hold: v.number() });
 const Claim = v.object({ by: v.string(), token: v.number() });
 const Spec = v.object({
@@ -185,6 +224,9 @@
   out: v.array(v.string()),
   left: v.optional(v.array(v.tuple([v.string(), v.number()]))),
   want: v.array(v.tuple([v.string(), v.number(), v.number(), v.number()])),
+  // Name, use, may, now, its time, soon, its time, beyond, waits; the version before leaves it out and does not mind it.
+  team: v.optional(v.array(v.tuple([v.string(), ...many(14)]))),
+  cut: v.optional(v.boolean(), false),
 });
 /** Types are written once, machines refer to them by place. */
 const Roster = v.object({ t: v.array(v.string()), m: v.array(v.tuple([v.string(), v.number(), v.number()])) });
@@ -260,9 +302,24 @@
       soldOut: o.out,
       left: new Map(o.left),
       wants: new Map(o.want.map(([t, cpus, gpus, since]) => [t, { cpus, gpus, since }])),
+      teams: o.team ? new Map(o.team.map(([t, ...x]) => [t, teamRow(x)])) : null,
+      cut: o.cut,
     }
   );
 }
+const teamRow = (x: number[]): TeamRow => ({
+  use: [x[0]!, x[1]!],
+  may: [x[2]!, x[3]!],
+  now: [x[4]!, x[5]!],
+  nowSince: x[6]! || Infinity,
+  soon: [x[7]!, x[8]!],
+  soonSince: x[9]! || Infinity,
+  beyond: [x[10]!, x[11]!],
+  waits: [x[12]!, x[13]!],
+});
+/** A row as it is written: JSON knows no Infinity, 0 stands for no time. */
+export const teamValues = (r: TeamRow): number[] =>
+  [...r.use, ...r.may, ...r.now, Number.isFinite(r.nowSince) ? r.nowSince : 0, ...r.soon, Number.isFinite(r.soonSince) ? r.soonSince : 0, ...r.beyond, ...r.waits].map((x) => Math.round(x * 100) / 100);
 /** Room is written in tenths, rounded down. */
 export const tenth = (x: number): number => Math.floor(x * 10 + 1e-6) / 10;
 export const writeRoom = (r: RoomRecord): object => ({
@@ -279,6 +336,8 @@
   out: r.soldOut,
   left: [...r.left],
   want: [...r.wants].map(([t, w]) => [t, w.cpus, w.gpus, w.since]),
+  ...(r.teams ? { team: [...r.teams].map(([t, x]) => [t, ...teamValues(x)]) } : {}),
+  ...(r.cut ? { cut: true } : {}),
 });
 
 export function readRoster(value: unknown): Map<string, RosterEntry> | null {
@@ -293,3 +352,30 @@
 /** Team -> group -> [CPUs, GPUs] of the team's limit that the group may use. */
 export type Shares = Record<string, Record<string, [number, number]>>;
 export const readQuota = (value: unknown): Shares | null => read(Quota, value);
+
+const Belief = v.object({ limits: v.string() });
+export const readBelief = (value: unknown): string | null => read(Belief, value)?.limits ?? null;
+
+/** What one master has stopped, or is about to stop, so that a team gets its guarantee. */
+export interface Reclaim {
+  /** Token of the master: a claim of a former one ends with the machines that it stopped tasks on. */
+  token: number;
+  /** The team it is for, and how much of its deficit it takes up. */
+  team: string;
+  need: [cpus: number, gpus: number];
+  /** Of which teams how much is stopped. */
+  from: [team: string, cpus: number, gpus: number][];
+  /** Time of day, in ms, until which others count it. */
+  until: number;
+}
+const Reclaims = v.object({
+  by: v.record(v.string(), v.array(v.object({ t: v.number(), team: v.string(), n: v.tuple([v.number(), v.number()]), from: v.array(v.tuple([v.string(), v.number(), v.number()])), u: v.number() }))),
+});
+/** By group. */
+export function readReclaims(value: unknown): Map<string, Reclaim[]> | null {
+  const o = read(Reclaims, value);
+  return o && new Map(Object.entries(o.by).map(([g, list]) => [g, list.map((c) => ({ token: c.t, team: c.team, need: c.n, from: c.from, until: c.u }))]));
+}
+export const writeReclaims = (by: ReadonlyMap<string, readonly Reclaim[]>): object => ({
+  by: Object.fromEntries([...by].map(([g, list]) => [g, list.map((c) => ({ t: c.token, team: c.team, n: c.need, from: c.from, u: c.until }))])),
+});
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -11,7 +11,7 @@
 import { RangeSet } from "../src/coordination/ranges.js";
 import { Roster } from "../src/coordination/roster.js";
 import { Renting } from "../src/coordination/renting.js";
-import type { Sharing } from "../src/coordination/sharing.js";
+import type { Sharing } from "../src/coordination/limits/index.js";
 import { splitJob, wholeRoom } from "../src/coordination/splitter.js";
 import { type JobRun, newJobRun, type Worker } from "../src/coordination/tasks.js";
 import type { Write } from "../src/protocol/state.js";
@@ -167,6 +167,8 @@
   soldOut: [],
   left: new Map(),
   wants: new Map(),
+  teams: null,
+  cut: false,
   ...over,
 });
 
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { Holdings } from "../src/coordination/holdings.js";
 import { Ownership } from "../src/coordination/ownership.js";
-import { Sharing } from "../src/coordination/sharing.js";
+import { Sharing } from "../src/coordination/limits/index.js";
 import { freeOn } from "../src/coordination/tasks.js";
 import type { JobSpec } from "../src/coordination/model.js";
 import { largeJob, largeTroubles, randomJob, troubles, users } from "./sim/days.js";
