Work that only its limit keeps from starting is not moved any more; limits tested with changes

Shares were given 827 times.

Excluded: the giving of parts (6% of the changes) and the writing of rooms (as often as without limits).

Change: a task moves only where its team's limit lets it start, with what the giver does not use of it. Ghosts of late reports are not said to be in use beyond a part. Records of many teams are filled in one pass.

--- a/src/coordination/ledger.ts
+++ b/src/coordination/ledger.ts
@@ -60,6 +60,17 @@
   straysOf(job: string): ReadonlySet<Stray> {
     return this.strays.get(job) ?? NONE;
   }
+  /** What strays use of a team: some of them are ghosts of late reports, of tasks that run elsewhere by now. */
+  strayUse(team: string): Use {
+    const sum = { cpus: 0, gpus: 0 };
+    for (const of of this.strays.values())
+      for (const s of of)
+        if (s.need?.team === team) {
+          sum.cpus += s.need.cpus;
+          sum.gpus += s.need.gpus;
+        }
+    return sum;
+  }
   hasStrays(job: string, index?: number): boolean {
     for (const s of this.straysOf(job)) if (index === undefined || s.index === index) return true;
     return false;
--- a/src/coordination/limits/demand.ts
+++ b/src/coordination/limits/demand.ts
@@ -71,7 +71,9 @@
       const list = this.byTeam.get(spec.team) ?? [];
       this.byTeam.set(spec.team, list);
       const add = (tasks: number, now: boolean): void => {
-        if (tasks > 0) list.push({ need: [spec.cpus * tasks, spec.gpus * tasks], since: readyAt, now });
+        // Whole milliseconds, as they are published: two groups that saw the same time differently each took the other to be
+        // first, and neither took what nobody had.
+        if (tasks > 0) list.push({ need: [spec.cpus * tasks, spec.gpus * tasks], since: Math.round(readyAt), now });
       };
       const whole = goesWhole(spec) || spec.shape === "daemon";
       const fit = whole && kind.places < all ? 0 : Math.min(all, kind.places);
--- a/src/coordination/limits/guarantees.ts
+++ b/src/coordination/limits/guarantees.ts
@@ -20,8 +20,8 @@
 
 /** Sums are made anew no more often than this. */
 const SUM_MS = 200;
-/** A copy of the records older than this judges nobody. */
-export const STALE_MS = 3_000;
+/** A copy of the records older than this judges nobody: a watch that shows nothing is renewed every 2 s. */
+export const STALE_MS = 6_000;
 
 /**
  * Teams' use of the whole fleet, as each group publishes it with its room, at most 0.7 s after it changed, and the own
--- a/src/coordination/limits/plan.ts
+++ b/src/coordination/limits/plan.ts
@@ -79,16 +79,10 @@
     if (next) changed.set(team.name, next);
   }
   // What does not fit into one transaction waits for the next.
-  while (changed.size > 0) {
-    const writes = withEntries(s.records, changed, s.valueBytes, s.writes);
-    if (writes) return { ...plan, writes };
-    const last = [...changed.keys()].at(-1)!;
-    changed.delete(last);
-    plan.reserved.delete(last);
-    plan.given = plan.given.filter((g) => g.team !== last);
-    plan.caps = plan.caps.filter((t) => t !== last);
-  }
-  return null;
+  const { writes, done } = withEntries(s.records, changed, s.valueBytes, s.writes);
+  if (done.size === 0) return null;
+  for (const team of plan.reserved.keys()) if (!done.has(team)) plan.reserved.delete(team);
+  return { ...plan, writes, given: plan.given.filter((g) => done.has(g.team)), caps: plan.caps.filter((t) => done.has(t)) };
 }
 
 function planTeam(s: Situation, team: Team, had: Entry, plan: Plan): NewEntry | null {
--- a/src/coordination/limits/shares.ts
+++ b/src/coordination/limits/shares.ts
@@ -95,32 +95,51 @@
 }
 
 /**
- * The records with some entries written anew, each value within `most` bytes: what has no room in its record goes to
- * the next one that has. Null: it would take more than `writes` records at once.
+ * The records with some entries written anew, each value within `most` bytes: what has no room in its record goes to the
+ * next one that has. `done`: teams that it holds; the others would take more than `writes` records at once.
  */
-export function withEntries(records: LimitRecords, changed: ReadonlyMap<string, NewEntry>, most: number, writes: number): Map<string, Shares> | null {
-  const out = new Map<string, Shares>();
-  const get = (key: string): Shares => out.get(key) ?? records.get(key)?.shares ?? {};
-  const put = (key: string, team: string, e: NewEntry): boolean => {
-    const had = get(key);
-    const caps = { ...had[CAPS], [team]: e.cap.map((x) => (x === Infinity ? 0 : x)) as Pair };
-    const value = { ...had, [CAPS]: caps, [team]: e.parts };
-    if (bytesOf(value) > most) return false;
-    out.set(key, value);
-    return true;
+export function withEntries(records: LimitRecords, changed: ReadonlyMap<string, NewEntry>, most: number, writes: number): { writes: Map<string, Shares>; done: Set<string> } {
+  const out = new Map<string, { value: Shares; bytes: number }>();
+  const done = new Set<string>();
+  const open = (key: string): { value: Shares; bytes: number } => {
+    const had = records.get(key)?.shares ?? {};
+    const value: Shares = { ...had, [CAPS]: { ...had[CAPS] } };
+    return out.get(key) ?? { value, bytes: bytesOf(value) };
   };
+  const cost = (team: string, parts: object, cap: object): number => bytesOf({ [team]: parts }) + bytesOf({ [team]: cap }) - 2;
   for (const [team, e] of changed) {
+    const cap = e.cap.map((x) => (x === Infinity ? 0 : x)) as Pair;
+    const need = cost(team, e.parts, cap);
     const at = entryOf(records, team)?.key;
-    if (at !== undefined && put(at, team, e)) continue;
-    if (at !== undefined) {
-      const { [team]: _, ...rest } = get(at);
-      const { [team]: __, ...caps } = rest[CAPS] ?? {};
-      out.set(at, { ...rest, [CAPS]: caps });
+    const keys = at === undefined ? [] : [at];
+    // Where it is, else the first record with room.
+    for (let n = -1; n < records.size + changed.size; n++) {
+      const key = n < 0 ? QUOTA_KEY : limitKey(n);
+      if (key !== at) keys.push(key);
+    }
+    for (const key of keys) {
+      const r = open(key);
+      const had = r.value[team];
+      const bytes = r.bytes + need - (had ? cost(team, had, r.value[CAPS]![team] ?? [0, 0]) : 0);
+      if (bytes > most) continue;
+      // Moving to another record is a change of both.
+      const fresh = [key, ...(at === undefined ? [] : [at])].filter((k) => !out.has(k)).length;
+      if (out.size + (key === at ? Number(!out.has(key)) : fresh) > writes) break;
+      r.value[team] = e.parts;
+      r.value[CAPS]![team] = cap;
+      out.set(key, { value: r.value, bytes });
+      if (at !== undefined && at !== key) {
+        const from = open(at);
+        from.bytes -= cost(team, from.value[team]!, from.value[CAPS]![team] ?? [0, 0]);
+        delete from.value[team];
+        delete from.value[CAPS]![team];
+        out.set(at, from);
+      }
+      done.add(team);
+      break;
     }
-    let n = 0;
-    for (let key = QUOTA_KEY; key === at || !put(key, team, e); key = limitKey(n++)) if (bytesOf({ [CAPS]: { [team]: e.cap }, [team]: e.parts }) > most) return null;
   }
-  return out.size > writes ? null : out;
+  return { writes: new Map([...out].map(([key, r]) => [key, r.value])), done };
 }
 
 export const withinShare = (used: { cpus: number; gpus: number }, need: { cpus: number; gpus: number }, share: Readonly<Pair>): boolean =>
--- a/src/coordination/limits/sharing.ts
+++ b/src/coordination/limits/sharing.ts
@@ -9,12 +9,12 @@
 import { EPS } from "../placement.js";
 import { Waits } from "./demand.js";
 import { type Demand, planShares, type Situation } from "./plan.js";
-import { CAPS, type Entry, entryOf, hundredthUp, mayUse, type Pair } from "./shares.js";
+import { CAPS, DIMS, type Entry, entryOf, hundredthUp, mayUse, type Pair } from "./shares.js";
 
 /** Parts are given no more often than this: what comes together goes together. */
 const GIVE_GAP_MS = 600;
-/** The copy of the records must be this fresh for a group's absence to count. */
-const FRESH_MS = 3_000;
+/** The copy of the records must be this fresh for a group's absence to count: a watch that shows nothing is renewed every 2 s. */
+const FRESH_MS = 6_000;
 const LEASE_SLACK_MS = 2_000;
 
 /** What a plan's commit depends on and says. */
@@ -95,6 +95,13 @@
     return out;
   }
 
+  /** What another group has of a team's limit and does not use, as far as it is known; Infinity: no limit, or it can't be judged. */
+  spareAt(group: string, team: string): Pair {
+    const e = this.entry(team);
+    const rows = this.ctx.mirror.rooms.get(group)?.teams;
+    return DIMS.map((d) => (!e || !rows || e.cap[d] === Infinity ? Infinity : Math.max(0, (e.parts[group]?.[d] ?? 0) - (rows.get(team)?.use[d] ?? 0)))) as Pair;
+  }
+
   /** By team: what this group could use beyond its part. */
   private demands(use: (team: string) => Pair): Map<string, Demand> {
     const out = new Map<string, Demand>();
@@ -211,7 +218,12 @@
       valueBytes: settings.state.valueBytes,
       writes: Math.min(3, settings.state.txnOps),
       use,
-      known: (team) => known && [known.get(team)?.cpus ?? 0, known.get(team)?.gpus ?? 0],
+      known: (team) => {
+        if (!known) return null;
+        const strays = this.own.ledger.strayUse(team);
+        const u = known.get(team) ?? strays;
+        return [u.cpus - strays.cpus, u.gpus - strays.gpus];
+      },
       mine: this.demands(use),
       others: this.others(),
       keep: (team, since, group, now) => this.keep(team, since, group, now),
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -40,7 +40,7 @@
     this.sharing = new Sharing(ctx, own, (spec) => this.fleet.renting.hasPlace(spec));
     this.fleet = new Fleet(ctx, own, this.sharing);
     const { renting } = this.fleet;
-    this.moves = new Moves(ctx, own, renting);
+    this.moves = new Moves(ctx, own, renting, this.sharing);
     this.guarantees = new Guarantees(ctx, own);
     this.reclaims = new Reclaims(ctx, own, this.guarantees);
     this.placing = new Placing(ctx, own, this.sharing, this.guarantees, new Preemption(ctx, own, this.sharing, renting, this.reclaims));
--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -3,8 +3,10 @@
 import { Urgent } from "./effects.js";
 import { Handover } from "./handover.js";
 import type { Holdings } from "./holdings.js";
+import type { Use } from "./ledger.js";
+import type { Sharing } from "./limits/index.js";
 import type { JobSpec } from "./model.js";
-import { goesWhole } from "./placement.js";
+import { fitCount, goesWhole } from "./placement.js";
 import { isShort } from "./queues.js";
 import { RangeSet } from "./ranges.js";
 import type { Renting } from "./renting.js";
@@ -22,6 +24,7 @@
     private readonly ctx: Context,
     private readonly own: Holdings,
     private readonly renting: Renting,
+    private readonly sharing: Sharing,
   ) {}
 
   /**
@@ -36,6 +39,7 @@
     if (waiting.length === 0) return;
     const own = this.own.queue();
     const rooms = this.ctx.mirror.rooms;
+    const headroom = this.sharing.headroom();
     for (const job of waiting) {
       const spec = job.view.spec;
       const kind = queueOf(spec);
@@ -51,7 +55,8 @@
         const handed = this.ctx.handed.get(g);
         // What waits there does not fit, or the room would not be free, and what it holds is not written as free.
         const fit = whole ? wholeRoom(spec, this.zonesFor(spec, g), r, this.ctx.catalog ?? [], short, handed).now : roomLeft(spec, r, this.ctx.catalog ?? [], short, handed);
-        if (fit >= (whole ? spec.tasks : 1) && (!best || fit > best.fit)) best = { g, fit };
+        const n = Math.min(fit, this.allowed(spec, g, headroom.get(spec.team)));
+        if (n >= (whole ? spec.tasks : 1) && (!best || n > best.fit)) best = { g, fit: n };
       }
       // Nothing free anywhere and nothing more to be had here: a group with an empty queue that may still rent.
       if (!best && this.ctx.catalog && this.ctx.nowMs - job.waitingSinceMs > 2 * MOVE_AFTER_MS && this.renting.exhausted(spec))
@@ -59,7 +64,9 @@
           const r = rooms.get(c.group);
           if (c.group === this.own.group || !r || r.queue[kind] > 0 || this.ctx.handed.has(c.group) || !canRent(spec, c.zones, r, this.ctx.catalog)) continue;
           if (whole && wholeRoom(spec, c.zones, r, this.ctx.catalog, short).soon < spec.tasks) continue;
-          best = { g: c.group, fit: whole ? spec.tasks : Math.ceil(job.waiting.size / 2) };
+          const n = Math.min(this.allowed(spec, c.group, headroom.get(spec.team)), whole ? spec.tasks : Math.ceil(job.waiting.size / 2));
+          if (n < (whole ? spec.tasks : 1)) continue;
+          best = { g: c.group, fit: n };
           break;
         }
       if (!best) continue;
@@ -67,11 +74,33 @@
       const movable = whole ? spec.tasks : job.waiting.size - this.renting.comingFor(spec);
       if (movable <= 0) continue;
       best.fit = Math.min(best.fit, movable);
+      const mine = headroom.get(spec.team);
+      if (mine) {
+        mine.cpus -= spec.cpus * Math.min(best.fit, job.waiting.size);
+        mine.gpus -= spec.gpus * Math.min(best.fit, job.waiting.size);
+      }
       this.ctx.noteHanded(best.g, spec, Math.min(best.fit, job.waiting.size));
       this.move(job, job.waiting.take(whole ? spec.tasks : best.fit), best.g);
     }
   }
 
+  /**
+   * Tasks that the team's limit would let start there, with what this group does not use of it itself: that follows them.
+   * Work that only its limit keeps from starting went from group to group, each having machines free and none a part of
+   * the limit: 7,600 moves in 500 s on a day with limits of a quarter of what was asked.
+   */
+  private allowed(spec: JobSpec, group: string, here: Use | undefined): number {
+    const there = this.sharing.spareAt(group, spec.team);
+    let cpus = there[0] + Math.max(0, here?.cpus ?? 0);
+    let gpus = there[1] + Math.max(0, here?.gpus ?? 0);
+    for (const h of this.ctx.handed.get(group) ?? [])
+      if (h.spec.team === spec.team) {
+        cpus -= h.spec.cpus * h.tasks;
+        gpus -= h.spec.gpus * h.tasks;
+      }
+    return cpus === Infinity && gpus === Infinity ? Infinity : fitCount({ cpus: spec.cpus, gpus: spec.gpus, memGb: 0 }, { cpus, gpus, memGb: 0 });
+  }
+
   private zonesFor(spec: JobSpec, group: string): string[] {
     return capableGroups(spec, this.ctx.catalog ?? [], this.ctx.groups).find((c) => c.group === group)?.zones ?? [];
   }
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -34,7 +34,7 @@
       }
       if (o.job === job) zones.set(o.w.zone, (zones.get(o.w.zone) ?? 0) + 1);
     }
-    const team = this.world.settings.teams.get(spec.team)!;
+    const team = (this.world.teamLimits ?? this.world.settings.teams).get(spec.team)!;
     if (used.cpus > team.cpusMax + 1e-6 || used.gpus > team.gpusMax + 1e-6) this.fail("quota", `${spec.team} uses ${used.cpus} CPUs, ${used.gpus} GPUs`);
     if ((spec.types && !spec.types.includes(w.type.name)) || (spec.zone && spec.zone !== w.zone) || (w.spot && !spec.spot)) this.fail("wrong_place", `${job}/${index} on ${w.id}`);
     if (spec.samePlace && zones.size > 1) this.fail("wrong_place", `samePlace: ${job} in ${[...zones.keys()].join()}`);
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -440,7 +440,7 @@
   readonly awaits = new Map<string, readonly string[]>();
   readonly results = new Set<string>();
   readonly polled = new Set<string>();
-  readonly names: string[];
+  names: string[];
   /** Zones of the controllers, in the order of their names. */
   private readonly areas: string[];
   readonly zones = ["east", "mid", "west", "attic"];
@@ -454,6 +454,8 @@
   /** The limits that the state service will have once they fell; the present version keeps within them all the time. */
   readonly nextLimits = { valueBytes: 2048, txnOps: 4 };
   limitsFell = false;
+  /** The teams' limits that the rule goes by: those of the settings, but while operators change them. */
+  teamLimits: Settings["teams"] | null = null;
   /** Controllers that still run the version in production. */
   readonly old = new Set<string>();
   /** Looks at a controller after each of its steps. */
@@ -475,8 +477,8 @@
     old: readonly string[] = [],
     controllers = 3,
   ) {
-    this.names = ["node-a", "node-b", "node-c", "node-d", "node-e"].slice(0, controllers);
-    this.areas = ["east", "mid", "west", "east", "attic"].slice(0, controllers);
+    this.names = ["node-a", "node-b", "node-c", "node-d", "node-e", "node-f", "node-g"].slice(0, controllers);
+    this.areas = ["east", "mid", "west", "east", "attic", "mid", "west"].slice(0, controllers);
     for (const name of old) this.old.add(name);
     this.rng = new Rng(seed);
     this.settings = {
@@ -586,6 +588,11 @@
     };
     peers();
   }
+  /** From here on controllers that start are told of these controllers and teams. */
+  reconfigure(names: string[], teams: Settings["teams"]): void {
+    this.names = names;
+    this.settings.teams = teams;
+  }
   crash(name: string): void {
     this.nodes.set(name, null);
   }
