--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -17,6 +17,7 @@
   bootPatience: 3.5,
   directOrders: true,
   guaranteeOrder: true,
+  fleetOrder: true,
   dividedLimits: false,
   tellEnds: false,
 };
@@ -42,6 +43,7 @@
   optional bool metrics = 21;
   optional bool guarantee_order = 22;
   optional bool divided_limits = 23;
+  optional bool fleet_order = 24;
 }
 message Hooks {
   message Key {
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -5,7 +5,7 @@
 import type { CommitEnd, Context } from "./context.js";
 import { type Answer, OWN_LIMIT, type CloudCall, type CloudReply, type CommandReply, type Effect, type Input, type Level, Urgent } from "./effects.js";
 import { Groups } from "./groups.js";
-import { Beliefs } from "./limits/index.js";
+import { Beliefs, type Pair } from "./limits/index.js";
 import { Master } from "./master.js";
 import { Mirror, type Seen } from "./mirror.js";
 import type { JobSpec, MachineType, Order, Report, Tuning } from "./model.js";
@@ -14,6 +14,26 @@
 import type { Handed } from "./splitter.js";
 import { Users, WITHDRAW_TRIES } from "./users.js";
 
+/** One team in one group. */
+export interface TeamFigures {
+  team: string;
+  group: string;
+  /** Infinity: none. */
+  limit: Pair;
+  guarantee: Pair;
+  /** Part of the limit that the group may use. */
+  share: Pair;
+  used: Pair;
+  /** Waiting work that has a place, now or to be rented. */
+  waiting: Pair;
+  /** Of that, what the team is promised and does not have. */
+  deficit: Pair;
+  /** Part of the limit on its way to other groups. */
+  inFlight: Pair;
+  /** Stopped of others for this team since this controller took the group. */
+  reclaimed: Pair;
+}
+
 /**
  * The whole of one controller without its sockets and clocks: takes inputs, returns effects. Everything that
  * several controllers must agree on goes through conditional commits at the state service.
@@ -225,6 +245,33 @@
     return f;
   }
 
+  /** How teams stand in the groups whose master this controller is; amounts in CPUs and accelerators. */
+  get teamFigures(): TeamFigures[] {
+    const out: TeamFigures[] = [];
+    for (const m of this.masters.values()) {
+      const used = m.own.usage();
+      for (const t of this.settings.teams.values()) {
+        const own = used.get(t.name) ?? { cpus: 0, gpus: 0 };
+        const known = m.own.ledger.used().get(t.name) ?? { cpus: 0, gpus: 0 };
+        const waiting = m.sharing.waiting(t.name);
+        const lacks = m.guarantees.lacks(t.name, own) ?? [0, 0];
+        out.push({
+          team: t.name,
+          group: m.group,
+          limit: [t.cpusMax, t.gpusMax],
+          guarantee: [t.cpus, t.gpus],
+          share: m.sharing.share(t.name),
+          used: [known.cpus, known.gpus],
+          waiting,
+          deficit: [Math.max(0, Math.min(waiting[0], lacks[0])), Math.max(0, Math.min(waiting[1], lacks[1]))],
+          inFlight: m.sharing.inFlight(t.name),
+          reclaimed: m.reclaims.reclaimed.get(t.name) ?? [0, 0],
+        });
+      }
+    }
+    return out;
+  }
+
   /** A master exists exactly while the mirror shows its token as this controller's. */
   private checkMasters(): void {
     for (const [group, m] of this.masters) {
--- a/src/coordination/holdings.ts
+++ b/src/coordination/holdings.ts
@@ -107,6 +107,16 @@
     return n;
   }
 
+  /**
+   * Tasks that a job stands back by in the queues: those of an array that are unfinished anywhere in the fleet. By its own
+   * waiting part alone, each group served another array first, and with little to share all had begun and few ended.
+   */
+  unfinished(job: JobRun): number {
+    const { spec } = job.view;
+    if (spec.shape !== "batch" || !this.ctx.tuning.fleetOrder) return job.waiting.size;
+    return Math.max(job.waiting.size, spec.tasks - this.ctx.mirror.finishedCount(job.id));
+  }
+
   /** Tasks that wait, by kind of machine. */
   queue(): { plain: number; accelerated: number } {
     const queue = { plain: 0, accelerated: 0 };
--- a/src/coordination/limits/demand.ts
+++ b/src/coordination/limits/demand.ts
@@ -2,16 +2,18 @@
 import type { Holdings } from "../holdings.js";
 import type { JobSpec } from "../model.js";
 import { allowedOn, fitCount, goesWhole, suits } from "../placement.js";
-import { isShort } from "../queues.js";
-import { freeOn } from "../tasks.js";
+import { isShort, turnAt } from "../queues.js";
+import { freeOn, type JobRun } from "../tasks.js";
 import type { Pair } from "./shares.js";
 
 /** Tasks of one job that wait for a part of a limit. */
 export interface Waiting {
   /** What they take together. */
   need: Pair;
-  /** Time of day, in ms, since which they could run. */
+  /** Whose turn it is, as the queues have it: a time of day, in ms. */
   since: number;
+  /** Time of day, in ms, since which they could run. */
+  readyAt: number;
   /** They have a place at once, or have waited for so long that they count as if they had. */
   now: boolean;
 }
@@ -42,7 +44,7 @@
     private readonly hasPlace: (spec: JobSpec) => boolean,
   ) {}
 
-  /** Oldest first. */
+  /** In the order of their turns. */
   of(team: string): readonly Waiting[] {
     if (this.ctx.nowMs - this.lookedMs >= LOOK_MS) this.look();
     return this.byTeam.get(team) ?? [];
@@ -51,7 +53,9 @@
   private look(): void {
     this.lookedMs = this.ctx.nowMs;
     this.byTeam = new Map();
-    const jobs = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j) && !j.moving).sort((a, b) => a.view.readyAt - b.view.readyAt || (a.id < b.id ? -1 : 1));
+    // Parts of a limit go where the queues go, in every group: the one that could start what comes first next.
+    const turn = (j: JobRun): number => (this.ctx.tuning.fleetOrder ? turnAt(j.view.readyAt, j.view.spec, this.own.unfinished(j)) : j.view.readyAt);
+    const jobs = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j) && !j.moving).sort((a, b) => turn(a) - turn(b) || (a.id < b.id ? -1 : 1));
     const kinds = new Map<string, { has: boolean; places: number }>();
     const seen = new Map<string, number>();
     for (const j of jobs) {
@@ -73,7 +77,7 @@
       const add = (tasks: number, now: boolean): void => {
         // Whole milliseconds, as they are published: two groups that saw the same time differently each took the other to be
         // first, and neither took what nobody had.
-        if (tasks > 0) list.push({ need: [spec.cpus * tasks, spec.gpus * tasks], since: Math.round(readyAt), now });
+        if (tasks > 0) list.push({ need: [spec.cpus * tasks, spec.gpus * tasks], since: Math.round(turn(j)), readyAt, now });
       };
       const whole = goesWhole(spec) || spec.shape === "daemon";
       const fit = whole && kind.places < all ? 0 : Math.min(all, kind.places);
--- a/src/coordination/limits/index.ts
+++ b/src/coordination/limits/index.ts
@@ -3,4 +3,5 @@
 export { Guarantees } from "./guarantees.js";
 export { Reclaims } from "./reclaims.js";
 export { Sharing } from "./sharing.js";
+export { Shortfall } from "./shortfall.js";
 export { type Pair, withinShare } from "./shares.js";
--- a/src/coordination/limits/sharing.ts
+++ b/src/coordination/limits/sharing.ts
@@ -67,6 +67,16 @@
     return r && !this.settled() ? [cpus - r[0], gpus - r[1]] : [cpus, gpus];
   }
 
+  /** On its way to other groups, of a team: CPUs and accelerators. */
+  inFlight(team: string): Pair {
+    const r = this.settled() ? undefined : this.changing?.reserved.get(team);
+    return r ? [r[0], r[1]] : [0, 0];
+  }
+  /** What waits here of a team and has a place, now or to be rented. */
+  waiting(team: string): Pair {
+    return this.waits.of(team).reduce<Pair>((s, w) => [s[0] + w.need[0], s[1] + w.need[1]], [0, 0]);
+  }
+
   /** The record shows how the last change ended. */
   private settled(): boolean {
     return this.changing !== null && this.changing.change.base.records.some(([key, version]) => this.versionOf(key) !== version);
@@ -144,13 +154,12 @@
     for (const t of this.ctx.settings.teams.values()) {
       const d = this.demand(t.name, use(t.name));
       const k = known.get(t.name) ?? { cpus: 0, gpus: 0 };
-      const waits: Pair = [0, 0];
-      for (const w of this.waits.of(t.name)) for (const i of [0, 1] as const) waits[i] += w.need[i];
+      const waits = this.waiting(t.name);
       const may = this.own.fenced ? this.bounded(t, use(t.name)) : ([k.cpus, k.gpus] as Pair);
       if (!d && k.cpus <= EPS && k.gpus <= EPS && may[0] <= EPS && may[1] <= EPS && waits[0] <= EPS && waits[1] <= EPS) continue;
       const finite = (p: Pair): Pair => [Number.isFinite(p[0]) ? p[0] : 0, Number.isFinite(p[1]) ? p[1] : 0];
       teams.set(t.name, { use: [k.cpus, k.gpus], may, now: d?.now ?? [0, 0], nowSince: d?.nowSince ?? Infinity, soon: d?.soon ?? [0, 0], soonSince: d?.soonSince ?? Infinity, beyond: finite(d?.beyond ?? [0, 0]), waits });
-      if (d) wants.set(t.name, { cpus: d.now[0] + d.soon[0], gpus: d.now[1] + d.soon[1], since: Math.min(d.nowSince, d.soonSince) });
+      if (d) wants.set(t.name, { cpus: d.now[0] + d.soon[0], gpus: d.now[1] + d.soon[1], since: this.waits.of(t.name).reduce((n, w) => Math.min(n, w.readyAt), Infinity) });
     }
     return { teams, wants };
   }
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -3,7 +3,7 @@
 import { Finishing } from "./finishing.js";
 import { Fleet } from "./fleet.js";
 import { Holdings } from "./holdings.js";
-import { Guarantees, Reclaims, Sharing } from "./limits/index.js";
+import { Guarantees, Reclaims, Sharing, Shortfall } from "./limits/index.js";
 import type { JobView } from "./mirror.js";
 import { type Cause, type Order, type Report, type ReportedTask, taskKey } from "./model.js";
 import { Moves } from "./moves.js";
@@ -25,6 +25,7 @@
   readonly guarantees: Guarantees;
   readonly reclaims: Reclaims;
   private readonly moves: Moves;
+  private readonly shortfall: Shortfall;
   private readonly placing: Placing;
   private readonly finishing: Finishing;
   readonly room: Room;
@@ -38,11 +39,12 @@
     const own = new Holdings(ctx, group, token, permitted);
     this.own = own;
     this.sharing = new Sharing(ctx, own, (spec) => this.fleet.renting.hasPlace(spec));
+    this.guarantees = new Guarantees(ctx, own);
     this.fleet = new Fleet(ctx, own, this.sharing);
     const { renting } = this.fleet;
     this.moves = new Moves(ctx, own, renting, this.sharing);
-    this.guarantees = new Guarantees(ctx, own);
     this.reclaims = new Reclaims(ctx, own, this.guarantees);
+    this.shortfall = new Shortfall(ctx, own, this.sharing, this.guarantees, this.reclaims, (spec) => renting.exhausted(spec));
     this.placing = new Placing(ctx, own, this.sharing, this.guarantees, new Preemption(ctx, own, this.sharing, renting, this.reclaims));
     this.finishing = new Finishing(ctx, own);
     this.room = new Room(ctx, own, this.sharing, renting);
@@ -352,6 +354,7 @@
     if (this.own.permitted()) {
       this.moves.tick();
       this.sharing.tick(agreed);
+      this.shortfall.tick();
       this.fleet.tick();
       this.room.writeIfChanged();
     }
--- a/src/coordination/mirror.ts
+++ b/src/coordination/mirror.ts
@@ -83,6 +83,11 @@
   finished(id: string): ReadonlyMap<string, RangeSet> {
     return this.fins.get(id) ?? new Map<string, RangeSet>();
   }
+  /** Tasks of a job that are written as finished, in all groups. */
+  finishedCount(id: string): number {
+    return this.finCounts.get(id) ?? 0;
+  }
+  private readonly finCounts = new Map<string, number>();
   gang(id: string): GangView {
     return this.gangs.get(id) ?? NO_GANG;
   }
@@ -192,7 +197,9 @@
         let byGroup = this.fins.get(k.id);
         if (!byGroup) this.fins.set(k.id, (byGroup = new Map()));
         const set = byGroup.get(k.group) ?? RangeSet.empty();
+        const had = set.size;
         set.addAll(r);
+        this.finCounts.set(k.id, this.finishedCount(k.id) + set.size - had);
         byGroup.set(k.group, set);
         this.noteSide(k.id, key);
         return [{ kind: "fin", id: k.id }];
@@ -274,6 +281,7 @@
         if (keys?.size === 0) {
           this.sides.delete(k.id);
           this.fins.delete(k.id);
+          this.finCounts.delete(k.id);
           this.gangs.delete(k.id);
         }
         return [];
--- a/src/coordination/model.ts
+++ b/src/coordination/model.ts
@@ -112,6 +112,8 @@
   directOrders: boolean;
   /** At equal urgency teams within their guarantee come first, then those with the smaller share of it. */
   guaranteeOrder: boolean;
+  /** An array stands back by its unfinished tasks in the whole fleet, and parts of limits follow that order. */
+  fleetOrder: boolean;
   /** Limits of teams that the first record has no room for move between groups: only once no controller of 0.1 can come back. */
   dividedLimits: boolean;
   /** Final records hold what hooks need, and changes are passed on to those who follow them. */
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -63,7 +63,7 @@
       ready.map((j) => ({
         spec: j.view.spec,
         standing: j.view,
-        tasks: j.waiting.size,
+        tasks: this.own.unfinished(j),
         late: isLate(j.view.spec, j.view, this.ctx.wallMs, this.ctx.settings.objectives),
         job: j,
       })),
--- a/src/coordination/queues.ts
+++ b/src/coordination/queues.ts
@@ -4,7 +4,7 @@
 export interface Queued {
   spec: JobSpec;
   standing: Pick<Standing, "urgency" | "readyAt">;
-  /** Waiting tasks. */
+  /** Tasks that it stands back by: see `Holdings.unfinished`. */
   tasks: number;
   /** It can't be done any more by the time that is expected of it; others still can. */
   late: boolean;
@@ -29,7 +29,9 @@
   if (a.late !== b.late) return a.late ? 1 : -1;
   return turnMs(a) - turnMs(b) || (a.spec.id < b.spec.id ? -1 : 1);
 }
-const turnMs = (q: Queued): number => q.standing.readyAt + q.spec.estimateS * q.tasks * 1000;
+const turnMs = (q: Queued): number => turnAt(q.standing.readyAt, q.spec, q.tasks);
+/** Whose turn it is, as a time of day in ms: age, less the work that is still to be done. */
+export const turnAt = (readyAt: number, spec: JobSpec, tasks: number): number => readyAt + spec.estimateS * tasks * 1000;
 
 /** Nothing is put back for being late for longer than this. */
 const LATE_FOR_MS = 600_000;
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -71,6 +71,9 @@
   get permit(): { hold: number | null; untilMs: number } {
     return this.core.permit;
   }
+  get teamFigures(): Controller["teamFigures"] {
+    return this.core.teamFigures;
+  }
   get figures(): Controller["figures"] {
     return this.core.figures;
   }
--- a/src/extras.ts
+++ b/src/extras.ts
@@ -5,6 +5,7 @@
 /** Adds what the operators' file turns on to a controller that does not run yet. `file`: where its settings come from. */
 export async function turnOn(daemon: Daemon, settings: Settings, operator: Operator, file: string, version: string): Promise<void> {
   const metrics = operator.metrics ? new (await import("./metrics/index.js")).Metrics(() => daemon.figures, () => daemon.permit.untilMs - performance.now()) : null;
+  metrics?.watchTeams(() => daemon.teamFigures);
   if (metrics) daemon.add(metrics);
   if (!operator.hooks) return;
   const { Hooks } = await import("./hooks/index.js");
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -1,7 +1,7 @@
 /** The door of metrics: GET /metrics in the Prometheus text format, for the whole service. Loaded only when turned on. */
 import { Hono } from "hono";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { Controller } from "../coordination/controller.js";
+import type { Controller, TeamFigures } from "../coordination/controller.js";
 import type { HookCore } from "../hooks/core.js";
 
 const CALL_BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
@@ -53,6 +53,32 @@
     });
   }
 
+  /** By team, group and kind of resource; read whenever it is asked for. */
+  watchTeams(figures: () => TeamFigures[]): void {
+    const labelNames = ["team", "group", "resource"];
+    const helps: [keyof TeamFigures & ("limit" | "guarantee" | "share" | "used" | "waiting" | "deficit" | "inFlight" | "reclaimed"), string, string][] = [
+      ["limit", "limit", "The team's limit over all groups; absent: none"],
+      ["guarantee", "guarantee", "What the team is guaranteed over all groups"],
+      ["share", "share", "Part of the limit that the group may use"],
+      ["used", "used", "What its tasks have on machines of the group"],
+      ["waiting", "waiting", "What its waiting tasks ask for that have a place, now or to be rented"],
+      ["deficit", "deficit", "Of that, what it is guaranteed and does not have"],
+      ["inFlight", "share_in_flight", "Part of the limit on its way to other groups"],
+      ["reclaimed", "reclaimed", "Stopped of other teams for its guarantee since this controller took the group"],
+    ];
+    for (const [field, name, help] of helps)
+      new Gauge({
+        name: `linencove_team_${name}`,
+        help: `${help}, in CPUs or accelerators`,
+        labelNames,
+        registers: [this.registry],
+        collect() {
+          this.reset();
+          for (const f of figures()) for (const [i, resource] of (["cpus", "accelerators"] as const).entries()) if (Number.isFinite(f[field][i]!)) this.set({ team: f.team, group: f.group, resource }, f[field][i]!);
+        },
+      });
+  }
+
   watchHooks(figures: () => HookCore["figures"]): void {
     const gauge = (name: string, help: string, value: (f: HookCore["figures"]) => number): void => this.gauge(`hook_${name}`, help, () => value(figures()));
     gauge("owned", "Hooks that this controller sends for", (f) => f.owned);
--- a/test/hooks-sending.test.ts
+++ b/test/hooks-sending.test.ts
@@ -83,6 +83,7 @@
     const metrics = await d.text("/metrics");
     assert.match(metrics, /linencove_hook_notifications_total\{outcome="delivered"\} 3/);
     assert.match(metrics, /linencove_hook_notifications_total\{outcome="dead"\} 1/);
+    for (const name of ["limit", "guarantee", "share", "used", "waiting", "deficit", "share_in_flight", "reclaimed"]) assert.match(metrics, new RegExp(`linencove_team_${name}\\{team="red",group="[^"]+",resource="cpus"\\} \\d`));
     assert.match(metrics, /linencove_events_total\{event="job accepted"\} 2/);
     assert.match(metrics, /linencove_calls_total\{service="state",op="commit",outcome="committed"\} \d+/);
     assert.equal((await cli("remove", "a")).code, 0);
--- a/test/hooks/processes.ts
+++ b/test/hooks/processes.ts
@@ -16,7 +16,7 @@
 /** Real controllers on loopback, against stand-ins for the state service, the cloud and the receivers of hooks. */
 
 const portOf = (s: net.Server): number => (s.address() as AddressInfo).port;
-const listen = (s: http.Server): Promise<http.Server> => new Promise((r) => s.listen(0, "127.0.0.1", () => r(s)));
+export const listen = (s: http.Server): Promise<http.Server> => new Promise((r) => s.listen(0, "127.0.0.1", () => r(s)));
 const freePort = async (): Promise<number> => {
   const s = net.createServer();
   await new Promise<void>((r) => s.listen(0, "127.0.0.1", r));
@@ -24,7 +24,7 @@
   await new Promise((r) => s.close(r));
   return port;
 };
-const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
+export const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
 async function bodyOf(req: http.IncomingMessage): Promise<string> {
   let text = "";
   for await (const d of req) text += String(d);
@@ -128,7 +128,8 @@
     this.store = new Store(() => performance.now(), { valueBytes: 8_192, txnOps: 12, changesPerS: Infinity, keptChanges: 10_000 });
   }
 
-  async start(n = 3, hooks = ""): Promise<void> {
+  /** `teams`: their part of the platform's file. */
+  async start(n = 3, hooks = "", teams = '[[cluster.teams]]\nname = "red"\ncpus_max = 16.0\n'): Promise<void> {
     this.timer = setInterval(() => this.store.expire(), 100);
     const state = await listen(
       http.createServer((req, res) => {
@@ -143,7 +144,7 @@
     );
     const cloud = await listen(
       http.createServer((req, res) => {
-        const body = req.url === "/catalog" ? { hulls: [{ name: "m", cores: 8, accelerators: 0, memoryGb: 32, localGb: 50, pullGbPerS: 1, price: 1, marketPrice: 0.5, startupS: 5, yards: ["z0"] }] } : req.method === "GET" ? { berths: [], truncated: false } : { error: "no capacity" };
+        const body = req.url === "/catalog" ? { hulls: [{ name: "m", cores: 8, accelerators: 0, memoryGb: 32, localGb: 50, pullGbPerS: 1, price: 1, marketPrice: 0.5, startupS: 5, yards: Array.from({ length: n }, (_, i) => `z${i}`) }] } : req.method === "GET" ? { berths: [], truncated: false } : { error: "no capacity" };
         res.writeHead(req.method === "GET" ? 200 : 503, { "content-type": "application/json" }).end(JSON.stringify(body));
       }),
     );
@@ -165,7 +166,7 @@
       const peers = zones.map((z, k) => (k === i ? "" : `[[peers]]\nlabel = "n${k}"\narea = "${z}"\naddress = "127.0.0.1:${ports[n + k]}"\n`)).join("");
       writeFileSync(
         config,
-        `label = "n${i}"\narea = "z${i}"\nclient_listen = "127.0.0.1:${ports[i]}"\nmesh_addr = "127.0.0.1:${ports[n + i]}"\n${peers}[outside]\ncloud = "127.0.0.1:${portOf(cloud)}"\nstate = "127.0.0.1:${portOf(state)}"\n[cluster]\nzones = [${zones.map((z) => `"${z}"`).join(", ")}]\n[[cluster.teams]]\nname = "red"\ncpus_max = 16.0\n[cluster.workers]\nreport_s = 0.5\nlease_s = 2.0\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = 8.0\n[cluster.state]\nrps = 3000.0\nwrite_rps = ${this.changesPerS}.0\nvalue_kb = 8.0\ntxn_ops = 12\n[cluster.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n`,
+        `label = "n${i}"\narea = "z${i}"\nclient_listen = "127.0.0.1:${ports[i]}"\nmesh_addr = "127.0.0.1:${ports[n + i]}"\n${peers}[outside]\ncloud = "127.0.0.1:${portOf(cloud)}"\nstate = "127.0.0.1:${portOf(state)}"\n[cluster]\nzones = [${zones.map((z) => `"${z}"`).join(", ")}]\n${teams}[cluster.workers]\nreport_s = 0.5\nlease_s = 2.0\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = 8.0\n[cluster.state]\nrps = 3000.0\nwrite_rps = ${this.changesPerS}.0\nvalue_kb = 8.0\ntxn_ops = 12\n[cluster.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n`,
       );
       this.nodes.push({ label: `n${i}`, config, client: ports[i]!, child: null });
     }
@@ -183,6 +184,21 @@
     }
     this.current = to;
   }
+  get size(): number {
+    return this.nodes.length;
+  }
+  indexOf(label: string): number {
+    return this.nodes.findIndex((x) => x.label === label);
+  }
+  signal(i: number, signal: "SIGSTOP" | "SIGCONT"): void {
+    this.nodes[i]!.child?.kill(signal);
+  }
+  /** A request to one controller. */
+  async reach(i: number, method: string, path: string, body: object): Promise<{ status: number; body: Record<string, unknown> }> {
+    const res = await fetch(`http://127.0.0.1:${this.nodes[i]!.client}${path}`, { method, body: JSON.stringify(body), headers: { "content-type": "application/json" }, signal: AbortSignal.timeout(4_000) });
+    const text = await res.text();
+    return { status: res.status, body: text.startsWith("{") ? (JSON.parse(text) as Record<string, unknown>) : {} };
+  }
   up(i: number): void {
     const node = this.nodes[i]!;
     const child = spawn(process.execPath, ["target/main.js", "--config", node.config, "--operator", this.operator], { stdio: ["ignore", "ignore", "pipe"], env: { ...process.env, LOG_LEVEL: "debug", HOOK_KEY: this.secret } });
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -11,6 +11,7 @@
 import { explore } from "../src/lab/explore.js";
 import { type Guard, GUARDS, handedOut, limitsModel, type LimitsScope } from "../src/lab/limits-model.js";
 import { bytesOf, QUOTA_KEY } from "../src/storage/records.js";
+import { farm } from "./limits/farm.js";
 import { randomJob, troubles, largeTroubles, users } from "./sim/days.js";
 import { World } from "./sim/world.js";
 
@@ -477,3 +478,10 @@
     Sharing.prototype.share = before;
   }
 });
+
+test("real controllers, killed and stopped at drawn moments: the machines' own count never passes a limit, no task runs twice, all end", async () => {
+  const r = await farm(3, { controllers: 5, machines: 20, jobs: 40, tasks: 25, limit: 8, runMs: [400, 1_200], calmMs: 4_000, roughMs: 9_000, endMs: 40_000 });
+  assert.deepEqual(r.wrong, []);
+  assert.equal(r.done, r.tasks, `${r.done} of ${r.tasks} done, ${r.starts} starts`);
+  assert.deepEqual(r.logErrors, []);
+});
