--- a/test/limits/farm.ts
+++ b/test/limits/farm.ts
@@ -200,6 +200,8 @@
   const machines = Array.from({ length: o.machines }, (_, i) => new Machine(`n-${String(i + 1).padStart(6, "0")}`, zones[i % zones.length]!, d, count, d.rng, o.runMs));
   const samples: { atMs: number; part: number }[] = [];
   let timer: NodeJS.Timeout | null = null;
+  // A controller that came up after all were ended kept the test from ending.
+  let over = false;
   try {
     for (const m of machines) await m.start();
     const submit = async (n: number): Promise<void> => {
@@ -229,7 +231,7 @@
       const i = d.rng.int(0, o.controllers - 1);
       if (d.rng.chance(0.5)) {
         await d.kill(i);
-        setTimeout(() => d.up(i), d.rng.real(50, 600));
+        setTimeout(() => over || d.up(i), d.rng.real(50, 600));
       } else {
         d.signal(i, "SIGSTOP");
         setTimeout(() => d.signal(i, "SIGCONT"), d.rng.real(200, 5_000));
@@ -249,6 +251,7 @@
       logErrors: d.logErrors,
     };
   } finally {
+    over = true;
     if (timer) clearInterval(timer);
     for (const m of machines) await m.stop();
     await d.stop();
