Limits read once more: nothing kept that is not read, a team's use without a copy of all, one freshness bound

Cause: reading the whole change again. `given` in sharing.ts was counted and never read; the whole map of uses was copied to learn that of one team, for each team in turn (givers, metrics: a square of the teams); the same bound of 6 s stood twice; the lab summed parts of a limit beside entryIn, for tests alone; tests started all controllers and submitted the same job in nine places.

Excluded, for they change behaviour: rooms of groups that are gone in a guarantee's sum, a longer pause when nothing is to be written.

Change: Ledger.useOf and NO_USE, STALE_MS for both, World.bootAll and submitAt in tests.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -5,6 +5,7 @@
 import type { CommitEnd, Context } from "./context.js";
 import { type Answer, OWN_LIMIT, type CloudCall, type CloudReply, type CommandReply, type Effect, type Input, type Level, Urgent } from "./effects.js";
 import { Groups } from "./groups.js";
+import { NO_USE } from "./ledger.js";
 import { Beliefs, type Pair } from "./limits/index.js";
 import { Master } from "./master.js";
 import { Mirror, type Seen } from "./mirror.js";
@@ -251,8 +252,8 @@
     for (const m of this.masters.values()) {
       const used = m.own.usage();
       for (const t of this.settings.teams.values()) {
-        const own = used.get(t.name) ?? { cpus: 0, gpus: 0 };
-        const known = m.own.ledger.used().get(t.name) ?? { cpus: 0, gpus: 0 };
+        const own = used.get(t.name) ?? NO_USE;
+        const known = m.own.ledger.useOf(t.name);
         const waiting = m.sharing.waiting(t.name);
         const lacks = m.guarantees.lacks(t.name, own) ?? [0, 0];
         out.push({
--- a/src/coordination/ledger.ts
+++ b/src/coordination/ledger.ts
@@ -76,6 +76,10 @@
     return false;
   }
 
+  /** What is or may be on the machines of one team. */
+  useOf(team: string): Readonly<Use> {
+    return this.teams.get(team) ?? NO_USE;
+  }
   /** By team, a fresh copy. */
   used(): Map<string, Use> {
     return new Map([...this.teams].map(([team, u]) => [team, { cpus: u.cpus, gpus: u.gpus }]));
@@ -91,4 +95,6 @@
   }
 }
 
+/** What a team uses that has nothing. */
+export const NO_USE: Readonly<Use> = { cpus: 0, gpus: 0 };
 const NONE: ReadonlySet<Stray> = new Set();
--- a/src/coordination/limits/beliefs.ts
+++ b/src/coordination/limits/beliefs.ts
@@ -5,7 +5,7 @@
 import { beliefKey } from "../../storage/records.js";
 
 /** All teams' limits as one short word: controllers with the same limits in their settings have the same. */
-export function limitsHash(teams: Settings["teams"]): string {
+function limitsHash(teams: Settings["teams"]): string {
   const all = [...teams.values()].map((t) => [t.name, t.cpusMax === Infinity ? 0 : t.cpusMax, t.gpusMax === Infinity ? 0 : t.gpusMax]).sort((a, b) => (a[0]! < b[0]! ? -1 : 1));
   return createHash("sha256").update(JSON.stringify(all)).digest("hex").slice(0, 16);
 }
--- a/src/coordination/limits/guarantees.ts
+++ b/src/coordination/limits/guarantees.ts
@@ -20,7 +20,7 @@
 
 /** Sums are made anew no more often than this. */
 const SUM_MS = 200;
-/** A copy of the records older than this judges nobody: a watch that shows nothing is renewed every 2 s. */
+/** A copy of the records older than this judges nobody, and says of no group that it is gone: a watch that shows nothing is renewed every 2 s. */
 export const STALE_MS = 6_000;
 
 /**
--- a/src/coordination/limits/index.ts
+++ b/src/coordination/limits/index.ts
@@ -1,5 +1,5 @@
 /** Teams' limits and guarantees over all controllers: docs/design/limits.md. */
-export { Beliefs, limitsHash } from "./beliefs.js";
+export { Beliefs } from "./beliefs.js";
 export { Guarantees } from "./guarantees.js";
 export { Reclaims } from "./reclaims.js";
 export { Sharing } from "./sharing.js";
--- a/src/coordination/limits/reclaims.ts
+++ b/src/coordination/limits/reclaims.ts
@@ -2,6 +2,7 @@
 import type { Context } from "../context.js";
 import { Urgent } from "../effects.js";
 import type { Holdings } from "../holdings.js";
+import { NO_USE } from "../ledger.js";
 import { EPS } from "../placement.js";
 import type { Guarantees } from "./guarantees.js";
 import { DIMS, type Pair } from "./shares.js";
@@ -59,8 +60,7 @@
   /** Whether a team may claim so much more: it fits into its guarantee with all that it has and all that is claimed for it. */
   mayClaim(team: string, need: Pair): boolean {
     if (this.asking) return false;
-    const own = this.own.usage().get(team) ?? { cpus: 0, gpus: 0 };
-    const lacks = this.guarantees.lacks(team, own);
+    const lacks = this.guarantees.lacks(team, this.own.usage().get(team) ?? NO_USE);
     if (!lacks) return false;
     const { gets } = this.claimed(team);
     return DIMS.every((d) => need[d] + gets[d] <= lacks[d] + EPS);
@@ -68,8 +68,7 @@
 
   /** What may still be taken of a team: all that it surely has beyond its guarantee, less what is claimed of it already. */
   left(team: string): Pair {
-    const own = this.own.ledger.used().get(team) ?? { cpus: 0, gpus: 0 };
-    const excess = this.guarantees.excess(team, own);
+    const excess = this.guarantees.excess(team, this.own.ledger.useOf(team));
     const { loses } = this.claimed(team);
     return [excess[0] - loses[0], excess[1] - loses[1]];
   }
--- a/src/coordination/limits/sharing.ts
+++ b/src/coordination/limits/sharing.ts
@@ -8,13 +8,12 @@
 import type { JobSpec } from "../model.js";
 import { EPS } from "../placement.js";
 import { Waits } from "./demand.js";
+import { STALE_MS } from "./guarantees.js";
 import { type Demand, planShares, type Situation } from "./plan.js";
-import { CAPS, DIMS, type Entry, entryOf, hundredthUp, mayUse, type Pair } from "./shares.js";
+import { CAPS, DIMS, type Entry, entryOf, hundredthUp, limitOf, mayUse, type Pair } from "./shares.js";
 
 /** Parts are given no more often than this: what comes together goes together. */
 const GIVE_GAP_MS = 600;
-/** The copy of the records must be this fresh for a group's absence to count: a watch that shows nothing is renewed every 2 s. */
-const FRESH_MS = 6_000;
 const LEASE_SLACK_MS = 2_000;
 
 /** What a plan's commit depends on and says. */
@@ -31,8 +30,6 @@
   private readonly absent = new Map<string, { changed: number; sinceMs: number }>();
   private entries = new Map<string, Entry | null>();
   private entriesSeq = -1;
-  /** Given away since this master began, by team; for metrics. */
-  readonly given = new Map<string, number>();
 
   constructor(
     private readonly ctx: Context,
@@ -132,7 +129,7 @@
     for (const now of [true, false])
       for (const w of waiting) {
         if (w.now !== now) continue;
-        const lack = [0, 1].map((k) => Math.max(0, hundredthUp(Math.min(w.need[k]!, w.need[k]! - spare[k]!)))) as Pair;
+        const lack = DIMS.map((k) => Math.max(0, hundredthUp(Math.min(w.need[k], w.need[k] - spare[k])))) as Pair;
         spare[0] -= w.need[0];
         spare[1] -= w.need[1];
         if (lack[0] <= EPS && lack[1] <= EPS) continue;
@@ -150,10 +147,9 @@
     const teams = new Map<string, TeamRow>();
     const wants = new Map<string, Want>();
     const use = this.uses();
-    const known = this.own.ledger.used();
     for (const t of this.ctx.settings.teams.values()) {
       const d = this.demand(t.name, use(t.name));
-      const k = known.get(t.name) ?? { cpus: 0, gpus: 0 };
+      const k = this.own.ledger.useOf(t.name);
       const waits = this.waiting(t.name);
       const may = this.own.fenced ? this.bounded(t, use(t.name)) : ([k.cpus, k.gpus] as Pair);
       if (!d && k.cpus <= EPS && k.gpus <= EPS && may[0] <= EPS && may[1] <= EPS && waits[0] <= EPS && waits[1] <= EPS) continue;
@@ -166,7 +162,8 @@
   /** During a takeover: no more than what the former master could have started. */
   private bounded(t: Team, use: Pair): Pair {
     const e = this.entry(t.name)?.parts[this.own.group];
-    return [0, 1].map((d) => Math.min(use[d]!, e && Number.isFinite([t.cpusMax, t.gpusMax][d]!) ? Math.max(e[d]!, 0) : 1e9)) as Pair;
+    const limit = limitOf(t);
+    return DIMS.map((d) => Math.min(use[d], e && Number.isFinite(limit[d]) ? Math.max(e[d], 0) : 1e9)) as Pair;
   }
 
   /** What other groups want, as they last wrote it. */
@@ -195,7 +192,7 @@
   private goneGroups(): Set<string> {
     const gone = new Set<string>();
     const { mirror, nowMs } = this.ctx;
-    const fresh = this.ctx.readAgeMs() < FRESH_MS;
+    const fresh = this.ctx.readAgeMs() < STALE_MS;
     const needMs = this.ctx.settings.leaseS * 1000 * DRIFT + LEASE_SLACK_MS;
     for (const { shares } of mirror.limits.values())
       for (const [team, parts] of Object.entries(shares))
@@ -218,7 +215,6 @@
     if (this.ctx.nowMs < this.nextMs) return;
     const { settings, tuning, mirror } = this.ctx;
     const use = this.uses();
-    const known = this.own.fenced ? null : this.own.ledger.used();
     const situation: Situation = {
       group: this.own.group,
       groups: this.ctx.groups.names,
@@ -228,9 +224,9 @@
       writes: Math.min(3, settings.state.txnOps),
       use,
       known: (team) => {
-        if (!known) return null;
+        if (this.own.fenced) return null;
         const strays = this.own.ledger.strayUse(team);
-        const u = known.get(team) ?? strays;
+        const u = this.own.ledger.useOf(team);
         return [u.cpus - strays.cpus, u.gpus - strays.gpus];
       },
       mine: this.demands(use),
@@ -247,10 +243,7 @@
     this.nextMs = this.ctx.nowMs + GIVE_GAP_MS;
     const base: Bases = { records: [...plan.writes.keys()].map((key) => [key, this.versionOf(key)]), gone: plan.gone };
     this.changing = { reserved: plan.reserved, urgent: plan.caps.length > 0 ? Urgent.Master : Urgent.Spare, change: new Handover(base, plan.writes) };
-    for (const g of plan.given) {
-      this.given.set(g.team, (this.given.get(g.team) ?? 0) + 1);
-      this.ctx.log("info", "giving part of a team's limit to another group", { team: g.team, to: g.to, cpus: g.give[0], gpus: g.give[1] });
-    }
+    for (const g of plan.given) this.ctx.log("info", "giving part of a team's limit to another group", { team: g.team, to: g.to, cpus: g.give[0], gpus: g.give[1] });
     for (const team of plan.caps) this.ctx.log("info", "writing a team's limit", { team, agreed });
     for (const group of plan.gone) this.ctx.log("info", "parts of a group that is gone come back", { group });
     this.send();
--- a/src/coordination/limits/shortfall.ts
+++ b/src/coordination/limits/shortfall.ts
@@ -1,5 +1,6 @@
 import type { Context } from "../context.js";
 import type { Holdings } from "../holdings.js";
+import { NO_USE } from "../ledger.js";
 import type { JobSpec } from "../model.js";
 import { EPS } from "../placement.js";
 import { type Guarantees, guaranteeOf } from "./guarantees.js";
@@ -35,7 +36,7 @@
       if (looked.has(spec.team) || !this.own.mayStart(j) || this.ctx.wallMs - readyAt < AFTER_MS) continue;
       const team = this.ctx.settings.teams.get(spec.team);
       if (!team || !guaranteeOf(team) || this.ctx.nowMs - (this.toldMs.get(spec.team) ?? -Infinity) < AGAIN_MS) continue;
-      const own = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
+      const own = used.get(spec.team) ?? NO_USE;
       const lacks = this.guarantees.lacks(spec.team, own);
       const n = spec.shape === "ensemble" ? spec.tasks : 1;
       if (!lacks || spec.cpus * n > lacks[0] + EPS || spec.gpus * n > lacks[1] + EPS) continue;
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -2,7 +2,7 @@
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
-import type { Use } from "./ledger.js";
+import { NO_USE, type Use } from "./ledger.js";
 import type { Guarantees, Sharing } from "./limits/index.js";
 import { type JobSpec, taskKey } from "./model.js";
 import { inParts, partStep } from "./parts.js";
@@ -22,8 +22,6 @@
 /** A task waits this long before others are stopped for it. */
 const PREEMPT_AFTER_MS = 2_000;
 
-const NO_USE: Use = { cpus: 0, gpus: 0 };
-
 /** Which waiting task starts where: Pigeon's two queues over the machines of a group. */
 export class Placing {
   private attempts = 0;
--- a/src/lab/limits-model.ts
+++ b/src/lab/limits-model.ts
@@ -1,6 +1,6 @@
 import type { Team } from "../config/settings.js";
 import { type Demand, planShares, type Plan } from "../coordination/limits/plan.js";
-import { CAPS, DIMS, entryOf, type LimitRecords, mayUse, type Pair } from "../coordination/limits/shares.js";
+import { CAPS, entryOf, type LimitRecords, mayUse, type Pair } from "../coordination/limits/shares.js";
 import { QUOTA_KEY, type Shares } from "../storage/records.js";
 import type { Model, Step } from "./explore.js";
 
@@ -237,10 +237,3 @@
   };
   return { initial, next, check, key };
 }
-
-/** Also for tests: all that groups have together of a team by a record. */
-export const handedOut = (shares: Shares, team: string): Pair => {
-  const sum: Pair = [0, 0];
-  for (const p of Object.values(shares[team] ?? {})) for (const d of DIMS) sum[d] += p[d];
-  return sum;
-};
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -5,12 +5,12 @@
 import type { Team } from "../src/config/settings.js";
 import { type Demand, planShares, type Situation } from "../src/coordination/limits/plan.js";
 import { Reclaims, Sharing } from "../src/coordination/limits/index.js";
-import { entryOf, type LimitRecord, mayUse, overdrawn, type Pair } from "../src/coordination/limits/shares.js";
+import { entryIn, entryOf, type LimitRecord, mayUse, overdrawn, type Pair } from "../src/coordination/limits/shares.js";
 import type { JobSpec } from "../src/coordination/model.js";
 import { Round } from "../src/coordination/queues.js";
 import { explore } from "../src/lab/explore.js";
-import { type Guard, GUARDS, handedOut, limitsModel, type LimitsScope } from "../src/lab/limits-model.js";
-import { bytesOf, QUOTA_KEY } from "../src/storage/records.js";
+import { type Guard, GUARDS, limitsModel, type LimitsScope } from "../src/lab/limits-model.js";
+import { bytesOf, QUOTA_KEY, type Shares } from "../src/storage/records.js";
 import { farm } from "./limits/farm.js";
 import { randomJob, troubles, largeTroubles, users } from "./sim/days.js";
 import { World } from "./sim/world.js";
@@ -225,10 +225,7 @@
     const w = new World(seed, undefined, [], [1, 2, 3, 5, 7][seed % 5]!);
     w.capacity = 6;
     w.settings.teams.set("red", team("red", 30, { cpus: 20, gpusMax: 3 })).set("blue", team("blue", 40, { cpus: 20 }));
-    for (const n of w.names) {
-      w.crash(n);
-      w.boot(n);
-    }
+    w.bootAll();
     for (const z of w.zones) for (let i = 0; i < 4; i++) w.cloud.add(w.types[0]!, z, false, 0);
     const seen = watchParts(w);
     users(w, 110_000, (x, n) => ({ ...randomJob(x, n), team: x.rng.chance(0.8) ? "red" : "blue" }));
@@ -238,7 +235,7 @@
     assert.deepEqual(w.checker.broken, [], `seed ${seed}: ${w.checker.broken.join()}\n${w.logs.slice(-20).join("\n")}`);
     assert.ok(seen.worst <= 1 + 1e-6, `${seen.worst}`);
     for (const t of ["red", "blue"]) {
-      const sum = handedOut((w.state.data.get(QUOTA_KEY)?.value ?? {}) as never, t)[0];
+      const sum = entryIn(QUOTA_KEY, w.state.data.get(QUOTA_KEY)!.value as Shares, t)!.sum[0];
       assert.ok(sum > w.settings.teams.get(t)!.cpusMax - 1, `${t}: only ${sum} handed out`);
     }
     starts += w.starts;
@@ -252,10 +249,7 @@
     w.capacity = 8;
     const teams = (red: number): Map<string, Team> => new Map([["red", team("red", red)], ["blue", team("blue", 90)]]);
     w.settings.teams = teams(60);
-    for (const n of w.names) {
-      w.crash(n);
-      w.boot(n);
-    }
+    w.bootAll();
     for (const z of w.zones) for (let i = 0; i < 6; i++) w.cloud.add(w.types[0]!, z, false, 0);
     users(w, 190_000, (x, n) => ({ ...randomJob(x, n), team: "red", shape: "batch", tasks: 12, cpus: 2, gpus: 0, types: null, zone: null, spread: false, samePlace: false, urgency: "normal" }));
     const restart = (atMs: number, name: string): void => {
@@ -294,10 +288,7 @@
   w.loss = 0;
   const teams = new Map([["red", team("red", 30)], ["blue", team("blue", 90)]]);
   w.settings.teams = teams;
-  for (const n of w.names) {
-    w.crash(n);
-    w.boot(n);
-  }
+  w.bootAll();
   w.run(10_000);
   const part = (g: string): number => ((w.state.data.get(QUOTA_KEY)!.value as Record<string, Record<string, Pair>>)["red"]![g]?.[0] ?? -1);
   assert.equal(part("node-c"), 10);
@@ -326,23 +317,24 @@
 
 // ---- guarantees --------------------------------------------------------------------------------------------
 
+/** One job on the plain machines, tasks of 4 CPUs that can't save. */
+function submitAt(w: World, atMs: number, n: number, over: Partial<JobSpec>, node = (): string => "node-a"): void {
+  w.at(atMs, () => {
+    const spec: JobSpec = { ...randomJob(w, n), shape: "batch", tasks: 1, urgency: "normal", cpus: 4, gpus: 0, types: ["small"], zone: null, samePlace: false, spread: false, spot: false, checkpointS: 0, ...over };
+    w.specs.set(spec.id, spec);
+    w.ask(node(), (req) => ({ is: "submit", req, spec }), () => {});
+  });
+}
+
 /** Blue has filled all machines; red asks for more than its guarantee of 20 CPUs, in all groups at once or in one zone. */
 function swarm(seed: number, zone: string | null): World {
   const w = new World(seed);
   w.loss = 0;
   w.capacity = 3;
   w.settings.teams.set("red", team("red", 60, { cpus: 20 })).set("blue", team("blue", 200, { cpus: 30 }));
-  for (const n of w.names) {
-    w.crash(n);
-    w.boot(n);
-  }
+  w.bootAll();
   for (const z of w.zones) for (let i = 0; i < 3; i++) w.cloud.add(w.types[0]!, z, false, 0);
-  const ask = (atMs: number, n: number, over: Partial<JobSpec>): void =>
-    w.at(atMs, () => {
-      const spec: JobSpec = { ...randomJob(w, n), shape: "batch", tasks: 1, urgency: "normal", cpus: 4, gpus: 0, types: ["small"], zone: null, samePlace: false, spread: false, spot: false, checkpointS: 0, ...over };
-      w.specs.set(spec.id, spec);
-      w.ask(w.rng.pick(w.names), (req) => ({ is: "submit", req, spec }), () => {});
-    });
+  const ask = (atMs: number, n: number, over: Partial<JobSpec>): void => submitAt(w, atMs, n, over, () => w.rng.pick(w.names));
   ask(4_000, 1, { team: "blue", shape: "daemon", tasks: 24 });
   for (let k = 0; k < 12; k++) ask(25_000 + w.rng.int(0, 300), 10 + k, { team: "red", zone, shape: "daemon" });
   return w;
@@ -384,17 +376,9 @@
     w.loss = 0;
     w.capacity = 3;
     w.settings.teams.set("red", team("red", 90, { cpus: 4 })).set("blue", team("blue", 90, { cpus: 30 }));
-    for (const n of w.names) {
-      w.crash(n);
-      w.boot(n);
-    }
+    w.bootAll();
     for (let i = 0; i < 3; i++) w.cloud.add(w.types[0]!, "west", false, 0);
-    const ask = (atMs: number, n: number, over: Partial<JobSpec>): void =>
-      w.at(atMs, () => {
-        const spec: JobSpec = { ...randomJob(w, n), shape: "daemon", tasks: 6, urgency: "normal", cpus: 4, gpus: 0, types: ["small"], zone: "west", samePlace: false, spread: false, spot: false, checkpointS: 0, ...over };
-        w.specs.set(spec.id, spec);
-        w.ask("node-a", (req) => ({ is: "submit", req, spec }), () => {});
-      });
+    const ask = (atMs: number, n: number, over: Partial<JobSpec>): void => submitAt(w, atMs, n, { shape: "daemon", tasks: 6, zone: "west", ...over });
     ask(4_000, 1, { team: "blue" });
     ask(20_000, 2, { team: "red", tasks: 3 });
     w.run(60_000);
@@ -409,17 +393,10 @@
   w.loss = 0;
   w.capacity = 6;
   w.settings.teams.set("red", team("red", 30));
-  for (const n of w.names) {
-    w.crash(n);
-    w.boot(n);
-  }
+  w.bootAll();
   for (let i = 0; i < 6; i++) w.cloud.add(w.types[0]!, "west", false, 0);
   w.at(10_000, () => w.crash("node-a"));
-  w.at(11_000, () => {
-    const spec: JobSpec = { ...randomJob(w, 1), team: "red", shape: "daemon", tasks: 7, cpus: 4, gpus: 0, types: ["small"], zone: "west", samePlace: false, spread: false, spot: false, urgency: "normal" };
-    w.specs.set(spec.id, spec);
-    w.ask("node-b", (req) => ({ is: "submit", req, spec }), () => {});
-  });
+  submitAt(w, 11_000, 1, { team: "red", shape: "daemon", tasks: 7, zone: "west" }, () => "node-b");
   w.run(45_000);
   assert.deepEqual(w.checker.broken, []);
   assert.equal(running(w, "red"), 28, w.logs.filter((l) => /limit|group/.test(l)).join("\n"));
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -47,10 +47,7 @@
   w.capacity = machines;
   w.settings.teams.set("red", { name: "red", cpus: machines * 8, gpus: 0, cpusMax: machines * 16, gpusMax: 6 });
   w.settings.teams.set("blue", { name: "blue", cpus: machines * 8, gpus: 0, cpusMax: machines * 20, gpusMax: Infinity });
-  for (const n of w.names) {
-    w.crash(n);
-    w.boot(n);
-  }
+  w.bootAll();
   for (const z of w.zones) for (let i = 0; i < machines; i++) w.cloud.add(w.types[0]!, z, false, 0);
   return w;
 }
@@ -222,10 +219,7 @@
 test("more unfinished jobs than memory allows are refused at once, known ones are still answered", () => {
   const w = new World(6);
   w.settings.memMb = 0.1;
-  for (const n of w.names) {
-    w.crash(n);
-    w.boot(n);
-  }
+  w.bootAll();
   const got: string[] = [];
   for (let n = 1; n <= 9; n++) {
     const spec = { ...randomJob(w, n), shape: "daemon" as const, tasks: 1, cpus: 1, gpus: 0, types: null };
@@ -261,10 +255,7 @@
   w.loss = 0;
   w.capacity = 0;
   w.settings.teams.set("red", { name: "red", cpus: 0, gpus: 0, cpusMax: 40, gpusMax: Infinity });
-  for (const n of w.names) {
-    w.crash(n);
-    w.boot(n);
-  }
+  w.bootAll();
   // Each fits into the whole limit, and both together don't.
   const gang = (n: number, zone: string): JobSpec => ({ ...randomJob(w, n), team: "red", shape: "ensemble", tasks: 3, cpus: 8, gpus: 0, types: ["small"], zone, samePlace: true, spread: false, spot: false, estimateS: 10, checkpointS: 0 });
   for (const [n, zone] of [[1, "east"], [2, "mid"]] as const) {
--- a/test/sim/limits.ts
+++ b/test/sim/limits.ts
@@ -25,10 +25,7 @@
   const w = new World(seed, undefined, [], controllers);
   w.capacity = 16;
   w.settings.teams = new Map([["red", team("red", LIMIT)], ["blue", team("blue", LIMIT)]]);
-  for (const n of w.names) {
-    w.crash(n);
-    w.boot(n);
-  }
+  w.bootAll();
   for (const z of w.zones) for (let i = 0; i < 14; i++) w.cloud.add(w.types[0]!, z, false, 0);
   users(w, 170_000, (x, n) => {
     const gang = x.rng.chance(0.3);
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -593,6 +593,13 @@
     this.names = names;
     this.settings.teams = teams;
   }
+  /** All controllers start anew, with the settings as they are now. */
+  bootAll(): void {
+    for (const name of this.names) {
+      this.crash(name);
+      this.boot(name);
+    }
+  }
   crash(name: string): void {
     this.nodes.set(name, null);
   }
