Late copies, machines that began anew and machines that receive nothing

Change: the highest token that a worker has seen never falls in its life, so a report with a lower one is late whatever its session; a machine that only seems to send old reports is asked itself (GET /inspect, whose answer is of a moment after the question); sessions and tallies of a former life that can't be true yet are late; a lease counts from the end of the last command with starts as well; the fence counts what a reported machine may run beyond its list; evidence of receipt for each machine, without which it gets nothing new; the permit is looked at once more before orders leave.

--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -4,7 +4,7 @@
 import type { Groups } from "./groups.js";
 import type { Handed } from "./splitter.js";
 import type { Mirror } from "./mirror.js";
-import type { JobSpec, MachineType, Order, Tuning } from "./model.js";
+import type { JobSpec, MachineType, Order, Report, Tuning } from "./model.js";
 
 /** How a commit ended. `unknown`: it may have been carried out, or may yet be. */
 export type CommitEnd = "ok" | "conflict" | "refused" | "unknown";
@@ -24,6 +24,8 @@
   commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd, epoch: number) => void): void;
   cloud(call: CloudCall, urgent: Urgent, done: (reply: CloudReply) => void): void;
   command(address: string, token: number, session: number, orders: Order[], done: (reply: CommandReply) => void): void;
+  /** Asks a machine itself: the answer is of a moment after the question. */
+  inspect(address: string, done: (report: Report | null) => void): void;
   /** Handed to each group, by splits and moves, since it last wrote its room. */
   /** Age of the copy of the state service's records, in ms. */
   readAgeMs(): number;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -56,6 +56,7 @@
   private readonly stateOps = new Map<number, (r: StateReply, sentMs: number) => void>();
   private readonly cloudOps = new Map<number, (r: CloudReply) => void>();
   private readonly commandOps = new Map<number, (r: CommandReply) => void>();
+  private readonly inspectOps = new Map<number, (r: Report | null) => void>();
   private nextCatalogMs = 0;
   private askingCatalog = false;
   private cloudDown = false;
@@ -100,6 +101,15 @@
     return out;
   }
 
+  /**
+   * Whether an effect of the last step may still go out at this moment. Invariant (ran_cancelled, one master a group): what
+   * only a permit allows is not sent once that has ended, although the step that decided it came before.
+   */
+  mayLeave(e: Effect, nowMs: number): boolean {
+    const needsPermit = e.do === "command" || (e.do === "answer" && e.answer.is === "orders");
+    return !needsPermit || nowMs < this.ownership.permitUntilMs;
+  }
+
   /** Ready to take requests: it has read what is alive, and the state service was there lately. */
   get ready(): boolean {
     return this.mirror.ready;
@@ -140,6 +150,11 @@
         this.commandOps.delete(i.op);
         return done?.(i.reply);
       }
+      case "inspected": {
+        const done = this.inspectOps.get(i.op);
+        this.inspectOps.delete(i.op);
+        return done?.(i.report);
+      }
     }
   }
 
@@ -185,6 +200,12 @@
     this.out.push({ do: "command", op, address, token, session, orders });
   }
 
+  inspect(address: string, done: (report: Report | null) => void): void {
+    const op = ++this.ops;
+    this.inspectOps.set(op, done);
+    this.out.push({ do: "inspect", op, address });
+  }
+
   // ---- the copy of the state service ---------------------------------------------------------------------
 
   private see(seen: readonly Seen[]): void {
--- a/src/coordination/effects.ts
+++ b/src/coordination/effects.ts
@@ -15,6 +15,8 @@
   | { is: "state"; op: number; reply: StateReply; sentMs: number }
   | { is: "cloud"; op: number; reply: CloudReply }
   | { is: "command"; op: number; reply: CommandReply }
+  /** A machine's own answer to a question; null: none. */
+  | { is: "inspected"; op: number; report: Report | null }
   /** Whether memory is nearly used up. */
   | { is: "memory"; short: boolean }
   | { is: "tick" }
@@ -69,6 +71,8 @@
   | { do: "state"; op: number; call: StateCall; urgent: Urgent }
   | { do: "cloud"; op: number; call: CloudCall; urgent: Urgent }
   | { do: "command"; op: number; address: string; token: number; session: number; orders: Order[] }
+  /** Asks a machine for its report. */
+  | { do: "inspect"; op: number; address: string }
   /**
    * All changes of final records and of records that this core does not know itself, between two revisions. After a gap `from` is
    * later than the last `to`. Only with `tellEnds`.
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -8,6 +8,8 @@
 import { graceOf, type Worker } from "./tasks.js";
 
 const WARM_PERIODS = 6;
+/** Late copies of reports come well over a lease after they were made. */
+const GONE_KEPT_MS = 900_000;
 
 /** What is alike for all machines of one type, zone and kind is worked out once for each: there are hundreds of machines and few kinds. */
 function memo<T>(of: (w: Worker) => T): (w: Worker) => T {
@@ -52,6 +54,11 @@
     if (w.going) this.giveUp(w, "marked for return by a former master");
   }
 
+  /** The cloud has said that it is gone. Names are never given twice: whatever still comes from it is late. */
+  isGone(id: string): boolean {
+    return this.goneMs.has(id);
+  }
+
   private typeOf(name: string): MachineType | undefined {
     return this.ctx.catalog?.find((t) => t.name === name);
   }
@@ -239,7 +246,7 @@
       // One that runs already may be cut off: it has as long as a new one to make itself heard.
       if (!known) this.renting.booting.set(m.id, { type: m.type, zone: m.zone, spot: m.spot, rentedMs: m.state === "starting" ? now - m.ageS * 1000 : now });
     }
-    for (const [id, at] of this.goneMs) if (now - at > 2 * lagMs + 60_000) this.goneMs.delete(id);
+    for (const [id, at] of this.goneMs) if (now - at > 2 * lagMs + GONE_KEPT_MS) this.goneMs.delete(id);
     for (const [id, b] of this.renting.booting)
       if (!this.listed.has(id) && now - b.rentedMs > lagMs + 30_000) this.renting.booting.delete(id);
     for (const w of this.own.workers.values()) {
--- a/src/coordination/holdings.ts
+++ b/src/coordination/holdings.ts
@@ -9,6 +9,20 @@
 import { queueOf } from "./splitter.js";
 import type { JobRun, TaskRun, Worker } from "./tasks.js";
 
+/** What the tasks that a machine is known to have take. */
+function listedOn(w: Worker | undefined): Use {
+  const sum = { cpus: 0, gpus: 0 };
+  for (const t of w?.tasks.values() ?? []) {
+    sum.cpus += t.job.view.spec.cpus;
+    sum.gpus += t.job.view.spec.gpus;
+  }
+  for (const s of w?.strays.values() ?? []) {
+    sum.cpus += s.need?.cpus ?? 0;
+    sum.gpus += s.need?.gpus ?? 0;
+  }
+  return sum;
+}
+
 const LEASE_SLACK_MS = 1_000;
 const LIST_SLACK_MS = 500;
 
@@ -137,11 +151,12 @@
     if (this.fence) {
       for (const j of this.jobs.values()) if (j.old) add(j.view.spec.team, j.view.spec, j.waiting.size);
       // A silent machine may also run tasks of jobs that are over, of any team.
+      // One whose report may be a late copy may run more than that lists.
       for (const id of this.fence) {
-        if (this.workers.has(id)) continue;
         const type = this.ctx.catalog?.find((t) => t.name === this.roster.machines().get(id)?.type);
-        blind.cpus += type?.cpus ?? Infinity;
-        blind.gpus += type?.gpus ?? Infinity;
+        const known = listedOn(this.workers.get(id));
+        blind.cpus += Math.max(0, (type?.cpus ?? Infinity) - known.cpus);
+        blind.gpus += Math.max(0, (type?.gpus ?? Infinity) - known.gpus);
       }
     }
     for (const team of this.ctx.settings.teams.keys()) add(team, blind);
@@ -182,7 +197,7 @@
   }
 
   usable(w: Worker): boolean {
-    return !w.going && w.takenAtMs === null && w.type !== null && this.ctx.nowMs >= w.avoidUntilMs && this.isHeard(w) && this.roster.has(w.id);
+    return !w.going && w.receipt.proven && w.receipt.deafMs === null && w.takenAtMs === null && w.type !== null && this.ctx.nowMs >= w.avoidUntilMs && this.isHeard(w) && this.roster.has(w.id);
   }
 
   /** Machines that may be used now, and which of them serve short tasks only. */
@@ -285,7 +300,9 @@
       this.liftFence("leases of silent machines have ended");
     }
     for (const w of this.workers.values()) {
-      if (w.lost || now - w.answeredMs <= leaseMs) continue;
+      // Invariant (ran_twice): a machine that was back at once begins a new lease, under the session that it had before if
+      // that was its first: a start sent straight to it is carried out then. Its lease began before that command ended.
+      if (w.lost || w.direct || now - Math.max(w.answeredMs, w.receipt.commandMs) <= leaseMs) continue;
       w.lost = true;
       this.ctx.log("info", "worker is silent past its lease", { worker: w.id, tasks: w.tasks.size });
       this.releaseAll(w, "lease ended");
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -11,6 +11,7 @@
 import { Placing } from "./placing.js";
 import { Preemption } from "./preemption.js";
 import { RangeSet } from "./ranges.js";
+import { newReceipt, Receipts } from "./receipt.js";
 import { Room } from "./room.js";
 import { newJobRun, runKey, type TaskRun, type Worker } from "./tasks.js";
 
@@ -29,6 +30,9 @@
   private readonly placing: Placing;
   private readonly finishing: Finishing;
   readonly room: Room;
+  private readonly receipts: Receipts;
+  /** Reports that were no newer than what was known. */
+  lateReports = 0;
 
   constructor(
     private readonly ctx: Context,
@@ -38,6 +42,7 @@
   ) {
     const own = new Holdings(ctx, group, token, permitted);
     this.own = own;
+    this.receipts = new Receipts(ctx, token);
     this.sharing = new Sharing(ctx, own, (spec) => this.fleet.renting.hasPlace(spec));
     this.guarantees = new Guarantees(ctx, own);
     this.fleet = new Fleet(ctx, own, this.sharing);
@@ -95,9 +100,11 @@
   report(r: Report): Answer {
     const now = this.ctx.nowMs;
     let w = this.own.workers.get(r.worker);
-    if (w && (r.session < w.session || (r.session === w.session && (r.tally <= w.tally || w.lost)))) {
+    if (w ? this.receipts.isLate(w, r) : this.fleet.isGone(r.worker)) {
       // A late message: its list is as old as itself, and the worker doesn't wait for the answer any more.
-      this.ctx.log("debug", "late report", { worker: w.id, session: r.session, tally: r.tally, had: [w.session, w.tally], lost: w.lost });
+      this.lateReports++;
+      this.ctx.log("debug", "late report", { worker: r.worker, session: r.session, tally: r.tally, had: w ? [w.session, w.tally, w.token] : "gone", lost: w?.lost });
+      if (w && this.receipts.mayAsk(w)) this.inspect(w);
       return { is: "later", afterS: 1, why: "late report" };
     }
     if (!w) {
@@ -105,18 +112,22 @@
       this.own.workers.set(w.id, w);
       this.fleet.cameUp(w);
     }
-    if (w.lost) {
-      w.lost = false;
-      this.ctx.log("info", "worker is back", { worker: w.id, session: r.session });
-    }
+    const wasLost = w.lost;
     const couldUse = this.own.usable(w);
-    if (r.session > w.session) this.newSession(w, r.session);
+    const rose = r.session > w.session;
+    this.receipts.note(w, r, rose);
+    if (rose) this.newSession(w, r.session);
     if (r.token > this.token) this.ctx.log("warn", "worker has seen a higher token", { worker: w.id, token: r.token, mine: this.token, tally: r.tally, session: r.session });
     w.tally = r.tally;
     w.token = Math.max(w.token, r.token);
     w.address = r.address;
     w.takenAtMs = r.noticeS === null ? null : now + r.noticeS * 1000;
     w.answeredMs = now;
+    w.heardMs = now;
+    if (wasLost) {
+      w.lost = false;
+      this.ctx.log("info", "worker is back", { worker: w.id, session: r.session });
+    }
     if (!w.type) {
       w.type = this.ctx.catalog?.find((t) => t.name === r.type) ?? null;
       w.free = null;
@@ -128,6 +139,7 @@
     this.onNotice(w);
     // Of itself a report changes nothing for placing: what it frees, ends or loses has said so already.
     if (!couldUse && this.own.usable(w)) this.own.dirty = true;
+    if (this.receipts.mayProbe(w)) this.inspect(w);
     this.placing.place();
     this.own.untold.delete(w);
     return { is: "orders", token: this.token, orders: this.ordersFor(w) };
@@ -148,6 +160,9 @@
       token: 0,
       answeredMs: this.ctx.nowMs,
       lost: false,
+      heardMs: this.ctx.nowMs,
+      // One that nobody has heard of may be a late copy of a machine that is gone: it has to show first that it receives.
+      receipt: newReceipt(this.own.roster.has(r.worker) || this.fleet.renting.booting.has(r.worker), this.ctx.nowMs),
       firstMs: this.ctx.nowMs,
       takenAtMs: null,
       tasks: new Map(),
@@ -164,6 +179,35 @@
     };
   }
 
+  /**
+   * Asks a machine that only seems to send old reports. Its answer is of a moment after the question: if that is older by
+   * session and tally than what is known, its process or the whole machine has begun anew, and all that it had is gone.
+   */
+  private inspect(w: Worker): void {
+    const askedMs = this.ctx.nowMs;
+    w.receipt.asking = true;
+    w.receipt.askedMs = askedMs;
+    this.ctx.inspect(w.address, (r) => {
+      w.receipt.asking = false;
+      if (!r || r.worker !== w.id || this.own.workers.get(w.id) !== w || !this.own.permitted()) return;
+      this.receipts.answered(w);
+      if (w.heardMs > askedMs) return;
+      // A start on its way to it may still be carried out by its new life: until it is known what became of that, its lease counts.
+      if (w.direct || (r.session === w.session && w.openStarts.size > 0)) return;
+      if (!this.receipts.isLate(w, r)) return;
+      this.ctx.log("info", "machine has begun anew", { worker: w.id, had: [w.session, w.tally], now: [r.session, r.tally], tasks: w.tasks.size });
+      this.receipts.beganAnew(w);
+      this.own.releaseAll(w, "machine has begun anew");
+      w.openStarts.clear();
+      w.images.clear();
+      Object.assign(w, { session: r.session, tally: r.tally, token: r.token, lost: false, answeredMs: this.ctx.nowMs, heardMs: this.ctx.nowMs });
+      if (!w.going) this.own.roster.set(w.id, { going: false, type: w.typeName });
+      this.reconcile(w, r.tasks);
+      this.own.noteIdle(w);
+      this.own.dirty = true;
+    });
+  }
+
   /** A new session: the worker has killed and forgotten all its tasks, and takes no older message any more. */
   private newSession(w: Worker, session: number): void {
     this.own.releaseAll(w, "new session");
@@ -175,6 +219,8 @@
 
   private reconcile(w: Worker, reported: readonly ReportedTask[]): void {
     const now = this.ctx.nowMs;
+    let missing = false;
+    let carriedOut = false;
     const shown = new Map<string, ReportedTask>();
     for (const r of reported) shown.set(runKey(r.job, r.index, r.attempt), r);
     w.exited = [];
@@ -187,9 +233,16 @@
         // worker drops answers that it no longer waits for. One sent straight to it may still arrive.
         if (t.phase !== "ordered") this.lostTask(t);
         else if (t.stop && !w.openStarts.has(key)) this.own.requeue(t);
+        else if (t.told > 0) {
+          missing = true;
+          // What a machine that receives nothing was to start goes elsewhere as soon as it can't be carried out any more.
+          if (w.receipt.deafMs !== null && !w.openStarts.has(key)) this.own.requeue(t);
+        }
       } else if (r.state === "exited") {
+        if (t.phase === "ordered") carriedOut = true;
         this.exited(t, r.cause, r.saved);
       } else {
+        if (t.phase === "ordered") carriedOut = true;
         if (t.phase !== r.state) {
           this.ctx.log("debug", "task phase", { task: taskKey(t.job.id, t.index), worker: w.id, from: t.phase, to: r.state, afterMs: Math.round(now - t.sinceMs) });
           t.phase = r.state;
@@ -215,6 +268,7 @@
         sinceMs: strays.get(key)?.sinceMs ?? now,
       });
     }
+    this.receipts.noteOrders(w, missing, carriedOut);
     // What is gone from a machine has made room, or was what a waiting task had to wait for.
     for (const key of strays.keys()) if (!w.strays.has(key)) this.own.dirty = true;
   }
@@ -250,7 +304,7 @@
     if (spec.shape === "ensemble" && [...job.active.values()].some((t) => t.attempt !== r.attempt)) return false;
     if (!allowedOn(spec, w.typeName, w.zone, w.spot)) return false;
     job.waiting.remove(r.index);
-    const t: TaskRun = { job, index: r.index, attempt: r.attempt, worker: w, phase: r.state, sinceMs: this.ctx.nowMs, stop: null };
+    const t: TaskRun = { job, index: r.index, attempt: r.attempt, worker: w, phase: r.state, told: 0, sinceMs: this.ctx.nowMs, stop: null };
     job.active.set(r.index, t);
     this.own.ledger.put(t);
     this.noteImage(w, t);
@@ -327,6 +381,7 @@
         if (!(t.phase === "saving" && t.stop.graceS > 0))
           orders.push({ op: "stop", job: t.job.id, index: t.index, attempt: t.attempt, graceS: t.stop.graceS });
       } else if (t.phase === "ordered") {
+        t.told++;
         orders.push({ op: "start", job: t.job.id, index: t.index, attempt: t.attempt });
       }
     }
@@ -367,7 +422,7 @@
   sendDirect(): void {
     for (const w of this.own.untold) {
       this.own.untold.delete(w);
-      if (!this.ctx.tuning.directOrders || w.direct || w.lost || !this.own.permitted()) continue;
+      if (!this.ctx.tuning.directOrders || w.direct || w.lost || w.receipt.deafMs !== null || !this.own.permitted()) continue;
       // Neither clears, nor a start that is to be stopped at once: both belong into answers, which can't be late.
       const orders = this.ordersFor(w).filter((o) => o.op !== "forget" && !(o.op === "start" && w.tasks.get(runKey(o.job, o.index, o.attempt))?.stop));
       if (orders.length === 0) continue;
@@ -377,6 +432,8 @@
       w.direct = true;
       this.ctx.command(w.address, this.token, session, orders, (reply) => {
         w.direct = false;
+        if (keys.length > 0) w.receipt.commandMs = this.ctx.nowMs;
+        if (reply.is === "answered") this.receipts.answered(w);
         if (reply.is === "unknown" || w.session !== session) return;
         for (const k of keys) {
           const n = (w.openStarts.get(k) ?? 0) - 1;
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -2,6 +2,7 @@
 import type { JobView } from "./mirror.js";
 import type { Cause, MachineType, TaskState } from "./model.js";
 import type { Amounts } from "./placement.js";
+import type { Receipt } from "./receipt.js";
 import { RangeSet } from "./ranges.js";
 
 /** One task on one machine, from the start order until the machine is known not to have it any more. */
@@ -12,6 +13,8 @@
   worker: Worker;
   /** `ordered`: no report has shown it yet. */
   phase: "ordered" | Exclude<TaskState, "exited">;
+  /** Answers that bore its start. */
+  told: number;
   sinceMs: number;
   /** It is to be stopped, with this much time to save. */
   stop: { graceS: number; why: string } | null;
@@ -77,6 +80,9 @@
   /** When its last report was answered with 200: its lease ends no later than lease_s after. */
   answeredMs: number;
   lost: boolean;
+  /** When a report of it last counted. */
+  heardMs: number;
+  receipt: Receipt;
   firstMs: number;
   takenAtMs: number | null;
   tasks: Map<string, TaskRun>;
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -26,6 +26,9 @@
   return stated === undefined ? (getHeapStatistics().heap_size_limit / 2 ** 20) * 0.7 : Number(stated);
 }
 
+/** The process stood still between a step and the carrying out of its effects, and its permit has ended meanwhile: this goes out instead. */
+const instead = (e: Effect): Effect => (e.do === "answer" ? { ...e, answer: { is: "later", afterS: 1, why: "no permit" } } : e);
+
 /** What may be turned on beside the core. */
 export interface Extra {
   routes?(limit: MiddlewareHandler): Hono;
@@ -181,7 +184,7 @@
 
   private feed(input: Input): void {
     const effects = this.core.step(input, performance.now(), Date.now());
-    for (const e of effects) this.carryOut(e);
+    for (const e of effects) this.carryOut(this.core.mayLeave(e, performance.now()) ? e : instead(e));
   }
 
   private carryOut(e: Effect): void {
@@ -200,8 +203,15 @@
         for (const x of this.extras) x.seen?.(e);
         break;
       case "command":
+        if (!this.core.mayLeave(e, performance.now())) {
+          setImmediate(() => this.feed({ is: "command", op: e.op, reply: { is: "refused" } }));
+          break;
+        }
         void this.workers.command(e.address, e.token, e.session, e.orders).then((reply) => this.feed({ is: "command", op: e.op, reply }));
         break;
+      case "inspect":
+        void this.workers.inspect(e.address).then((report) => this.feed({ is: "inspected", op: e.op, report }));
+        break;
       case "wake":
         setTimeout(() => this.feed({ is: "wake" }), e.afterMs);
         break;
--- a/src/transport/workers.ts
+++ b/src/transport/workers.ts
@@ -1,6 +1,6 @@
 import type { CommandReply } from "../coordination/effects.js";
-import type { Order } from "../coordination/model.js";
-import { commandBody } from "../protocol/workers.js";
+import type { Order, Report } from "../coordination/model.js";
+import { commandBody, parseReport } from "../protocol/workers.js";
 import { Client } from "./client.js";
 
 /** Orders sent straight to workers. */
@@ -18,4 +18,13 @@
     if (f.is === "answered") return { is: "answered", status: f.status };
     return { is: f.is };
   }
+
+  /** The machine's report of a moment after this question; null: no answer, or none that can be read. */
+  async inspect(address: string): Promise<Report | null> {
+    const at = address.lastIndexOf(":");
+    const f = await this.client.fetch(address.slice(0, at), Number(address.slice(at + 1)), "GET", "/inspect", undefined, 3_000);
+    if (f.is !== "answered" || f.status !== 200) return null;
+    const r = parseReport(f.body);
+    return r.ok ? r.value : null;
+  }
 }
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { Controller } from "../src/coordination/controller.js";
 import { Holdings } from "../src/coordination/holdings.js";
 import { Ownership } from "../src/coordination/ownership.js";
 import { Sharing } from "../src/coordination/limits/index.js";
@@ -345,11 +346,14 @@
 
 test("the checker catches orders without a permit", () => {
   const before = Ownership.prototype.permitted;
+  const leave = Controller.prototype.mayLeave;
   Ownership.prototype.permitted = () => true;
+  Controller.prototype.mayLeave = () => true;
   try {
     assert.match(cancelBehindBack().checker.broken.join(), /ran_cancelled/);
   } finally {
     Ownership.prototype.permitted = before;
+    Controller.prototype.mayLeave = leave;
   }
 });
 
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -94,6 +94,16 @@
     if (final !== now) this.toldMs.set(id, this.world.now);
     this.told.set(id, now);
   }
+  /** When a question about a job was last answered. */
+  readonly heardOf = new Map<string, number>();
+  /** Called 75 s after the last trouble ended, at `sinceMs`: a job about which nothing was answered since counts as forgotten. */
+  remembers(sinceMs: number): void {
+    for (const [id, told] of this.told)
+      if (told !== "cancelled" && (this.heardOf.get(id) ?? -1) < sinceMs && (told === "accepted" || this.isPolled(id))) this.fail("forgotten", `${id}: no question answered since ${sinceMs / 1000} s`);
+  }
+  private isPolled(id: string): boolean {
+    return this.world.polled.has(id) && !this.heardOf.has(id);
+  }
   private readonly toldMs = new Map<string, number>();
   readonly asked = new Set<string>();
   refused(id: string, status: number, askedMs: number): void {
--- a/test/sim/days.ts
+++ b/test/sim/days.ts
@@ -151,10 +151,11 @@
   });
 }
 function poll(w: World, id: string): void {
-  w.at(w.rng.real(1_000, 5_000), () => {
+  w.at(w.rng.real(1_000, 5_000) / w.stormOf, () => {
     const askedMs = w.now;
     request(w, 2_000, (req) => ({ is: "status", req, id }), (a) => {
       if (a) hear(w, id, a, askedMs);
+      if (a?.is === "job") w.checker.heardOf.set(id, w.now);
       if (a?.is !== "job" || (a.state !== "done" && a.state !== "cancelled") || w.rng.chance(0.3)) poll(w, id);
     });
   });
@@ -293,3 +294,70 @@
   };
   w.at(8_000, one);
 }
+
+/**
+ * Bad nights: controllers that are silent or stand still for long, or are back at once; machines that hear nothing; copies of reports that
+ * come late; a controller cut from the state service and its peers, but not from its workers; questions many times as often; jobs
+ * submitted with a mistake. All are over by `untilMs`.
+ */
+export function badNights(w: World, untilMs: number): void {
+  const r = w.rng;
+  w.copies = r.pick([0, 0.05, 0.3]);
+  w.at(untilMs, () => (w.copies = 0));
+  const one = (): void => {
+    const most = untilMs - w.now;
+    if (most < 20_000) return;
+    const forMs = Math.min(most - 5_000, r.real(2_000, 45_000));
+    const node = r.pick(w.names);
+    switch (r.int(0, 8)) {
+      case 0:
+        // Silent for long.
+        w.crash(node);
+        w.at(forMs, () => w.nodes.get(node) ?? w.boot(node));
+        break;
+      case 1:
+        w.freeze(node, Math.min(forMs, r.pick([14_000, 40_000])));
+        break;
+      case 2: {
+        // Back at once, and now and then in the middle of the takeover that its end began.
+        const again = (): void => {
+          w.crash(node);
+          w.at(r.real(50, 500), () => w.nodes.get(node) ?? w.boot(node));
+        };
+        again();
+        for (let n = r.int(0, 3); n > 0; n--) w.at(r.real(500, 15_000), again);
+        break;
+      }
+      case 3:
+      case 4: {
+        const part = r.pick([0.1, 0.5]);
+        const zone = r.chance(0.3) ? r.pick(w.zones) : null;
+        const some = w.workers.filter((m) => !m.gone && (zone === null ? r.chance(part) : m.zone === zone));
+        for (const m of some) m.oneWay = true;
+        w.at(forMs, () => some.forEach((m) => (m.oneWay = false)));
+        break;
+      }
+      case 5:
+        w.stateCut.set(node, r.pick(["refused", "held"] as const));
+        w.meshCuts.add(node);
+        w.at(forMs, () => {
+          w.stateCut.delete(node);
+          w.meshCuts.delete(node);
+        });
+        break;
+      case 6:
+        w.stormOf = r.pick([8, 20]);
+        w.at(forMs, () => (w.stormOf = 1));
+        break;
+      case 7:
+        for (const m of w.workers) if (!process.env["NR"] && m.up && !m.gone && r.chance(0.2)) m.restart(r.real(50, 800));
+        break;
+      case 8:
+        w.bootFactor = r.pick([0.05, 4]);
+        w.at(forMs, () => (w.bootFactor = 1));
+        break;
+    }
+    w.at(r.real(1_000, 12_000), one);
+  };
+  w.at(8_000, one);
+}
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -148,6 +148,8 @@
   gone = false;
   hung = false;
   faulty = false;
+  /** Its reports arrive, but neither answers nor commands reach it. */
+  oneWay = false;
   noticeMs: number | null = null;
   /** Nodes that can't be reached. */
   readonly cut = new Set<string>();
@@ -181,19 +183,38 @@
   onMachine(t: SimTask): boolean {
     return t.state === "waiting" || t.state === "running" || t.state === "saving";
   }
-  private loop(): void {
-    if (this.gone) return;
+  private loop(life = this.lives): void {
+    if (this.gone || life !== this.lives) return;
     this.expire();
     if (!this.flying && !this.hung && this.world.now - this.lastMs >= 500) this.report();
-    this.world.at(1000 * this.world.settings.reportS * this.world.rng.real(0.75, 1.25), () => this.loop());
+    this.world.at(1000 * this.world.settings.reportS * this.world.rng.real(0.75, 1.25), () => this.loop(life));
   }
   expire(): void {
-    if (this.gone || this.world.now - this.sentMs <= this.world.settings.leaseS * 1000) return;
+    if (this.gone || !this.up || this.world.now - this.sentMs <= this.world.settings.leaseS * 1000) return;
     // A hanging machine acts when it resumes, but its tasks count as gone: it does not execute them.
     this.tasks.clear();
     this.session++;
     this.sentMs = this.world.now;
   }
+  /** Its process or machine ended and is back: it knows nothing of before, neither its session nor the highest token. */
+  restart(downMs: number): void {
+    if (this.gone || !this.up) return;
+    this.world.note(`${this.id} restarts`, { session: this.session, tally: this.tally, tasks: [...this.tasks.keys()] });
+    this.up = false;
+    this.lives++;
+    this.tasks.clear();
+    this.images.clear();
+    this.world.at(downMs, () => {
+      if (this.gone) return;
+      this.session = 1;
+      this.tally = 0;
+      this.token = 0;
+      this.flying = false;
+      this.lastMs = -1e9;
+      this.start();
+    });
+  }
+  private lives = 0;
   changed(): void {
     this.world.at(500, () => {
       if (!this.gone && !this.hung && !this.flying && this.world.now - this.lastMs >= 500) this.report();
@@ -217,6 +238,8 @@
     };
   }
   private report(): void {
+    if (!this.up) return;
+    const life = this.lives;
     const names = this.world.names;
     const node = names[this.target % names.length]!;
     const sent = this.world.now;
@@ -226,7 +249,7 @@
     this.lastMs = sent;
     let over = false;
     const next = (): void => {
-      if (over) return;
+      if (over || life !== this.lives) return;
       over = true;
       this.flying = false;
       this.target++;
@@ -235,9 +258,9 @@
     this.world.at(4000, next);
     const deliver = (): void =>
       this.world.report(node, r, (a) => {
-        if (this.isCut(node) || this.world.rng.chance(this.world.loss)) return;
+        if (this.isCut(node) || this.oneWay || this.world.rng.chance(this.world.loss)) return;
         this.world.at(this.world.rng.real(1, 30), () => {
-          if (over || this.gone) return;
+          if (over || this.gone || life !== this.lives) return;
           if (a === null) return next();
           if (a.is === "elsewhere") {
             const to = a.master === null ? -1 : names.indexOf(a.master);
@@ -260,6 +283,9 @@
           for (const o of a.orders) this.execute(o);
         });
       });
+    // Copies come late, from seconds to well over a lease, at any node.
+    for (let n = this.world.rng.chance(this.world.copies) ? this.world.rng.int(1, 2) : 0; n > 0; n--)
+      this.world.at(this.world.rng.real(500, 4_000 * this.world.settings.leaseS * this.world.rng.real() ** 2), () => this.world.report(this.world.rng.pick(names), structuredClone(r), () => {}));
     if (this.isCut(node)) {
       // Held by the network, perhaps delivered much later.
       if (this.world.rng.chance(0.5)) this.world.at(this.world.rng.real(1_000, 60_000), deliver);
@@ -268,8 +294,9 @@
     if (!this.world.rng.chance(this.world.loss)) this.world.at(this.world.rng.real(1, 30), deliver);
   }
   command(node: string, token: number, session: number, orders: Order[], done: (r: CommandReply) => void): void {
+    const life = this.lives;
     const run = (answer: boolean): void => {
-      if (this.gone || !this.up) return;
+      if (this.gone || !this.up || life !== this.lives) return;
       if (this.hung) return this.world.at(300, () => run(false));
       this.expire();
       const ok = token >= this.token && session === this.session;
@@ -278,12 +305,21 @@
         for (const o of orders) this.execute(o);
       }
       this.tally++;
-      if (answer && !this.world.rng.chance(this.world.loss)) done({ is: "answered", status: ok ? 200 : 409 });
+      if (answer && !this.oneWay && !this.world.rng.chance(this.world.loss)) done({ is: "answered", status: ok ? 200 : 409 });
     };
-    const held = this.isCut(node);
-    if (!held && this.world.rng.chance(this.world.loss)) return;
+    const held = this.isCut(node) || (this.oneWay && this.world.rng.chance(0.5));
+    if (!held && (this.oneWay || this.world.rng.chance(this.world.loss))) return;
     this.world.at(held ? this.world.rng.real(1_000, 60_000) : this.world.rng.real(1, 30), () => run(!held));
   }
+  inspect(node: string, done: (r: Report) => void): void {
+    const life = this.lives;
+    this.world.at(this.world.rng.real(1, 30), () => {
+      if (this.gone || !this.up || life !== this.lives || this.hung || this.oneWay || this.isCut(node) || this.world.rng.chance(this.world.loss)) return;
+      this.expire();
+      const r = this.snapshot();
+      this.world.at(this.world.rng.real(1, 30), () => this.isCut(node) || done(r));
+    });
+  }
   execute(o: Order): void {
     const key = `${o.job}/${o.index}#${o.attempt}`;
     const t = this.tasks.get(key);
@@ -339,7 +375,7 @@
     this.world.at(runMs, () => {
       if (!this.has(t) || t.state !== "running") return;
       if (this.hung) return this.run(t, spec, 500);
-      if (this.faulty) return this.exit(t, "error");
+      if (this.faulty || this.world.broken.has(t.job)) return this.exit(t, "error");
       if (spec.shape === "ensemble" && !this.world.gangComplete(t.job, t.attempt, spec)) return this.exit(t, "peers");
       this.world.results.add(`${t.job}/${t.index}`);
       if (spec.shape === "ensemble") this.world.gangDone(t.job, t.attempt, spec);
@@ -389,7 +425,7 @@
         const n = Math.min(call.count, this.world.capacity - there);
         if (n <= 0) return { is: "noCapacity" };
         const type = this.world.types.find((t) => t.name === call.type)!;
-        const machines = Array.from({ length: n }, () => this.add(type, call.zone, call.spot, this.world.rng.real(1_000, 6_000)).id);
+        const machines = Array.from({ length: n }, () => this.add(type, call.zone, call.spot, this.world.bootFactor * this.world.rng.real(1_000, 6_000)).id);
         this.charters.set(call.request, machines);
         return { is: "rented", machines };
       }
@@ -427,6 +463,14 @@
 export class World {
   now = 0;
   loss = 0.01;
+  /** Part of the reports that are copied on their way. */
+  copies = 0;
+  /** Users ask so many times as often. */
+  stormOf = 1;
+  /** Machines boot so many times as slowly. */
+  bootFactor = 1;
+  /** Jobs submitted with a mistake: they fail on every machine. */
+  readonly broken = new Set<string>();
   stateDown = false;
   cloudDown = false;
   capacity = 3;
@@ -661,6 +705,10 @@
   }
 
   /** A request at a node; null: no answer or no connection. */
+  /** A line of the world's own in the log. */
+  note(what: string, fields: Record<string, unknown> = {}): void {
+    if (this.logs.length < 50_000) this.logs.push(`${(this.now / 1000).toFixed(3)} world ${what} ${JSON.stringify(fields)}`);
+  }
   ask(name: string, input: (req: number) => Input, done: (a: Answer | null) => void): void {
     const node = this.nodes.get(name);
     if (!node) return done(null);
@@ -679,8 +727,14 @@
     if (this.nodes.get(name) !== node) return;
     const effects = node.core.step(input, this.now * node.drift, this.now);
     this.afterStep?.(node.core);
+    // A controller looks at its permit once more before anything leaves: it may stand still before that, or after it.
+    const looksFirst = node.stillFor > 0 && this.rng.chance(0.5);
     const carryOut = (): void => {
-      for (const e of effects) this.carryOut(name, node, e);
+      for (const e of effects) {
+        if (looksFirst || this.old.has(name) || node.core.mayLeave(e, this.now * node.drift)) this.carryOut(name, node, e);
+        else if (e.do === "command") this.feed(name, node.life, { is: "command", op: e.op, reply: { is: "refused" } });
+        else if (e.do === "answer") this.carryOut(name, node, { ...e, answer: { is: "later", afterS: 1, why: "no permit" } });
+      }
     };
     if (node.stillFor === 0) return carryOut();
     node.still = [carryOut];
@@ -747,11 +801,22 @@
         w.command(name, e.token, e.session, e.orders, reply);
         break;
       }
+      case "inspect": {
+        let over = false;
+        const reply = (r: Report | null): void => {
+          if (over) return;
+          over = true;
+          back({ is: "inspected", op: e.op, report: r });
+        };
+        this.at(3_000, () => reply(null));
+        this.workers.find((x) => x.id === `n-${e.address.split(":")[1]}`)?.inspect(name, reply);
+        break;
+      }
       case "wake":
         this.at(e.afterMs, () => this.feed(name, node.life, { is: "wake" }));
         break;
       case "log":
-        if (this.logs.length < 5000) this.logs.push(`${(this.now / 1000).toFixed(3)} ${name} ${e.msg} ${JSON.stringify(e.fields)}`);
+        if (this.logs.length < 50_000) this.logs.push(`${(this.now / 1000).toFixed(3)} ${name} ${e.msg} ${JSON.stringify(e.fields)}`);
         break;
     }
   }
