--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -8,6 +8,7 @@
   shortCutoffS: 240,
   shortGangS: 1500,
   holdAfterS: 600,
+  beginWithinS: 240,
   idleReturnS: 15,
   idleBoots: 1,
   warmWindowS: 300,
@@ -44,6 +45,7 @@
   optional bool guarantee_order = 22;
   optional bool divided_limits = 23;
   optional bool fleet_order = 24;
+  optional double begin_within_s = 25;
 }
 message Hooks {
   message Key {
@@ -124,6 +126,7 @@
   shortCutoffS: [0, 1e9],
   shortGangS: [0, 1e9],
   holdAfterS: [0, 1e9],
+  beginWithinS: [0, 1e9],
   idleReturnS: [0, 1e9],
   idleBoots: [0, 1e6],
   warmWindowS: [1, 1e9],
--- /dev/null
+++ b/src/coordination/holding.ts
@@ -0,0 +1,165 @@
+import type { Context } from "./context.js";
+import type { Holdings } from "./holdings.js";
+import { NO_USE, type Use } from "./ledger.js";
+import type { Sharing } from "./limits/index.js";
+import type { JobSpec } from "./model.js";
+import { allowedOn, fitCount, placeAsked, suits } from "./placement.js";
+import { freeOn, type JobRun, take, type TaskRun, type Worker } from "./tasks.js";
+
+/** Looked at no more often than this: it reads all running tasks of a group. */
+const LOOK_MS = 1_000;
+/** A gang comes first where it fits once it has waited this part of the time; a younger one never holds anything. */
+const FIT_PART = 0.4;
+/** Of its class's largest gang: what has about so many tasks counts as large. Smaller ones find their places by the order of the queues. */
+const LARGE = 0.75;
+/** Between a gang's placing and its first second of work: orders, images, the slowest machine. */
+const MARGIN_S = 30;
+/** Estimates are often too short by half: gathering is expected to take so many times as long as they say. */
+const SLOW = 1.3;
+/** A task past its estimate is expected to run for this part of it again. */
+const OVERRUN = 0.25;
+/** An array's first task comes before everything once it has waited this part of the time. */
+const ARRAY_PART = 0.6;
+/** What a task that is told to stop takes, at most, as far as can be said. */
+const STOPPING_S = 5;
+const MAX_CLASSES = 500;
+
+export type Due =
+  /** Its turn is as the queues say. */
+  | "no"
+  /** First of its urgency where all its places are free at this moment: nobody's machine stands idle for it. */
+  | "fit"
+  /** First of its urgency, and what comes free is kept for it: it has to gather its machines from now on. */
+  | "gang"
+  /** One task of it before everything else: nothing of it has begun, and that costs nobody more than that task's place. */
+  | "array";
+
+/**
+ * Which jobs have to begin now so that none waits longer than `begin_within_s` for its first start. Small work passes large
+ * work in the queues, so a gang of many machines never found them free together; holding freed room from the first moment
+ * kept many small gangs waiting for each large one. So holding begins as late as the machines' running tasks allow: when the
+ * gang's age and the time in which so many places come free add up to the bound; one gang to a zone, the oldest first.
+ */
+export class Holding {
+  private atMs = -Infinity;
+  private gangs: ReadonlyMap<string, number> = new Map();
+  /** By class: tasks of the largest gang that was seen. */
+  private readonly largest = new Map<string, number>();
+  private used: ReadonlyMap<string, Use> = new Map();
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly own: Holdings,
+    private readonly sharing: Sharing,
+  ) {}
+
+  private get boundS(): number {
+    return this.ctx.tuning.beginWithinS;
+  }
+  private ageS(job: JobRun): number {
+    return (this.ctx.wallMs - job.view.readyAt) / 1000;
+  }
+
+  /** Called at the beginning of a placing pass, with what is ready to start. */
+  look(ready: readonly JobRun[]): void {
+    if (this.boundS <= 0 || this.ctx.nowMs - this.atMs < LOOK_MS) return;
+    this.atMs = this.ctx.nowMs;
+    this.used = this.own.usage();
+    for (const { spec } of this.ctx.mirror.jobs.values())
+      if (spec.shape === "ensemble" && spec.tasks > (this.largest.get(spec.class) ?? 0) && (this.largest.has(spec.class) || this.largest.size < MAX_CLASSES)) this.largest.set(spec.class, spec.tasks);
+    const old = ready.filter((j) => this.isLarge(j.view.spec) && !j.view.spec.spread && this.ageS(j) >= this.boundS * FIT_PART && this.waitsWhole(j) && this.allowed(j));
+    this.gangs = old.length === 0 ? new Map() : this.dueOf(old.sort((a, b) => a.view.readyAt - b.view.readyAt));
+  }
+
+  due(job: JobRun): Due {
+    if (this.boundS <= 0) return "no";
+    if (job.view.spec.shape === "ensemble") return this.gangs.has(job.id) ? "gang" : this.isLarge(job.view.spec) && this.ageS(job) >= this.boundS * FIT_PART ? "fit" : "no";
+    return this.ageS(job) > this.boundS * ARRAY_PART && !this.begun(job) ? "array" : "no";
+  }
+  /** Seconds until a gang that is due has all its places, as far as can be said; what is done before then may use them. */
+  gatheredS(job: JobRun): number {
+    return this.gangs.get(job.id) ?? 0;
+  }
+
+  private isLarge(spec: JobSpec): boolean {
+    return spec.shape === "ensemble" && spec.tasks > 1 && spec.tasks >= (this.largest.get(spec.class) ?? Infinity) * LARGE;
+  }
+  private begun(job: JobRun): boolean {
+    if (job.active.size > 0 || job.finished.size > 0 || this.ctx.mirror.finishedCount(job.id) > 0) return true;
+    for (const r of this.ctx.mirror.rooms.values()) if ((r.running.get(job.id) ?? 0) > 0) return true;
+    return false;
+  }
+  private waitsWhole(job: JobRun): boolean {
+    return job.active.size === 0 && job.waiting.size === job.mine.size && job.mine.size === job.view.spec.tasks && !this.own.ledger.hasStrays(job.id);
+  }
+  /** Its team may use so much more: what only its limit keeps waiting holds nothing. */
+  private allowed(job: JobRun): boolean {
+    const { spec } = job.view;
+    const [cpus, gpus] = this.sharing.share(spec.team);
+    const used = this.used.get(spec.team) ?? NO_USE;
+    return fitCount({ cpus: spec.cpus, gpus: spec.gpus, memGb: 0 }, { cpus: cpus - used.cpus, gpus: gpus - used.gpus, memGb: 0 }) >= spec.tasks;
+  }
+
+  /** Of gangs, oldest first: those that hold from now on, with the seconds until they have what they need. */
+  private dueOf(gangs: readonly JobRun[]): Map<string, number> {
+    const { usable, reserved } = this.own.usableWorkers();
+    const open = usable.filter((w) => !reserved.has(w.id));
+    const lists = new Map<string, Map<string, number[]>>();
+    /** Places of each zone that older gangs gather before it. */
+    const taken = new Map<string, number>();
+    const first = new Map<string, { job: JobRun; inS: number }>();
+    const due = new Map<string, number>();
+    for (const job of gangs) {
+      const { spec } = job.view;
+      const key = placeAsked(spec);
+      let byZone = lists.get(key);
+      if (!byZone) lists.set(key, (byZone = this.freeing(spec, open)));
+      let best: { zone: string; inS: number } | null = null;
+      for (const [zone, times] of byZone) {
+        const inS = times[(taken.get(zone) ?? 0) + spec.tasks - 1];
+        if (inS !== undefined && inS < (best?.inS ?? Infinity)) best = { zone, inS };
+      }
+      // More than the group has: nothing is gained by holding here; it goes elsewhere, or machines are rented.
+      if (!best) continue;
+      const { zone, inS } = best;
+      taken.set(zone, (taken.get(zone) ?? 0) + spec.tasks);
+      const head = first.get(zone) ?? { job, inS };
+      first.set(zone, head);
+      if (this.ageS(job) + inS * SLOW >= this.boundS - MARGIN_S) due.set(head.job.id, head.inS);
+    }
+    return due;
+  }
+
+  /** By zone, for gangs that don't need one zone all together: in how many seconds each place for such a task is free, soonest first. */
+  private freeing(spec: JobSpec, open: readonly Worker[]): Map<string, number[]> {
+    const out = new Map<string, number[]>();
+    for (const w of open) {
+      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || !suits(spec, w.type, w.spot, this.ctx.catalog)) continue;
+      const room = freeOn(w);
+      const zone = spec.samePlace ? w.zone : "";
+      let list = out.get(zone);
+      if (!list) out.set(zone, (list = []));
+      let places = fitCount(spec, room);
+      for (let i = 0; i < places; i++) list.push(0);
+      if (w.tasks.size === 0) continue;
+      const ends = [...w.tasks.values()].map((t) => ({ inS: this.leftS(t), t })).sort((a, b) => a.inS - b.inS);
+      for (const { inS, t } of ends) {
+        if (inS === Infinity) break;
+        const s = t.job.view.spec;
+        take(room, { cpus: -s.cpus, gpus: -s.gpus, memGb: -s.memGb });
+        const n = fitCount(spec, room);
+        for (; places < n; places++) list.push(inS);
+      }
+    }
+    for (const list of out.values()) list.sort((a, b) => a - b);
+    return out;
+  }
+
+  private leftS(t: TaskRun): number {
+    if (t.stop) return STOPPING_S;
+    const { estimateS } = t.job.view.spec;
+    if (estimateS <= 0) return Infinity;
+    const ran = t.phase === "running" ? (this.ctx.nowMs - t.sinceMs) / 1000 : 0;
+    return Math.max(estimateS - ran, estimateS * OVERRUN);
+  }
+}
--- a/src/coordination/model.ts
+++ b/src/coordination/model.ts
@@ -94,6 +94,8 @@
   shortGangS: number;
   /** A waiting gang holds the room that it could use already once it has waited this long. */
   holdAfterS: number;
+  /** No job waits longer for its first start where it could have had one; 0: no such bound. */
+  beginWithinS: number;
   /** Least idle time before a machine is given back. */
   idleReturnS: number;
   /** The same as a multiple of its type's usual boot time. */
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -61,13 +61,13 @@
 
 /**
  * What found no room in a placing pass. Room only shrinks during one: whatever asks for the same kind of place
- * and no less of it need not look again.
+ * and no less of it need not look again. `look`: which machines it may look at, beside what its description says.
  */
 export class Misfits {
   private readonly of = new Map<string, (Amounts & { tasks: number })[]>();
 
-  private static kind(s: JobSpec, short: boolean): string {
-    return [s.types?.join("+"), s.zone, s.spot, s.samePlace, short].join("/");
+  private static kind(s: JobSpec, look: string): string {
+    return [s.types?.join("+"), s.zone, s.spot, s.samePlace, look].join("/");
   }
   /** Jobs that look at machines in a way of their own are never counted in. */
   private static own(s: JobSpec): boolean {
@@ -76,15 +76,15 @@
   private static tasks(s: JobSpec): number {
     return s.shape === "ensemble" ? s.tasks : 1;
   }
-  add(s: JobSpec, short: boolean): void {
+  add(s: JobSpec, look: string): void {
     if (Misfits.own(s)) return;
-    const key = Misfits.kind(s, short);
+    const key = Misfits.kind(s, look);
     const list = this.of.get(key) ?? [];
     list.push({ cpus: s.cpus, gpus: s.gpus, memGb: s.memGb, tasks: Misfits.tasks(s) });
     this.of.set(key, list);
   }
-  includes(s: JobSpec, short: boolean): boolean {
+  includes(s: JobSpec, look: string): boolean {
     if (Misfits.own(s)) return false;
-    return (this.of.get(Misfits.kind(s, short)) ?? []).some((m) => fits(m, s) && m.tasks <= Misfits.tasks(s));
+    return (this.of.get(Misfits.kind(s, look)) ?? []).some((m) => fits(m, s) && m.tasks <= Misfits.tasks(s));
   }
 }
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -3,6 +3,7 @@
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
 import { NO_USE, type Use } from "./ledger.js";
+import { type Due, Holding } from "./holding.js";
 import type { Guarantees, Sharing } from "./limits/index.js";
 import { type JobSpec, taskKey } from "./model.js";
 import { inParts, partStep } from "./parts.js";
@@ -19,6 +20,8 @@
  */
 const PLACE_GAP_MS = 60;
 const PLACE_AGAIN_MS = 1_000;
+/** What may use a gang's places until it has them all: estimates are often too short by half. */
+const BACKFILL_SLOW = 1.6;
 /** A task waits this long before others are stopped for it. */
 const PREEMPT_AFTER_MS = 2_000;
 
@@ -36,7 +39,14 @@
     private readonly sharing: Sharing,
     private readonly guarantees: Guarantees,
     private readonly preemption: Preemption,
-  ) {}
+  ) {
+    this.gathering = new Holding(ctx, own, sharing);
+  }
+  private readonly gathering: Holding;
+  /** Room on machines that a gang gathers: for what is done before the gang has all its places, it is there. */
+  private readonly kept = new Map<Worker, Amounts>();
+  /** Seconds until the gang that keeps it has all its places; the soonest of several. */
+  private keptS = 0;
 
   /** What only time can change is looked at now and then. */
   tick(): void {
@@ -51,8 +61,11 @@
     this.placedMs = this.ctx.nowMs;
     this.passes++;
     this.own.holding.clear();
+    this.kept.clear();
+    this.keptS = Infinity;
     const ready = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j));
     if (ready.length === 0) return;
+    this.gathering.look(ready);
     const used = this.own.usage();
     const { usable: workers, reserved } = this.own.usableWorkers();
     const free = new Map<Worker, Amounts>(workers.map((w) => [w, freeOn(w)]));
@@ -63,6 +76,7 @@
         standing: j.view,
         tasks: this.own.unfinished(j),
         late: isLate(j.view.spec, j.view, this.ctx.wallMs, this.ctx.settings.objectives),
+        due: this.gathering.due(j),
         job: j,
       })),
       this.ctx.tuning,
@@ -72,16 +86,18 @@
     const madeRoom = new Set(workers.map((w) => w.heldFor?.job));
     const blocked: JobRun[] = [];
     const misfits = new Misfits();
+    const most = (head: { due: Due }): number => (head.due === "array" ? 1 : round.most());
     for (let head = round.head(); head; head = round.head()) {
       const job = head.job;
       const short = isShort(job.view.spec, this.ctx.tuning);
+      const look = `${short}/${this.fillsIn(job.view.spec)}`;
       // Room that was made for a job is hidden from the others.
       const own = madeRoom.has(job.id);
-      const n = !own && misfits.includes(job.view.spec, short) ? 0 : this.placeSome(job, round.most(), short ? workers : unreserved, free, reserved, used);
-      if (n === null) misfits.add(job.view.spec, short);
+      const n = !own && head.due === "no" && misfits.includes(job.view.spec, look) ? 0 : this.placeSome(job, most(head), short ? workers : unreserved, free, reserved, used);
+      if (n === null) misfits.add(job.view.spec, look);
       if (n) round.served(n);
       else if (blocked.length < 3) blocked.push(job);
-      if (!n || job.waiting.isEmpty) round.skip();
+      if (!n || job.waiting.isEmpty || head.due === "array") round.skip();
     }
     for (const job of blocked) if (this.ctx.nowMs - job.waitingSinceMs > PREEMPT_AFTER_MS) this.preemption.consider(job, workers, free, used);
   }
@@ -112,7 +128,11 @@
     if (chosen.length === 0 || (gang && chosen.length < want)) {
       // Holding freed room: what a waiting gang could use already is not given to those behind it. Not at once: a
       // large gang that holds machines idle keeps many small ones waiting, and most of them are done before it starts.
-      if (gang && want > 1 && this.ctx.wallMs - job.view.readyAt > this.ctx.tuning.holdAfterS * 1000) this.hold(chosen, spec, free);
+      // `Holding` says from when on it must, so as to begin in time.
+      if (gang && want > 1) {
+        if (this.gathering.due(job) === "gang") this.keep(chosen, job);
+        else if (this.ctx.wallMs - job.view.readyAt > this.ctx.tuning.holdAfterS * 1000) this.hold(chosen, spec, free);
+      }
       return null;
     }
     const attempt = inParts(spec, job.view.split.size) ? this.partAttempt(job) : this.own.token * ATTEMPTS + ++this.attempts;
@@ -124,7 +144,7 @@
     for (const [k, w] of chosen.entries()) {
       const index = indices[k]!;
       job.waiting.remove(index);
-      const t: TaskRun = { job, index, attempt, worker: w, phase: "ordered", sinceMs: this.ctx.nowMs, stop: null };
+      const t: TaskRun = { job, index, attempt, worker: w, phase: "ordered", told: 0, sinceMs: this.ctx.nowMs, stop: null };
       job.active.set(index, t);
       this.own.ledger.put(t);
       w.idleSinceMs = null;
@@ -146,6 +166,27 @@
     }
   }
 
+  /** The same, but for what is done before the gang can have all its places: that may use them meanwhile. */
+  private keep(chosen: readonly Worker[], job: JobRun): void {
+    const { cpus, gpus, memGb } = job.view.spec;
+    for (const w of chosen) {
+      const k = this.kept.get(w) ?? { cpus: 0, gpus: 0, memGb: 0 };
+      this.kept.set(w, { cpus: k.cpus + cpus, gpus: k.gpus + gpus, memGb: k.memGb + memGb });
+      this.own.holding.add(w);
+    }
+    this.keptS = Math.min(this.keptS, this.gathering.gatheredS(job));
+  }
+  private fillsIn(spec: JobSpec): boolean {
+    return this.kept.size > 0 && spec.shape === "batch" && spec.estimateS > 0 && spec.estimateS * BACKFILL_SLOW < this.keptS;
+  }
+  /** What is free on a machine for this job. */
+  private roomOn(w: Worker, free: ReadonlyMap<Worker, Amounts>, spec: JobSpec): Amounts {
+    const room = free.get(w)!;
+    const kept = this.kept.get(w);
+    if (!kept || this.fillsIn(spec)) return room;
+    return { cpus: room.cpus - kept.cpus, gpus: room.gpus - kept.gpus, memGb: room.memGb - kept.memGb };
+  }
+
   /** The attempt under which a part of a gang is to start now; null: not yet. */
   private partAttempt(job: JobRun): number | null {
     if (job.calling) return null;
@@ -196,7 +237,7 @@
       if (only !== null && w.zone !== only) continue;
       if (w.heldFor && w.heldFor.job !== job.id && this.ctx.nowMs < w.heldFor.untilMs) continue;
       if (!allowedOn(spec, w.typeName, w.zone, w.spot) || !suits(spec, w.type, w.spot, this.ctx.catalog)) continue;
-      const room = free.get(w)!;
+      const room = this.roomOn(w, free, spec);
       // Invariant (rule wrong_place): with `spread`, no zone holds more than half, old attempts included.
       const n = Math.min(fitCount(spec, room), cap - (at.get(w.zone) ?? 0));
       if (n <= 0) continue;
--- a/src/coordination/queues.ts
+++ b/src/coordination/queues.ts
@@ -1,3 +1,4 @@
+import type { Due } from "./holding.js";
 import { type JobSpec, type Standing, type Tuning, URGENCIES } from "./model.js";
 
 /** What the queues need to know of a job that has waiting tasks in this group. */
@@ -8,6 +9,8 @@
   tasks: number;
   /** It can't be done any more by the time that is expected of it; others still can. */
   late: boolean;
+  /** It has to begin now: see `Holding`. */
+  due: Due;
 }
 
 /**
@@ -24,8 +27,16 @@
  * that it still waits for: small jobs pass large ones, and nothing waits for ever.
  */
 function before(a: Queued, b: Queued): number {
+  return urgent(a, b) || inTime(a, b);
+}
+/** What has to begin now, where that costs others no more than one task's place; then urgency; then what has to gather its places. */
+function urgent(a: Queued, b: Queued): number {
+  if ((a.due === "array") !== (b.due === "array")) return a.due === "array" ? -1 : 1;
   const u = URGENCIES.indexOf(b.standing.urgency) - URGENCIES.indexOf(a.standing.urgency);
-  if (u !== 0) return u;
+  return u !== 0 ? u : GATHERS[b.due] - GATHERS[a.due];
+}
+const GATHERS: Record<Due, number> = { gang: 2, fit: 1, no: 0, array: 0 };
+function inTime(a: Queued, b: Queued): number {
   if (a.late !== b.late) return a.late ? 1 : -1;
   return turnMs(a) - turnMs(b) || (a.spec.id < b.spec.id ? -1 : 1);
 }
@@ -50,7 +61,7 @@
 /** Between the first jobs of two teams, at equal urgency: within its guarantee first, then the smaller share of it. */
 function teamBefore(a: Queued, b: Queued, rank: Rank): number {
   if (a.spec.team === b.spec.team) return before(a, b);
-  const u = URGENCIES.indexOf(b.standing.urgency) - URGENCIES.indexOf(a.standing.urgency);
+  const u = urgent(a, b);
   if (u !== 0) return u;
   const x = rank(a.spec.team);
   const y = rank(b.spec.team);
@@ -128,6 +139,9 @@
   /** The job to serve next; `served` and `skip` speak of it. */
   head(): T | undefined {
     this.from = this.longsTurn() ? this.long : this.short;
+    // What has to begin now waits for no turn of its queue.
+    const [short, long] = [this.short.first(), this.long.first()];
+    if (short && long && (short.due === "no") !== (long.due === "no")) this.from = short.due === "no" ? this.long : this.short;
     return (this.at = this.from.first());
   }
   /** Tasks of the head that may be served before the other queue has its turn. */
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -405,7 +405,7 @@
 test("queues by team: within its guarantee first at equal urgency, then the smaller share of it; urgency before both", () => {
   const q = (id: string, t: string, readyAt: number, over: Partial<JobSpec> = {}) => {
     const spec = { ...randomJob(new World(1), 1), id, team: t, urgency: "normal" as const, shape: "batch" as const, estimateS: 10, ...over };
-    return { spec, standing: { urgency: spec.urgency, readyAt }, tasks: 1, late: false };
+    return { spec, standing: { urgency: spec.urgency, readyAt }, tasks: 1, late: false, due: "no" as const };
   };
   const shares: Record<string, number> = { in: 0.5, alsoIn: 0.9, out: 1.5, far: 3 };
   const order = (jobs: ReturnType<typeof q>[], ranked: boolean): string[] => {
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -119,7 +119,7 @@
   assert.equal(new FrameReader().push(Buffer.from("GET / HTTP/1.1\r\n")), null, "not ours");
 });
 
-const queued = (id: string, estimateS: number, acceptedAt: number) => ({ spec: SPEC({ id, estimateS }), standing: { urgency: "normal" as const, readyAt: acceptedAt }, tasks: 1, late: false });
+const queued = (id: string, estimateS: number, acceptedAt: number) => ({ spec: SPEC({ id, estimateS }), standing: { urgency: "normal" as const, readyAt: acceptedAt }, tasks: 1, late: false, due: "no" as const });
 
 test("of every W tasks one comes from a waiting long queue, and only the head that was served is skipped", () => {
   const round = new Round([queued("req-1", 10, 1), queued("req-2", 10, 2), queued("req-3", 900, 0)], { ...DEFAULTS, longEvery: 3 }, { sinceLong: 0 });
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -153,11 +153,11 @@
 
 test("what found no room in a pass is not looked for again, and nothing else is left out", () => {
   const m = new Misfits();
-  m.add({ ...SPEC, tasks: 4 }, true);
-  assert.ok(m.includes({ ...SPEC, tasks: 4 }, true));
-  assert.ok(m.includes({ ...SPEC, tasks: 8, cpus: 31 }, true));
-  for (const other of [{ tasks: 3 }, { cpus: 20 }, { spot: true }, { zone: "a" }, { types: ["plain"] }, { samePlace: false }]) assert.ok(!m.includes({ ...SPEC, ...other }, true), JSON.stringify(other));
-  assert.ok(!m.includes(SPEC, false));
+  m.add({ ...SPEC, tasks: 4 }, "short");
+  assert.ok(m.includes({ ...SPEC, tasks: 4 }, "short"));
+  assert.ok(m.includes({ ...SPEC, tasks: 8, cpus: 31 }, "short"));
+  for (const other of [{ tasks: 3 }, { cpus: 20 }, { spot: true }, { zone: "a" }, { types: ["plain"] }, { samePlace: false }]) assert.ok(!m.includes({ ...SPEC, ...other }, "short"), JSON.stringify(other));
+  assert.ok(!m.includes(SPEC, "long"));
 });
 
 const room = (zone: string, free: number, machines: number, over: Partial<RoomRecord> = {}): RoomRecord => ({
