What less urgent work would give way to counts as room, in splits and moves

Change: written room says by urgency what a machine would have if less urgent tasks gave way, and what waits from each urgency upwards; splits and moves go by it.

--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -1,4 +1,4 @@
-import { bytesOf, jobKey, writeJob } from "../storage/records.js";
+import { bytesOf, jobKey, type RoomRecord, writeJob } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import { Handover } from "./handover.js";
@@ -10,12 +10,15 @@
 import { isShort } from "./queues.js";
 import { RangeSet } from "./ranges.js";
 import type { Renting } from "./renting.js";
-import { canRent, capableGroups, queueOf, roomLeft, wholeRoom } from "./splitter.js";
+import { canRent, capableGroups, type Handed, queueOf, roomLeft, waitingBefore, wholeRoom } from "./splitter.js";
 import type { JobRun } from "./tasks.js";
 
 /** A task waits this long for its own group before it may move. */
 const MOVE_AFTER_MS = 400;
 
+/** A job goes where others would be stopped for it only after it has waited here for longer than that takes. */
+const YIELD_AFTER_MS = 6_000;
+
 /** Waiting tasks that go to other groups. */
 export class Moves {
   private gaveMs = -Infinity;
@@ -54,7 +57,7 @@
         if (g === this.own.group || (!whole && r.queue[kind] > 0) || !this.ctx.mirror.groups.has(g)) continue;
         const handed = this.ctx.handed.get(g);
         // What waits there does not fit, or the room would not be free, and what it holds is not written as free.
-        const fit = whole ? wholeRoom(spec, this.zonesFor(spec, g), r, this.ctx.catalog ?? [], short, handed).now : roomLeft(spec, r, this.ctx.catalog ?? [], short, handed);
+        const fit = whole ? this.wholeAt(job, g, r, short, handed) : roomLeft(spec, r, this.ctx.catalog ?? [], short, handed);
         const n = Math.min(fit, this.allowed(spec, g, headroom.get(spec.team)));
         if (n >= (whole ? spec.tasks : 1) && (!best || n > best.fit)) best = { g, fit: n };
       }
@@ -84,6 +87,16 @@
     }
   }
 
+  /**
+   * Tasks of a job that goes whole that fit into a group now; or, once it has waited for longer than stopping takes, that fit
+   * there once less urgent work has given way, if nothing as urgent waits there.
+   */
+  private wholeAt(job: JobRun, group: string, room: RoomRecord, short: boolean, handed: readonly Handed[] | undefined): number {
+    const { spec } = job.view;
+    const at = wholeRoom(spec, this.zonesFor(spec, group), room, this.ctx.catalog ?? [], short, handed);
+    return at.now < spec.tasks && this.ctx.nowMs - job.waitingSinceMs > YIELD_AFTER_MS && waitingBefore(spec, room) === 0 ? at.yields : at.now;
+  }
+
   /**
    * Tasks that the team's limit would let start there, with what this group does not use of it itself: that follows them.
    * Work that only its limit keeps from starting went from group to group, each having machines free and none a part of
--- a/src/coordination/room.ts
+++ b/src/coordination/room.ts
@@ -1,19 +1,47 @@
-import { bytesOf, type FreeKind, roomKey, type RoomRecord, type RoomRow, tenth, writeRoom } from "../storage/records.js";
+import { bytesOf, type FreeKind, type YieldKind, roomKey, type RoomRecord, type RoomRow, tenth, writeRoom } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
-import type { JobSpec } from "./model.js";
+import { type JobSpec, URGENCIES } from "./model.js";
 import { EPS } from "./placement.js";
 import type { Renting } from "./renting.js";
 import type { Sharing } from "./limits/index.js";
-import type { Handed } from "./splitter.js";
-import { freeOn } from "./tasks.js";
+import { type Handed, queueOf } from "./splitter.js";
+import { freeOn, type Worker } from "./tasks.js";
 
+/** Which urgencies there are is looked at this often. */
+const LEVELS_MS = 2_000;
 /** The room is written at most this often. */
 const WRITE_MS = 700;
 /** Splits go by room that is no older than this: counting it anew for each of a flood of submissions took most of the time. */
 const SPLIT_MS = 200;
 
+/** For each range of urgencies that would find the same: what this machine has once tasks that give way to them are stopped. */
+function yieldsOf(w: Worker, levels: readonly number[]): YieldKind[] {
+  if (w.tasks.size === 0) return [];
+  const out: YieldKind[] = [];
+  const f = freeOn(w);
+  for (const level of levels) {
+    let { cpus, gpus, memGb } = f;
+    let more = false;
+    for (const t of w.tasks.values()) {
+      const { spec, urgency } = t.job.view;
+      // A gang loses all its tasks with one: it does not give way.
+      if ((spec.shape === "ensemble" && spec.tasks > 1) || URGENCIES.indexOf(urgency) >= level) continue;
+      more = true;
+      cpus += spec.cpus;
+      gpus += spec.gpus;
+      memGb += spec.memGb;
+    }
+    if (!more) continue;
+    const kind: YieldKind = [tenth(cpus), tenth(gpus), tenth(memGb), 1, level, level];
+    const last = out.at(-1);
+    if (last && last.slice(0, 3).join() === kind.slice(0, 3).join()) last[5] = level;
+    else out.push(kind);
+  }
+  return out;
+}
+
 /** The room and the queues of a group, which splits and moves go by, and the writing of them. */
 export class Room {
   private writtenMs = -Infinity;
@@ -31,13 +59,24 @@
   now(): RoomRecord {
     const rows = new Map<string, RoomRow>();
     const kinds = new Map<string, FreeKind>();
+    const yields = new Map<string, YieldKind>();
     const { usable, reserved } = this.own.usableWorkers();
+    const levels = this.levels();
     for (const w of usable) {
       const key = w.kind;
       let row = rows.get(key);
       if (!row) rows.set(key, (row = { type: w.typeName, zone: w.zone, spot: w.spot, machines: 0, free: [], reserved: [] }));
       row.machines++;
       const f = freeOn(w);
+      for (const y of levels.length > 1 ? yieldsOf(w, levels) : []) {
+        const name = `${key}/${y.join("/")}`;
+        const same = yields.get(name);
+        if (same) same[3]++;
+        else {
+          yields.set(name, y);
+          (row.yields ??= []).push(y);
+        }
+      }
       if ((f.cpus <= EPS && f.gpus <= EPS) || this.own.isHeld(w)) continue;
       const kind: FreeKind = [tenth(f.cpus), tenth(f.gpus), tenth(f.memGb), 1];
       const isReserved = reserved.has(w.id);
@@ -59,7 +98,31 @@
     const soldOut = renting.soldOut();
     // Nothing left of what is sold out goes without saying.
     const left = new Map([...renting.left()].filter(([what, n]) => n > 0 || !soldOut.includes(what)));
-    return { rows: [...rows.values()], queue, running, soldOut, left, ...this.sharing.rows(), cut: false };
+    return { rows: [...rows.values()], queue, queueFrom: this.queueFrom(), running, soldOut, left, ...this.sharing.rows(), cut: false };
+  }
+
+  /** Urgencies that jobs were seen to have, lowest first: who asks for less than the highest may be asked to give way. */
+  private levels(): readonly number[] {
+    if (this.ctx.nowMs - this.levelsMs >= LEVELS_MS) {
+      this.levelsMs = this.ctx.nowMs;
+      const seen = new Set(this.seen);
+      for (const j of this.ctx.mirror.jobs.values()) seen.add(URGENCIES.indexOf(j.urgency));
+      this.seen = [...seen].sort((a, b) => a - b);
+    }
+    return this.seen;
+  }
+  private levelsMs = -Infinity;
+  private seen: readonly number[] = [];
+
+  /** Tasks that wait, from each urgency upwards. */
+  private queueFrom(): [number, number][] {
+    const out = URGENCIES.map((): [number, number] => [0, 0]);
+    for (const j of this.own.jobs.values()) {
+      if (j.waiting.isEmpty) continue;
+      const kind = queueOf(j.view.spec) === "plain" ? 0 : 1;
+      for (let u = URGENCIES.indexOf(j.view.urgency); u >= 0; u--) out[u]![kind] += j.waiting.size;
+    }
+    return out;
   }
 
   /** For splits: the room as it was a moment ago, and what splits have handed to the group since. */
@@ -76,7 +139,7 @@
   fitted(): RoomRecord {
     const all = this.now();
     const rows = all.rows.sort((x, y) => y.machines - x.machines);
-    const record: RoomRecord = { ...all, rows: rows.map((r) => ({ ...r, free: [], reserved: [] })), running: new Map() };
+    const record: RoomRecord & { rows: RoomRow[] } = { ...all, rows: rows.map((r) => ({ type: r.type, zone: r.zone, spot: r.spot, machines: r.machines, free: [], reserved: [] })), running: new Map() };
     const { soldOut, left, wants } = record;
     const teams = (record.teams = new Map(all.teams));
     const most = this.ctx.settings.state.valueBytes;
@@ -94,6 +157,7 @@
     const size = (k: FreeKind): number => k[3] * (k[0] + 100 * k[1]);
     const kinds = rows.slice(0, record.rows.length).flatMap((r, i) => [...r.free.map((kind) => ({ to: record.rows[i]!.free, kind })), ...r.reserved.map((kind) => ({ to: record.rows[i]!.reserved, kind }))]);
     for (const { to, kind } of kinds.sort((x, y) => size(y.kind) - size(x.kind))) if (fits(kind)) to.push(kind);
+    for (const [i, r] of rows.slice(0, record.rows.length).entries()) for (const y of r.yields ?? []) if (fits(y)) (record.rows[i]!.yields ??= []).push(y);
     for (const entry of all.running) if (fits(entry)) record.running.set(...entry);
     return record;
   }
--- a/src/coordination/splitter.ts
+++ b/src/coordination/splitter.ts
@@ -1,6 +1,6 @@
-import type { RoomRecord } from "../storage/records.js";
+import type { RoomRecord, RoomRow } from "../storage/records.js";
 import type { Groups } from "./groups.js";
-import type { JobSpec, MachineType } from "./model.js";
+import { type JobSpec, type MachineType, URGENCIES } from "./model.js";
 import { allowedOn, couldRun, fitCount, goesWhole, offer, suits, zoneCap } from "./placement.js";
 import { RangeSet } from "./ranges.js";
 
@@ -31,6 +31,28 @@
   return n;
 }
 
+/**
+ * Tasks of this job that a group can have once work of lower urgency has given way, beside what is free: a few seconds
+ * after it asks. Without it a guest's swarm on all machines of a group sent everything urgent to the others, where it waited
+ * for minutes (docs/incidents/claimdesk-ops-visitors.md).
+ */
+function yieldsFor(spec: JobSpec, rows: readonly RoomRow[], catalog: readonly MachineType[]): number {
+  const urgency = URGENCIES.indexOf(spec.urgency);
+  let n = 0;
+  for (const row of rows) {
+    if (!row.yields?.length || !allowedOn(spec, row.type, row.zone, row.spot) || !suits(spec, catalog.find((t) => t.name === row.type) ?? null, row.spot, catalog)) continue;
+    for (const [cpus, gpus, memGb, machines, from, to] of row.yields) if (urgency >= from && urgency <= to) n += machines * fitCount(spec, { cpus, gpus, memGb });
+  }
+  return n;
+}
+
+/** Tasks that wait in a group and come before this job or beside it: what is less urgent does not keep it waiting. */
+export function waitingBefore(spec: JobSpec, room: RoomRecord | undefined): number {
+  const kind = queueOf(spec);
+  const from = room?.queueFrom?.[URGENCIES.indexOf(spec.urgency)];
+  return from ? from[kind === "plain" ? 0 : 1] : (room?.queue[kind] ?? 0);
+}
+
 /** Tasks that were given to a group and that its written room may not show yet. */
 export interface Handed {
   spec: JobSpec;
@@ -46,17 +68,19 @@
 }
 
 /**
- * For a job that goes whole: the most of its tasks that a group can start at once, and the most with what it may
- * still rent. With `samePlace` one zone must hold them all, so zones are not added up.
+ * For a job that goes whole: the most of its tasks that a group can start at once, the most once less urgent work has given
+ * way, and the most with what it may still rent as well. With `samePlace` one zone must hold them all, so zones are not added up.
  */
-export function wholeRoom(spec: JobSpec, zones: readonly string[], room: RoomRecord | undefined, catalog: readonly MachineType[], short: boolean, handed: readonly Handed[] = []): { now: number; soon: number } {
+export function wholeRoom(spec: JobSpec, zones: readonly string[], room: RoomRecord | undefined, catalog: readonly MachineType[], short: boolean, handed: readonly Handed[] = []): { now: number; yields: number; soon: number } {
   const gone = new Set(room?.soldOut);
   const taken = handedOf(spec, handed);
-  const best = { now: 0, soon: 0 };
-  const sum = { now: 0, soon: 0 };
+  const best = { now: 0, yields: 0, soon: 0 };
+  const sum = { now: 0, yields: 0, soon: 0 };
   for (const zone of zones) {
-    const one = { now: room ? roomFor(spec, { ...room, rows: room.rows.filter((r) => r.zone === zone) }, catalog, short) : 0, soon: 0 };
-    one.soon = one.now;
+    const rows = room?.rows.filter((r) => r.zone === zone) ?? [];
+    const one = { now: room ? roomFor(spec, { ...room, rows }, catalog, short) : 0, yields: 0, soon: 0 };
+    one.yields = one.now + yieldsFor(spec, rows, catalog);
+    one.soon = one.yields;
     for (const t of catalog) {
       if (!couldRun(spec, t, zone)) continue;
       for (const spot of spec.spot ? [false, true] : [false]) {
@@ -66,13 +90,13 @@
         if (left > 0) one.soon += left * fitCount(spec, t);
       }
     }
-    sum.now += one.now;
-    sum.soon += one.soon;
-    best.now = Math.max(best.now, one.now);
-    best.soon = Math.max(best.soon, one.soon);
+    for (const k of ["now", "yields", "soon"] as const) {
+      sum[k] += one[k];
+      best[k] = Math.max(best[k], one[k]);
+    }
   }
   const at = spec.samePlace ? best : sum;
-  return { now: Math.max(0, at.now - taken), soon: Math.max(0, at.soon - taken) };
+  return { now: Math.max(0, at.now - taken), yields: Math.max(0, at.yields - taken), soon: Math.max(0, at.soon - taken) };
 }
 
 /** What was handed to a group since it wrote its room, in tasks of this job. */
@@ -101,7 +125,7 @@
   return capable.map((c) => {
     const r = rooms.get(c.group);
     const given = handed.get(c.group) ?? [];
-    let waiting = r ? r.queue[queueOf(spec)] : 0;
+    let waiting = waitingBefore(spec, r);
     for (const h of given) if (queueOf(h.spec) === queueOf(spec)) waiting += h.tasks;
     return { ...c, room: roomLeft(spec, r, catalog, short, given), later: 1 / waitS(spec, c.zones, r, catalog, waiting), cap: zoneCap(spec) * c.zones.length };
   });
@@ -135,12 +159,17 @@
   return Math.max(0.1, slots);
 }
 
+/** From the asking until work that gives way has saved and is gone, in seconds. */
+const YIELD_S = 12;
+
 /** About how long a whole job would wait in a group: not at all, for machines to boot, or for others to finish. */
-function wholeWaitS(spec: JobSpec, c: Capable, at: { now: number; soon: number }, room: RoomRecord | undefined, catalog: readonly MachineType[]): number {
-  const waiting = room ? room.queue[queueOf(spec)] : 0;
+function wholeWaitS(spec: JobSpec, c: Capable, at: { now: number; yields: number; soon: number }, room: RoomRecord | undefined, catalog: readonly MachineType[]): number {
+  const waiting = waitingBefore(spec, room);
   if (at.now >= spec.tasks + waiting) return 0;
   // What waits there does not fit yet and may be holding that room: a little worse than room for all.
   if (at.now >= spec.tasks) return 1;
+  // Stopped first, with time to save.
+  if (at.yields >= spec.tasks + waiting) return YIELD_S;
   const boots = catalog.filter((t) => suits(spec, t, spec.spot, catalog) && c.zones.some((z) => couldRun(spec, t, z))).map((t) => t.bootS);
   const bootS = Math.min(...boots) + 5;
   const short = spec.tasks + waiting - at.soon;
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -116,7 +116,11 @@
   free: FreeKind[];
   /** The same of the machines that serve short tasks only. */
   reserved: FreeKind[];
+  /** What is free, or would be once tasks that must give way to such urgency were stopped; only of machines where that is more. */
+  yields?: YieldKind[];
 }
+/** `from`, `to`: the least and the highest urgency that it is meant for, as their places in `URGENCIES`. */
+export type YieldKind = [cpus: number, gpus: number, memGb: number, machines: number, from: number, to: number];
 export type FreeKind = [cpus: number, gpus: number, memGb: number, machines: number];
 export interface Want {
   cpus: number;
@@ -146,6 +150,8 @@
   rows: RoomRow[];
   /** Tasks waiting, by whether they need accelerators: these compete for different machines. */
   queue: { plain: number; accelerated: number };
+  /** The same for each urgency, with all above it: [plain, accelerated]; absent: an earlier version wrote it. */
+  queueFrom?: readonly (readonly [number, number])[];
   /** Tasks on machines, by job: for display. */
   running: Map<string, number>;
   /** Offers that the cloud had nothing left of, lately. */
@@ -217,9 +223,12 @@
       // Without counts and reserved machines: written by an earlier version.
       f: frees,
       r: v.optional(frees, []),
+      y: v.optional(v.array(v.tuple([v.number(), v.number(), v.number(), v.number(), v.number(), v.number()]))),
     }),
   ),
   q: v.tuple([v.number(), v.number()]),
+  // Not known to the version before, which does not mind it.
+  qu: v.optional(v.pipe(pairs, v.length(URGENCIES.length))),
   run: v.array(v.tuple([v.string(), v.number()])),
   out: v.array(v.string()),
   left: v.optional(v.array(v.tuple([v.string(), v.number()]))),
@@ -296,8 +305,9 @@
   const o = read(Room, value);
   return (
     o && {
-      rows: o.rows.map((r) => ({ type: r.t, zone: r.z, spot: r.s, machines: r.n, free: counted(r.f), reserved: counted(r.r) })),
+      rows: o.rows.map((r) => ({ type: r.t, zone: r.z, spot: r.s, machines: r.n, free: counted(r.f), reserved: counted(r.r), ...(r.y ? { yields: r.y } : {}) })),
       queue: { plain: o.q[0], accelerated: o.q[1] },
+      ...(o.qu ? { queueFrom: o.qu } : {}),
       running: new Map(o.run),
       soldOut: o.out,
       left: new Map(o.left),
@@ -330,8 +340,10 @@
     n: x.machines,
     f: x.free,
     r: x.reserved,
+    ...(x.yields?.length ? { y: x.yields } : {}),
   })),
   q: [r.queue.plain, r.queue.accelerated],
+  ...(r.queueFrom?.some(([plain, accelerated]) => plain + accelerated > 0) ? { qu: r.queueFrom } : {}),
   run: [...r.running],
   out: r.soldOut,
   left: [...r.left],
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -8,7 +8,7 @@
 import { Room } from "../src/coordination/room.js";
 import { Roster } from "../src/coordination/roster.js";
 import { RangeSet as OldRangeSet } from "./production/coordination/ranges.js";
-import { bytesOf, FIN_BLOCK, finBlock, finKey, inBlock, parseKey, readFin, readJob, readRoom, readRoster, type RosterEntry, rosterKey, type TeamRow, writeFin, writeJob, writeRoom, writeRoster } from "../src/storage/records.js";
+import { bytesOf, FIN_BLOCK, finBlock, finKey, inBlock, parseKey, readFin, readJob, readRoom, readRoster, type RoomRecord, type RosterEntry, rosterKey, type TeamRow, writeFin, writeJob, writeRoom, writeRoster } from "../src/storage/records.js";
 import type { Condition, Write } from "../src/protocol/state.js";
 import * as old from "./production/storage/records.js";
 import { pipelines, randomJob, troubles, users } from "./sim/days.js";
@@ -60,7 +60,8 @@
   const row: TeamRow = { use: [1, 2], may: [3, 4], now: [5, 0], nowSince: 6, soon: [0, 0], soonSince: Infinity, beyond: [7, 8], waits: [9, 0] };
   const { teams: _, cut: __, ...asOld } = room;
   // Production reads a room without what teams use, and writes one that says nothing of it.
-  for (const r of [room, { ...room, teams: new Map([["red", row]]), cut: true }]) {
+  const more: RoomRecord = { ...room, rows: [{ ...room.rows[0]!, yields: [[8, 0, 16, 1, 2, 3]] }], queueFrom: [[3, 2], [1, 2], [1, 0], [0, 0]], teams: new Map([["red", row]]), cut: true };
+  for (const r of [room, more]) {
     assert.deepEqual(old.readRoom(stored(writeRoom(r))), asOld);
     assert.deepEqual(readRoom(stored(writeRoom(r))), r);
   }
@@ -143,12 +144,12 @@
   };
   const renting = { soldOut: () => [...offers], left: () => new Map(offers.map((o) => [o, 3])) };
   const sharing = { rows: () => ({ wants: new Map(Array.from({ length: 20 }, (_, i) => [`team-${i}`, { cpus: 1, gpus: 0, since: 1_700_000_000_000 }])), teams: new Map() }) };
-  const room = new Room({ settings: { state: limits } } as unknown as Context, own as unknown as Holdings, sharing as unknown as Sharing, renting as unknown as Renting);
+  const room = new Room({ nowMs: 0, mirror: { jobs: new Map() }, settings: { state: limits } } as unknown as Context, own as unknown as Holdings, sharing as unknown as Sharing, renting as unknown as Renting);
   const record = room.fitted();
   assert.ok(bytesOf(writeRoom(record)) <= limits.valueBytes, `${bytesOf(writeRoom(record))}`);
   assert.ok(record.rows.length > 10 && record.rows.every((r) => r.machines >= 5), "the rows of the most machines");
   assert.equal(room.now().rows.length, 48, "the group itself goes by all of it");
-  const { teams: _, cut: __, ...asOld } = record;
+  const { teams: _, cut: __, queueFrom: ___, ...asOld } = record;
   assert.deepEqual(old.readRoom(stored(writeRoom(record))), asOld);
 });
 
