--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -15,6 +15,31 @@
 import type { Handed } from "./splitter.js";
 import { Users, WITHDRAW_TRIES } from "./users.js";
 
+/** How things stand, for metrics: of the groups whose master this controller is. */
+export interface Figures {
+  unfinished: number;
+  groups: number;
+  machines: number;
+  idle: number;
+  queuedPlain: number;
+  queuedAccelerated: number;
+  running: number;
+  /** Machines whose reports arrive and which get nothing. */
+  deaf: number;
+  /** Reports that were no newer than what was known, since these groups were taken. */
+  late: number;
+  /** Jobs that fail wherever they run. */
+  suspects: number;
+  /** The longest that a gang which has not begun has waited, in seconds. */
+  longestGangS: number;
+  /** Questions refused so far, and for how long the job has been refused that was refused longest, in seconds. */
+  refused: number;
+  refusedForS: number;
+}
+
+/** So long without the state service and without any peer a controller tells users to go elsewhere. */
+const ALONE_MS = 6_000;
+
 /** One team in one group. */
 export interface TeamFigures {
   team: string;
@@ -110,9 +135,12 @@
     return !needsPermit || nowMs < this.ownership.permitUntilMs;
   }
 
-  /** Ready to take requests: it has read what is alive, and the state service was there lately. */
+  /**
+   * Ready to take requests: it has read what is alive. A state service that nobody reaches makes nobody unready, since the load
+   * balancer would then keep all of them out beyond its end; one that reaches neither it nor any peer is cut off itself.
+   */
   get ready(): boolean {
-    return this.mirror.ready;
+    return this.mirror.ready && !(this.settings.peers.length > 0 && this.ownership.alone && this.ownership.staleMs > ALONE_MS);
   }
 
   private take(i: Input): void {
@@ -252,9 +280,18 @@
   }
 
   /** How things stand, for metrics: of the groups whose master this controller is. */
-  get figures(): { unfinished: number; groups: number; machines: number; idle: number; queuedPlain: number; queuedAccelerated: number; running: number } {
-    const f = { unfinished: this.mirror.jobs.size, groups: this.masters.size, machines: 0, idle: 0, queuedPlain: 0, queuedAccelerated: 0, running: 0 };
-    for (const { own } of this.masters.values()) {
+  get figures(): Figures {
+    const read = this.reading.refusals;
+    const oldest = Math.min(read.oldestMs ?? Infinity, this.users.lookups.oldestMs ?? Infinity);
+    const f: Figures = { unfinished: this.mirror.jobs.size, groups: this.masters.size, machines: 0, idle: 0, queuedPlain: 0, queuedAccelerated: 0, running: 0, deaf: 0, late: 0, suspects: 0, longestGangS: 0, refused: read.refused + this.users.lookups.refused, refusedForS: oldest === Infinity ? 0 : (this.nowMs - oldest) / 1000 };
+    for (const m of this.masters.values()) {
+      const { own } = m;
+      f.deaf += own.deafMachines().length;
+      f.late += m.lateReports;
+      for (const j of own.jobs.values()) {
+        if (j.suspectMs !== null) f.suspects++;
+        else if (j.view.spec.shape === "ensemble" && !j.waiting.isEmpty && j.active.size === 0) f.longestGangS = Math.max(f.longestGangS, (this.wallMs - j.view.readyAt) / 1000);
+      }
       const q = own.queue();
       f.queuedPlain += q.plain;
       f.queuedAccelerated += q.accelerated;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -176,6 +176,8 @@
     }
     for (const w of this.own.workers.values())
       if (!w.going && w.lost && now - w.answeredMs > this.ctx.tuning.silentReturnS * 1000) this.giveUp(w, "silent for too long");
+    for (const w of this.own.deafMachines().slice(0, this.own.deafReplaced()))
+      if (now - w.receipt.deafMs! > this.ctx.tuning.silentReturnS * 1000) this.giveUp(w, "does not receive");
     for (const [id, b] of this.renting.booting) {
       const usual = (this.typeOf(b.type)?.bootS ?? 60) * 1000;
       if (now - b.rentedMs > usual * this.ctx.tuning.bootPatience + 5_000) this.giveBack(id, b.type, "never came up");
--- a/src/coordination/holding.ts
+++ b/src/coordination/holding.ts
@@ -1,6 +1,5 @@
 import type { Context } from "./context.js";
 import type { Holdings } from "./holdings.js";
-import { NO_USE, type Use } from "./ledger.js";
 import type { Sharing } from "./limits/index.js";
 import type { JobSpec } from "./model.js";
 import { allowedOn, fitCount, placeAsked, suits } from "./placement.js";
@@ -45,7 +44,6 @@
   private gangs: ReadonlyMap<string, number> = new Map();
   /** By class: tasks of the largest gang that was seen. */
   private readonly largest = new Map<string, number>();
-  private used: ReadonlyMap<string, Use> = new Map();
 
   constructor(
     private readonly ctx: Context,
@@ -64,15 +62,14 @@
   look(ready: readonly JobRun[]): void {
     if (this.boundS <= 0 || this.ctx.nowMs - this.atMs < LOOK_MS) return;
     this.atMs = this.ctx.nowMs;
-    this.used = this.own.usage();
     for (const { spec } of this.ctx.mirror.jobs.values())
       if (spec.shape === "ensemble" && spec.tasks > (this.largest.get(spec.class) ?? 0) && (this.largest.has(spec.class) || this.largest.size < MAX_CLASSES)) this.largest.set(spec.class, spec.tasks);
-    const old = ready.filter((j) => this.isLarge(j.view.spec) && !j.view.spec.spread && this.ageS(j) >= this.boundS * FIT_PART && this.waitsWhole(j) && this.allowed(j));
+    const old = ready.filter((j) => this.isLarge(j.view.spec) && !j.view.spec.spread && j.suspectMs === null && this.ageS(j) >= this.boundS * FIT_PART && this.waitsWhole(j) && this.allowed(j));
     this.gangs = old.length === 0 ? new Map() : this.dueOf(old.sort((a, b) => a.view.readyAt - b.view.readyAt));
   }
 
   due(job: JobRun): Due {
-    if (this.boundS <= 0) return "no";
+    if (this.boundS <= 0 || job.suspectMs !== null) return "no";
     if (job.view.spec.shape === "ensemble") return this.gangs.has(job.id) ? "gang" : this.isLarge(job.view.spec) && this.ageS(job) >= this.boundS * FIT_PART ? "fit" : "no";
     return this.ageS(job) > this.boundS * ARRAY_PART && !this.begun(job) ? "array" : "no";
   }
@@ -92,12 +89,11 @@
   private waitsWhole(job: JobRun): boolean {
     return job.active.size === 0 && job.waiting.size === job.mine.size && job.mine.size === job.view.spec.tasks && !this.own.ledger.hasStrays(job.id);
   }
-  /** Its team may use so much more: what only its limit keeps waiting holds nothing. */
+  /** The group's part of its team's limit has room for it, whatever of it others of the team use now. */
   private allowed(job: JobRun): boolean {
     const { spec } = job.view;
     const [cpus, gpus] = this.sharing.share(spec.team);
-    const used = this.used.get(spec.team) ?? NO_USE;
-    return fitCount({ cpus: spec.cpus, gpus: spec.gpus, memGb: 0 }, { cpus: cpus - used.cpus, gpus: gpus - used.gpus, memGb: 0 }) >= spec.tasks;
+    return fitCount({ cpus: spec.cpus, gpus: spec.gpus, memGb: 0 }, { cpus, gpus, memGb: 0 }) >= spec.tasks;
   }
 
   /** Of gangs, oldest first: those that hold from now on, with the seconds until they have what they need. */
--- a/src/coordination/holdings.ts
+++ b/src/coordination/holdings.ts
@@ -25,6 +25,8 @@
 
 const LEASE_SLACK_MS = 1_000;
 const LIST_SLACK_MS = 500;
+/** Of a group's machines, those that may be replaced at a time for receiving nothing. */
+const REPLACED_SHARE = 0.1;
 
 /**
  * What the master of a group knows under its token: machines, jobs, what is or may be on the machines, what is held for whom, and
@@ -196,6 +198,17 @@
     return silent * 2 > all;
   }
 
+  /** Machines that are heard and receive nothing, as far as known, longest first. */
+  deafMachines(): Worker[] {
+    const out: Worker[] = [];
+    for (const w of this.workers.values()) if (w.receipt.deafMs !== null && !w.lost && !w.going) out.push(w);
+    return out.sort((a, b) => a.receipt.deafMs! - b.receipt.deafMs!);
+  }
+  /** How many of them are replaced at a time. */
+  deafReplaced(): number {
+    return Math.max(1, Math.ceil(this.workers.size * REPLACED_SHARE));
+  }
+
   usable(w: Worker): boolean {
     return !w.going && w.receipt.proven && w.receipt.deafMs === null && w.takenAtMs === null && w.type !== null && this.ctx.nowMs >= w.avoidUntilMs && this.isHeard(w) && this.roster.has(w.id);
   }
--- /dev/null
+++ b/src/coordination/lookups.ts
@@ -0,0 +1,74 @@
+import type { StateCall, StateReply } from "../protocol/state.js";
+import { pastKey, type PastRecord, readPast } from "../storage/records.js";
+import type { Context } from "./context.js";
+import { Urgent } from "./effects.js";
+import { FairQueue } from "./fairness.js";
+
+/** Reads on their way at once, and questions that wait for one: users also ask for what nobody submitted. */
+const MOST_READS = 12;
+const MOST_WAITING = 300;
+
+type Done = (past: PastRecord | null, failed: string | null) => void;
+interface Asked {
+  readonly id: string;
+  atMs: number;
+  done: Done;
+}
+
+/** Final states that this controller's copy does not hold: one read serves all that asked for the same job before it was sent. */
+export class Lookups {
+  private readonly reading = new Map<string, Asked[]>();
+  private readonly waiting = new FairQueue<Asked>(MOST_WAITING);
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly state: (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void) => void,
+    private readonly learnt: (id: string, past: PastRecord) => void,
+  ) {}
+
+  /** `past` null: it has none, or `failed` says why that can't be known now. */
+  ask(id: string, done: Done): void {
+    const asked = { id, atMs: this.ctx.nowMs, done };
+    const others = this.reading.get(id);
+    if (others) others.push(asked);
+    else if (this.reading.size < MOST_READS) this.read(id, [asked]);
+    else this.waiting.add(asked, this.ctx.nowMs)?.done(null, "too many questions");
+  }
+
+  private read(id: string, asked: Asked[]): void {
+    this.reading.set(id, asked);
+    this.state({ op: "get", key: pastKey(id) }, Urgent.User, (r, sentMs) => {
+      this.reading.delete(id);
+      // Invariant (forgotten): that a job is not there is told only by a read that was sent after the question.
+      const served = asked.filter((a) => a.atMs <= sentMs);
+      const late = asked.filter((a) => a.atMs > sentMs);
+      const p = r.is === "item" && r.item ? readPast(r.item.value) : null;
+      if (p) this.learnt(id, p);
+      const failed = r.is !== "item" ? "state service does not answer" : r.item && !p ? "unreadable record" : null;
+      if (failed === null) this.waiting.answered(id);
+      for (const a of served) {
+        if (failed !== null) this.waiting.refuse(a, this.ctx.nowMs);
+        a.done(p, failed);
+      }
+      if (late.length > 0) this.read(id, late);
+      this.next();
+    });
+  }
+
+  private next(): void {
+    while (this.reading.size < MOST_READS && this.waiting.size > 0) for (const a of this.waiting.take(1)) this.join(a);
+  }
+  private join(a: Asked): void {
+    const others = this.reading.get(a.id);
+    // One that is on its way was sent before, or is not sent yet: `sentMs` tells.
+    if (others) others.push(a);
+    else this.read(a.id, [a]);
+  }
+
+  get refused(): number {
+    return this.waiting.refused;
+  }
+  get oldestMs(): number | null {
+    return this.waiting.oldestMs(this.ctx.nowMs);
+  }
+}
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -13,7 +13,14 @@
 import { RangeSet } from "./ranges.js";
 import { newReceipt, Receipts } from "./receipt.js";
 import { Room } from "./room.js";
-import { newJobRun, runKey, type TaskRun, type Worker } from "./tasks.js";
+import { type JobRun, newJobRun, runKey, type TaskRun, type Worker } from "./tasks.js";
+
+/** Failures of one job within this time are of one try: a gang's tasks fail together. */
+const ONE_TRY_MS = 5_000;
+/** Machines on which a job must have failed, and nothing of it completed, before it is the job that is suspected. */
+const SUSPECT_AFTER = 2;
+const SUSPECT_ANYWAY = 5;
+const MOST_PAUSE_MS = 60_000;
 
 /**
  * The master of one group under one token. It alone starts tasks on the group's machines. It begins with what
@@ -320,7 +327,10 @@
     const { job, worker: w } = t;
     this.ctx.log("debug", "task ended", { task: taskKey(job.id, t.index), worker: w.id, cause, saved });
     if (cause === "done" && !job.gone && job.view.spec.shape !== "daemon") this.finishing.finish(job, t.index);
-    if (cause === "done") w.failed.clear();
+    if (cause === "done") {
+      w.failed.clear();
+      this.clears(job);
+    }
     if (cause === "error") this.failed(t);
     if (cause === "no_room" || cause === "busy") w.avoidUntilMs = this.ctx.nowMs + 2_000;
     if (cause === "no_such") job.backoffUntilMs = this.ctx.nowMs + 2_000;
@@ -328,25 +338,49 @@
   }
 
   /**
-   * A failure is mostly the machine's fault, but a job that fails on every machine must not condemn the
-   * machines: a machine is given up for failures of two different jobs, or one job's where that job runs
-   * elsewhere; a job that failed on three machines is retried ever more slowly and accuses nobody.
+   * A failure is mostly the machine's fault, but a job that was submitted with a mistake fails on every machine. It is
+   * suspected once it has failed on two machines and nothing of it has ever completed: then it accuses no machine any more,
+   * nothing is rented, held, moved or stopped for it, and it is tried again ever more slowly. A machine is given up for
+   * failures of two jobs that are not suspected.
    */
   private failed(t: TaskRun): void {
     const { job, worker: w } = t;
+    const now = this.ctx.nowMs;
     job.errors.set(w.id, (job.errors.get(w.id) ?? 0) + 1);
-    const times = [...job.errors.values()].reduce((a, b) => a + b, 0);
-    if (job.errors.size >= 3) {
-      job.backoffUntilMs = this.ctx.nowMs + Math.min(60_000, 1_000 * 2 ** Math.min(6, times - 3));
-      for (const x of this.own.workers.values()) x.failed.delete(job.id);
-    } else {
+    if (now - job.failedMs > ONE_TRY_MS) job.failedTries++;
+    job.failedMs = now;
+    const healthy = job.finished.size > 0 || this.ctx.mirror.finishedCount(job.id) > 0;
+    // Others of it that have run for longer than this one did speak for the job, but not for ever.
+    const ranMs = t.phase === "running" ? now - t.sinceMs : 0;
+    const others = [...job.active.values()].some((x) => x !== t && x.phase === "running" && now - x.sinceMs > ranMs * 1.2 + 1_000);
+    if (!healthy && job.errors.size >= (others ? SUSPECT_ANYWAY : SUSPECT_AFTER)) this.suspect(job);
+    else {
       w.failed.add(job.id);
+      w.avoidUntilMs = Math.max(w.avoidUntilMs, now + 5_000 * w.failed.size);
+      this.ctx.log("info", "task failed", { task: taskKey(job.id, t.index), worker: w.id, jobsFailedHere: w.failed.size });
     }
-    w.avoidUntilMs = Math.max(w.avoidUntilMs, this.ctx.nowMs + 5_000 * w.failed.size);
-    this.ctx.log("info", "task failed", { task: taskKey(job.id, t.index), worker: w.id, jobsFailedHere: w.failed.size });
     if (w.failed.size >= 2 && !w.going) this.fleet.giveUp(w, "tasks of several jobs failed on it");
   }
 
+  private suspect(job: JobRun): void {
+    const now = this.ctx.nowMs;
+    job.backoffUntilMs = Math.max(job.backoffUntilMs, now + Math.min(MOST_PAUSE_MS, 1_000 * 2 ** Math.min(10, job.failedTries)));
+    if (job.suspectMs !== null) return;
+    job.suspectMs = now;
+    for (const x of this.own.workers.values()) if (x.failed.delete(job.id) && x.failed.size === 0) x.avoidUntilMs = Math.min(x.avoidUntilMs, now);
+    this.ctx.log("warn", "job fails wherever it runs; tried again ever more slowly", { job: job.id, class: job.view.spec.class, team: job.view.spec.team, machines: [...job.errors.keys()].slice(0, 5), failures: [...job.errors.values()].reduce((a, b) => a + b, 0) });
+  }
+
+  /** Something of a job has completed: it has no mistake, and what failed before were machines. */
+  private clears(job: JobRun): void {
+    if (job.suspectMs === null) return;
+    job.suspectMs = null;
+    job.failedTries = 0;
+    job.backoffUntilMs = 0;
+    job.errors.clear();
+    this.ctx.log("info", "job runs after all", { job: job.id });
+  }
+
   /** A spot machine that is about to be taken: what can save does so just in time. */
   private onNotice(w: Worker): void {
     if (w.takenAtMs === null) return;
--- a/src/coordination/mirror.ts
+++ b/src/coordination/mirror.ts
@@ -48,7 +48,8 @@
 /** When its own deadline is, as time of day. */
 export const ownDueAt = (spec: JobSpec, acceptedAt: number): number => (spec.deadlineS === null ? Infinity : acceptedAt + spec.deadlineS * 1000);
 
-const PAST_KEPT = 5_000;
+/** About 150 bytes each: a question about any of these costs no read. */
+const PAST_KEPT = 20_000;
 
 /**
  * A controller's copy of everything alive in the state service, kept up to date by one watch. `epoch` says
--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -46,7 +46,7 @@
     for (const job of waiting) {
       const spec = job.view.spec;
       const kind = queueOf(spec);
-      if (job.moving || job.finalizing || spec.spread || !this.own.mayStart(job) || this.ctx.nowMs - job.waitingSinceMs < MOVE_AFTER_MS) continue;
+      if (job.moving || job.finalizing || job.suspectMs !== null || spec.spread || !this.own.mayStart(job) || this.ctx.nowMs - job.waitingSinceMs < MOVE_AFTER_MS) continue;
       const whole = goesWhole(spec);
       const short = isShort(spec, this.ctx.tuning);
       // A part of an array comes from the longest queue; a gang that can't start here goes to whoever holds it whole.
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -138,6 +138,11 @@
   private readonly claimMs = new Map<string, number>();
   private readonly upSince = new Map<string, number>();
 
+  /** No other controller answers. */
+  get alone(): boolean {
+    return this.upSince.size === 0;
+  }
+
   peersUp(up: readonly string[]): void {
     for (const p of this.upSince.keys()) if (!up.includes(p)) this.upSince.delete(p);
     for (const p of up) if (!this.upSince.has(p)) this.upSince.set(p, this.ctx.nowMs);
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -96,7 +96,7 @@
       const n = !own && head.due === "no" && misfits.includes(job.view.spec, look) ? 0 : this.placeSome(job, most(head), short ? workers : unreserved, free, reserved, used);
       if (n === null) misfits.add(job.view.spec, look);
       if (n) round.served(n);
-      else if (blocked.length < 3) blocked.push(job);
+      else if (blocked.length < 3 && job.suspectMs === null) blocked.push(job);
       if (!n || job.waiting.isEmpty || head.due === "array") round.skip();
     }
     for (const job of blocked) if (this.ctx.nowMs - job.waitingSinceMs > PREEMPT_AFTER_MS) this.preemption.consider(job, workers, free, used);
@@ -121,7 +121,12 @@
     // Invariant (rule ran_twice): nothing is started that may still be on some machine.
     const startable = (i: number): boolean => !this.own.ledger.hasStrays(job.id, i);
     const want = gang ? job.waiting.size : Math.min(most, allowed, job.waiting.size);
-    if (want === 0 || allowed < want) return 0;
+    if (want === 0) return 0;
+    const gathers = gang && this.gathering.due(job) === "gang";
+    if (allowed < want) {
+      if (gathers) this.keepLimit(spec, used);
+      return 0;
+    }
     const indices = [...job.waiting.take(gang ? want : want + this.own.ledger.straysOf(job.id).size)].filter(startable).slice(0, want);
     if (indices.length === 0) return 0;
     const chosen = this.choose(job, indices.length, gang, open, free, reserved);
@@ -130,8 +135,10 @@
       // large gang that holds machines idle keeps many small ones waiting, and most of them are done before it starts.
       // `Holding` says from when on it must, so as to begin in time.
       if (gang && want > 1) {
-        if (this.gathering.due(job) === "gang") this.keep(chosen, job);
-        else if (this.ctx.wallMs - job.view.readyAt > this.ctx.tuning.holdAfterS * 1000) this.hold(chosen, spec, free);
+        if (gathers) {
+          this.keep(chosen, job);
+          this.keepLimit(spec, used);
+        } else if (job.suspectMs === null && this.ctx.wallMs - job.view.readyAt > this.ctx.tuning.holdAfterS * 1000) this.hold(chosen, spec, free);
       }
       return null;
     }
@@ -166,6 +173,12 @@
     }
   }
 
+  /** Of its team's limit, too, what comes free is for a gang that gathers: small ones of the same team took it as fast. */
+  private keepLimit(spec: JobSpec, used: Map<string, Use>): void {
+    const team = used.get(spec.team) ?? NO_USE;
+    used.set(spec.team, { cpus: team.cpus + spec.cpus * spec.tasks, gpus: team.gpus + spec.gpus * spec.tasks });
+  }
+
   /** The same, but for what is done before the gang can have all its places: that may use them meanwhile. */
   private keep(chosen: readonly Worker[], job: JobRun): void {
     const { cpus, gpus, memGb } = job.view.spec;
--- a/src/coordination/reading.ts
+++ b/src/coordination/reading.ts
@@ -2,6 +2,7 @@
 import { NOW, ROOT } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
+import { FairQueue } from "./fairness.js";
 import type { Seen } from "./mirror.js";
 import type { Ownership } from "./ownership.js";
 
@@ -10,10 +11,13 @@
 /** Reads follow each other no faster than this: one serves all that asked meanwhile. */
 const READ_PAUSE_MS = 60;
 const MAX_WAITING = 400;
+/** A question whose read failed waits for the next one for so long after it came: users wait 2 s for a status. */
+const AGAIN_MS = 1_000;
 
 interface Waiting {
   req: number;
   id: string;
+  atMs: number;
   next: (req: number, id: string) => void;
 }
 
@@ -25,7 +29,7 @@
   private nextWatchMs = 0;
   private nextReadMs = 0;
   private waking = false;
-  private waiting: Waiting[] = [];
+  private readonly waiting = new FairQueue<Waiting>(MAX_WAITING);
   private stateDown = false;
 
   constructor(
@@ -125,25 +129,38 @@
    */
   afterRead(req: number, id: string, next: (req: number, id: string) => void): void {
     const past = this.ctx.mirror.past.get(id);
-    if (past) return next(req, id);
+    if (past) {
+      this.waiting.answered(id);
+      return next(req, id);
+    }
     if (!this.ctx.mirror.ready) return this.refuse(req, "not ready yet");
-    if (this.waiting.length >= MAX_WAITING) return this.refuse(req, "too many requests");
-    this.waiting.push({ req, id, next });
+    this.wait({ req, id, atMs: this.ctx.nowMs, next });
     this.readNow();
   }
 
+  private wait(w: Waiting): void {
+    const out = this.waiting.add(w, this.ctx.nowMs);
+    if (out) this.refuse(out.req, "too many requests");
+  }
+  /** Questions refused so far, and since when the job that has been refused longest is. */
+  get refusals(): { refused: number; oldestMs: number | null } {
+    return { refused: this.waiting.refused, oldestMs: this.waiting.oldestMs(this.ctx.nowMs) };
+  }
+
   readNow(): void {
-    if (this.reading || this.waiting.length === 0) return;
+    if (this.reading || this.waiting.size === 0) return;
     if (this.ctx.nowMs < this.nextReadMs) return this.wakeIn(this.nextReadMs - this.ctx.nowMs);
     this.reading = true;
-    const served = this.waiting;
-    this.waiting = [];
+    const served = this.waiting.take();
     this.changes(0, (ok) => {
       this.reading = false;
       this.nextReadMs = this.ctx.nowMs + READ_PAUSE_MS;
       for (const w of served) {
-        if (ok) w.next(w.req, w.id);
-        else this.refuse(w.req, "state service does not answer");
+        if (ok) {
+          this.waiting.answered(w.id);
+          w.next(w.req, w.id);
+        } else if (this.ctx.nowMs - w.atMs < AGAIN_MS) this.wait(w);
+        else this.refuse(this.waiting.refuse(w, this.ctx.nowMs).req, "state service does not answer");
       }
       this.readNow();
     });
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -247,7 +247,10 @@
   }
   private lastComing: { nowMs: number; places: readonly Place[] } = { nowMs: -Infinity, places: [] };
 
-  /** Machines on their way. */
+  /**
+   * Machines on their way; and those that receive nothing, but for the few that are replaced at a time: a broken link to a
+   * zone must not rent a second fleet.
+   */
   private coming(): Place[] {
     const out: Place[] = [];
     const add = (m: Offer): void => {
@@ -258,6 +261,7 @@
     for (const r of this.rentals) for (let i = 0; i < r.count; i++) add(r);
     // Up, but not to be used yet: its place in the roster is being written.
     for (const w of this.own.workers.values()) if (!w.lost && !w.going && !this.own.roster.has(w.id)) add({ type: w.typeName, zone: w.zone, spot: w.spot });
+    for (const w of this.own.deafMachines().slice(this.own.deafReplaced())) add({ type: w.typeName, zone: w.zone, spot: w.spot });
     return out;
   }
 
@@ -278,7 +282,7 @@
     const addDue = (j: JobRun): number => (dueWork[queueOf(j.view.spec)] += (j.waiting.size + j.active.size / 2) * j.view.spec.estimateS);
     for (const j of this.own.jobs.values()) if (j.waiting.isEmpty && j.view.spec.shape === "batch") addDue(j);
     const due = (j: JobRun): number => (Number.isFinite(j.view.dueAt) ? j.view.dueAt : j.view.readyAt);
-    const jobs = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j) && j.errors.size < 3).sort((a, b) => due(a) - due(b));
+    const jobs = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j) && j.suspectMs === null).sort((a, b) => due(a) - due(b));
     for (const j of jobs) {
       const spec = j.view.spec;
       const room = headroom.get(spec.team);
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -49,6 +49,11 @@
   calling: boolean;
   /** Machines where it failed, and how often. */
   errors: Map<string, number>;
+  /** It seems to have been submitted with a mistake, since then; null: no reason to think so. */
+  suspectMs: number | null;
+  /** Tries that ended in failure, its tasks' failures within a moment counted as one; and when the last did. */
+  failedTries: number;
+  failedMs: number;
   /** Handed to another group by a commit that has not shown yet. */
   moving: { tasks: RangeSet; change: Handover } | null;
 }
@@ -134,6 +139,9 @@
     tried: 0,
     calling: false,
     errors: new Map(),
+    suspectMs: null,
+    failedTries: 0,
+    failedMs: -Infinity,
     moving: null,
   };
 }
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -1,9 +1,10 @@
 import type { StateCall, StateReply, Write } from "../protocol/state.js";
-import { bytesOf, endWrites, jobKey, type JobRecord, pastKey, type PastRecord, readPast, writeJob, writePast } from "../storage/records.js";
+import { bytesOf, endWrites, jobKey, type JobRecord, pastKey, type PastRecord, writeJob, writePast } from "../storage/records.js";
 import type { Awaiting } from "./awaiting.js";
 import type { Context } from "./context.js";
 import { type Answer, Urgent } from "./effects.js";
 import { finalRecord } from "./finishing.js";
+import { Lookups } from "./lookups.js";
 import type { Master } from "./master.js";
 import type { JobSpec } from "./model.js";
 import type { Ownership } from "./ownership.js";
@@ -29,6 +30,7 @@
 /** What users ask: submissions, status, withdrawals. Every answer rests on the records. */
 export class Users {
   private readonly maxJobs: number;
+  readonly lookups: Lookups;
   /** Of what is left of memory the next step may need all: nothing new is accepted. */
   private short = false;
 
@@ -38,10 +40,11 @@
     private readonly ownership: Pick<Ownership, "readAgeMs">,
     private readonly awaiting: Awaiting,
     private readonly reading: Reading,
-    private readonly state: (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void) => void,
+    state: (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void) => void,
     private readonly answer: (req: number, answer: Answer) => void,
     private readonly later: (req: number, why: string, afterS?: number) => void,
   ) {
+    this.lookups = new Lookups(ctx, state, (id, past) => this.learnt(id, past));
     const { memMb, heapMb = Infinity } = ctx.settings;
     this.maxJobs = Math.floor((Math.min(memMb * JOBS_SHARE, heapMb * HEAP_SHARE) * 1024) / JOB_KIB);
   }
@@ -54,12 +57,7 @@
 
   /** A job's final state, read from the state service; null: it has none, or that can't be known now. */
   lookUp(id: string, done: (past: PastRecord | null, failed: string | null) => void): void {
-    this.state({ op: "get", key: pastKey(id) }, Urgent.User, (r) => {
-      if (r.is !== "item") return done(null, "state service does not answer");
-      const p = r.item ? readPast(r.item.value) : null;
-      if (p) this.learnt(id, p);
-      done(p, r.item && !p ? "unreadable record" : null);
-    });
+    this.lookups.ask(id, done);
   }
 
   private learnt(id: string, past: PastRecord): void {
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -32,6 +32,12 @@
     gauge("tasks_running", "Tasks on these machines", () => figures().running);
     gauge("tasks_queued_plain", "Waiting tasks of these groups that need no accelerator", () => figures().queuedPlain);
     gauge("tasks_queued_accelerated", "Those that need one", () => figures().queuedAccelerated);
+    gauge("machines_deaf", "Machines whose reports arrive, and which get neither answers nor commands", () => figures().deaf);
+    gauge("reports_late", "Reports that were no newer than what was known, since the groups were taken", () => figures().late);
+    gauge("jobs_suspect", "Jobs that fail wherever they run", () => figures().suspects);
+    gauge("gang_wait_longest_seconds", "Age of the oldest gang that has not begun", () => figures().longestGangS);
+    gauge("questions_refused", "Users' questions refused since the start", () => figures().refused);
+    gauge("question_refused_longest_seconds", "How long the job that was refused longest has been", () => figures().refusedForS);
     gauge("permit_seconds", "How long this controller may go on without the state service", () => Math.max(0, permitMs() / 1000));
     gauge("memory_heap_bytes", "Heap in use", () => process.memoryUsage().heapUsed);
     gauge("memory_resident_bytes", "Resident memory", () => process.memoryUsage.rss());
