A large gang comes first where it fits only late, and gathers for a shorter time

Change: first where it fits from 0.65 of the bound on instead of 0.4, gathering expected to take 1.15 times what estimates say instead of 1.3, a margin of 20 s instead of 30.

--- a/src/coordination/holding.ts
+++ b/src/coordination/holding.ts
@@ -8,13 +8,13 @@
 /** Looked at no more often than this: it reads all running tasks of a group. */
 const LOOK_MS = 1_000;
 /** A gang comes first where it fits once it has waited this part of the time; a younger one never holds anything. */
-const FIT_PART = 0.4;
+const FIT_PART = 0.65;
 /** Of its class's largest gang: what has about so many tasks counts as large. Smaller ones find their places by the order of the queues. */
 const LARGE = 0.75;
 /** Between a gang's placing and its first second of work: orders, images, the slowest machine. */
-const MARGIN_S = 30;
+const MARGIN_S = 20;
 /** Estimates are often too short by half: gathering is expected to take so many times as long as they say. */
-const SLOW = 1.3;
+const SLOW = 1.15;
 /** A task past its estimate is expected to run for this part of it again. */
 const OVERRUN = 0.25;
 /** An array's first task comes before everything once it has waited this part of the time. */
