Work split to a controller that is gone for good goes to the others

Cause: a split that names a group which no settings name rested for ever: an accepted job that nobody starts. Change: a controller that has a group moves such a part in one commit, conditional on the group being nobody's and on the job's record, a lease after it saw that nobody owns it; by turns. Seeded: three controllers become two while gangs and arrays run and wait, all done, no rule broken.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -10,6 +10,7 @@
 import { Master } from "./master.js";
 import { Mirror, type Seen } from "./mirror.js";
 import type { JobSpec, MachineType, Order, Report, Tuning } from "./model.js";
+import { Orphans } from "./orphans.js";
 import { Ownership } from "./ownership.js";
 import { Reading } from "./reading.js";
 import type { Handed } from "./splitter.js";
@@ -73,6 +74,7 @@
   readonly masters = new Map<string, Master>();
   readonly ownership: Ownership;
   readonly awaiting: Awaiting;
+  private readonly orphans: Orphans;
   private readonly beliefs: Beliefs;
   private readonly reading: Reading;
   private readonly users: Users;
@@ -100,6 +102,7 @@
     this.groups = new Groups(settings);
     this.beliefs = new Beliefs(this);
     this.awaiting = new Awaiting(this, (spec) => this.users.cut(spec), (id) => this.users.lookUp(id, () => {}));
+    this.orphans = new Orphans(this, (spec) => this.users.cut(spec));
     this.ownership = new Ownership(
       this,
       (call, done) => this.state(call, Urgent.Hold, (r, sentMs) => done(r as { is: string; hold?: number }, sentMs)),
@@ -396,6 +399,7 @@
     this.beliefs.tick(this.ownership.holdId);
     const agreed = this.beliefs.agreed();
     for (const m of this.masters.values()) m.tick(agreed);
+    if (this.masters.size > 0) this.orphans.tick();
     this.awaiting.act();
     if (this.nowMs - this.lastSweepMs > 5_000) {
       this.lastSweepMs = this.nowMs;
--- a/test/nights.test.ts
+++ b/test/nights.test.ts
@@ -228,3 +228,21 @@
   w.run(45_000);
   assert.deepEqual(ready(), [true, true, true]);
 });
+
+test("a controller is taken away for good: what was split to it runs elsewhere, once nothing of it can run where it was", () => {
+  for (const seed of [3, 4, 5]) {
+    const w = new World(seed);
+    w.loss = 0;
+    for (const z of w.zones) for (let i = 0; i < 3; i++) w.cloud.add(w.types[0]!, z, false, 0);
+    const jobs = Array.from({ length: 12 }, (_, n) => plain(w, n + 1, { tasks: 6, cpus: 2, shape: n % 3 === 0 ? "ensemble" : "batch", samePlace: n % 3 === 0, types: ["small"] }));
+    jobs.forEach((s, n) => submit(w, 3_000 + n * 200, s));
+    w.run(8_000);
+    w.reconfigure(["node-a", "node-b"], w.settings.teams);
+    w.crash("node-c");
+    w.bootAll();
+    w.run(120_000);
+    assert.deepEqual(w.checker.broken, [], told(w));
+    assert.ok(w.logs.some((l) => l.includes("tasks of a group that is gone")), "something was split to it");
+    for (const s of jobs) assert.ok(isDone(w, s), `seed ${seed}: ${s.id}\n${told(w)}`);
+  }
+});
