What a machine's former life may have sent says nothing of its present one

Change: while sessions and tallies of both lives overlap a report says only that something is there; what is on the machine is read from its own answer to a question, in which the absence of an ordered task proves nothing; a session that is not known yet is not given orders.

--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -107,6 +107,13 @@
   report(r: Report): Answer {
     const now = this.ctx.nowMs;
     let w = this.own.workers.get(r.worker);
+    if (w && this.receipts.isAmbiguous(w, r)) {
+      if (this.receipts.mayAsk(w, false)) this.inspect(w);
+      // Invariant (ran_twice): a start that a session which is not known yet carries out would be taken for lost with the one before.
+      if (r.session > w.session) return { is: "later", afterS: 1, why: "asking the machine itself" };
+      w.answeredMs = now;
+      return { is: "orders", token: this.token, orders: this.ordersFor(w) };
+    }
     if (w ? this.receipts.isLate(w, r) : this.fleet.isGone(r.worker)) {
       // A late message: its list is as old as itself, and the worker doesn't wait for the answer any more.
       this.lateReports++;
@@ -199,6 +206,13 @@
       if (!r || r.worker !== w.id || this.own.workers.get(w.id) !== w || !this.own.permitted()) return;
       this.receipts.answered(w);
       if (w.heardMs > askedMs) return;
+      if (this.receipts.isAmbiguous(w, r) && r.tally > w.tally) {
+        if (r.session > w.session) this.newSession(w, r.session);
+        Object.assign(w, { tally: r.tally, token: Math.max(w.token, r.token), heardMs: this.ctx.nowMs });
+        this.reconcile(w, r.tasks, false);
+        this.own.noteIdle(w);
+        return;
+      }
       // A start on its way to it may still be carried out by its new life: until it is known what became of that, its lease counts.
       if (w.direct || (r.session === w.session && w.openStarts.size > 0)) return;
       if (!this.receipts.isLate(w, r)) return;
@@ -209,7 +223,7 @@
       w.images.clear();
       Object.assign(w, { session: r.session, tally: r.tally, token: r.token, lost: false, answeredMs: this.ctx.nowMs, heardMs: this.ctx.nowMs });
       if (!w.going) this.own.roster.set(w.id, { going: false, type: w.typeName });
-      this.reconcile(w, r.tasks);
+      this.reconcile(w, r.tasks, false);
       this.own.noteIdle(w);
       this.own.dirty = true;
     });
@@ -224,7 +238,11 @@
     w.exited = [];
   }
 
-  private reconcile(w: Worker, reported: readonly ReportedTask[]): void {
+  /**
+   * `ordered`: the report was made after every answer before it, as a machine's own reports are. Its answer to a question is
+   * not: an order may reach it after that, so that an ordered task which it does not show may still start.
+   */
+  private reconcile(w: Worker, reported: readonly ReportedTask[], ordered = true): void {
     const now = this.ctx.nowMs;
     let missing = false;
     let carriedOut = false;
@@ -239,6 +257,7 @@
         // A start that no report shows was not carried out, and if it rode in an answer it never will be: the
         // worker drops answers that it no longer waits for. One sent straight to it may still arrive.
         if (t.phase !== "ordered") this.lostTask(t);
+        else if (!ordered) continue;
         else if (t.stop && !w.openStarts.has(key)) this.own.requeue(t);
         else if (t.told > 0) {
           missing = true;
--- a/src/coordination/receipt.ts
+++ b/src/coordination/receipt.ts
@@ -28,8 +28,8 @@
   /** When it was last asked by `inspect`, and whether that is on its way. */
   askedMs: number;
   asking: boolean;
-  /** It began anew; until then late copies of its former life may still come, which may have had any session and tally. */
-  formerUntilMs: number;
+  /** It began anew: what its former life had reached at most, and until when late copies of it may come. */
+  former: { session: number; tally: number; untilMs: number } | null;
   /** When the last command with starts that was sent straight to it ended. */
   commandMs: number;
 }
@@ -42,7 +42,7 @@
   sessionMs: nowMs,
   askedMs: -Infinity,
   asking: false,
-  formerUntilMs: -Infinity,
+  former: null,
   commandMs: -Infinity,
 });
 
@@ -68,17 +68,26 @@
    */
   isLate(w: Worker, r: Report): boolean {
     if (r.token < w.token || r.session < w.session || (r.session === w.session && (r.tally <= w.tally || w.lost))) return true;
-    const { formerUntilMs, sessionMs } = w.receipt;
-    if (this.ctx.nowMs > formerUntilMs) return false;
+    const { former, sessionMs } = w.receipt;
+    if (!former || this.ctx.nowMs > former.untilMs) return false;
     // It began anew a while ago: sessions take a lease each, tallies a while. What is beyond that its former life had.
     if ((r.session - w.session) * this.leaseMs > this.ctx.nowMs - sessionMs + this.leaseMs / 2) return true;
     return r.tally > w.tally + TALLY_SLACK + ((this.ctx.nowMs - w.heardMs) / 1000) * TALLY_PER_S;
   }
 
+  /**
+   * A report that the machine's former life may have sent as well as its present one: both had this session and tally. It
+   * says that something is there, and nothing of what is on it; that the machine is asked itself.
+   */
+  isAmbiguous(w: Worker, r: Report): boolean {
+    const { former } = w.receipt;
+    return former !== null && this.ctx.nowMs < former.untilMs && !w.lost && r.token >= w.token && r.session >= w.session && r.session <= former.session && r.tally <= former.tally;
+  }
+
   /** Whether to ask a machine itself: nothing new was heard of it for longer than reports and retries take, and yet something comes. */
-  mayAsk(w: Worker): boolean {
+  mayAsk(w: Worker, quietFor = true): boolean {
     const quietMs = (this.ctx.settings.reportS * 1.25 + 1) * 1000;
-    return !w.receipt.asking && this.ctx.nowMs - w.heardMs > quietMs && this.ctx.nowMs - w.receipt.askedMs > ASK_GAP_MS;
+    return !w.receipt.asking && (!quietFor || this.ctx.nowMs - w.heardMs > quietMs) && this.ctx.nowMs - w.receipt.askedMs > ASK_GAP_MS;
   }
 
   /** Now and then a machine that does not receive is asked whether it does again. */
@@ -134,6 +143,9 @@
 
   /** Its answer to a question is of a later life than what is known. */
   beganAnew(w: Worker): void {
-    w.receipt = { ...newReceipt(true, this.ctx.nowMs), askedMs: w.receipt.askedMs, deafTimes: w.receipt.deafTimes, formerUntilMs: this.ctx.nowMs + FORMER_LEASES * this.leaseMs };
+    const reached = w.tally + TALLY_SLACK + ((this.ctx.nowMs - w.heardMs) / 1000) * TALLY_PER_S;
+    const before = w.receipt.former;
+    const former = { session: Math.max(w.session, before?.session ?? 0), tally: Math.max(reached, before?.tally ?? 0), untilMs: this.ctx.nowMs + FORMER_LEASES * this.leaseMs };
+    w.receipt = { ...newReceipt(true, this.ctx.nowMs), askedMs: w.receipt.askedMs, deafTimes: w.receipt.deafTimes, former };
   }
 }
