--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -68,6 +68,8 @@
     roster: { has: () => true },
     mayStart: () => true,
     usableWorkers: () => ({ usable: workers, reserved: new Set<string>() }),
+    deafMachines: () => [],
+    deafReplaced: () => 1,
   };
   const sharing = { headroom: () => new Map([["t", { cpus: 1000, gpus: 100 }]]) };
   const r = new Renting(ctx as unknown as Context, own as unknown as Holdings, sharing as unknown as Sharing, () => ["a", "b"]);
