--- /dev/null
+++ b/test/run.ts
@@ -0,0 +1,23 @@
+import { existsSync, readdirSync, readFileSync, writeSync } from "node:fs";
+import { dirname, join } from "node:path";
+import { run } from "node:test";
+import { spec } from "node:test/reporters";
+import { fileURLToPath } from "node:url";
+import { type Ended, judge } from "./known-red.js";
+
+// Runs all tests, each file in a process of its own, and passes over what KNOWN-RED.txt lists. Beside the test runner's own command because
+// that ends with a failure if any test fails: node target/test-build/test/run.js
+const here = dirname(fileURLToPath(import.meta.url));
+const files = readdirSync(here).filter((f) => f.endsWith(".test.js")).map((f) => join(here, f));
+const ended: Ended[] = [];
+const stream = run({ files, concurrency: true });
+// A file that can't be run at all fails under its own name.
+stream.on("test:fail", (t) => t.nesting === 0 && ended.push({ name: t.name, passed: false }));
+stream.on("test:pass", (t) => t.nesting === 0 && ended.push({ name: t.name, passed: t.skip === undefined && t.todo === undefined }));
+// Last of all, below what the reporter says.
+process.on("exit", () => {
+  const { ok, lines } = judge(existsSync("KNOWN-RED.txt") ? readFileSync("KNOWN-RED.txt", "utf8") : "", ended);
+  process.exitCode = ok ? 0 : 1;
+  if (lines.length > 0) writeSync(1, `${lines.join("\n")}\n`);
+});
+stream.compose(new spec()).pipe(process.stdout);
