--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,9 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { Context } from "../src/coordination/context.js";
 import { Controller } from "../src/coordination/controller.js";
 import type { Input } from "../src/coordination/effects.js";
+import { Holdings } from "../src/coordination/holdings.js";
 import type { JobSpec } from "../src/coordination/model.js";
 import { holdMs, Ownership } from "../src/coordination/ownership.js";
+import { Reading } from "../src/coordination/reading.js";
 import type { StateCall } from "../src/protocol/state.js";
 import { beliefKey, gangKey, inBlock, readFin, roomKey } from "../src/storage/records.js";
 import { randomJob } from "./sim/days.js";
@@ -36,11 +39,13 @@
   assert.ok(longestMs > 1000 * s.leaseS + 0.5 * holdMs(s) && longestMs <= 1000 * s.leaseS * 1.0005 + holdMs(s) + 250, `${longestMs} ms`);
 });
 
+const drawn = (seed: number): World => play(seed, draw(seed)).world;
+
 /** Switches a guard off and expects the checker to notice on one of these days. */
-function caught(seeds: readonly number[], rule: string, off: () => () => void): void {
+function caught(seeds: readonly number[], rule: string, off: () => () => void, day = (seed: number): World => gap(seed).world): void {
   const on = off();
   try {
-    for (const seed of seeds) if (gap(seed).world.checker.broken.some((b) => b.startsWith(rule))) return;
+    for (const seed of seeds) if (day(seed).checker.broken.some((b) => b.startsWith(rule))) return;
   } finally {
     on();
   }
@@ -93,7 +98,12 @@
   return w;
 }
 test("guard: the permit counts from the last touch as well as from the last read: no group has two masters", () => {
-  assert.deepEqual(touchesHeld().checker.broken, []);
+  const w = touchesHeld();
+  assert.deepEqual(w.checker.broken, []);
+  const ended = w.logs.filter((l) => l.includes("node-a permit ended"));
+  assert.equal(ended.length, 1, "said once, with the age of each term");
+  const { touchAgeMs, readAgeMs, ttlMs } = JSON.parse(ended[0]!.slice(ended[0]!.indexOf("{"))) as Record<string, number>;
+  assert.ok(touchAgeMs! > ttlMs! - 500 && readAgeMs! < 6_000, ended[0]);
   const on = permitBy((o) => o.readMs)();
   try {
     assert.match(touchesHeld().checker.broken.join(), /two_masters/);
@@ -218,6 +228,24 @@
   assert.equal(ready(), before);
 });
 
+test("a transaction without an answer that is carried out all the same is told of in the log, once", () => {
+  const w = quiet(5);
+  const spec = job(w, {});
+  const late = holdBack(w, (k) => k.startsWith("lc/now/fin/"));
+  w.at(4_000, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
+  until(w, "ranges are sent", () => late.held());
+  // Its answer is given up after 1.5 s, and what is sent again is not there yet.
+  w.run(w.now + 1_400);
+  const handle = w.state.handle.bind(w.state);
+  w.state.handle = (call, done) => (call.op === "commit" ? done({ is: "refused", why: "503" }) : handle(call, done));
+  w.run(w.now + 1_000);
+  assert.equal(late.release(), "committed");
+  w.run(w.now + 2_000);
+  const lines = w.logs.filter((l) => l.includes("transaction without an answer was carried out"));
+  assert.equal(lines.length, 1, lines.join("\n"));
+  assert.match(lines[0]!, /lc\/now\/fin\/.*"afterMs":\d+/);
+});
+
 // ---- all of them, drawn ------------------------------------------------------------------------------------------
 
 test("two to four troubles at once, with 1 to 7 controllers: the rules hold, and each meeting occurs", () => {
@@ -229,3 +257,42 @@
   }
   for (const [k, n] of Object.entries(met)) assert.ok(n > 0, `${k} never occurred: ${JSON.stringify(met)}`);
 });
+
+test("guard: what a former master may have started counts until its machines have spoken or their leases are over", () => {
+  caught([4, 5], "ran_twice", () => {
+    const before = Holdings.prototype.mayStart;
+    Holdings.prototype.mayStart = (job) => !job.gone && !job.waiting.isEmpty;
+    return () => (Holdings.prototype.mayStart = before);
+  }, drawn);
+});
+test("guard: a start without an answer pins its task, for the command may still go on", () => {
+  caught([2, 4], "quota", () => {
+    const before = World.prototype.run;
+    World.prototype.run = function (untilMs) {
+      this.afterStep = (core) => {
+        for (const m of core.masters.values()) for (const x of m.own.workers.values()) if (!x.direct) x.openStarts.clear();
+      };
+      before.call(this, untilMs);
+    };
+    return () => (World.prototype.run = before);
+  }, drawn);
+});
+test("guard: an answer that is not final rests on a read that was sent after the question", () => {
+  caught([4, 5, 11], "went_back", () => {
+    const before = Reading.prototype.afterRead;
+    Reading.prototype.afterRead = (req, id, next) => next(req, id);
+    return () => (Reading.prototype.afterRead = before);
+  }, drawn);
+});
+
+test("guard: nothing is done for a group from before it is given up, whatever becomes of the commit", () => {
+  caught([6], "two_masters", () => {
+    const before = Ownership.prototype.tokenOf;
+    Ownership.prototype.tokenOf = function (group) {
+      const { ctx } = this as unknown as { ctx: Context };
+      const r = ctx.mirror.groups.get(group);
+      return r?.owner === ctx.settings.label && r.hold === this.holdId ? r.version : null;
+    };
+    return () => (Ownership.prototype.tokenOf = before);
+  }, drawn);
+});
