--- a/test/run.ts
+++ b/test/run.ts
@@ -1,7 +1,7 @@
 import { existsSync, readdirSync, readFileSync, writeSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { run } from "node:test";
-import { spec } from "node:test/reporters";
+import { spec, tap } from "node:test/reporters";
 import { fileURLToPath } from "node:url";
 import { type Ended, judge } from "./known-red.js";
 
@@ -20,4 +20,6 @@
   process.exitCode = ok ? 0 : 1;
   if (lines.length > 0) writeSync(1, `${lines.join("\n")}\n`);
 });
-stream.compose(new spec()).pipe(process.stdout);
+// As the test runner itself chooses.
+if (process.stdout.isTTY) stream.compose(new spec()).pipe(process.stdout);
+else stream.compose(tap).pipe(process.stdout);
