--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -41,6 +41,15 @@
 
 const drawn = (seed: number): World => play(seed, draw(seed)).world;
 
+test("whatever settings are accepted leave time for permit and lease within cancel_s", () => {
+  for (let leaseS = 2; leaseS <= 60; leaseS += 0.25)
+    for (const more of [4, 4.5, 6, 10, 20, 60]) {
+      const s = { leaseS, cancelS: leaseS + more, reportS: Math.min(5, leaseS / 3) };
+      const lastMs = holdMs(s) * 1.0005 + leaseS * 1000 * 1.0005;
+      assert.ok(lastMs <= s.cancelS * 1000 - 1_900, `${JSON.stringify(s)}: ${lastMs} ms`);
+    }
+});
+
 /** Switches a guard off and expects the checker to notice on one of these days. */
 function caught(seeds: readonly number[], rule: string, off: () => () => void, day = (seed: number): World => gap(seed).world): void {
   const on = off();
