--- a/test/known-red.test.ts
+++ b/test/known-red.test.ts
@@ -1,5 +1,10 @@
 import assert from "node:assert/strict";
+import { spawnSync } from "node:child_process";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { test } from "node:test";
+import { fileURLToPath } from "node:url";
 import { judge } from "./known-red.js";
 
 const pass = (name: string) => ({ name, passed: true });
@@ -26,3 +31,14 @@
   assert.equal(judge("t0 | a | 1\nt0 | b | 1", [fail("t0")]).ok, false, "listed twice");
   assert.equal(judge("", []).ok, false, "a run of no test");
 });
+
+test("a file whose process does not end fails the run under its name, which ends all the same", () => {
+  const dir = mkdtempSync(join(tmpdir(), "linencove-run-"));
+  const file = join(dir, "open.test.mjs");
+  // As a test that failed before it closed its server.
+  writeFileSync(file, `import { test } from "node:test";\nimport net from "node:net";\ntest("passes", () => void net.createServer().listen(0, "127.0.0.1"));\n`);
+  const { NODE_TEST_CONTEXT: _, ...env } = process.env;
+  const r = spawnSync(process.execPath, [fileURLToPath(new URL("./run.js", import.meta.url)), "5", file], { cwd: dir, env, encoding: "utf8", timeout: 120_000 });
+  assert.equal(r.status, 1, r.stdout + r.stderr);
+  assert.equal(r.stdout.trimEnd().split("\n").at(-1), `failed: ${file}`);
+});
