A job with spread rents in the zones that may still take tasks of it

Cause: room in a zone counted for a gang with spread however much of that zone it may use. Change: places count zone by zone up to what spread allows beside the tasks that run there; what is missing is rented in the zones that may still take it, for a gang only where all of it can be had. Test: fails on the sources before (nothing rented), passes now.

--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -2,7 +2,7 @@
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
 import type { JobSpec, MachineType, Standing, Tuning } from "./model.js";
-import { allowedOn, type Amounts, couldRun, fitCount, fitLimit, fits, goesWhole, offer, placeAsked, suits } from "./placement.js";
+import { allowedOn, type Amounts, couldRun, fitCount, fitLimit, fits, goesWhole, offer, placeAsked, suits, zoneCap } from "./placement.js";
 import { isShort } from "./queues.js";
 import type { Sharing } from "./limits/index.js";
 import { queueOf } from "./splitter.js";
@@ -72,7 +72,7 @@
     const place = `${placeAsked(spec)}/${short}`;
     const whole = goesWhole(spec);
     // What jobs with a deadline ask for depends on the work that is due: each of them is looked at.
-    const key = `${place}/${spec.deadlineS === null}/${whole ? `${spec.shape}/${spec.samePlace}/${n}/${active > 0 ? spec.id : ""}` : ""}`;
+    const key = `${place}/${spec.deadlineS === null}/${spec.spread ? `spread/${spec.tasks}/${n}/${active > 0 ? spec.id : ""}` : whole ? `${spec.shape}/${spec.samePlace}/${n}/${active > 0 ? spec.id : ""}` : ""}`;
     let ask = this.known.get(key);
     if (!ask) this.known.set(key, (ask = { vain: false, roomy: (s, places) => this.roomy(s, short, place, places) }));
     return ask;
@@ -296,7 +296,8 @@
       // Room and offers only shrink while a plan is made: what was to be had of neither is not looked for again.
       if (ask.vain) continue;
       const mine = ask.roomy(spec, places);
-      if (goesWhole(spec)) ask.vain = !this.planWhole(j, n, mine, places, left) && spec.deadlineS === null;
+      if (spec.spread) ask.vain = !this.planSpread(j, n, mine, places, left) && spec.deadlineS === null;
+      else if (goesWhole(spec)) ask.vain = !this.planWhole(j, n, mine, places, left) && spec.deadlineS === null;
       else {
         let lacking = this.fill(spec, n, mine);
         const found = lacking < n;
@@ -385,6 +386,38 @@
     return true;
   }
 
+  /**
+   * For a job with `spread`: room in a zone that may take no more of its tasks is none for it. A gang that fitted well into one
+   * zone of its group had nothing rented in the others, and waited for ever.
+   */
+  private planSpread(j: JobRun, n: number, mine: readonly Place[], places: Place[], left: ReadonlyMap<string, number>): boolean {
+    const spec = j.view.spec;
+    const may = new Map(this.zones().map((z) => [z, zoneCap(spec)]));
+    for (const t of j.active.values()) may.set(t.worker.zone, (may.get(t.worker.zone) ?? 0) - 1);
+    const takes: { zone: string; here: number; rent: number }[] = [];
+    let lacking = n;
+    for (const [zone, most] of may) {
+      const here = Math.max(0, Math.min(lacking, most, mine.reduce((sum, p) => sum + (p.zone === zone ? fitCount(spec, p.room) : 0), 0)));
+      lacking -= here;
+      takes.push({ zone, here, rent: 0 });
+    }
+    for (const t of takes) {
+      let rentable = 0;
+      for (const o of this.offers(spec, [t.zone], left)) rentable += o.most * fitCount(spec, o.t);
+      t.rent = Math.max(0, Math.min(lacking, may.get(t.zone)! - t.here, rentable));
+      lacking -= t.rent;
+    }
+    // A gang starts once all of it has room.
+    if (spec.shape === "ensemble" && lacking > 0) return false;
+    let some = false;
+    for (const { zone, here, rent } of takes) {
+      this.fill(spec, here, mine.filter((p) => p.zone === zone));
+      if (rent > 0) this.rentFor(spec, j.view, rent, [zone], places, left);
+      some ||= here + rent > 0;
+    }
+    return some;
+  }
+
   /** Plans machines for `need` tasks, where a task's place costs least; whether any were to be had. */
   private rentFor(spec: JobSpec, standing: Standing | null, need: number, zones: readonly string[], places: Place[], left: ReadonlyMap<string, number>): boolean {
     let planned = false;
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -90,6 +90,17 @@
   assert.deepEqual(asked, ["3 plain/b/ordinary", "4 plain/a/ordinary"]);
 });
 
+test("a job with spread rents in the zones that may still take tasks of it, a gang only where all of it can be had", () => {
+  const there = ["w1", "w2", "w3", "w4"].map((id) => worker(id, TYPES[0]!, "a"));
+  const spread = { samePlace: false, spread: true };
+  // Zone a has room for all four and may take two: nothing was rented in zone b, and the gang waited for ever.
+  assert.deepEqual(rents([job(spread)], there, { "plain/a/ordinary": 10, "plain/b/ordinary": 10 }), ["2 plain/b/ordinary"]);
+  assert.deepEqual(rents([job({ ...spread, zone: "a" })], there, { "plain/a/ordinary": 10, "plain/b/ordinary": 10 }), [], "never whole in one zone");
+  assert.deepEqual(rents([job({ ...spread, shape: "batch", tasks: 6 })], there, { "plain/b/ordinary": 10 }), ["3 plain/b/ordinary"]);
+  // What it leaves free of zone a is there for the next.
+  assert.deepEqual(rents([job({ ...spread }), job({ id: "req-000002", tasks: 2 })], there, { "plain/a/ordinary": 10, "plain/b/ordinary": 2 }), ["2 plain/b/ordinary"]);
+});
+
 test("an array in one zone rents whatever can be had there; no request asks for more than the cloud allows", () => {
   // Sixty places are wanted and ten can be had: a gang asks for no more, an array takes what there is.
   const array = job({ id: "req-000003", shape: "batch", tasks: 30 });
