Limits: CPUs and accelerators each go by their own turn; what can't begin any more wants nothing

Cause: a group told one time for all that it lacks of a team's limit, that of its oldest waiting work. Where that work lacked CPUs, the group also came first for accelerators which only its youngest work wanted; the group that gave them was older for accelerators and was given them back. Change: the times are told, and the turns go, by resource. The written row has two values more at its end; a reader from before takes the first time for both, as until now. Also: a gang that was accepted under a larger limit than the present one kept coming first for a part that it can never use. It wants nothing now. Tests: both fail on the sources before.

--- a/src/coordination/limits/demand.ts
+++ b/src/coordination/limits/demand.ts
@@ -1,7 +1,7 @@
 import type { Context } from "../context.js";
 import type { Holdings } from "../holdings.js";
 import type { JobSpec } from "../model.js";
-import { allowedOn, fitCount, goesWhole, suits } from "../placement.js";
+import { allowedOn, EPS, fitCount, goesWhole, suits } from "../placement.js";
 import { isShort, turnAt } from "../queues.js";
 import { freeOn, type JobRun } from "../tasks.js";
 import type { Pair } from "./shares.js";
@@ -65,6 +65,10 @@
       // The limit of a team without one is never short.
       const team = this.ctx.settings.teams.get(spec.team);
       if (n > MOST_JOBS || !team) continue;
+      const whole = goesWhole(spec) || spec.shape === "daemon";
+      // Accepted under a larger limit: it can't begin under this one, and what it waited for would be kept from all others.
+      const least = whole ? spec.tasks : 1;
+      if (spec.cpus * least > team.cpusMax + EPS || spec.gpus * least > team.gpusMax + EPS) continue;
       const short = isShort(spec, this.ctx.tuning);
       // Jobs whose amounts differ by little share one look.
       const key = JSON.stringify([Math.ceil(spec.cpus), spec.gpus, Math.ceil(spec.memGb / 8), spec.types, spec.zone, spec.spot, spec.samePlace, short]);
@@ -79,7 +83,6 @@
         // first, and neither took what nobody had.
         if (tasks > 0) list.push({ need: [spec.cpus * tasks, spec.gpus * tasks], since: Math.round(turn(j)), readyAt, now });
       };
-      const whole = goesWhole(spec) || spec.shape === "daemon";
       const fit = whole && kind.places < all ? 0 : Math.min(all, kind.places);
       kind.places -= fit;
       const aged = this.ctx.wallMs - readyAt > AGED_MS;
--- a/src/coordination/limits/plan.ts
+++ b/src/coordination/limits/plan.ts
@@ -7,11 +7,11 @@
 export interface Demand {
   /** For tasks that have a place at once, or have waited for long. */
   now: Pair;
-  /** When the oldest of these became ready, ms since the epoch; Infinity: there is none. */
-  nowSince: number;
+  /** When the oldest of these became ready that lacks CPUs, and that lacks accelerators, ms since the epoch; Infinity: there is none. */
+  nowSince: Pair;
   /** For tasks whose place is yet to be rented. */
   soon: Pair;
-  soonSince: number;
+  soonSince: Pair;
   /** The part of the limit that this is beyond: what has come since is not wanted any more. */
   beyond: Pair;
 }
@@ -140,30 +140,31 @@
 /** Gives of the own part to groups that want more, and takes of what nobody has. Whether anything was moved. */
 function move(s: Situation, team: string, parts: Record<string, Pair>, cap: Pair, use: Pair, reserved: Pair, plan: Plan): boolean {
   const part = (g: string): Pair => (parts[g] ??= [0, 0]);
-  const takers = takersOf(s, team, parts);
-  if (takers.length === 0) return false;
-  const pool = DIMS.map((d) => (cap[d] === Infinity ? 0 : hundredth(Math.max(0, cap[d] - total(parts, d))))) as Pair;
   let moved = false;
-  for (const t of takers) {
-    const there = DIMS.map((d) => hundredth(Math.min(t.want[d], pool[d]))) as Pair;
-    for (const d of DIMS) pool[d] -= there[d];
-    if (t.group === s.group) {
-      // What nobody has is there for whoever comes first, who takes it by this commit and uses it once it is written.
-      if (there[0] <= EPS && there[1] <= EPS) continue;
-      for (const d of DIMS) part(s.group)[d] = hundredth(part(s.group)[d] + there[d]);
+  for (const d of DIMS) {
+    if (cap[d] === Infinity) continue;
+    let pool = hundredth(Math.max(0, cap[d] - total(parts, d)));
+    for (const t of takersOf(s, team, parts, d)) {
+      const there = hundredth(Math.min(t.want, pool));
+      pool -= there;
+      if (t.group === s.group) {
+        // What nobody has is there for whoever comes first, who takes it by this commit and uses it once it is written.
+        if (there <= EPS) continue;
+        part(s.group)[d] = hundredth(part(s.group)[d] + there);
+        moved = true;
+        continue;
+      }
+      const keep = s.keep(team, t.since, t.group, t.now);
+      const give = hundredth(Math.max(0, Math.min(t.want - there, part(s.group)[d] - use[d] - keep[d])));
+      if (give <= EPS) continue;
+      part(s.group)[d] = hundredth(part(s.group)[d] - give);
+      part(t.group)[d] = hundredth(part(t.group)[d] + give);
+      reserved[d] += give;
+      const given = plan.given.find((g) => g.team === team && g.to === t.group);
+      if (given) given.give[d] += give;
+      else plan.given.push({ team, to: t.group, give: d === 0 ? [give, 0] : [0, give] });
       moved = true;
-      continue;
     }
-    const keep = s.keep(team, t.since, t.group, t.now);
-    const give = DIMS.map((d) => (cap[d] === Infinity ? 0 : hundredth(Math.max(0, Math.min(t.want[d] - there[d], part(s.group)[d] - use[d] - keep[d]))))) as Pair;
-    if (give[0] <= EPS && give[1] <= EPS) continue;
-    for (const d of DIMS) {
-      part(s.group)[d] = hundredth(part(s.group)[d] - give[d]);
-      part(t.group)[d] = hundredth(part(t.group)[d] + give[d]);
-      reserved[d] += give[d];
-    }
-    plan.given.push({ team, to: t.group, give });
-    moved = true;
   }
   return moved;
 }
@@ -174,18 +175,21 @@
   group: string;
   since: number;
   now: boolean;
-  want: Pair;
+  want: number;
 }
 
-/** Who wants more of a team's limit: who can use it at once comes first, then who has waited for longest. */
-function takersOf(s: Situation, team: string, parts: Readonly<Record<string, Pair>>): Taker[] {
+/**
+ * Who wants more of a team's CPUs, or of its accelerators: who can use it at once comes first, then who has waited for longest for just
+ * that. With one time for both, a group whose oldest work lacked CPUs also came first for accelerators that only its youngest work
+ * wanted, and was asked for them again at once: they went to and fro for as long as both waited.
+ */
+function takersOf(s: Situation, team: string, parts: Readonly<Record<string, Pair>>, d: 0 | 1): Taker[] {
   const takers: Taker[] = [];
   const ask = (group: string, w: Demand): void => {
-    const now = remaining(w.now, w.beyond, parts[group]);
-    const both = remaining([w.now[0] + w.soon[0], w.now[1] + w.soon[1]], w.beyond, parts[group]);
-    const soon = DIMS.map((d) => both[d] - now[d]) as Pair;
-    if (now[0] > EPS || now[1] > EPS) takers.push({ group, since: w.nowSince, now: true, want: now });
-    if (soon[0] > EPS || soon[1] > EPS) takers.push({ group, since: w.soonSince, now: false, want: soon });
+    const now = remaining(w.now, w.beyond, parts[group])[d];
+    const soon = remaining([w.now[0] + w.soon[0], w.now[1] + w.soon[1]], w.beyond, parts[group])[d] - now;
+    if (now > EPS) takers.push({ group, since: w.nowSince[d], now: true, want: now });
+    if (soon > EPS) takers.push({ group, since: w.soonSince[d], now: false, want: soon });
   };
   for (const [group, wants] of s.others) {
     const w = wants.get(team);
--- a/src/coordination/limits/sharing.ts
+++ b/src/coordination/limits/sharing.ts
@@ -123,7 +123,7 @@
     const waiting = this.waits.of(team);
     if (waiting.length === 0) return null;
     const beyond = this.share(team);
-    const d: Demand = { now: [0, 0], nowSince: Infinity, soon: [0, 0], soonSince: Infinity, beyond };
+    const d: Demand = { now: [0, 0], nowSince: [Infinity, Infinity], soon: [0, 0], soonSince: [Infinity, Infinity], beyond };
     const spare: Pair = [beyond[0] - use[0], beyond[1] - use[1]];
     // Who can start at once takes what there is first; what it lacks is wanted.
     for (const now of [true, false])
@@ -132,14 +132,14 @@
         const lack = DIMS.map((k) => Math.max(0, hundredthUp(Math.min(w.need[k], w.need[k] - spare[k])))) as Pair;
         spare[0] -= w.need[0];
         spare[1] -= w.need[1];
-        if (lack[0] <= EPS && lack[1] <= EPS) continue;
-        const to = now ? d.now : d.soon;
-        to[0] += lack[0];
-        to[1] += lack[1];
-        if (now) d.nowSince = Math.min(d.nowSince, w.since);
-        else d.soonSince = Math.min(d.soonSince, w.since);
+        const [to, since] = now ? [d.now, d.nowSince] : [d.soon, d.soonSince];
+        for (const k of DIMS) {
+          if (lack[k] <= EPS) continue;
+          to[k] += lack[k];
+          since[k] = Math.min(since[k], w.since);
+        }
       }
-    return Number.isFinite(d.nowSince) || Number.isFinite(d.soonSince) ? d : null;
+    return DIMS.some((k) => d.now[k] > 0 || d.soon[k] > 0) ? d : null;
   }
 
   /** What is written with the room, by team: use, wants, and what waits; and the wants as an earlier version reads them. */
@@ -154,7 +154,7 @@
       const may = this.own.fenced ? this.bounded(t, use(t.name)) : ([k.cpus, k.gpus] as Pair);
       if (!d && k.cpus <= EPS && k.gpus <= EPS && may[0] <= EPS && may[1] <= EPS && waits[0] <= EPS && waits[1] <= EPS) continue;
       const finite = (p: Pair): Pair => [Number.isFinite(p[0]) ? p[0] : 0, Number.isFinite(p[1]) ? p[1] : 0];
-      teams.set(t.name, { use: [k.cpus, k.gpus], may, now: d?.now ?? [0, 0], nowSince: d?.nowSince ?? Infinity, soon: d?.soon ?? [0, 0], soonSince: d?.soonSince ?? Infinity, beyond: finite(d?.beyond ?? [0, 0]), waits });
+      teams.set(t.name, { use: [k.cpus, k.gpus], may, now: d?.now ?? [0, 0], nowSince: d?.nowSince ?? [Infinity, Infinity], soon: d?.soon ?? [0, 0], soonSince: d?.soonSince ?? [Infinity, Infinity], beyond: finite(d?.beyond ?? [0, 0]), waits });
       if (d) wants.set(t.name, { cpus: d.now[0] + d.soon[0], gpus: d.now[1] + d.soon[1], since: this.waits.of(t.name).reduce((n, w) => Math.min(n, w.readyAt), Infinity) });
     }
     return { teams, wants };
@@ -177,7 +177,7 @@
       else
         for (const [team, w] of room.wants) {
           const p = this.entry(team)?.parts[group] ?? [0, 0];
-          of.set(team, { now: [w.cpus, w.gpus], nowSince: w.since, soon: [0, 0], soonSince: Infinity, beyond: [p[0], p[1]] });
+          of.set(team, { now: [w.cpus, w.gpus], nowSince: [w.since, w.since], soon: [0, 0], soonSince: [Infinity, Infinity], beyond: [p[0], p[1]] });
         }
       out.set(group, of);
     }
--- a/src/lab/limits-model.ts
+++ b/src/lab/limits-model.ts
@@ -92,7 +92,7 @@
 
   const plan = (s: LimitsState, i: number): Plan | null => {
     const g = s.groups[i]!;
-    const demand = (said: [number, number]): Demand => ({ now: [said[0], 0], nowSince: 1, soon: [0, 0], soonSince: Infinity, beyond: [said[1], 0] });
+    const demand = (said: [number, number]): Demand => ({ now: [said[0], 0], nowSince: [1, Infinity], soon: [0, 0], soonSince: [Infinity, Infinity], beyond: [said[1], 0] });
     const others = new Map<string, Map<string, Demand>>();
     s.groups.forEach((o, k) => {
       if (k !== i) others.set(scope.groups[k]!, new Map(o.said.flatMap((said, t) => (said ? [[scope.teams[t]!, demand(said)] as const] : []))));
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -136,11 +136,11 @@
   may: [number, number];
   /** Beyond the group's part of the limit: for tasks that have a place at once, or waited for long. */
   now: [number, number];
-  /** Time of day, in ms, since which the oldest of them waits; Infinity: there is none. */
-  nowSince: number;
+  /** Time of day, in ms, since which the oldest waits of those that lack CPUs, and of those that lack accelerators; Infinity: there is none. */
+  nowSince: [number, number];
   /** For tasks whose place is yet to be rented. */
   soon: [number, number];
-  soonSince: number;
+  soonSince: [number, number];
   /** The part that this is beyond. */
   beyond: [number, number];
   /** Waiting tasks within the group's part that have a place once others make it, in all. */
@@ -234,7 +234,7 @@
   left: v.optional(v.array(v.tuple([v.string(), v.number()]))),
   want: v.array(v.tuple([v.string(), v.number(), v.number(), v.number()])),
   // Name, use, may, now, its time, soon, its time, beyond, waits; the version before leaves it out and does not mind it.
-  team: v.optional(v.array(v.tuple([v.string(), ...many(14)]))),
+  team: v.optional(v.array(v.tupleWithRest([v.string(), ...many(14)], v.number()))),
   cut: v.optional(v.boolean(), false),
 });
 /** Types are written once, machines refer to them by place. */
@@ -317,19 +317,25 @@
     }
   );
 }
+const sinces = (want: readonly number[], first: number, gpus: number | undefined): [number, number] => [want[0]! > 0 ? first || Infinity : Infinity, want[1]! > 0 ? (gpus ?? first) || Infinity : Infinity];
 const teamRow = (x: number[]): TeamRow => ({
   use: [x[0]!, x[1]!],
   may: [x[2]!, x[3]!],
   now: [x[4]!, x[5]!],
-  nowSince: x[6]! || Infinity,
+  nowSince: sinces(x.slice(4, 6), x[6]!, x[14]),
   soon: [x[7]!, x[8]!],
-  soonSince: x[9]! || Infinity,
+  soonSince: sinces(x.slice(7, 9), x[9]!, x[15]),
   beyond: [x[10]!, x[11]!],
   waits: [x[12]!, x[13]!],
 });
-/** A row as it is written: JSON knows no Infinity, 0 stands for no time. */
-export const teamValues = (r: TeamRow): number[] =>
-  [...r.use, ...r.may, ...r.now, Number.isFinite(r.nowSince) ? r.nowSince : 0, ...r.soon, Number.isFinite(r.soonSince) ? r.soonSince : 0, ...r.beyond, ...r.waits].map((x) => Math.round(x * 100) / 100);
+/**
+ * A row as it is written: JSON knows no Infinity, 0 stands for no time. The times of what lacks accelerators come last: a reader from
+ * before takes the first for both.
+ */
+export const teamValues = (r: TeamRow): number[] => {
+  const first = (want: readonly number[], since: readonly [number, number]): number => (want[0]! > 0 ? since[0] : since[1]);
+  return [...r.use, ...r.may, ...r.now, first(r.now, r.nowSince), ...r.soon, first(r.soon, r.soonSince), ...r.beyond, ...r.waits, r.nowSince[1], r.soonSince[1]].map((x) => (Number.isFinite(x) ? Math.round(x * 100) / 100 : 0));
+};
 /** Room is written in tenths, rounded down. */
 export const tenth = (x: number): number => Math.floor(x * 10 + 1e-6) / 10;
 export const writeRoom = (r: RoomRecord): object => ({
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -57,7 +57,7 @@
   }
   want(group: string, t: string, cpus: number, since: number, beyond: number): void {
     const of = this.wants.get(group) ?? new Map<string, Demand>();
-    this.wants.set(group, of.set(t, { now: [cpus, 0], nowSince: since, soon: [0, 0], soonSince: Infinity, beyond: [beyond, 0] }));
+    this.wants.set(group, of.set(t, { now: [cpus, 0], nowSince: [since, Infinity], soon: [0, 0], soonSince: [Infinity, Infinity], beyond: [beyond, 0] }));
   }
 }
 
@@ -462,3 +462,55 @@
   assert.equal(r.done, r.tasks, `${r.done} of ${r.tasks} done, ${r.starts} starts`);
   assert.deepEqual(r.logErrors, []);
 });
+
+/** Two controllers, machines with accelerators in both zones, and a team whose limit is short. */
+function short(cpusMax: number, gpusMax: number): { w: World; submit: (atMs: number, over: Partial<JobSpec>) => string } {
+  const w = new World(5, undefined, [], 2);
+  w.loss = 0;
+  w.capacity = 4;
+  w.runFactor = 20;
+  w.settings.teams = new Map([["red", team("red", cpusMax, { gpusMax })]]);
+  w.bootAll();
+  for (const z of ["east", "mid"]) for (let i = 0; i < 3; i++) w.cloud.add(w.types[1]!, z, false, 0);
+  let n = 0;
+  return {
+    w,
+    submit: (atMs, over) => {
+      const spec: JobSpec = { ...randomJob(w, ++n), team: "red", shape: "batch", urgency: "normal", gpus: 0, types: ["big"], samePlace: false, spread: false, spot: false, estimateS: 60, checkpointS: 0, deadlineS: null, ...over };
+      w.specs.set(spec.id, spec);
+      w.at(atMs, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job", JSON.stringify(a))));
+      return spec.id;
+    },
+  };
+}
+
+test("work that lacks CPUs and work that lacks accelerators wait for their own turns: no part goes to and fro", () => {
+  const { w, submit } = short(12, 3);
+  submit(10_000, { zone: "mid", tasks: 2, cpus: 4 });
+  submit(11_000, { zone: "east", tasks: 1, cpus: 3 });
+  // East lacks CPUs for longest, and accelerators only since last; mid lacks them since before that.
+  submit(13_000, { zone: "east", tasks: 1, cpus: 8 });
+  submit(15_000, { zone: "mid", tasks: 3, cpus: 3, gpus: 1 });
+  submit(17_000, { zone: "east", tasks: 4, cpus: 5, gpus: 1 });
+  w.run(60_000);
+  assert.deepEqual(w.checker.broken, []);
+  const given = w.logs.filter((l) => l.includes("giving part") && Number(l.split(" ")[0]) > 25);
+  assert.ok(given.length < 8, `${given.length} in 35 s\n${given.slice(-6).join("\n")}`);
+});
+
+test("a gang that was accepted under a larger limit keeps no part of the present one from others", () => {
+  const { w, submit } = short(20, 6);
+  const never = submit(10_000, { zone: "east", shape: "ensemble", tasks: 3, cpus: 5, estimateS: 5 });
+  w.at(10_300, () => {
+    // It was accepted and nothing of it runs yet: its image is on its way. Lowered for all at once.
+    w.reconfigure(w.names, new Map([["red", team("red", 10, { gpusMax: 6 })]]));
+    w.bootAll();
+    for (const m of w.workers) m.restart(300);
+  });
+  const other = submit(30_000, { zone: "mid", tasks: 4, cpus: 2, estimateS: 90 });
+  w.run(90_000);
+  assert.deepEqual(w.checker.broken, []);
+  assert.ok(w.state.data.has(`lc/now/job/${never}`));
+  const begun = new Set(w.logs.flatMap((l) => /task phase .*"task":"([^"]*)".*"to":"running"/.exec(l)?.[1] ?? []).filter((t) => t.startsWith(`${other}/`)));
+  assert.equal(begun.size, 4, `the limit has room for all of them\n${w.logs.slice(-12).join("\n")}`);
+});
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -57,7 +57,7 @@
   assert.deepEqual(old.readRoster(stored(writeRoster(machines))), machines);
   assert.deepEqual(readRoster(stored(old.writeRoster(machines))), machines);
   const room = { rows: [{ type: "t", zone: "z", spot: true, machines: 3, free: [[1, 0, 2, 3] as [number, number, number, number]], reserved: [] }], queue: { plain: 1, accelerated: 2 }, running: new Map([["req-1", 2]]), soldOut: ["t/z/spot"], left: new Map([["t/z/ordinary", 4]]), wants: new Map([["red", { cpus: 1, gpus: 0, since: 3 }]]), teams: null, cut: false };
-  const row: TeamRow = { use: [1, 2], may: [3, 4], now: [5, 0], nowSince: 6, soon: [0, 0], soonSince: Infinity, beyond: [7, 8], waits: [9, 0] };
+  const row: TeamRow = { use: [1, 2], may: [3, 4], now: [5, 0], nowSince: [6, Infinity], soon: [0, 4], soonSince: [Infinity, 8], beyond: [7, 8], waits: [9, 0] };
   const { teams: _, cut: __, ...asOld } = room;
   // Production reads a room without what teams use, and writes one that says nothing of it.
   const more: RoomRecord = { ...room, rows: [{ ...room.rows[0]!, yields: [[8, 0, 16, 1, 2, 3]] }], queueFrom: [[3, 2], [1, 2], [1, 0], [0, 0]], teams: new Map([["red", row]]), cut: true };
