Written room counts the name of what gives way: it fits a value to the byte

Cause: the list of what would give way was counted entry by entry, without the 7 bytes of its name in each row. A record that fills its value was up to 7 bytes for each row over it; the state service refuses such a transaction with 400, and the group's room stays as it was for as long as that lasts. Test: fails on the sources before (1,704 of 1,700 bytes), passes now over 60 sizes.

--- a/src/coordination/room.ts
+++ b/src/coordination/room.ts
@@ -16,6 +16,9 @@
 /** Splits go by room that is no older than this: counting it anew for each of a flood of submissions took most of the time. */
 const SPLIT_MS = 200;
 
+/** What a row's list of what gives way takes beside its entries: `,"y":[]`. A row that has none leaves the field out. */
+const FIELD_BYTES = 7;
+
 /** For each range of urgencies that would find the same: what this machine has once tasks that give way to them are stopped. */
 function yieldsOf(w: Worker, levels: readonly number[]): YieldKind[] {
   if (w.tasks.size === 0) return [];
@@ -148,8 +151,8 @@
     const cut = [() => left.delete([...left.keys()].at(-1)!), () => soldOut.pop() !== undefined, () => wants.delete([...wants.keys()].at(-1)!), () => teams.delete([...teams.keys()].at(-1)!) && (record.cut = true), () => record.rows.pop() !== undefined];
     while (bytesOf(writeRoom(record)) > most && cut.some((one) => one()));
     let bytes = most - bytesOf(writeRoom(record));
-    const fits = (entry: readonly unknown[]): boolean => {
-      const takes = bytesOf(entry) + 1;
+    const fits = (entry: readonly unknown[], around = 0): boolean => {
+      const takes = bytesOf(entry) + 1 + around;
       if (takes > bytes) return false;
       bytes -= takes;
       return true;
@@ -157,7 +160,7 @@
     const size = (k: FreeKind): number => k[3] * (k[0] + 100 * k[1]);
     const kinds = rows.slice(0, record.rows.length).flatMap((r, i) => [...r.free.map((kind) => ({ to: record.rows[i]!.free, kind })), ...r.reserved.map((kind) => ({ to: record.rows[i]!.reserved, kind }))]);
     for (const { to, kind } of kinds.sort((x, y) => size(y.kind) - size(x.kind))) if (fits(kind)) to.push(kind);
-    for (const [i, r] of rows.slice(0, record.rows.length).entries()) for (const y of r.yields ?? []) if (fits(y)) (record.rows[i]!.yields ??= []).push(y);
+    for (const [i, r] of rows.slice(0, record.rows.length).entries()) for (const y of r.yields ?? []) if (fits(y, record.rows[i]!.yields ? 0 : FIELD_BYTES)) (record.rows[i]!.yields ??= []).push(y);
     for (const entry of all.running) if (fits(entry)) record.running.set(...entry);
     return record;
   }
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -153,6 +153,25 @@
   assert.deepEqual(old.readRoom(stored(writeRoom(record))), asOld);
 });
 
+test("written room fits a value to the byte, with what gives way on as many rows as there are", () => {
+  for (let more = 0; more < 60; more++) {
+    const limits = { valueBytes: 1_700 + more, txnOps: 4 };
+    const run = { job: { view: { urgency: "best_effort", spec: { shape: "batch", tasks: 9, cpus: 2, gpus: 0, memGb: 1 } } }, phase: "running" };
+    const workers = Array.from({ length: 24 }, (_, i) => ({ id: `n-${i}`, typeName: `t${i}`, type: { cpus: 32, gpus: 0, memGb: 64 }, zone: "east", spot: false, kind: `t${i}/east`, free: null, tasks: new Map([["a", run]]), strays: new Map() }));
+    const jobs = new Map(["normal", "best_effort"].map((urgency, i) => [`req-${i}`, { urgency }]));
+    const own = { group: "g", usableWorkers: () => ({ usable: workers, reserved: new Set<string>() }), isHeld: () => false, jobs: new Map(), runningOf: () => 0 };
+    const sharing = { rows: () => ({ wants: new Map(), teams: new Map() }) };
+    const renting = { soldOut: () => [], left: () => new Map() };
+    const room = new Room({ nowMs: 5_000, mirror: { jobs }, settings: { state: limits } } as unknown as Context, own as unknown as Holdings, sharing as unknown as Sharing, renting as unknown as Renting);
+    const record = room.fitted();
+    const bytes = bytesOf(writeRoom(record));
+    // The list of what gives way was counted without its own name: up to 7 bytes too many for each row.
+    assert.ok(bytes <= limits.valueBytes && bytes > limits.valueBytes - 60, `${bytes} of ${limits.valueBytes}`);
+    const n = record.rows.filter((r) => r.yields !== undefined).length;
+    assert.ok(n > 0 && n < 24, `${n} rows say what gives way`);
+  }
+});
+
 /** A day that begins with production's version and data; waiting jobs come once all controllers are new. */
 function upgradeDay(seed: number, withTroubles: boolean): World {
   const w = new World(seed, undefined, ["node-a", "node-b", "node-c"]);
