--- a/src/coordination/limits/demand.ts
+++ b/src/coordination/limits/demand.ts
@@ -67,7 +67,7 @@
       if (n > MOST_JOBS || !team) continue;
       const whole = goesWhole(spec) || spec.shape === "daemon";
       // Accepted under a larger limit: it can't begin under this one, and what it waited for would be kept from all others.
-      const least = whole ? spec.tasks : 1;
+      const least = spec.shape === "batch" ? 1 : spec.tasks;
       if (spec.cpus * least > team.cpusMax + EPS || spec.gpus * least > team.gpusMax + EPS) continue;
       const short = isShort(spec, this.ctx.tuning);
       // Jobs whose amounts differ by little share one look.
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -514,3 +514,12 @@
   const begun = new Set(w.logs.flatMap((l) => /task phase .*"task":"([^"]*)".*"to":"running"/.exec(l)?.[1] ?? []).filter((t) => t.startsWith(`${other}/`)));
   assert.equal(begun.size, 4, `the limit has room for all of them\n${w.logs.slice(-12).join("\n")}`);
 });
+
+test("an array in one zone that is larger than its team's limit runs in turns, also where the limit is elsewhere", () => {
+  const { w, submit } = short(20, 6);
+  submit(9_000, { zone: "mid", tasks: 2, cpus: 5 });
+  const array = submit(12_000, { zone: "east", tasks: 10, cpus: 5, samePlace: true });
+  w.run(80_000);
+  assert.deepEqual(w.checker.broken, []);
+  assert.ok(w.logs.some((l) => l.includes("task phase") && l.includes(`"${array}/`)), "it begins");
+});
