Test of arrays in one zone and limits: it fails on the sources that it is about

As committed before, the test passed on them too: the group had a part of the limit from the start. Now all of it is elsewhere, and the array begins only if its group wants some.

--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -517,9 +517,13 @@
 
 test("an array in one zone that is larger than its team's limit runs in turns, also where the limit is elsewhere", () => {
   const { w, submit } = short(20, 6);
-  submit(9_000, { zone: "mid", tasks: 2, cpus: 5 });
-  const array = submit(12_000, { zone: "east", tasks: 10, cpus: 5, samePlace: true });
-  w.run(80_000);
+  w.runFactor = 1;
+  // All of the limit goes there and stays there.
+  submit(9_000, { zone: "mid", tasks: 12, cpus: 5 });
+  const array = submit(60_000, { zone: "east", tasks: 10, cpus: 5, samePlace: true });
+  w.run(59_000);
+  assert.equal((w.state.data.get("lc/now/quota")!.value as { red: Record<string, number[]> }).red["node-a"]![0], 0);
+  w.run(140_000);
   assert.deepEqual(w.checker.broken, []);
   assert.ok(w.logs.some((l) => l.includes("task phase") && l.includes(`"${array}/`)), "it begins");
 });
