Search and tests for the rest of the meetings that the operators name

Each occurrence is counted. The checker learns that no job is left waiting for 90 s while machines that fit have room and its team is under its limit, and that nothing is accepted that can't run.

--- /dev/null
+++ b/test/meetings-more.test.ts
@@ -0,0 +1,40 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Controller } from "../src/coordination/controller.js";
+import { Receipts } from "../src/coordination/receipt.js";
+import { PAST, readPast } from "../src/storage/records.js";
+import { caught, told } from "./sim/guards.js";
+import { drawMore, type MetMore, noneMet, playMore } from "./sim/meetings.js";
+import type { World } from "./sim/world.js";
+
+/** The rest of the meetings that the operators name: docs/design/meetings.md has the table of meetings, tests and guards. */
+
+test("two to five troubles of all that the operators name, on a third of the days with short limits: the rules hold, nobody is left waiting, each meeting occurs", () => {
+  const met = noneMet();
+  for (const seed of [2, 5, 14, 19, 20, 39, 1, 8]) {
+    const { world: w, met: m } = playMore(seed, drawMore(seed));
+    assert.deepEqual(w.checker.broken, [], `seed ${seed}, ${JSON.stringify(drawMore(seed))}: ${told(w)}`);
+    for (const k of Object.keys(met) as (keyof MetMore)[]) met[k] += m[k];
+  }
+  for (const [k, n] of Object.entries(met)) assert.ok(n > 0, `${k} never occurred: ${JSON.stringify(met)}`);
+});
+
+const drawn = (seed: number): World => playMore(seed, drawMore(seed)).world;
+
+test("guard: a report that is older than what is known says nothing, also when it is kept for a new master", () => {
+  caught(drawn, [56], "ran_twice", () => {
+    const before = Receipts.prototype.isLate;
+    Receipts.prototype.isLate = () => false;
+    return () => (Receipts.prototype.isLate = before);
+  });
+});
+test("guard: a cancellation that meets the end of the last task is conditional on the job's record", () => {
+  caught(drawn, [8], "went_back", () => {
+    const before = Controller.prototype.commit;
+    Controller.prototype.commit = function (conditions, writes, urgent, done) {
+      const cancels = writes.some((x) => x.op === "put" && x.key.startsWith(PAST) && readPast(x.value)?.status === "cancelled");
+      before.call(this, cancels ? [] : conditions, writes, urgent, done);
+    };
+    return () => (Controller.prototype.commit = before);
+  });
+});
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -14,7 +14,7 @@
 
   constructor(private readonly world: World) {}
 
-  private fail(rule: string, what: string): void {
+  fail(rule: string, what: string): void {
     this.broken.push(`${rule} at ${(this.world.now / 1000).toFixed(3)} s: ${what}`);
   }
 
@@ -46,7 +46,7 @@
     this.checkCancelled(job);
     for (const name of this.world.awaits.get(job) ?? []) if (!this.isDone(name)) this.fail("too_early", `${job}/${index} before ${name}`);
   }
-  private isDone(job: string): boolean {
+  isDone(job: string): boolean {
     const n = this.world.specs.get(job)!.tasks;
     for (let i = 0; i < n; i++) if (!this.world.results.has(`${job}/${i}`)) return false;
     return true;
@@ -124,7 +124,10 @@
     }
     if (final !== now) this.toldMs.set(id, this.world.now);
     this.told.set(id, now);
+    if (final !== now) this.onTold?.(id, now);
   }
+  /** Called when users learn for the first time that a job is accepted, done or cancelled. */
+  onTold: ((id: string, now: "accepted" | "done" | "cancelled") => void) | null = null;
   /** When a question about a job was last answered. */
   readonly heardOf = new Map<string, number>();
   /** Called 75 s after the last trouble ended, at `sinceMs`: a job about which nothing was answered since counts as forgotten. */
@@ -132,6 +135,55 @@
     for (const [id, told] of this.told)
       if (told !== "cancelled" && (this.heardOf.get(id) ?? -1) < sinceMs && (told === "accepted" || this.isPolled(id))) this.fail("forgotten", `${id}: no question answered since ${sinceMs / 1000} s`);
   }
+  private readonly waitsSince = new Map<string, number>();
+  /**
+   * Called every second once all troubles are over: no job is left waiting for 90 s while machines that fit have room for a task of it, or
+   * for all tasks of a gang, and its team is under its limit.
+   */
+  nobodyLeft(): void {
+    const on = new Map<string, number>();
+    const used = new Map<string, { cpus: number; gpus: number }>();
+    const free = new Map<SimWorker, { cpus: number; gpus: number }>();
+    for (const w of this.world.workers) {
+      if (w.gone || !w.up || w.noticeMs !== null || w.faulty) continue;
+      const f = { cpus: w.type.cpus, gpus: w.type.gpus };
+      for (const t of w.tasks.values()) {
+        if (t.state === "exited") continue;
+        const spec = this.world.specs.get(t.job)!;
+        on.set(t.job, (on.get(t.job) ?? 0) + 1);
+        const u = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
+        used.set(spec.team, { cpus: u.cpus + spec.cpus, gpus: u.gpus + spec.gpus });
+        f.cpus -= spec.cpus;
+        f.gpus -= spec.gpus;
+      }
+      free.set(w, f);
+    }
+    for (const [id, told] of this.told) {
+      const spec = this.world.specs.get(id)!;
+      const waits = told === "accepted" && !this.asked.has(id) && !on.has(id) && !this.isDone(id) && (this.world.awaits.get(id) ?? []).every((x) => this.isDone(x));
+      if (!waits || !this.fits(spec, free, used.get(spec.team))) {
+        this.waitsSince.delete(id);
+        continue;
+      }
+      const since = this.waitsSince.get(id) ?? this.world.now;
+      this.waitsSince.set(id, since);
+      if (this.world.now - since > 90_000) this.fail("left_waiting", `${id} (${spec.shape} of ${spec.tasks}) for ${(this.world.now - since) / 1000} s`);
+    }
+  }
+  private fits(spec: JobSpec, free: ReadonlyMap<SimWorker, { cpus: number; gpus: number }>, used = { cpus: 0, gpus: 0 }): boolean {
+    const team = (this.world.teamLimits ?? this.world.settings.teams).get(spec.team)!;
+    const n = spec.shape === "batch" ? 1 : spec.tasks;
+    if (used.cpus + n * spec.cpus > team.cpusMax || used.gpus + n * spec.gpus > team.gpusMax) return false;
+    const places = new Map<string, number>();
+    for (const [w, f] of free) {
+      if ((spec.types && !spec.types.includes(w.type.name)) || (spec.zone && spec.zone !== w.zone) || (w.spot && !spec.spot)) continue;
+      const k = Math.min(Math.floor((f.cpus + 1e-6) / spec.cpus), spec.gpus > 0 ? Math.floor(f.gpus / spec.gpus) : Infinity);
+      places.set(w.zone, (places.get(w.zone) ?? 0) + Math.max(0, k));
+    }
+    const most = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+    const all = [...places.values()].map((x) => Math.min(x, most));
+    return (spec.samePlace ? Math.max(0, ...all) : all.reduce((a, b) => a + b, 0)) >= n;
+  }
   /** Jobs that were accepted and are not known to be over, services aside. */
   unfinished(): string[] {
     return [...this.told].filter(([id, s]) => s === "accepted" && this.world.specs.get(id)!.shape !== "daemon").map(([id]) => id);
--- a/test/sim/days.ts
+++ b/test/sim/days.ts
@@ -125,7 +125,7 @@
   w.at(fromMs, one);
 }
 
-function submit(w: World, spec: JobSpec, sinceMs: number): void {
+export function submit(w: World, spec: JobSpec, sinceMs: number): void {
   const askedMs = w.now;
   request(w, 5_000, (req) => ({ is: "submit", req, spec, awaits: w.awaits.get(spec.id) }), (a) => {
     if (a) hear(w, spec.id, a, askedMs);
@@ -142,6 +142,27 @@
     if (w.now - sinceMs < 60_000) w.at(1_000, () => submit(w, spec, sinceMs));
   });
 }
+/** Questions at all controllers within milliseconds, and the submission once more. */
+export function lookClosely(w: World, id: string): void {
+  const spec = w.specs.get(id)!;
+  for (const name of w.names)
+    for (const again of [false, true])
+      w.at(w.rng.real(0, 20), () => {
+        const askedMs = w.now;
+        if (w.apart(w.zoneOf(name), null)) return;
+        w.ask(name, (req) => (again ? { is: "submit", req, spec, awaits: w.awaits.get(id) } : { is: "status", req, id }), (a) => a && w.now - askedMs < 2_000 && hear(w, id, a, askedMs));
+      });
+}
+/** Submissions that are never accepted, and cancellations of what is done. */
+export function odd(w: World, n: number): void {
+  const r = w.rng;
+  const done = [...w.checker.told].filter(([, s]) => s === "done");
+  if (done.length > 0 && r.chance(0.5)) cancel(w, r.pick(done)[0]);
+  const accepted = [...w.checker.told].filter(([, s]) => s === "accepted");
+  if (accepted.length > 0) submit(w, w.specs.get(r.pick(accepted)[0])!, -1e9);
+  const spec = { ...randomJob(w, 900_000 + n), ...r.pick<Partial<JobSpec>>([{ cpus: 500 }, { team: "nobody" }, { shape: "ensemble", tasks: 90, cpus: 8 }, { types: ["none"] }, { zone: "mars" }]) };
+  request(w, 5_000, (req) => ({ is: "submit", req, spec }), (a) => a?.is === "job" && w.checker.fail("accepted_unfit", spec.id));
+}
 export function cancel(w: World, id: string): void {
   w.checker.asked.add(id);
   const askedMs = w.now;
--- a/test/sim/hunt.ts
+++ b/test/sim/hunt.ts
@@ -1,9 +1,10 @@
 import { night, pipelines, troubles, users } from "./days.js";
-import { draw, gap, type Met, NOT_MET, play, shrink } from "./meetings.js";
+import { draw, drawMore, gap, type MetMore, noneMet, play, playMore, shrink } from "./meetings.js";
 import { World } from "./world.js";
 
 // Looks for seeds that break a rule: node target/test-build/test/sim/hunt.js KIND FROM TO, KIND: upgrade (days that begin with one),
-// nights, gap (the state service refuses the leader, then everybody) or meetings (two to four troubles at once). Of meetings it prints the
+// nights, gap (the state service refuses the leader, then everybody), meetings (two to four troubles at once) or more (the same of all that the
+// operators name, with tight limits on every third day). Of meetings it prints the
 // fewest troubles that still break the rule, and at the end how often each really occurred and on how many days.
 const kind = process.argv[2];
 const [from, to] = process.argv.slice(3).map(Number);
@@ -21,16 +22,16 @@
   return w;
 }
 
-const met = { ...NOT_MET };
-const days = { ...NOT_MET };
+const met = noneMet();
+const days = noneMet();
 let longestMs = 0;
 let confirmed = 0;
 
 function played(seed: number): World {
   if (kind === "nights") return night(seed);
   if (kind === "upgrade") return upgrade(seed);
-  const p = kind === "gap" ? gap(seed) : play(seed, draw(seed));
-  for (const k of Object.keys(met) as (keyof Met)[]) {
+  const p = kind === "gap" ? gap(seed) : kind === "more" ? playMore(seed, drawMore(seed)) : play(seed, draw(seed));
+  for (const k of Object.keys(met) as (keyof MetMore)[]) {
     met[k] += p.met[k];
     if (p.met[k] > 0) days[k]++;
   }
@@ -45,7 +46,8 @@
   // Meetings end before what was submitted last has had its time.
   const rests = kind === "nights" || kind === "upgrade" ? open.length > 2 : false;
   if (w.checker.broken.length > 0 || rests) console.log(seed, w.checker.broken, "open", open.length, open.slice(0, 4), "starts", w.starts);
-  if (kind === "meetings" && w.checker.broken.length > 0) console.log(seed, "fewest troubles:", JSON.stringify(shrink(seed, draw(seed))));
+  if (w.checker.broken.length > 0 && kind === "meetings") console.log(seed, "fewest troubles:", JSON.stringify(shrink(seed, draw(seed))));
+  if (w.checker.broken.length > 0 && kind === "more") console.log(seed, "fewest troubles:", JSON.stringify(shrink(seed, drawMore(seed), playMore)));
 }
 console.log(`${to! - from!} days of ${kind}; ${confirmed} tasks on machines when their cancellation was confirmed, the longest for ${longestMs / 1000} s`);
-if (kind === "gap" || kind === "meetings") console.log("occurred", met, "on days", days);
+if (kind === "gap" || kind === "meetings" || kind === "more") console.log("occurred", met, "on days", days);
--- a/test/sim/meetings.ts
+++ b/test/sim/meetings.ts
@@ -1,6 +1,6 @@
 import { holdMs } from "../../src/coordination/ownership.js";
-import { cancel, pipelines, randomJob, users } from "./days.js";
-import { type SimWorker, World } from "./world.js";
+import { cancel, lookClosely, odd, pipelines, randomJob, submit, users } from "./days.js";
+import { type Rng, type SimWorker, World } from "./world.js";
 
 /**
  * Days on which two troubles meet. A day is a seed and a list of troubles, so that what broke a rule can be played again with
@@ -29,7 +29,9 @@
   "storm",
   "cancel",
 ] as const;
-export type Kind = (typeof KINDS)[number];
+/** The rest of what the operators name. */
+export const REST = ["mute", "lostAnswers", "forNext", "atEnd", "looks", "odd", "roll", "quickBoots", "burst", "settings"] as const;
+export type Kind = (typeof KINDS)[number] | (typeof REST)[number];
 
 export interface Trouble {
   kind: Kind;
@@ -62,6 +64,36 @@
 }
 export const NOT_MET: Met = { unreached: 0, lateCommands: 0, lateWrites: 0, lateReports: 0, back: 0, apart: 0, cutCancels: 0, gapCancels: 0 };
 
+/** The same of the rest. */
+export interface MetMore extends Met {
+  /** Commands with orders that reached a machine which could not report. */
+  mute: number;
+  /** Transactions that were carried out at once and of which only the answer was lost. */
+  lostAnswers: number;
+  /** Copies of reports that came to all controllers within half a second after their group changed hands. */
+  forNext: number;
+  /** Cancellations and questions asked within 0.3 s of the completion of a job's last task. */
+  atEnd: number;
+  /** Times that users asked at all controllers right after they were told something. */
+  looks: number;
+  /** Requests that could only be refused, or repeated what was known. */
+  odd: number;
+  /** Changes of the leader's groups by which a group had changed hands ten times within two minutes. */
+  tenTimes: number;
+  /** Machines that were up within 2 s and began a task within 3 s more. */
+  quick: number;
+  /** One-task jobs submitted four a second. */
+  burst: number;
+  /** Cancellations confirmed while their team was at its limit and one of its machines was out of reach. */
+  atLimit: number;
+  /** Controllers that came up with other limits while another went by the former ones. */
+  settings: number;
+  /** Times that no controller was up, or none stood, for longer than a lease. */
+  allAway: number;
+}
+const NOT_MET_MORE: MetMore = { ...NOT_MET, mute: 0, lostAnswers: 0, forNext: 0, atEnd: 0, looks: 0, odd: 0, tenTimes: 0, quick: 0, burst: 0, atLimit: 0, settings: 0, allAway: 0 };
+export const noneMet = (): MetMore => ({ ...NOT_MET_MORE });
+
 export const controllersOf = (seed: number): number => (seed % 7) + 1;
 
 /** The controller on whose groups most machines with tasks are. */
@@ -72,7 +104,7 @@
 
 const busy = (m: SimWorker): boolean => !m.gone && [...m.tasks.values()].some((t) => m.onMachine(t));
 
-function begin(w: World, t: Trouble): void {
+function begin(w: World, t: Trouble, met: MetMore = noneMet()): void {
   const r = w.rng;
   const node = t.node < 0 ? leader(w) : w.names[t.node % w.names.length]!;
   const over = (fn: () => void): void => w.at(t.forMs, fn);
@@ -148,6 +180,73 @@
       return;
     case "zone":
       return w.cutZone(r.pick(w.zones), t.forMs);
+    case "mute": {
+      const all = some();
+      for (const m of all) m.mute = true;
+      return over(() => all.forEach((m) => (m.mute = false)));
+    }
+    case "lostAnswers":
+      w.lostAnswers = t.share;
+      return over(() => (w.lostAnswers = 0));
+    case "forNext":
+      w.forNext = t.share;
+      return over(() => (w.forNext = 0));
+    case "atEnd":
+      w.jobEnded = (id) => {
+        if (!r.chance(t.share)) return;
+        met.atEnd++;
+        const what = r.int(0, 2);
+        w.at(r.real(0, 300), () => (what === 0 ? cancel(w, id) : what === 1 ? lookClosely(w, id) : submit(w, w.specs.get(id)!, -1e9)));
+      };
+      return over(() => (w.jobEnded = null));
+    case "looks":
+      w.checker.onTold = (id, now) => {
+        met.looks++;
+        lookClosely(w, id);
+        if (now === "accepted" && r.chance(0.2)) w.at(r.real(0, 100), () => cancel(w, id));
+      };
+      return over(() => (w.checker.onTold = null));
+    case "odd":
+      for (let n = 0; n * 400 < t.forMs; n++)
+        w.at(n * 400, () => {
+          met.odd++;
+          odd(w, met.odd);
+        });
+      return;
+    case "roll":
+      for (let n = 0; n < 10; n++)
+        w.at((n * t.forMs) / 10, () => {
+          const now = leader(w);
+          w.crash(now);
+          w.at(r.real(100, 3_000), () => w.nodes.get(now) ?? w.boot(now));
+        });
+      return;
+    case "quickBoots":
+      w.bootFactor = 0.05;
+      return over(() => (w.bootFactor = 1));
+    case "burst":
+      for (let n = 0; n * 250 < Math.min(t.forMs, 30_000); n++)
+        w.at(n * 250, () => {
+          const spec = { ...randomJob(w, 600_000 + ++met.burst), shape: "batch" as const, tasks: 1, cpus: 1, gpus: 0, types: null, zone: null, samePlace: false, spread: false };
+          w.specs.set(spec.id, spec);
+          submit(w, spec, w.now);
+          if (r.chance(0.25)) w.at(r.real(0, 8_000), () => w.checker.told.has(spec.id) && cancel(w, spec.id));
+        });
+      return;
+    case "settings": {
+      // Lowered; what runs goes on, and until all go by it and have had time to end something the former limits are the rule.
+      if (w.teamLimits !== null) return;
+      w.teamLimits = w.settings.teams;
+      w.reconfigure(w.names, new Map([...w.settings.teams].map(([n, x]) => [n, { ...x, cpus: Math.min(x.cpus, x.cpusMax * 0.6), cpusMax: x.cpusMax * 0.6 }])));
+      w.names.forEach((n, i) =>
+        w.at((t.forMs / w.names.length) * i, () => {
+          met.settings++;
+          w.crash(n);
+          w.at(r.real(100, 2_000), () => w.nodes.get(n) ?? w.boot(n));
+        }),
+      );
+      return w.at(t.forMs + 40_000, () => (w.teamLimits = null));
+    }
     case "storm":
       w.stormOf = 8;
       return over(() => (w.stormOf = 1));
@@ -157,8 +256,11 @@
 }
 
 /** Counts what meets, by looking at what the state service, the machines and the users have. */
-function watch(w: World, met: Met): void {
-  const owners = new Map<string, { owner: string; version: number; had: Set<string> }>();
+function watch(w: World, met: MetMore): void {
+  const owners = new Map<string, { owner: string; version: number; had: Set<string>; changedMs: number[] }>();
+  const begun = new Set<SimWorker>();
+  let awaySinceMs = 0;
+  let toldAway = false;
   let confirmed = 0;
   let gapUntilMs = -Infinity;
   w.every(50, () => {
@@ -169,11 +271,23 @@
       const o = owners.get(group);
       if (o?.version === d.version) continue;
       if (o) {
-        if (w.workers.some((m) => busy(m) && (m.cut.size > 0 || m.oneWay || m.hung))) met.unreached++;
+        const mine = w.kept.filter((r) => w.nodes.get(owner)?.core.groups.of(r.zone) === group);
+        if (mine.length > 0) {
+          w.kept = w.kept.filter((r) => !mine.includes(r));
+          for (const r of mine.slice(-20))
+            for (const n of w.names)
+              w.at(w.rng.real(0, 500), () => {
+                met.forNext++;
+                w.report(n, structuredClone(r), () => {});
+              });
+        }
+        o.changedMs.push(w.now);
+        if (o.changedMs.filter((ms) => ms > w.now - 120_000).length >= 10) met.tenTimes++;
+        if (w.workers.some((m) => busy(m) && (m.cut.size > 0 || m.oneWay || m.hung || m.mute))) met.unreached++;
         if (o.had.has(owner)) met.back++;
         if ([...w.specs.values()].some((s) => s.shape === "batch" && s.tasks > 1 && w.checker.told.get(s.id) === "accepted" && w.results.has(`${s.id}/0`) !== w.results.has(`${s.id}/1`))) met.apart++;
       }
-      owners.set(group, { owner, version: d.version, had: (o?.had ?? new Set<string>()).add(owner) });
+      owners.set(group, { owner, version: d.version, had: (o?.had ?? new Set<string>()).add(owner), changedMs: o?.changedMs ?? [] });
     }
     if (w.stateCut.size > 0) gapUntilMs = w.now + 500;
     const now = w.checker.cancelledOn;
@@ -182,6 +296,17 @@
       if ([...w.stateCut.keys()].some((n) => w.meshCuts.has(n))) met.cutCancels += now - confirmed;
     }
     confirmed = now;
+    const away = w.names.every((n) => !w.nodes.get(n) || w.nodes.get(n)!.still);
+    if (!away) awaySinceMs = w.now;
+    if (away && !toldAway && w.now - awaySinceMs > 1000 * w.settings.leaseS) met.allAway++;
+    toldAway = away && w.now - awaySinceMs > 1000 * w.settings.leaseS;
+    for (const m of w.workers)
+      if (!begun.has(m) && m.tasks.size > 0) {
+        begun.add(m);
+        if (m.bornMs > 1_000 && w.now - m.bornMs < 5_000) met.quick++;
+      }
+    met.mute = w.muteCommands;
+    met.lostAnswers = w.answersLost;
     met.lateWrites = w.lateWritten;
     met.lateReports = w.lateReports;
     met.lateCommands = w.lateCommands;
@@ -190,13 +315,13 @@
 
 export interface Played {
   world: World;
-  met: Met;
+  met: MetMore;
 }
 
 /** Jobs that run for a while, on machines that are there from the start. */
-function stage(seed: number, runFactor: number): { world: World; met: Met } {
+function stage(seed: number, runFactor: number): Played {
   const world = new World(seed, undefined, [], controllersOf(seed));
-  const met = { ...NOT_MET };
+  const met = noneMet();
   world.capacity = 6;
   world.runFactor = runFactor;
   world.carries = true;
@@ -212,33 +337,83 @@
   const { world: w, met } = stage(seed, seed % 2 === 0 ? 4 : 1);
   users(w, 95_000);
   if (seed % 3 === 0) pipelines(w, 5_000, 90_000);
-  for (const t of troubles) w.at(t.atMs, () => begin(w, t));
+  for (const t of troubles) w.at(t.atMs, () => begin(w, t, met));
   w.at(OVER_MS + 80_000, () => w.checker.remembers(OVER_MS + 5_000));
   w.run(OVER_MS + 85_000);
   return { world: w, met };
 }
 
+/**
+ * The same with all that the operators name, on every third day with limits that the teams are at, and for so long after the end that a
+ * job which nobody starts is noticed.
+ */
+export function playMore(seed: number, troubles: readonly Trouble[]): Played {
+  const { world: w, met } = stage(seed, seed % 2 === 0 ? 4 : 1);
+  if (seed % 3 === 1) {
+    w.settings.teams = new Map([...w.settings.teams].map(([n, t]) => [n, { ...t, cpus: 10, cpusMax: n === "red" ? 18 : 26 }]));
+    w.bootAll();
+  }
+  const confirmed = new Set<string>();
+  w.every(250, () => {
+    for (const [id, told] of w.checker.told) {
+      if (told !== "cancelled" || confirmed.has(id)) continue;
+      confirmed.add(id);
+      const { team } = w.specs.get(id)!;
+      let used = 0;
+      let lost = false;
+      for (const m of w.workers)
+        if (!m.gone)
+          for (const t of m.tasks.values())
+            if (t.state !== "exited" && w.specs.get(t.job)!.team === team) {
+              used += w.specs.get(t.job)!.cpus;
+              lost ||= m.cut.size > 0 || m.hung || m.oneWay || m.mute;
+            }
+      if (lost && used > (w.teamLimits ?? w.settings.teams).get(team)!.cpusMax - 5) met.atLimit++;
+    }
+  });
+  users(w, 95_000, (x, n) => {
+    // No gang may need more than its team may ever use: it would be refused, which is right.
+    const spec = randomJob(x, n);
+    return spec.shape === "batch" ? spec : { ...spec, tasks: Math.min(spec.tasks, Math.max(1, Math.floor((0.6 * w.settings.teams.get(spec.team)!.cpusMax) / spec.cpus))) };
+  });
+  if (seed % 4 === 0) pipelines(w, 5_000, 90_000);
+  for (const t of troubles) w.at(t.atMs, () => begin(w, t, met));
+  w.at(OVER_MS, () => w.every(1_000, () => w.checker.nobodyLeft()));
+  w.at(OVER_MS + 80_000, () => w.checker.remembers(OVER_MS + 5_000));
+  w.run(OVER_MS + 110_000);
+  return { world: w, met };
+}
+
 /** Two to four troubles close together, once or twice a day; in half of them the state service is one. */
 export function draw(seed: number): Trouble[] {
+  return drawn(seed, 4, (r) => (r.chance(0.3) ? r.pick(["refuse", "outage", "lateWrites", "cancel"] as const) : r.pick(KINDS)));
+}
+/** Two to five, about half of them of the rest. */
+export function drawMore(seed: number): Trouble[] {
+  return drawn(seed, 5, (r) => (r.chance(0.45) ? r.pick(REST) : r.chance(0.3) ? r.pick(["refuse", "outage", "lateWrites", "cancel", "crash", "atOnce"] as const) : r.pick(KINDS)));
+}
+/** These last longer than what hinders machines and controllers. */
+const LONG: readonly Kind[] = ["lateWrites", "copies", "lostAnswers", "forNext", "atEnd", "looks", "roll"];
+function drawn(seed: number, most: number, kindOf: (r: Rng) => Kind): Trouble[] {
   const r = new World(seed ^ 0x5eed, undefined, [], 1).rng;
   const out: Trouble[] = [];
   for (let n = r.int(1, 2); n > 0; n--) {
     const at = r.real(12_000, 75_000);
-    for (let k = r.int(2, 4); k > 0; k--) {
-      const kind = r.chance(0.3) ? r.pick(["refuse", "outage", "lateWrites", "cancel"] as const) : r.pick(KINDS);
+    for (let k = r.int(2, most); k > 0; k--) {
+      const kind = kindOf(r);
       const atMs = at + r.real(0, 4_000);
-      out.push({ kind, atMs, forMs: Math.min(OVER_MS - atMs, kind === "lateWrites" || kind === "copies" ? r.real(15_000, 60_000) : r.real(500, 40_000)), node: r.chance(0.6) ? -1 : r.int(0, 6), share: r.pick([0.1, 0.3, 0.6]) });
+      out.push({ kind, atMs, forMs: Math.min(OVER_MS - atMs, LONG.includes(kind) ? r.real(15_000, 60_000) : r.real(500, 40_000)), node: r.chance(0.6) ? -1 : r.int(0, 6), share: r.pick([0.1, 0.3, 0.6]) });
     }
   }
   return out.sort((a, b) => a.atMs - b.atMs);
 }
 
 /** The fewest of these troubles that still break a rule: one after the other is left out for as long as that goes. */
-export function shrink(seed: number, troubles: readonly Trouble[]): Trouble[] {
+export function shrink(seed: number, troubles: readonly Trouble[], day: typeof play = play): Trouble[] {
   let left = [...troubles];
   for (let i = 0; i < left.length; ) {
     const fewer = left.filter((_, k) => k !== i);
-    if (play(seed, fewer).world.checker.broken.length > 0) left = fewer;
+    if (day(seed, fewer).world.checker.broken.length > 0) left = fewer;
     else i++;
   }
   return left;
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -150,6 +150,8 @@
   faulty = false;
   /** Its reports arrive, but neither answers nor commands reach it. */
   oneWay = false;
+  /** It can't open connections to any controller, while commands sent to it arrive and are answered. */
+  mute = false;
   noticeMs: number | null = null;
   /** Nodes that can't be reached. */
   readonly cut = new Set<string>();
@@ -256,6 +258,7 @@
       this.world.at(1000, () => this.gone || this.hung || this.flying || this.report());
     };
     this.world.at(4000, next);
+    if (this.mute) return this.world.at(this.world.rng.real(1, 3_900), next);
     const deliver = (): void =>
       this.world.report(node, r, (a) => {
         if (this.isCut(node) || this.oneWay || this.world.rng.chance(this.world.loss)) return;
@@ -289,6 +292,7 @@
         this.world.lateReports++;
         this.world.report(this.world.rng.pick(names), structuredClone(r), () => {});
       });
+    if (this.world.forNext > 0 && this.world.rng.chance(this.world.forNext) && this.world.kept.length < 500) this.world.kept.push(structuredClone(r));
     if (this.isCut(node)) {
       // Held by the network, perhaps delivered much later.
       if (this.world.rng.chance(0.5)) this.world.at(this.world.rng.real(1_000, 60_000), deliver);
@@ -306,6 +310,7 @@
       const ok = token >= this.token && session === this.session;
       if (ok) {
         if (this.world.now - askedMs > 1_000) this.world.lateCommands++;
+        if (this.mute && orders.length > 0) this.world.muteCommands++;
         if (token > this.token) this.token = token;
         for (const o of orders) this.execute(o);
       }
@@ -385,6 +390,7 @@
       this.world.results.add(`${t.job}/${t.index}`);
       if (spec.shape === "ensemble") this.world.gangDone(t.job, t.attempt, spec);
       else this.exit(t, "done");
+      if (this.world.jobEnded && this.world.checker.isDone(t.job)) this.world.jobEnded(t.job);
     });
   }
   exit(t: SimTask, cause: Cause, saved = false): void {
@@ -488,6 +494,16 @@
   /** Calls to the state service that a peer carried, and transactions that were carried out late. */
   carried = 0;
   lateWritten = 0;
+  /** Part of the transactions that are carried out at once and of which only the answer is lost; how many were. */
+  lostAnswers = 0;
+  answersLost = 0;
+  /** Part of the reports of which a copy is kept for whoever takes the group next; the copies. */
+  forNext = 0;
+  kept: Report[] = [];
+  /** Called the moment that the last task of a job completes. */
+  jobEnded: ((id: string) => void) | null = null;
+  /** Commands with orders that reached a machine which could not report. */
+  muteCommands = 0;
   /** Copies of reports that came late, and commands that were carried out more than a second after they were sent. */
   lateReports = 0;
   lateCommands = 0;
@@ -798,13 +814,15 @@
     const changes = call.op === "commit" || call.op === "touch" || call.op === "newHold";
     const held = cut === "held" || (cut === "writes" && changes) || (cut === "reads" && !changes) || this.apart(this.zoneOf(name), null) || this.rng.chance(this.loss / 4);
     const late = call.op === "commit" && this.lateWrites > 0 && this.rng.chance(this.lateWrites);
+    const lost = call.op === "commit" && this.lostAnswers > 0 && this.rng.chance(this.lostAnswers);
     const delay = held ? this.rng.real(1_600, 60_000) : late ? this.rng.real(2_000, 12_000) : this.rng.real(1, 10) + (this.stateSlow > 0 ? this.rng.real(0, this.stateSlow / 2) : 0);
     // Open watches wait, as in an outage.
     const waits = (): boolean => call.op === "changes" && this.stateCut.has(name) && this.stateCut.get(name) !== "writes";
     this.at(delay, () =>
       this.state.handle(call, (r) => {
         if (late && r.is === "committed") this.lateWritten++;
-        if (this.rng.chance(this.loss / 4) || held || late || waits()) return;
+        if (lost && r.is === "committed") this.answersLost++;
+        if (this.rng.chance(this.loss / 4) || held || late || lost || waits()) return;
         if (this.stateSlow > 0) this.at(this.rng.real(0, this.stateSlow / 2), () => end(r));
         else end(r);
       }),
