Parts of a gang in several groups have one turn

Cause: a gang's turn was worked out in each group by the tasks that wait there. Of a gang with spread in two groups the smaller part came first for the team's limit and held it, the other part much later; what was held stood idle meanwhile. Change: both go by all tasks of the gang.

--- a/src/coordination/holdings.ts
+++ b/src/coordination/holdings.ts
@@ -134,6 +134,8 @@
    */
   unfinished(job: JobRun): number {
     const { spec } = job.view;
+    // Parts of one gang wait for each other: with a turn by its size each, one held what the other came to only much later.
+    if (spec.shape === "ensemble" && spec.spread) return spec.tasks;
     if (spec.shape !== "batch" || !this.ctx.tuning.fleetOrder) return job.waiting.size;
     return Math.max(job.waiting.size, spec.tasks - this.ctx.mirror.finishedCount(job.id));
   }
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -4,7 +4,7 @@
 import type { Context } from "../src/coordination/context.js";
 import type { CloudCall, CloudReply } from "../src/coordination/effects.js";
 import { ownDueAt } from "../src/coordination/mirror.js";
-import type { Holdings } from "../src/coordination/holdings.js";
+import { Holdings } from "../src/coordination/holdings.js";
 import type { JobSpec, MachineType } from "../src/coordination/model.js";
 import { Misfits, suits } from "../src/coordination/placement.js";
 import { isShort } from "../src/coordination/queues.js";
@@ -156,6 +156,16 @@
   assert.ok(suits({ ...plain, gpus: 1 }, TYPES[1]!, false, TYPES));
 });
 
+test("the parts of a gang in several groups have one turn, however many tasks each has", () => {
+  const parts = [1, 3].map((n) => {
+    const j = job({ spread: true, samePlace: false, tasks: 4 });
+    j.waiting = RangeSet.upTo(n);
+    return j;
+  });
+  const holdings = { ctx: { tuning: DEFAULTS, mirror: { finishedCount: () => 0 } } } as unknown as Holdings;
+  assert.deepEqual(parts.map((j) => Holdings.prototype.unfinished.call(holdings, j)), [4, 4]);
+});
+
 test("a gang is short by the work of all its tasks", () => {
   const at = (tasks: number, shape: JobSpec["shape"]): boolean => isShort({ ...SPEC, shape, tasks, estimateS: 200 }, DEFAULTS);
   assert.ok(at(3, "ensemble"));
