What is left of a group that no settings name is given away under a token of that group

Cause: commits that move its tasks, or give its part of a limit back, were conditional on the group's record being absent. Change: one controller takes such a group as any group is taken, without a master, waits a lease from when it sees its token, acts under that token, and gives the group up when nothing is left. Absences and their turns are gone. Test: the move of such tasks is held back, the group is taken and lost, the move is carried out: 'committed' on the sources before, 'conflict' now; the tasks go to another group a lease later, and the group is nobody's again.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -16,6 +16,7 @@
 import type { Handed } from "./splitter.js";
 import { Unanswered } from "./unanswered.js";
 import { Users, WITHDRAW_TRIES } from "./users.js";
+import { Vacancies } from "./vacancies.js";
 
 /** Who waits for the end of a call, which comes once. */
 function ended<F>(ops: Map<number, F>, op: number): F | undefined {
@@ -83,6 +84,7 @@
   readonly ownership: Ownership;
   readonly awaiting: Awaiting;
   private readonly orphans: Orphans;
+  private readonly vacancies: Vacancies;
   private readonly beliefs: Beliefs;
   private readonly reading: Reading;
   private readonly users: Users;
@@ -111,7 +113,6 @@
     this.groups = new Groups(settings);
     this.beliefs = new Beliefs(this);
     this.awaiting = new Awaiting(this, (spec) => this.users.cut(spec), (id) => this.users.lookUp(id, () => {}));
-    this.orphans = new Orphans(this, (spec) => this.users.cut(spec));
     this.ownership = new Ownership(
       this,
       (call, done) => this.state(call, Urgent.Hold, (r, sentMs) => done(r as { is: string; hold?: number }, sentMs)),
@@ -119,6 +120,8 @@
       () => this.checkMasters(),
       (group) => this.masters.get(group)?.own.deaf() ?? false,
     );
+    this.vacancies = new Vacancies(this, this.ownership);
+    this.orphans = new Orphans(this, this.vacancies, (spec) => this.users.cut(spec));
     const state = (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void): void => this.state(call, urgent, done);
     const later = (req: number, why: string, afterS = 1): void => this.answer(req, { is: "later", afterS, why });
     this.reading = new Reading(this, this.ownership, state, (seen) => this.see(seen), (from, to, changes) => this.tell(from, to, changes), (afterMs) => this.out.push({ do: "wake", afterMs }), later);
@@ -360,6 +363,9 @@
   readAgeMs(): number {
     return this.ownership.readAgeMs;
   }
+  vacantToken(group: string): number | null {
+    return this.vacancies.token(group);
+  }
 
   // ---- users ---------------------------------------------------------------------------------------------
 
@@ -401,7 +407,10 @@
     this.beliefs.tick(this.ownership.holdId);
     const agreed = this.beliefs.agreed();
     for (const m of this.masters.values()) m.tick(agreed);
-    if (this.masters.size > 0) this.orphans.tick();
+    if (this.masters.size > 0) {
+      this.orphans.tick();
+      this.vacancies.tick();
+    }
     this.awaiting.act();
     if (this.nowMs - this.lastSweepMs > 5_000) {
       this.lastSweepMs = this.nowMs;
--- a/src/coordination/limits/guarantees.ts
+++ b/src/coordination/limits/guarantees.ts
@@ -57,7 +57,8 @@
       if (g === this.own.group) continue;
       const room = mirror.rooms.get(g);
       const row = room?.teams?.get(team);
-      const owned = mirror.groups.has(g);
+      // A group that no settings name may be held without a master, for what is left of it.
+      const owned = groups.names.includes(g) && mirror.groups.has(g);
       // Nothing was ever written, or less than all teams: it may use all that it has of the limit.
       const known = room?.teams && (row !== undefined || !room.cut);
       for (const d of DIMS) {
--- a/src/coordination/limits/sharing.ts
+++ b/src/coordination/limits/sharing.ts
@@ -1,6 +1,5 @@
 import type { Team } from "../../config/settings.js";
 import { groupKey, QUOTA_KEY, type Shares, type TeamRow, type Want } from "../../storage/records.js";
-import { Absences } from "../absence.js";
 import type { Context } from "../context.js";
 import { Urgent } from "../effects.js";
 import { Handover } from "../handover.js";
@@ -18,7 +17,8 @@
 /** What a plan's commit depends on and says. */
 interface Bases {
   records: [key: string, version: number][];
-  gone: string[];
+  /** Groups that no settings name, with the token under which this controller has them. */
+  gone: [group: string, token: number][];
 }
 
 /** A group's part of the teams' limits, and giving of it to groups that want more. */
@@ -26,7 +26,6 @@
   private changing: { reserved: Map<string, Pair>; urgent: Urgent; change: Handover<Bases, Map<string, Shares>> } | null = null;
   private nextMs = -Infinity;
   private readonly waits: Waits;
-  private readonly absences: Absences;
   private entries = new Map<string, Entry | null>();
   private entriesSeq = -1;
 
@@ -37,7 +36,6 @@
     hasPlace: (spec: JobSpec) => boolean,
   ) {
     this.waits = new Waits(ctx, own, hasPlace);
-    this.absences = new Absences(ctx);
   }
 
   /** What is written of a team's limit. */
@@ -184,14 +182,15 @@
     return out;
   }
 
-  /** Groups that the settings do not name and that have a part still, once nothing of theirs can run. */
-  private goneGroups(): Set<string> {
-    const gone = new Set<string>();
+  /** Groups that the settings do not name and that have a part still, once nothing of theirs can run; with the tokens that say so. */
+  private goneGroups(): Map<string, number> {
+    const gone = new Map<string, number>();
     for (const { shares } of this.ctx.mirror.limits.values())
       for (const [team, parts] of Object.entries(shares))
         for (const [g, p] of Object.entries(parts)) {
           if (team === CAPS || this.ctx.groups.names.includes(g) || (p[0] <= EPS && p[1] <= EPS)) continue;
-          if (this.absences.overMs(g) > 0) gone.add(g);
+          const token = this.ctx.vacantToken(g);
+          if (token !== null) gone.set(g, token);
         }
     return gone;
   }
@@ -204,6 +203,7 @@
     if (this.ctx.nowMs < this.nextMs) return;
     const { settings, tuning, mirror } = this.ctx;
     const use = this.uses();
+    const gone = this.goneGroups();
     const situation: Situation = {
       group: this.own.group,
       groups: this.ctx.groups.names,
@@ -222,7 +222,7 @@
       others: this.others(),
       keep: (team, since, group, now) => this.keep(team, since, group, now),
       agreed,
-      gone: this.goneGroups(),
+      gone: new Set(gone.keys()),
       // The version before takes an equal part of what the first record does not name, so elsewhere nothing may move
       // while one of its controllers can come back.
       movable: (key) => key === QUOTA_KEY || tuning.dividedLimits,
@@ -230,7 +230,7 @@
     const plan = planShares(situation);
     if (!plan) return;
     this.nextMs = this.ctx.nowMs + GIVE_GAP_MS;
-    const base: Bases = { records: [...plan.writes.keys()].map((key) => [key, this.versionOf(key)]), gone: plan.gone };
+    const base: Bases = { records: [...plan.writes.keys()].map((key) => [key, this.versionOf(key)]), gone: plan.gone.map((g) => [g, gone.get(g)!]) };
     this.changing = { reserved: plan.reserved, urgent: plan.caps.length > 0 ? Urgent.Master : Urgent.Spare, change: new Handover(base, plan.writes) };
     for (const g of plan.given) this.ctx.log("info", "giving part of a team's limit to another group", { team: g.team, to: g.to, cpus: g.give[0], gpus: g.give[1] });
     for (const team of plan.caps) this.ctx.log("info", "writing a team's limit", { team, agreed });
@@ -255,7 +255,7 @@
     c?.change.send(
       (base, value, done) =>
         this.own.commit(
-          [...base.records.map(([key, version]) => ({ key, version })), ...base.gone.map((g) => ({ key: groupKey(g), version: 0 }))],
+          [...base.records.map(([key, version]) => ({ key, version })), ...base.gone.map(([g, version]) => ({ key: groupKey(g), version }))],
           [...value].map(([key, shares]) => ({ op: "put" as const, key, value: shares })),
           c.urgent,
           done,
--- a/src/coordination/orphans.ts
+++ b/src/coordination/orphans.ts
@@ -1,34 +1,30 @@
 import { bytesOf, groupKey, jobKey, writeJob } from "../storage/records.js";
-import { Absences } from "./absence.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import type { JobView } from "./mirror.js";
 import type { JobSpec } from "./model.js";
 import type { RangeSet } from "./ranges.js";
-import { movedSplit, turn } from "./splitter.js";
+import { movedSplit } from "./splitter.js";
+import type { Vacancies } from "./vacancies.js";
 
 const LOOK_MS = 5_000;
-/** Between the turns of two controllers, in ms. */
-const TURN_MS = 2_000;
 
 /**
  * Parts of jobs in splits that name a group which no settings name any more: nobody would ever start them. They go to a group
  * that there is, once nothing of them can run.
  *
- * Invariant (ran_twice): nobody has owned the group for longer than a lease, so that nothing of it runs (`Absences`). The commit
- * is conditional on the group being nobody's and on the job's record.
+ * Invariant (ran_twice): the group has been this controller's for longer than a lease, so that nothing of it runs (`Vacancies`). The
+ * commit is conditional on that token and on the job's record.
  */
 export class Orphans {
   private lookMs = 0;
-  private readonly absences: Absences;
   private readonly busy = new Set<string>();
 
   constructor(
     private readonly ctx: Context,
+    private readonly vacancies: Pick<Vacancies, "token">,
     private readonly cut: (spec: JobSpec) => Map<string, RangeSet> | null,
-  ) {
-    this.absences = new Absences(ctx);
-  }
+  ) {}
 
   /** Only called by a controller that has a group. */
   tick(): void {
@@ -39,12 +35,12 @@
     for (const job of this.ctx.mirror.jobs.values())
       for (const [group, part] of job.split) {
         if (part.isEmpty || names.includes(group)) continue;
-        const rank = (names.indexOf(this.ctx.settings.label) - turn(job.id, names.length) + names.length) % names.length;
-        if (this.absences.overMs(group) > rank * TURN_MS) this.move(job, group, part);
+        const token = this.vacancies.token(group);
+        if (token !== null) this.move(job, group, part, token);
       }
   }
 
-  private move(job: JobView, group: string, part: RangeSet): void {
+  private move(job: JobView, group: string, part: RangeSet, token: number): void {
     if (this.busy.has(job.id)) return;
     const rest = part.clone();
     const done = this.ctx.mirror.finished(job.id).get(group);
@@ -60,6 +56,6 @@
     if (bytesOf(value) > this.ctx.settings.state.valueBytes) return;
     this.busy.add(job.id);
     this.ctx.log("info", "tasks of a group that is gone go to another", { job: job.id, tasks: rest.size, from: group, to });
-    this.ctx.commit([{ key: groupKey(group), version: 0 }, { key: jobKey(job.id), version: job.version }], [{ op: "put", key: jobKey(job.id), value }], Urgent.Spare, () => this.busy.delete(job.id));
+    this.ctx.commit([{ key: groupKey(group), version: token }, { key: jobKey(job.id), version: job.version }], [{ op: "put", key: jobKey(job.id), value }], Urgent.Spare, () => this.busy.delete(job.id));
   }
 }
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -207,6 +207,16 @@
     if (since !== undefined && this.ctx.nowMs - since > HOME_AFTER_MS && this.permitted()) this.claim(group, token);
   }
 
+  /** A group that no settings name and nobody has: taken like any other, without a master. */
+  takeVacant(group: string): void {
+    if (this.permitted()) this.take(group, 0);
+  }
+  /** Nothing is done for it from now on, whatever becomes of the commit. */
+  giveUp(group: string): void {
+    const token = this.tokenOf(group);
+    if (token !== null) this.ceding.set(group, token);
+  }
+
   private take(group: string, version: number): void {
     const hold = this.hold;
     if (hold === null || this.taking.has(group)) return;
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -228,6 +228,34 @@
   assert.equal(ready(), before);
 });
 
+test("late transaction: tasks of a group that is gone don't go to another once somebody had that group again in between", () => {
+  const w = new World(9);
+  w.loss = 0;
+  w.capacity = 0;
+  const spec = job(w, { zone: "west", tasks: 3 });
+  w.at(4_000, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
+  until(w, "it is split to the group that will be gone", () => JSON.stringify(w.state.data.get(`lc/now/job/${spec.id}`)?.value ?? null).includes("node-c"));
+  w.crash("node-c");
+  w.reconfigure(["node-a", "node-b"], w.settings.teams);
+  w.crash("node-b");
+  w.crash("node-a");
+  w.boot("node-a");
+  const late = holdBack(w, (k) => k === `lc/now/job/${spec.id}`);
+  until(w, "its tasks are to go to another group", () => late.held());
+  // A controller that goes by the former settings takes the group, starts something, and loses it again.
+  const write = (x: StateCall): void => w.state.handle(x, (r) => assert.equal(r.is, "committed"));
+  const key = "lc/now/group/node-c";
+  if (w.state.data.has(key)) write({ op: "commit", conditions: [], writes: [{ op: "delete", key }] });
+  write({ op: "commit", conditions: [{ key, version: 0 }], writes: [{ op: "put", key, value: { owner: "node-c", hold: 99 } }] });
+  write({ op: "commit", conditions: [], writes: [{ op: "delete", key }] });
+  assert.equal(late.release(), "conflict");
+  // Then it is as nobody's as before, and the tasks go where there is a master, once leases have ended.
+  const from = w.now;
+  until(w, "its tasks go to another group", () => !JSON.stringify(w.state.data.get(`lc/now/job/${spec.id}`)!.value).includes("node-c"));
+  assert.ok(w.now - from > 1000 * w.settings.leaseS, "a lease counts anew");
+  until(w, "the group is nobody's again", () => !w.state.data.has(key));
+});
+
 test("a transaction without an answer that is carried out all the same is told of in the log, once", () => {
   const w = quiet(5);
   const spec = job(w, {});
--- a/test/sim/meetings.ts
+++ b/test/sim/meetings.ts
@@ -88,10 +88,12 @@
   atLimit: number;
   /** Controllers that came up with other limits while another went by the former ones. */
   settings: number;
+  /** Controllers that were taken away for good. */
+  removed: number;
   /** Times that no controller was up, or none stood, for longer than a lease. */
   allAway: number;
 }
-const NOT_MET_MORE: MetMore = { ...NOT_MET, mute: 0, lostAnswers: 0, forNext: 0, atEnd: 0, looks: 0, odd: 0, tenTimes: 0, quick: 0, burst: 0, atLimit: 0, settings: 0, allAway: 0 };
+const NOT_MET_MORE: MetMore = { ...NOT_MET, mute: 0, lostAnswers: 0, forNext: 0, atEnd: 0, looks: 0, odd: 0, tenTimes: 0, quick: 0, burst: 0, atLimit: 0, settings: 0, removed: 0, allAway: 0 };
 export const noneMet = (): MetMore => ({ ...NOT_MET_MORE });
 
 export const controllersOf = (seed: number): number => (seed % 7) + 1;
@@ -234,10 +236,16 @@
         });
       return;
     case "settings": {
-      // Lowered; what runs goes on, and until all go by it and have had time to end something the former limits are the rule.
       if (w.teamLimits !== null) return;
       w.teamLimits = w.settings.teams;
-      w.reconfigure(w.names, new Map([...w.settings.teams].map(([n, x]) => [n, { ...x, cpus: Math.min(x.cpus, x.cpusMax * 0.6), cpusMax: x.cpusMax * 0.6 }])));
+      if (t.share > 0.5 && w.names.length > 2) {
+        // One controller fewer, for good, while those that were not started again yet go by the former settings.
+        met.removed++;
+        w.crash(w.names.at(-1)!);
+        w.reconfigure(w.names.slice(0, -1), w.settings.teams);
+      }
+      // Lowered; what runs goes on, and until all go by it and have had time to end something the former limits are the rule.
+      else w.reconfigure(w.names, new Map([...w.settings.teams].map(([n, x]) => [n, { ...x, cpus: Math.min(x.cpus, x.cpusMax * 0.6), cpusMax: x.cpusMax * 0.6 }])));
       w.names.forEach((n, i) =>
         w.at((t.forMs / w.names.length) * i, () => {
           met.settings++;
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -644,6 +644,8 @@
 
   boot(name: string): void {
     const i = this.names.indexOf(name);
+    // Taken away for good meanwhile.
+    if (i < 0) return;
     const { areas } = this;
     const settings: Settings = {
       ...this.settings,
