What contradicts itself changes nothing and is logged once a minute; spread arrays of a gone group move

Replies of the state service that tell of a moment before the one asked about, or of changes after the moment that they speak for, are no read: nothing of them is taken and no permit is renewed by them. Records that can't be read are told of by key; reports that name an attempt twice in different states are refused, those that say another type, zone or kind of a known machine are not taken. Each subject is logged once a minute at most (seldom.ts), malformed reports too, which had a line each.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -13,6 +13,7 @@
 import { Orphans } from "./orphans.js";
 import { Ownership } from "./ownership.js";
 import { Reading } from "./reading.js";
+import { Seldom } from "./seldom.js";
 import type { Handed } from "./splitter.js";
 import { Unanswered } from "./unanswered.js";
 import { Users, WITHDRAW_TRIES } from "./users.js";
@@ -85,6 +86,7 @@
   readonly awaiting: Awaiting;
   private readonly orphans: Orphans;
   private readonly vacancies: Vacancies;
+  private readonly odd = new Seldom(this);
   private readonly beliefs: Beliefs;
   private readonly reading: Reading;
   private readonly users: Users;
@@ -267,6 +269,9 @@
         case "room":
           this.handed.delete(s.group);
           break;
+        case "unreadable":
+          this.odd.warn("record can't be read", s.key);
+          break;
         default:
           break;
       }
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -13,6 +13,7 @@
 import { RangeSet } from "./ranges.js";
 import { newReceipt, Receipts } from "./receipt.js";
 import { Room } from "./room.js";
+import { Seldom } from "./seldom.js";
 import { type JobRun, newJobRun, runKey, type TaskRun, type Worker } from "./tasks.js";
 
 /** Failures of one job within this time are of one try: a gang's tasks fail together. */
@@ -38,6 +39,7 @@
   private readonly finishing: Finishing;
   readonly room: Room;
   private readonly receipts: Receipts;
+  private readonly odd: Seldom;
   /** Reports that were no newer than what was known. */
   lateReports = 0;
 
@@ -50,6 +52,7 @@
     const own = new Holdings(ctx, group, token, permitted);
     this.own = own;
     this.receipts = new Receipts(ctx, token);
+    this.odd = new Seldom(ctx);
     this.sharing = new Sharing(ctx, own, (spec) => this.fleet.renting.hasPlace(spec));
     this.guarantees = new Guarantees(ctx, own);
     this.fleet = new Fleet(ctx, own, this.sharing);
@@ -107,6 +110,11 @@
   report(r: Report): Answer {
     const now = this.ctx.nowMs;
     let w = this.own.workers.get(r.worker);
+    if (w && (w.typeName !== r.type || w.zone !== r.zone || w.spot !== r.spot)) {
+      // Names are not given twice, and a machine does not change: whoever sent this, nothing is learnt from it.
+      this.odd.warn("report contradicts what is known of its machine", r.worker, { had: w.kind, says: offer(r.type, r.zone, r.spot) });
+      return { is: "later", afterS: 1, why: "contradicts what is known of the machine" };
+    }
     if (w && this.receipts.isAmbiguous(w, r)) {
       if (this.receipts.mayAsk(w, false)) this.inspect(w);
       // Invariant (ran_twice): a start that a session which is not known yet carries out would be taken for lost with the one before.
--- a/src/coordination/mirror.ts
+++ b/src/coordination/mirror.ts
@@ -43,7 +43,8 @@
   | { kind: "group" | "claim"; group: string }
   | { kind: "fin"; id: string }
   | { kind: "room"; group: string }
-  | { kind: "limits" | "belief" };
+  | { kind: "limits" | "belief" }
+  | { kind: "unreadable"; key: string };
 
 /** When its own deadline is, as time of day. */
 export const ownDueAt = (spec: JobSpec, acceptedAt: number): number => (spec.deadlineS === null ? Infinity : acceptedAt + spec.deadlineS * 1000);
@@ -162,7 +163,7 @@
     if (!k) return [];
     if (k.kind === "past") {
       const p = readPast(value);
-      if (!p) return [];
+      if (!p) return [{ kind: "unreadable", key }];
       this.keepPast(k.id, p);
       return [{ kind: "past", id: k.id, past: p }];
     }
@@ -172,26 +173,26 @@
     switch (k.kind) {
       case "group": {
         const r = readGroup(value);
-        if (!r) return [];
+        if (!r) return [{ kind: "unreadable", key }];
         this.groups.set(k.group, { ...r, version });
         this.ownerChanged.set(k.group, version);
         return [{ kind: "group", group: k.group }];
       }
       case "claim": {
         const r = readClaim(value);
-        if (!r) return [];
+        if (!r) return [{ kind: "unreadable", key }];
         this.claims.set(k.group, { ...r, version });
         return [{ kind: "claim", group: k.group }];
       }
       case "room": {
         const r = readRoom(value);
-        if (!r) return [];
+        if (!r) return [{ kind: "unreadable", key }];
         this.rooms.set(k.group, r);
         return [{ kind: "room", group: k.group }];
       }
       case "roster": {
         const r = readRoster(value);
-        if (!r) return [];
+        if (!r) return [{ kind: "unreadable", key }];
         let chunks = this.rosters.get(k.group);
         if (!chunks) this.rosters.set(k.group, (chunks = new Map()));
         chunks.set(k.chunk, r);
@@ -203,7 +204,8 @@
         return [{ kind: "limits" }];
       case "belief": {
         const limits = readBelief(value);
-        if (limits !== null) this.beliefs.set(k.label, limits);
+        if (limits === null) return [{ kind: "unreadable", key }];
+        this.beliefs.set(k.label, limits);
         return [{ kind: "belief" }];
       }
       case "reclaim":
@@ -211,7 +213,7 @@
         return [];
       case "fin": {
         const r = readFin(value, k.chunk);
-        if (!r) return [];
+        if (!r) return [{ kind: "unreadable", key }];
         let byGroup = this.fins.get(k.id);
         if (!byGroup) this.fins.set(k.id, (byGroup = new Map()));
         const set = byGroup.get(k.group) ?? RangeSet.empty();
@@ -225,7 +227,7 @@
       case "gang":
       case "ready": {
         const attempt = readAttempt(value);
-        if (attempt === null) return [];
+        if (attempt === null) return [{ kind: "unreadable", key }];
         let g = this.gangs.get(k.id);
         if (!g) this.gangs.set(k.id, (g = { attempt: 0, version: 0, ready: new Map() }));
         if (k.kind === "gang") {
@@ -237,7 +239,7 @@
       }
       case "job": {
         const r: JobRecord | null = readJob(value);
-        if (!r) return [];
+        if (!r) return [{ kind: "unreadable", key }];
         const old = this.jobs.get(k.id);
         if (old) {
           old.split = r.split;
--- a/src/coordination/orphans.ts
+++ b/src/coordination/orphans.ts
@@ -47,7 +47,7 @@
     if (done) rest.removeAll(done);
     const split = this.cut(job.spec);
     // A gang whose parts lie in several groups starts under one attempt that all have called: it is left alone.
-    if (!split || (job.spec.spread && job.split.size > 1)) return;
+    if (!split || (job.spec.shape === "ensemble" && job.spec.spread && job.split.size > 1)) return;
     const to = [...split].sort(([a, x], [b, y]) => y.size - x.size || (a < b ? -1 : 1))[0]?.[0];
     if (to === undefined) return;
     const next = movedSplit(job.split, group, rest, to);
--- a/src/coordination/reading.ts
+++ b/src/coordination/reading.ts
@@ -5,6 +5,7 @@
 import { FairQueue } from "./fairness.js";
 import type { Seen } from "./mirror.js";
 import type { Ownership } from "./ownership.js";
+import { Seldom } from "./seldom.js";
 
 /** A watch is renewed at least this often: its age is part of the permit. */
 const WATCH_MS = 2_000;
@@ -31,6 +32,7 @@
   private waking = false;
   private readonly waiting = new FairQueue<Waiting>(MAX_WAITING);
   private stateDown = false;
+  private readonly odd: Seldom;
 
   constructor(
     private readonly ctx: Context,
@@ -44,7 +46,9 @@
     private readonly ask: (afterMs: number) => void,
     /** Tells a question that it can't be answered now. */
     private readonly refuse: (req: number, why: string) => void,
-  ) {}
+  ) {
+    this.odd = new Seldom(ctx);
+  }
 
   /** What was asked for by `ask`. */
   woken(): void {
@@ -56,7 +60,9 @@
   private load(after = "", items: Item[] = [], since: number | null = null, firstSentMs = 0): void {
     this.loading = true;
     this.state({ op: "list", prefix: NOW, after }, Urgent.Hold, (r, sentMs) => {
-      if (r.is !== "items") {
+      const newer = r.is === "items" ? r.items.find((i) => i.version > r.epoch) : undefined;
+      if (r.is === "items" && newer) this.odd.warn("state service contradicts itself", newer.key, { stamp: newer.version, epoch: r.epoch });
+      if (r.is !== "items" || newer) {
         this.loading = false;
         this.nextWatchMs = this.ctx.nowMs + 300;
         this.noteState(false);
@@ -99,6 +105,13 @@
   private changes(waitMs: number, done: (ok: boolean) => void): void {
     const since = this.ctx.mirror.epoch;
     this.state({ op: "changes", prefix: ROOT, since, waitMs }, Urgent.Hold, (r, sentMs) => {
+      // Of no use, and no proof of a read: it tells of changes after the moment that it speaks for, or of a moment before the one asked about.
+      const newer = r.is === "changes" ? r.changes.find((c) => c.version > r.epoch) : undefined;
+      if (r.is === "changes" && (newer || r.epoch < since)) {
+        this.odd.warn("state service contradicts itself", newer?.key ?? ROOT, { stamp: newer?.version, epoch: r.epoch, since });
+        this.noteState(false);
+        return done(false);
+      }
       if (r.is === "changes") {
         this.ownership.read(sentMs);
         this.noteState(true);
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -4,6 +4,7 @@
 import type { Hono, MiddlewareHandler } from "hono";
 import type { Settings } from "./config/settings.js";
 import { Controller } from "./coordination/controller.js";
+import { Seldom } from "./coordination/seldom.js";
 import type { Answer, CloudCall, CloudReply, Effect, Input, Level } from "./coordination/effects.js";
 import type { Tuning } from "./coordination/model.js";
 import { StateClient } from "./storage/client.js";
@@ -69,6 +70,13 @@
     this.state.through = this.mesh;
   }
 
+  private readonly odd = new Seldom({
+    get nowMs() {
+      return performance.now();
+    },
+    log: (level, msg, fields = {}) => this.write(level, fields, msg),
+  });
+
   /** Before `run`. */
   add(extra: Extra): void {
     this.extras.push(extra);
@@ -159,7 +167,7 @@
   }
 
   malformed(what: string, error: string): void {
-    this.log.warn({ error }, `malformed ${what}`);
+    this.odd.warn(`malformed ${what}`, error);
   }
 
   fault(error: Error): void {
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -49,9 +49,14 @@
   if (!got.success) return { ok: false, error: firstIssue(got.issues) };
   const r = got.output;
   const tasks: ReportedTask[] = [];
+  const states = new Map<string, string>();
   for (const t of r.shards ?? []) {
     const id = splitTask(t.shard);
     if (!id) return { ok: false, error: `shards: ${t.shard}: no such task number` };
+    const state = `${t.status}/${t.cause ?? ""}`;
+    const before = states.get(`${t.shard}#${t.try}`);
+    if (before !== undefined && before !== state) return { ok: false, error: `shards: ${t.shard}: attempt ${t.try} is ${before.split("/")[0]} and ${t.status}` };
+    states.set(`${t.shard}#${t.try}`, state);
     tasks.push({ ...id, attempt: t.try, state: t.status, cause: t.cause, saved: t.kept ?? false });
   }
   return {
--- a/test/nights.test.ts
+++ b/test/nights.test.ts
@@ -212,7 +212,7 @@
     const w = new World(seed);
     w.loss = 0;
     for (const z of w.zones) for (let i = 0; i < 3; i++) w.cloud.add(w.types[0]!, z, false, 0);
-    const jobs = Array.from({ length: 12 }, (_, n) => plain(w, n + 1, { tasks: 6, cpus: 2, shape: n % 3 === 0 ? "ensemble" : "batch", samePlace: n % 3 === 0, types: ["small"] }));
+    const jobs = Array.from({ length: 12 }, (_, n) => plain(w, n + 1, { tasks: 6, cpus: 2, shape: n % 3 === 0 ? "ensemble" : "batch", samePlace: n % 3 === 0, spread: n % 3 === 1, types: ["small"] }));
     jobs.forEach((s, n) => submit(w, 3_000 + n * 200, s));
     w.run(8_000);
     w.reconfigure(["node-a", "node-b"], w.settings.teams);
