--- a/test/meetings-more.test.ts
+++ b/test/meetings-more.test.ts
@@ -11,7 +11,7 @@
 
 test("two to five troubles of all that the operators name, on a third of the days with short limits: the rules hold, nobody is left waiting, each meeting occurs", () => {
   const met = noneMet();
-  for (const seed of [2, 5, 14, 19, 20, 39, 1, 8]) {
+  for (const seed of [0, 1, 2, 15, 19, 32, 33, 51]) {
     const { world: w, met: m } = playMore(seed, drawMore(seed));
     assert.deepEqual(w.checker.broken, [], `seed ${seed}, ${JSON.stringify(drawMore(seed))}: ${told(w)}`);
     for (const k of Object.keys(met) as (keyof MetMore)[]) met[k] += m[k];
@@ -29,7 +29,7 @@
   });
 });
 test("guard: a cancellation that meets the end of the last task is conditional on the job's record", () => {
-  caught(drawn, [8], "went_back", () => {
+  caught(drawn, [2], "went_back", () => {
     const before = Controller.prototype.commit;
     Controller.prototype.commit = function (conditions, writes, urgent, done) {
       const cancels = writes.some((x) => x.op === "put" && x.key.startsWith(PAST) && readPast(x.value)?.status === "cancelled");
--- a/test/nights.test.ts
+++ b/test/nights.test.ts
@@ -30,7 +30,7 @@
 });
 
 test("guard: a report with a lower token than its machine has shown, or of a life before, is late", () => {
-  caught(night, [13, 78, 80], "ran_twice", () => {
+  caught(night, [85, 176, 29], "ran_twice", () => {
     const before = Receipts.prototype.isLate;
     Receipts.prototype.isLate = (w, r) => r.session < w.session || (r.session === w.session && (r.tally <= w.tally || w.lost));
     return () => (Receipts.prototype.isLate = before);
