--- a/src/cli.ts
+++ b/src/cli.ts
@@ -14,13 +14,23 @@
   try {
     return readFileSync(file === "-" ? 0 : file, "utf8");
   } catch (e) {
-    throw new SettingsError(`${file}: ${(e as NodeJS.ErrnoException).code === "ENOENT" ? "no such file" : (e as Error).message}`);
+    throw new SettingsError(
+      `${file}: ${(e as NodeJS.ErrnoException).code === "ENOENT" ? "no such file" : (e as Error).message}`,
+    );
   }
 }
 
-export async function loadSettings(config: string, operator: string | undefined): Promise<{ settings: ReturnType<typeof parseSettings>; operator: Operator }> {
+export async function loadSettings(
+  config: string,
+  operator: string | undefined,
+): Promise<{ settings: ReturnType<typeof parseSettings>; operator: Operator }> {
   const settings = parseSettings(readText(config), config);
-  return { settings, operator: operator ? await parseOperator(readText(operator), operator) : { tuning: { ...DEFAULTS }, hooks: null, metrics: false } };
+  return {
+    settings,
+    operator: operator
+      ? await parseOperator(readText(operator), operator)
+      : { tuning: { ...DEFAULTS }, hooks: null, metrics: false },
+  };
 }
 
 function server(text: string): { host: string; port: number } {
@@ -29,7 +39,8 @@
   return { host: m[1]!, port: Number(m[2]) };
 }
 function jobId(text: string): string {
-  if (!JOB_ID.test(text)) throw new InvalidArgumentError("must look like req-000412");
+  if (!JOB_ID.test(text))
+    throw new InvalidArgumentError("must look like req-000412");
   return text;
 }
 
@@ -38,21 +49,45 @@
   json?: boolean;
 }
 
-async function call(o: Common, method: Method, path: string, body?: string): Promise<Record<string, unknown>> {
+async function call(
+  o: Common,
+  method: Method,
+  path: string,
+  body?: string,
+): Promise<Record<string, unknown>> {
   const client = new Client(1, 0);
-  const f = await client.fetch(o.server.host, o.server.port, method, path, body, 6_000);
+  const f = await client.fetch(
+    o.server.host,
+    o.server.port,
+    method,
+    path,
+    body,
+    6_000,
+  );
   client.close();
-  if (f.is !== "answered") throw new Refused(`${o.server.host}:${o.server.port}: ${f.why}`);
+  if (f.is !== "answered")
+    throw new Refused(`${o.server.host}:${o.server.port}: ${f.why}`);
   const raw = (json(f.body) ?? {}) as Record<string, unknown>;
-  if (f.status !== 200 && f.status !== 201) throw new Refused(`${f.status}: ${typeof raw["error"] === "string" ? raw["error"] : "refused"}${f.status === 503 ? " (try again in a moment)" : ""}`);
+  if (f.status !== 200 && f.status !== 201)
+    throw new Refused(
+      `${f.status}: ${typeof raw["error"] === "string" ? raw["error"] : "refused"}${f.status === 503 ? " (try again in a moment)" : ""}`,
+    );
   return raw;
 }
 
 function print(o: Common, raw: Record<string, unknown>): void {
   if (o.json) return void process.stdout.write(`${JSON.stringify(raw)}\n`);
-  const counts = typeof raw["done"] === "number" ? `, ${raw["done"]} done, ${String(raw["running"])} running` : "";
-  const awaits = Array.isArray(raw["awaits"]) && raw["awaits"].length > 0 ? `, waits for ${raw["awaits"].join(", ")}` : "";
-  process.stdout.write(`${String(raw["id"])}: ${String(raw["status"])}${counts}${awaits}\n`);
+  const counts =
+    typeof raw["done"] === "number"
+      ? `, ${raw["done"]} done, ${String(raw["running"])} running`
+      : "";
+  const awaits =
+    Array.isArray(raw["awaits"]) && raw["awaits"].length > 0
+      ? `, waits for ${raw["awaits"].join(", ")}`
+      : "";
+  process.stdout.write(
+    `${String(raw["id"])}: ${String(raw["status"])}${counts}${awaits}\n`,
+  );
 }
 
 type Make = (name: string, what: string, parent?: Command) => Command;
@@ -66,9 +101,13 @@
   ask?: boolean;
 }
 function hookCommands(program: Command, client: Make): void {
-  const hook = program.command("hook").description("notifications of jobs' ends");
-  const make = (name: string, what: string): Command => client(name, what, hook);
-  const path = (name: string, rest = ""): string => `/v1/hooks/${encodeURIComponent(name)}${rest}`;
+  const hook = program
+    .command("hook")
+    .description("notifications of jobs' ends");
+  const make = (name: string, what: string): Command =>
+    client(name, what, hook);
+  const path = (name: string, rest = ""): string =>
+    `/v1/hooks/${encodeURIComponent(name)}${rest}`;
   const fields = (o: HookOptions): object => ({
     ...(o.url === undefined ? {} : { url: o.url }),
     ...(o.team ? { crews: o.team } : {}),
@@ -83,34 +122,69 @@
       .option("--team <name...>", "only jobs of these teams")
       .option("--class <name...>", "only jobs of these classes")
       .option("--outcome <outcome...>", "done, cancelled")
-      .option("--key <id...>", "sign with these keys of the operators' file, the newest first")
-      .option("--ordered", "one after the other, in the order in which the jobs ended")
+      .option(
+        "--key <id...>",
+        "sign with these keys of the operators' file, the newest first",
+      )
+      .option(
+        "--ordered",
+        "one after the other, in the order in which the jobs ended",
+      )
       .option("--no-ordered")
-      .option("--ask", "ask the receiver before a repeat that it may have received")
+      .option(
+        "--ask",
+        "ask the receiver before a repeat that it may have received",
+      )
       .option("--no-ask");
   const line = (h: Record<string, unknown>): string => {
     const of = (x: unknown): string => (Array.isArray(x) ? x.join(",") : "all");
     const flags = `${h["ordered"] ? ", ordered" : ""}${h["ask"] ? ", asks" : ""}`;
     return `${String(h["name"])}: ${String(h["state"])}, ${String(h["url"])}, teams ${of(h["crews"])}, classes ${of(h["jobclasses"])}, ${of(h["outcomes"])}, keys ${of(h["keys"])}${flags}\n`;
   };
-  const tell = (o: Common, raw: Record<string, unknown>, text: string): void => void process.stdout.write(o.json ? `${JSON.stringify(raw)}\n` : text);
-  options(make("add", "have the ends of jobs told to a URL").argument("<name>").argument("<url>")).action(async (name: string, url: string, o: HookOptions) => {
-    const raw = await call(o, "POST", "/v1/hooks", JSON.stringify({ name, ...fields({ ...o, url }) }));
+  const tell = (o: Common, raw: Record<string, unknown>, text: string): void =>
+    void process.stdout.write(o.json ? `${JSON.stringify(raw)}\n` : text);
+  options(
+    make("add", "have the ends of jobs told to a URL")
+      .argument("<name>")
+      .argument("<url>"),
+  ).action(async (name: string, url: string, o: HookOptions) => {
+    const raw = await call(
+      o,
+      "POST",
+      "/v1/hooks",
+      JSON.stringify({ name, ...fields({ ...o, url }) }),
+    );
     tell(o, raw, line(raw));
   });
-  options(make("change", "change what is named, and nothing else").argument("<name>").option("--url <url>")).action(async (name: string, o: HookOptions) => {
+  options(
+    make("change", "change what is named, and nothing else")
+      .argument("<name>")
+      .option("--url <url>"),
+  ).action(async (name: string, o: HookOptions) => {
     const raw = await call(o, "PATCH", path(name), JSON.stringify(fields(o)));
     tell(o, raw, line(raw));
   });
   make("list", "show all hooks").action(async (o: Common) => {
     const raw = await call(o, "GET", "/v1/hooks");
-    tell(o, raw, (raw["hooks"] as Record<string, unknown>[]).map(line).join(""));
+    tell(
+      o,
+      raw,
+      (raw["hooks"] as Record<string, unknown>[]).map(line).join(""),
+    );
   });
-  make("show", "show a hook and, at the controller that sends for it, how far it is")
+  make(
+    "show",
+    "show a hook and, at the controller that sends for it, how far it is",
+  )
     .argument("<name>")
     .action(async (name: string, o: Common) => {
       const raw = await call(o, "GET", path(name));
-      tell(o, raw, line(raw) + (raw["sending"] ? `  ${JSON.stringify(raw["sending"])}\n` : ""));
+      tell(
+        o,
+        raw,
+        line(raw) +
+          (raw["sending"] ? `  ${JSON.stringify(raw["sending"])}\n` : ""),
+      );
     });
   for (const [act, what] of [
     ["pause", "send nothing for now; what ends is kept"],
@@ -133,10 +207,23 @@
   make("dead", "list notifications that were given up")
     .argument("<name>")
     .action(async (name: string, o: Common) => {
-      for (let after = ""; ; ) {
-        const raw = await call(o, "GET", path(name, `/dead?after=${encodeURIComponent(after)}`));
+      for (let after = ""; ;) {
+        const raw = await call(
+          o,
+          "GET",
+          path(name, `/dead?after=${encodeURIComponent(after)}`),
+        );
         const dead = raw["dead"] as Record<string, unknown>[];
-        tell(o, raw, dead.map((d) => `${String(d["id"])}: ${String(d["status"])} at ${String(d["endedAt"])}, ${String(d["attempts"])} attempts\n`).join(""));
+        tell(
+          o,
+          raw,
+          dead
+            .map(
+              (d) =>
+                `${String(d["id"])}: ${String(d["status"])} at ${String(d["endedAt"])}, ${String(d["attempts"])} attempts\n`,
+            )
+            .join(""),
+        );
         if (typeof raw["next"] !== "string") return;
         after = raw["next"];
       }
@@ -144,13 +231,31 @@
 }
 
 export async function cli(argv: readonly string[]): Promise<number> {
-  const program = new Command("linencove").description("a cluster scheduler").version(VERSION).exitOverride();
-  program.configureOutput({ outputError: (text, write) => write(`linencove: ${text.replace(/^error: /, "")}`) });
+  const program = new Command("linencove")
+    .description("a cluster scheduler")
+    .version(VERSION)
+    .exitOverride();
+  program.configureOutput({
+    outputError: (text, write) =>
+      write(`linencove: ${text.replace(/^error: /, "")}`),
+  });
   program
-    .option("--config <file>", "run one controller with the platform's settings file (TOML)")
-    .option("--operator <file>", "the operators' own settings (protobuf text format)", process.env["LINENCOVE_OPERATOR"])
+    .option(
+      "--config <file>",
+      "run one controller with the platform's settings file (TOML)",
+    )
+    .option(
+      "--operator <file>",
+      "the operators' own settings (protobuf text format)",
+      process.env["LINENCOVE_OPERATOR"],
+    )
     .action(async (o: { config?: string; operator?: string }) => {
-      if (o.config === undefined) throw new CommanderError(2, "linencove.usage", "error: --config FILE or a command expected; see --help");
+      if (o.config === undefined)
+        throw new CommanderError(
+          2,
+          "linencove.usage",
+          "error: --config FILE or a command expected; see --help",
+        );
       const { settings, operator } = await loadSettings(o.config, o.operator);
       const { Daemon } = await import("./daemon.js");
       const daemon = new Daemon(settings, operator.tuning);
@@ -161,7 +266,15 @@
       await daemon.run();
     });
   const client: Make = (name, what, parent = program) =>
-    parent.command(name).description(what).requiredOption("--server <host:port>", "any controller's address for clients", server).option("--json", "print the answer as JSON");
+    parent
+      .command(name)
+      .description(what)
+      .requiredOption(
+        "--server <host:port>",
+        "any controller's address for clients",
+        server,
+      )
+      .option("--json", "print the answer as JSON");
   client("submit", "submit a job described in JSON")
     .argument("<file>", "the job's file; - for standard input")
     .action(async (file: string, o: Common) => {
@@ -172,10 +285,14 @@
     });
   client("show", "show a job's state")
     .argument("<id>", "the job's id", jobId)
-    .action(async (id: string, o: Common) => print(o, await call(o, "GET", `/v1/jobs/${id}`)));
+    .action(async (id: string, o: Common) =>
+      print(o, await call(o, "GET", `/v1/jobs/${id}`)),
+    );
   client("withdraw", "cancel a job")
     .argument("<id>", "the job's id", jobId)
-    .action(async (id: string, o: Common) => print(o, await call(o, "POST", `/v1/jobs/${id}/withdraw`, "")));
+    .action(async (id: string, o: Common) =>
+      print(o, await call(o, "POST", `/v1/jobs/${id}/withdraw`, "")),
+    );
   hookCommands(program, client);
   program
     .command("check")
@@ -183,21 +300,42 @@
     .argument("<config>", "the platform's file (TOML)")
     .argument("[operator]", "the operators' file (protobuf text format)")
     .option("--json", "print the settings in force as JSON")
-    .action(async (config: string, operator: string | undefined, o: { json?: boolean }) => {
-      const { settings, operator: { tuning, hooks, metrics } } = await loadSettings(config, operator);
-      if (hooks) (await import("./hooks/index.js")).checkHooks(hooks, operator!);
-      if (o.json) process.stdout.write(`${JSON.stringify({ label: settings.label, area: settings.area, zones: settings.zones, teams: [...settings.teams.keys()], tuning, hooks, metrics })}\n`);
-      else process.stdout.write(`${config}: good: ${settings.label} in ${settings.area}, ${settings.peers.length} peers, ${settings.teams.size} teams\n${operator ? `${operator}: good\n` : ""}`);
-    });
+    .action(
+      async (
+        config: string,
+        operator: string | undefined,
+        o: { json?: boolean },
+      ) => {
+        const {
+          settings,
+          operator: { tuning, hooks, metrics },
+        } = await loadSettings(config, operator);
+        if (hooks)
+          (await import("./hooks/index.js")).checkHooks(hooks, operator!);
+        if (o.json)
+          process.stdout.write(
+            `${JSON.stringify({ label: settings.label, area: settings.area, zones: settings.zones, teams: [...settings.teams.keys()], tuning, hooks, metrics })}\n`,
+          );
+        else
+          process.stdout.write(
+            `${config}: good: ${settings.label} in ${settings.area}, ${settings.peers.length} peers, ${settings.teams.size} teams\n${operator ? `${operator}: good\n` : ""}`,
+          );
+      },
+    );
   try {
     await program.parseAsync([...argv], { from: "user" });
     return 0;
   } catch (e) {
     if (e instanceof CommanderError) {
-      if (e.code === "linencove.usage") process.stderr.write(`linencove: ${e.message.replace(/^error: /, "")}\n`);
+      if (e.code === "linencove.usage")
+        process.stderr.write(
+          `linencove: ${e.message.replace(/^error: /, "")}\n`,
+        );
       return e.exitCode === 0 ? 0 : 2;
     }
-    process.stderr.write(`linencove: ${e instanceof Error ? e.message.split("\n")[0] : String(e)}\n`);
+    process.stderr.write(
+      `linencove: ${e instanceof Error ? e.message.split("\n")[0] : String(e)}\n`,
+    );
     return 1;
   }
 }
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -140,30 +140,57 @@
  * Reads the operators' file. protobufjs is loaded only when there is one: a controller that starts again after a
  * crash should not pay for it.
  */
-export async function parseOperator(text: string, file: string): Promise<Operator> {
+export async function parseOperator(
+  text: string,
+  file: string,
+): Promise<Operator> {
   const { default: protobuf } = await import("protobufjs");
-  const { default: textformat } = (await import("protobufjs/ext/textformat.js")) as unknown as { default: { install(): void } };
+  const { default: textformat } =
+    (await import("protobufjs/ext/textformat.js")) as unknown as {
+      default: { install(): void };
+    };
   textformat.install();
-  const type = protobuf.parse(SCHEMA).root.lookupType("Operator") as ReturnType<typeof protobuf.Root.prototype.lookupType> & { fromText(text: string): object };
+  const type = protobuf.parse(SCHEMA).root.lookupType("Operator") as ReturnType<
+    typeof protobuf.Root.prototype.lookupType
+  > & { fromText(text: string): object };
   let given: Record<string, unknown>;
   let hooks: HooksFile | null;
   try {
     const message = type.fromText(text) as unknown as { hooks?: object | null };
     given = type.toObject(message as never);
-    hooks = message.hooks ? (type.root.lookupType("Hooks").toObject(message.hooks as never, { defaults: true, arrays: true }) as HooksFile) : null;
+    hooks = message.hooks
+      ? (type.root.lookupType("Hooks").toObject(message.hooks as never, {
+          defaults: true,
+          arrays: true,
+        }) as HooksFile)
+      : null;
   } catch (e) {
-    throw new SettingsError(`${file}: ${(e instanceof Error ? e.message : String(e)).split("\n")[0]}`);
+    throw new SettingsError(
+      `${file}: ${(e instanceof Error ? e.message : String(e)).split("\n")[0]}`,
+    );
   }
   const within = (of: object, bounds: object, path: string): void => {
-    for (const [key, [lo, hi]] of Object.entries(bounds) as [string, [number, number]][]) {
+    for (const [key, [lo, hi]] of Object.entries(bounds) as [
+      string,
+      [number, number],
+    ][]) {
       const value = (of as Record<string, unknown>)[key];
       const field = path + key.replace(/[A-Z]/g, (c) => `_${c.toLowerCase()}`);
-      if (value !== undefined && !(typeof value === "number" && value >= lo && value <= hi))
-        throw new SettingsError(`${file}: ${field}: must lie within ${lo} and ${hi}`);
+      if (
+        value !== undefined &&
+        !(typeof value === "number" && value >= lo && value <= hi)
+      )
+        throw new SettingsError(
+          `${file}: ${field}: must lie within ${lo} and ${hi}`,
+        );
     }
   };
   within(given, BOUNDS, "");
   if (hooks) within(hooks, HOOK_BOUNDS, "hooks.");
   const { hooks: _, metrics, ...tuning } = given;
-  return { tuning: { ...DEFAULTS, ...tuning, tellEnds: hooks !== null }, hooks, metrics: metrics === true };
+  return {
+    tuning: { ...DEFAULTS, ...tuning, tellEnds: hooks !== null },
+    hooks,
+    metrics: metrics === true,
+  };
 }
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -6,8 +6,17 @@
 
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
-const name = v.pipe(v.string(), v.regex(/^[^\s/]{1,64}$/, "1 to 64 characters without spaces or slashes expected"));
-const address = v.pipe(v.string(), v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "IP:PORT expected"));
+const name = v.pipe(
+  v.string(),
+  v.regex(
+    /^[^\s/]{1,64}$/,
+    "1 to 64 characters without spaces or slashes expected",
+  ),
+);
+const address = v.pipe(
+  v.string(),
+  v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "IP:PORT expected"),
+);
 
 /** How the state service counts the bytes of a value is its own matter (spaces, escapes): some are left free. */
 const VALUE_USED = 0.95;
@@ -22,7 +31,10 @@
   area: name,
   client_listen: address,
   mesh_addr: address,
-  peers: v.optional(v.array(v.object({ label: name, area: name, address })), []),
+  peers: v.optional(
+    v.array(v.object({ label: name, area: name, address })),
+    [],
+  ),
   outside: v.object({ cloud: address, state: address }),
   cluster: v.object({
     zones: v.array(name),
@@ -62,11 +74,25 @@
       value_kb: least,
       txn_ops: ops,
       /** What the limits will be from some moment on, without notice. */
-      next: v.optional(v.object({ rps: v.optional(positive), write_rps: v.optional(positive), value_kb: v.optional(least), txn_ops: v.optional(ops) }), {}),
+      next: v.optional(
+        v.object({
+          rps: v.optional(positive),
+          write_rps: v.optional(positive),
+          value_kb: v.optional(least),
+          txn_ops: v.optional(ops),
+        }),
+        {},
+      ),
     }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     resources: v.optional(
-      v.object({ max_sockets: v.optional(v.pipe(v.number(), v.integer(), v.minValue(16)), 256), mem_mb: v.optional(positive, 146) }),
+      v.object({
+        max_sockets: v.optional(
+          v.pipe(v.number(), v.integer(), v.minValue(16)),
+          256,
+        ),
+        mem_mb: v.optional(positive, 146),
+      }),
       { max_sockets: 256, mem_mb: 146 },
     ),
   }),
@@ -90,7 +116,14 @@
   peers: { label: string; area: string; host: string; port: number }[];
   cloud: { host: string; port: number; rps: number; listLagS: number };
   /** The smaller of the limits now and `state.next`. */
-  state: { host: string; port: number; rps: number; writeRps: number; valueBytes: number; txnOps: number };
+  state: {
+    host: string;
+    port: number;
+    rps: number;
+    writeRps: number;
+    valueBytes: number;
+    txnOps: number;
+  };
   zones: string[];
   teams: Map<string, Team>;
   objectives: { kind: string; class?: string; withinS?: number }[];
@@ -115,30 +148,47 @@
   try {
     raw = parse(text);
   } catch (e) {
-    const why = e instanceof TomlError ? `line ${e.line}: ${e.message.split("\n")[0]}` : String(e);
+    const why =
+      e instanceof TomlError
+        ? `line ${e.line}: ${e.message.split("\n")[0]}`
+        : String(e);
     throw new SettingsError(`${file}: not TOML: ${why}`);
   }
   const got = v.safeParse(PlatformFile, raw);
   if (!got.success) {
     const issue = got.issues[0];
-    throw new SettingsError(`${file}: ${v.getDotPath(issue) ?? "(top level)"}: ${issue.message}`);
+    throw new SettingsError(
+      `${file}: ${v.getDotPath(issue) ?? "(top level)"}: ${issue.message}`,
+    );
   }
   const f = got.output;
   const c = f.cluster;
   // Limits that will come without notice are kept from the start: nothing is written that would have to be divided,
   // or repeated smaller, at a moment that nobody knows.
-  const lower = (field: "rps" | "write_rps" | "value_kb" | "txn_ops"): number => Math.min(c.state[field], c.state.next[field] ?? Infinity);
+  const lower = (field: "rps" | "write_rps" | "value_kb" | "txn_ops"): number =>
+    Math.min(c.state[field], c.state.next[field] ?? Infinity);
   const labels = new Set([f.label, ...f.peers.map((p) => p.label)]);
-  if (labels.size !== f.peers.length + 1) throw new SettingsError(`${file}: peers: a label is used twice`);
+  if (labels.size !== f.peers.length + 1)
+    throw new SettingsError(`${file}: peers: a label is used twice`);
   if (c.workers.cancel_s - c.workers.lease_s < 4)
-    throw new SettingsError(`${file}: cluster.workers.cancel_s: must exceed lease_s by at least 4 s`);
+    throw new SettingsError(
+      `${file}: cluster.workers.cancel_s: must exceed lease_s by at least 4 s`,
+    );
   return {
     label: f.label,
     area: f.area,
     clientListen: endpoint(f.client_listen),
     mesh: endpoint(f.mesh_addr),
-    peers: f.peers.map((p) => ({ label: p.label, area: p.area, ...endpoint(p.address) })),
-    cloud: { ...endpoint(f.outside.cloud), rps: c.cloud.rps, listLagS: c.cloud.list_lag_s },
+    peers: f.peers.map((p) => ({
+      label: p.label,
+      area: p.area,
+      ...endpoint(p.address),
+    })),
+    cloud: {
+      ...endpoint(f.outside.cloud),
+      rps: c.cloud.rps,
+      listLagS: c.cloud.list_lag_s,
+    },
     state: {
       ...endpoint(f.outside.state),
       rps: lower("rps"),
@@ -150,10 +200,20 @@
     teams: new Map(
       c.teams.map((t) => [
         t.name,
-        { name: t.name, cpus: t.cpus, gpus: t.gpus, cpusMax: t.cpus_max || Infinity, gpusMax: t.gpus_max || Infinity },
+        {
+          name: t.name,
+          cpus: t.cpus,
+          gpus: t.gpus,
+          cpusMax: t.cpus_max || Infinity,
+          gpusMax: t.gpus_max || Infinity,
+        },
       ]),
     ),
-    objectives: c.objectives.map((o) => ({ kind: o.kind, class: o.class, withinS: o.within_s })),
+    objectives: c.objectives.map((o) => ({
+      kind: o.kind,
+      class: o.class,
+      withinS: o.within_s,
+    })),
     reportS: c.workers.report_s,
     leaseS: c.workers.lease_s,
     gangWaitS: c.workers.gang_wait_s,
--- a/src/coordination/awaiting.ts
+++ b/src/coordination/awaiting.ts
@@ -1,4 +1,10 @@
-import { endWrites, jobKey, type JobRecord, type PastRecord, writeJob } from "../storage/records.js";
+import {
+  endWrites,
+  jobKey,
+  type JobRecord,
+  type PastRecord,
+  writeJob,
+} from "../storage/records.js";
 import type { Condition, Write } from "../protocol/state.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
@@ -72,7 +78,15 @@
       return;
     }
     if (had) return;
-    const e: Entry = { view, names: view.awaits, open: new Set(view.awaits), doomed: false, sinceMs: this.ctx.nowMs, busy: false, againMs: 0 };
+    const e: Entry = {
+      view,
+      names: view.awaits,
+      open: new Set(view.awaits),
+      doomed: false,
+      sinceMs: this.ctx.nowMs,
+      busy: false,
+      againMs: 0,
+    };
     this.entries.set(view.id, e);
     for (const name of e.names) {
       const set = this.needers.get(name) ?? new Set();
@@ -91,7 +105,8 @@
   gone(id: string): void {
     const e = this.entries.get(id);
     if (e) this.remove(e);
-    if (this.needers.has(id) && !this.ctx.mirror.past.has(id)) this.unknown.set(id, 0);
+    if (this.needers.has(id) && !this.ctx.mirror.past.has(id))
+      this.unknown.set(id, 0);
   }
 
   /** What became of a job, once and for all. */
@@ -100,7 +115,8 @@
     for (const name of [...(this.needers.get(id) ?? [])]) {
       const e = this.entries.get(name)!;
       if (past.status === "cancelled") this.doom(e);
-      else if (e.open.delete(id) && e.open.size === 0) e.sinceMs = this.ctx.nowMs;
+      else if (e.open.delete(id) && e.open.size === 0)
+        e.sinceMs = this.ctx.nowMs;
       this.lookedMs = -Infinity;
     }
   }
@@ -112,7 +128,8 @@
       if (e.doomed) continue;
       e.doomed = true;
       e.sinceMs = this.ctx.nowMs;
-      for (const name of this.needers.get(e.view.id) ?? []) stack.push(this.entries.get(name)!);
+      for (const name of this.needers.get(e.view.id) ?? [])
+        stack.push(this.entries.get(name)!);
       for (const name of e.names) this.stand(name);
     }
   }
@@ -162,7 +179,8 @@
    */
   private stand(first: string): void {
     const stack = [first];
-    for (let id = stack.pop(); id !== undefined; id = stack.pop()) if (this.standOne(id)) stack.push(...(this.entries.get(id)?.open ?? []));
+    for (let id = stack.pop(); id !== undefined; id = stack.pop())
+      if (this.standOne(id)) stack.push(...(this.entries.get(id)?.open ?? []));
   }
   /** Whether anything changed. */
   private standOne(id: string): boolean {
@@ -174,7 +192,8 @@
       const e = this.entries.get(name)!;
       if (e.doomed) continue;
       const { view: next } = e;
-      if (URGENCIES.indexOf(next.urgency) > URGENCIES.indexOf(urgency)) urgency = next.urgency;
+      if (URGENCIES.indexOf(next.urgency) > URGENCIES.indexOf(urgency))
+        urgency = next.urgency;
       dueAt = Math.min(dueAt, next.dueAt - next.spec.estimateS * 1000);
     }
     if (urgency === view.urgency && dueAt === view.dueAt) return false;
@@ -187,7 +206,8 @@
 
   /** Looks up, releases and ends what is due for it. */
   act(): void {
-    if (this.entries.size === 0 || this.ctx.nowMs - this.lookedMs < LOOK_MS) return;
+    if (this.entries.size === 0 || this.ctx.nowMs - this.lookedMs < LOOK_MS)
+      return;
     this.lookedMs = this.ctx.nowMs;
     for (const [name, againMs] of this.unknown) {
       if (this.ctx.nowMs < againMs) continue;
@@ -197,7 +217,13 @@
     const over: Entry[] = [];
     const able = this.able();
     for (const e of this.entries.values()) {
-      if ((!e.doomed && e.open.size > 0) || e.busy || this.ctx.nowMs < e.againMs || !this.myTurn(e, able)) continue;
+      if (
+        (!e.doomed && e.open.size > 0) ||
+        e.busy ||
+        this.ctx.nowMs < e.againMs ||
+        !this.myTurn(e, able)
+      )
+        continue;
       if (e.doomed) over.push(e);
       else if (this.sent < AT_ONCE) this.release(e);
     }
@@ -206,13 +232,19 @@
 
   /** Controllers that hold a group, and this one. */
   private able(): string[] {
-    const owners = new Set([...this.ctx.mirror.groups.values()].map((g) => g.owner));
-    return this.ctx.groups.names.filter((n) => owners.has(n) || n === this.ctx.settings.label);
+    const owners = new Set(
+      [...this.ctx.mirror.groups.values()].map((g) => g.owner),
+    );
+    return this.ctx.groups.names.filter(
+      (n) => owners.has(n) || n === this.ctx.settings.label,
+    );
   }
   /** They come by turns, beginning with one that the job's name decides. */
   private myTurn(e: Entry, able: readonly string[]): boolean {
     const first = turn(e.view.id, able.length);
-    const rank = (able.indexOf(this.ctx.settings.label) - first + able.length) % able.length;
+    const rank =
+      (able.indexOf(this.ctx.settings.label) - first + able.length) %
+      able.length;
     return this.ctx.nowMs - e.sinceMs >= rank * TURN_MS;
   }
 
@@ -220,9 +252,23 @@
     const { view } = e;
     const split = this.cut(view.spec);
     if (!split) return;
-    const record: JobRecord = { spec: view.spec, acceptedAt: view.acceptedAt, split, awaits: [], releasedAt: Math.max(view.acceptedAt, this.ctx.wallMs) };
-    this.commit([e], [{ op: "put", key: jobKey(view.id), value: writeJob(record) }], Urgent.Master, () =>
-      this.ctx.log("debug", "job released", { job: view.id, class: view.spec.class, split: [...split].map(([g, r]) => [g, r.size]) }),
+    const record: JobRecord = {
+      spec: view.spec,
+      acceptedAt: view.acceptedAt,
+      split,
+      awaits: [],
+      releasedAt: Math.max(view.acceptedAt, this.ctx.wallMs),
+    };
+    this.commit(
+      [e],
+      [{ op: "put", key: jobKey(view.id), value: writeJob(record) }],
+      Urgent.Master,
+      () =>
+        this.ctx.log("debug", "job released", {
+          job: view.id,
+          class: view.spec.class,
+          split: [...split].map(([g, r]) => [g, r.size]),
+        }),
     );
   }
 
@@ -231,15 +277,32 @@
     const each = Math.max(1, Math.floor(this.ctx.settings.state.txnOps / 2));
     for (let i = 0; i < over.length && this.sent < AT_ONCE; i += each) {
       const some = over.slice(i, i + each);
-      const writes = some.flatMap((e) => endWrites(e.view.id, finalRecord(this.ctx, e.view.spec, "cancelled", 0)));
-      this.commit(some, writes, Urgent.Spare, () => this.ctx.log("info", "jobs cancelled with one that they need", { jobs: some.map((e) => e.view.id) }));
+      const writes = some.flatMap((e) =>
+        endWrites(
+          e.view.id,
+          finalRecord(this.ctx, e.view.spec, "cancelled", 0),
+        ),
+      );
+      this.commit(some, writes, Urgent.Spare, () =>
+        this.ctx.log("info", "jobs cancelled with one that they need", {
+          jobs: some.map((e) => e.view.id),
+        }),
+      );
     }
   }
 
-  private commit(of: readonly Entry[], writes: Write[], urgent: Urgent, ok: () => void): void {
+  private commit(
+    of: readonly Entry[],
+    writes: Write[],
+    urgent: Urgent,
+    ok: () => void,
+  ): void {
     for (const e of of) e.busy = true;
     this.sent++;
-    const conditions = of.map((e): Condition => ({ key: jobKey(e.view.id), version: e.view.version }));
+    const conditions = of.map((e): Condition => ({
+      key: jobKey(e.view.id),
+      version: e.view.version,
+    }));
     this.ctx.commit(conditions, writes, urgent, (end) => {
       // The record itself says what became of it; until it does, or after a refusal, the same is tried again.
       for (const e of of) {
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -1,6 +1,12 @@
 import type { Settings } from "../config/settings.js";
 import type { Condition, Write } from "../protocol/state.js";
-import type { CloudCall, CloudReply, CommandReply, Level, Urgent } from "./effects.js";
+import type {
+  CloudCall,
+  CloudReply,
+  CommandReply,
+  Level,
+  Urgent,
+} from "./effects.js";
 import type { Groups } from "./groups.js";
 import type { Handed } from "./splitter.js";
 import type { Mirror } from "./mirror.js";
@@ -20,9 +26,24 @@
   nowMs: number;
   /** Time of day of this step, in ms since the epoch. */
   wallMs: number;
-  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd) => void): void;
-  cloud(call: CloudCall, urgent: Urgent, done: (reply: CloudReply) => void): void;
-  command(address: string, token: number, session: number, orders: Order[], done: (reply: CommandReply) => void): void;
+  commit(
+    conditions: Condition[],
+    writes: Write[],
+    urgent: Urgent,
+    done: (end: CommitEnd) => void,
+  ): void;
+  cloud(
+    call: CloudCall,
+    urgent: Urgent,
+    done: (reply: CloudReply) => void,
+  ): void;
+  command(
+    address: string,
+    token: number,
+    session: number,
+    orders: Order[],
+    done: (reply: CommandReply) => void,
+  ): void;
   /** Asks a machine itself: the answer is of a moment after the question. */
   inspect(address: string, done: (report: Report | null) => void): void;
   /** Age of the copy of the state service's records, in ms. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,9 +1,26 @@
 import type { Settings } from "../config/settings.js";
-import { type Change, type Condition, HOLD_ENDED, type StateCall, type StateReply, type Write } from "../protocol/state.js";
+import {
+  type Change,
+  type Condition,
+  HOLD_ENDED,
+  type StateCall,
+  type StateReply,
+  type Write,
+} from "../protocol/state.js";
 import { bytesOf, parseKey, PAST } from "../storage/records.js";
 import { Awaiting } from "./awaiting.js";
 import type { CommitEnd, Context } from "./context.js";
-import { type Answer, OWN_LIMIT, type CloudCall, type CloudReply, type CommandReply, type Effect, type Input, type Level, Urgent } from "./effects.js";
+import {
+  type Answer,
+  OWN_LIMIT,
+  type CloudCall,
+  type CloudReply,
+  type CommandReply,
+  type Effect,
+  type Input,
+  type Level,
+  Urgent,
+} from "./effects.js";
 import { Groups } from "./groups.js";
 import { NO_USE } from "./ledger.js";
 import { Beliefs, type Pair } from "./limits/index.js";
@@ -93,7 +110,10 @@
   private readonly unanswered = new Unanswered();
   private out: Effect[] = [];
   private ops = 0;
-  private readonly stateOps = new Map<number, (r: StateReply, sentMs: number) => void>();
+  private readonly stateOps = new Map<
+    number,
+    (r: StateReply, sentMs: number) => void
+  >();
   private readonly cloudOps = new Map<number, (r: CloudReply) => void>();
   private readonly commandOps = new Map<number, (r: CommandReply) => void>();
   private readonly inspectOps = new Map<number, (r: Report | null) => void>();
@@ -114,20 +134,51 @@
     this.wallMs = wallMs;
     this.groups = new Groups(settings);
     this.beliefs = new Beliefs(this);
-    this.awaiting = new Awaiting(this, (spec) => this.users.cut(spec), (id) => this.users.lookUp(id, () => {}));
+    this.awaiting = new Awaiting(
+      this,
+      (spec) => this.users.cut(spec),
+      (id) => this.users.lookUp(id, () => {}),
+    );
     this.ownership = new Ownership(
       this,
-      (call, done) => this.state(call, Urgent.Hold, (r, sentMs) => done(r as { is: string; hold?: number }, sentMs)),
+      (call, done) =>
+        this.state(call, Urgent.Hold, (r, sentMs) =>
+          done(r as { is: string; hold?: number }, sentMs),
+        ),
       () => this.dropMasters(),
       () => this.checkMasters(),
       (group) => this.masters.get(group)?.own.deaf() ?? false,
     );
     this.vacancies = new Vacancies(this, this.ownership);
-    this.orphans = new Orphans(this, this.vacancies, (spec) => this.users.cut(spec));
-    const state = (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void): void => this.state(call, urgent, done);
-    const later = (req: number, why: string, afterS = 1): void => this.answer(req, { is: "later", afterS, why });
-    this.reading = new Reading(this, this.ownership, state, (seen) => this.see(seen), (from, to, changes) => this.tell(from, to, changes), (afterMs) => this.out.push({ do: "wake", afterMs }), later);
-    this.users = new Users(this, this.masters, this.ownership, this.awaiting, this.reading, state, (req, answer) => this.answer(req, answer), later);
+    this.orphans = new Orphans(this, this.vacancies, (spec) =>
+      this.users.cut(spec),
+    );
+    const state = (
+      call: StateCall,
+      urgent: Urgent,
+      done: (r: StateReply, sentMs: number) => void,
+    ): void => this.state(call, urgent, done);
+    const later = (req: number, why: string, afterS = 1): void =>
+      this.answer(req, { is: "later", afterS, why });
+    this.reading = new Reading(
+      this,
+      this.ownership,
+      state,
+      (seen) => this.see(seen),
+      (from, to, changes) => this.tell(from, to, changes),
+      (afterMs) => this.out.push({ do: "wake", afterMs }),
+      later,
+    );
+    this.users = new Users(
+      this,
+      this.masters,
+      this.ownership,
+      this.awaiting,
+      this.reading,
+      state,
+      (req, answer) => this.answer(req, answer),
+      later,
+    );
   }
 
   step(input: Input, nowMs: number, wallMs: number): Effect[] {
@@ -148,7 +199,8 @@
    * only a permit allows is not sent once that has ended, although the step that decided it came before.
    */
   mayLeave(e: Effect, nowMs: number): boolean {
-    const needsPermit = e.do === "command" || (e.do === "answer" && e.answer.is === "orders");
+    const needsPermit =
+      e.do === "command" || (e.do === "answer" && e.answer.is === "orders");
     return !needsPermit || nowMs < this.ownership.permitUntilMs;
   }
 
@@ -157,7 +209,14 @@
    * balancer would then keep all of them out beyond its end; one that reaches neither it nor any peer is cut off itself.
    */
   get ready(): boolean {
-    return this.mirror.ready && !(this.settings.peers.length > 0 && this.ownership.alone && this.ownership.staleMs > ALONE_MS);
+    return (
+      this.mirror.ready &&
+      !(
+        this.settings.peers.length > 0 &&
+        this.ownership.alone &&
+        this.ownership.staleMs > ALONE_MS
+      )
+    );
   }
 
   private take(i: Input): void {
@@ -171,9 +230,13 @@
       case "submit":
         return this.users.submit(i.req, i.spec, i.awaits ?? []);
       case "status":
-        return this.reading.afterRead(i.req, i.id, (req, id) => this.users.tellStatus(req, id, 200));
+        return this.reading.afterRead(i.req, i.id, (req, id) =>
+          this.users.tellStatus(req, id, 200),
+        );
       case "withdraw":
-        return this.reading.afterRead(i.req, i.id, (req, id) => this.users.withdraw(req, id, WITHDRAW_TRIES));
+        return this.reading.afterRead(i.req, i.id, (req, id) =>
+          this.users.withdraw(req, id, WITHDRAW_TRIES),
+        );
       case "report":
         return this.answer(i.req, this.report(i.report, i.relayed));
       case "unserved":
@@ -199,39 +262,78 @@
   private answer(req: number, answer: Answer): void {
     this.out.push({ do: "answer", req, answer });
   }
-  private state(call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void): void {
+  private state(
+    call: StateCall,
+    urgent: Urgent,
+    done: (r: StateReply, sentMs: number) => void,
+  ): void {
     const op = ++this.ops;
     this.stateOps.set(op, done);
     this.out.push({ do: "state", op, call, urgent });
   }
-  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd) => void): void {
+  commit(
+    conditions: Condition[],
+    writes: Write[],
+    urgent: Urgent,
+    done: (end: CommitEnd) => void,
+  ): void {
     this.state({ op: "commit", conditions, writes }, urgent, (r) => {
       if (r.is === "committed") {
-        for (const w of writes) if (w.op === "put") this.mirror.wrote(w.key, r.epoch);
+        for (const w of writes)
+          if (w.op === "put") this.mirror.wrote(w.key, r.epoch);
         return done("ok");
       }
       // Repeated unchanged it would be refused for ever: everything written is kept within the limits, now and next.
       if (r.is === "refused" && r.why === HOLD_ENDED) {
-        for (const w of writes) if (w.op === "put" && w.hold !== undefined) this.ownership.holdEnded(w.hold);
-      } else if (r.is === "refused" && r.why === "400") this.log("error", "state service refuses a transaction", { writes: writes.map((w) => [w.op, w.key, w.op === "put" ? bytesOf(w.value as object) : 0]) });
+        for (const w of writes)
+          if (w.op === "put" && w.hold !== undefined)
+            this.ownership.holdEnded(w.hold);
+      } else if (r.is === "refused" && r.why === "400")
+        this.log("error", "state service refuses a transaction", {
+          writes: writes.map((w) => [
+            w.op,
+            w.key,
+            w.op === "put" ? bytesOf(w.value as object) : 0,
+          ]),
+        });
       if (r.is === "unknown") this.unanswered.note(writes, this.nowMs);
-      done(r.is === "conflict" ? "conflict" : r.is === "refused" ? "refused" : "unknown");
+      done(
+        r.is === "conflict"
+          ? "conflict"
+          : r.is === "refused"
+            ? "refused"
+            : "unknown",
+      );
     });
   }
-  cloud(call: CloudCall, urgent: Urgent, done: (reply: CloudReply) => void): void {
+  cloud(
+    call: CloudCall,
+    urgent: Urgent,
+    done: (reply: CloudReply) => void,
+  ): void {
     const op = ++this.ops;
     this.cloudOps.set(op, (r) => {
       const down = r.is === "failed" && r.why !== OWN_LIMIT;
       if (r.is === "failed" && !down) return done(r);
       if (down !== this.cloudDown) {
         this.cloudDown = down;
-        this.log(down ? "warn" : "info", down ? "cloud does not answer" : "cloud answers again", down && r.is === "failed" ? { why: r.why } : {});
+        this.log(
+          down ? "warn" : "info",
+          down ? "cloud does not answer" : "cloud answers again",
+          down && r.is === "failed" ? { why: r.why } : {},
+        );
       }
       done(r);
     });
     this.out.push({ do: "cloud", op, call, urgent });
   }
-  command(address: string, token: number, session: number, orders: Order[], done: (reply: CommandReply) => void): void {
+  command(
+    address: string,
+    token: number,
+    session: number,
+    orders: Order[],
+    done: (reply: CommandReply) => void,
+  ): void {
     const op = ++this.ops;
     this.commandOps.set(op, done);
     this.out.push({ do: "command", op, address, token, session, orders });
@@ -263,7 +365,9 @@
           break;
         case "fin": {
           const job = this.mirror.jobs.get(s.id);
-          if (job) for (const m of this.masters.values()) if (m.own.jobs.has(s.id)) m.sync(job);
+          if (job)
+            for (const m of this.masters.values())
+              if (m.own.jobs.has(s.id)) m.sync(job);
           break;
         }
         case "room":
@@ -282,28 +386,59 @@
 
   /** For those who follow the ends of jobs, and for the log; this core has no need of it. */
   private tell(from: number, to: number, changes: readonly Change[]): void {
-    for (const late of this.unanswered.among(changes, this.nowMs)) this.log("info", "transaction without an answer was carried out", late);
+    for (const late of this.unanswered.among(changes, this.nowMs))
+      this.log("info", "transaction without an answer was carried out", late);
     if (!this.tuning.tellEnds) return;
-    const theirs = changes.filter((c) => c.key.startsWith(PAST) || parseKey(c.key) === null);
+    const theirs = changes.filter(
+      (c) => c.key.startsWith(PAST) || parseKey(c.key) === null,
+    );
     this.out.push({ do: "seen", from, to, changes: theirs });
   }
   /** The hold that this controller lives under, and until when (steady time, ms) it may act on what it owns under it. */
   get permit(): { hold: number | null; untilMs: number } {
-    return { hold: this.ownership.holdId, untilMs: this.ownership.permitUntilMs };
+    return {
+      hold: this.ownership.holdId,
+      untilMs: this.ownership.permitUntilMs,
+    };
   }
 
   /** How things stand, for metrics: of the groups whose master this controller is. */
   get figures(): Figures {
     const read = this.reading.refusals;
-    const oldest = Math.min(read.oldestMs ?? Infinity, this.users.lookups.oldestMs ?? Infinity);
-    const f: Figures = { unfinished: this.mirror.jobs.size, groups: this.masters.size, machines: 0, idle: 0, queuedPlain: 0, queuedAccelerated: 0, running: 0, deaf: 0, late: 0, suspects: 0, longestGangS: 0, refused: read.refused + this.users.lookups.refused, refusedForS: oldest === Infinity ? 0 : (this.nowMs - oldest) / 1000 };
+    const oldest = Math.min(
+      read.oldestMs ?? Infinity,
+      this.users.lookups.oldestMs ?? Infinity,
+    );
+    const f: Figures = {
+      unfinished: this.mirror.jobs.size,
+      groups: this.masters.size,
+      machines: 0,
+      idle: 0,
+      queuedPlain: 0,
+      queuedAccelerated: 0,
+      running: 0,
+      deaf: 0,
+      late: 0,
+      suspects: 0,
+      longestGangS: 0,
+      refused: read.refused + this.users.lookups.refused,
+      refusedForS: oldest === Infinity ? 0 : (this.nowMs - oldest) / 1000,
+    };
     for (const m of this.masters.values()) {
       const { own } = m;
       f.deaf += own.deafMachines().length;
       f.late += m.lateReports;
       for (const j of own.jobs.values()) {
         if (j.suspectMs !== null) f.suspects++;
-        else if (j.view.spec.shape === "ensemble" && !j.waiting.isEmpty && j.active.size === 0) f.longestGangS = Math.max(f.longestGangS, (this.wallMs - j.view.readyAt) / 1000);
+        else if (
+          j.view.spec.shape === "ensemble" &&
+          !j.waiting.isEmpty &&
+          j.active.size === 0
+        )
+          f.longestGangS = Math.max(
+            f.longestGangS,
+            (this.wallMs - j.view.readyAt) / 1000,
+          );
       }
       const q = own.queue();
       f.queuedPlain += q.plain;
@@ -335,7 +470,10 @@
           share: m.sharing.share(t.name),
           used: [known.cpus, known.gpus],
           waiting,
-          deficit: [Math.max(0, Math.min(waiting[0], lacks[0])), Math.max(0, Math.min(waiting[1], lacks[1]))],
+          deficit: [
+            Math.max(0, Math.min(waiting[0], lacks[0])),
+            Math.max(0, Math.min(waiting[1], lacks[1])),
+          ],
           inFlight: m.sharing.inFlight(t.name),
           reclaimed: m.reclaims.reclaimed.get(t.name) ?? [0, 0],
         });
@@ -349,19 +487,34 @@
     for (const [group, m] of this.masters) {
       if (this.ownership.tokenOf(group) === m.token) continue;
       this.masters.delete(group);
-      this.log("info", "group lost", { group, token: m.token, owner: this.mirror.groups.get(group)?.owner ?? null });
+      this.log("info", "group lost", {
+        group,
+        token: m.token,
+        owner: this.mirror.groups.get(group)?.owner ?? null,
+      });
     }
     for (const group of this.groups.names) {
       const token = this.ownership.tokenOf(group);
       if (token === null || this.masters.has(group)) continue;
       // The mirror reaches beyond the token's revision, and every commit of the former master depended on the
       // record that this token replaced: its roster and splits are all here.
-      this.masters.set(group, new Master(this, group, token, () => this.ownership.permitted() && this.ownership.tokenOf(group) === token));
+      this.masters.set(
+        group,
+        new Master(
+          this,
+          group,
+          token,
+          () =>
+            this.ownership.permitted() &&
+            this.ownership.tokenOf(group) === token,
+        ),
+      );
       this.log("info", "group taken", { group, token });
     }
   }
   private dropMasters(): void {
-    for (const [group, m] of this.masters) this.log("info", "group lost", { group, token: m.token, owner: null });
+    for (const [group, m] of this.masters)
+      this.log("info", "group lost", { group, token: m.token, owner: null });
     this.masters.clear();
   }
 
@@ -389,15 +542,21 @@
       return { is: "later", afterS: 1, why: "no permit" };
     }
     const g = this.mirror.groups.get(group);
-    if (!g || g.owner === this.settings.label || relayed) return { is: "elsewhere", master: null };
+    if (!g || g.owner === this.settings.label || relayed)
+      return { is: "elsewhere", master: null };
     // It has been served under this very token, or was sent there a moment ago, and yet it comes here: its
     // master is out of its reach.
     const sent = this.sentAway.get(r.worker);
-    const again = r.token === g.version || (sent !== undefined && sent.token === g.version && this.nowMs - sent.ms < 12_000);
+    const again =
+      r.token === g.version ||
+      (sent !== undefined &&
+        sent.token === g.version &&
+        this.nowMs - sent.ms < 12_000);
     if (again) return { is: "relay", master: g.owner };
     this.sentAway.delete(r.worker);
     this.sentAway.set(r.worker, { token: g.version, ms: this.nowMs });
-    if (this.sentAway.size > 2_000) this.sentAway.delete(this.sentAway.keys().next().value!);
+    if (this.sentAway.size > 2_000)
+      this.sentAway.delete(this.sentAway.keys().next().value!);
     return { is: "elsewhere", master: g.owner };
   }
   private readonly sentAway = new Map<string, { token: number; ms: number }>();
@@ -441,8 +600,16 @@
   private sweep(): void {
     const mine = this.masters.get(this.settings.label);
     if (!mine || !this.ownership.permitted()) return;
-    const keys = this.mirror.leftovers().flatMap((id) => this.mirror.sideKeys(id)).slice(0, this.settings.state.txnOps);
-    if (keys.length > 0) mine.own.commit([], keys.map((key) => ({ op: "delete", key })), Urgent.Spare, () => {});
+    const keys = this.mirror
+      .leftovers()
+      .flatMap((id) => this.mirror.sideKeys(id))
+      .slice(0, this.settings.state.txnOps);
+    if (keys.length > 0)
+      mine.own.commit(
+        [],
+        keys.map((key) => ({ op: "delete", key })),
+        Urgent.Spare,
+        () => {},
+      );
   }
 }
-
--- a/src/coordination/effects.ts
+++ b/src/coordination/effects.ts
@@ -1,5 +1,11 @@
 import type { Change, StateCall, StateReply } from "../protocol/state.js";
-import type { JobSpec, ListedMachine, MachineType, Order, Report } from "./model.js";
+import type {
+  JobSpec,
+  ListedMachine,
+  MachineType,
+  Order,
+  Report,
+} from "./model.js";
 
 /** What the core is told. Times come with each input: the core has no clock of its own. */
 export type Input =
@@ -25,7 +31,14 @@
 
 export type CloudCall =
   | { op: "catalog" }
-  | { op: "rent"; request: string; type: string; zone: string; spot: boolean; count: number }
+  | {
+      op: "rent";
+      request: string;
+      type: string;
+      zone: string;
+      spot: boolean;
+      count: number;
+    }
   | { op: "return"; machines: string[] }
   | { op: "list"; after: string };
 
@@ -42,7 +55,8 @@
 export const OWN_LIMIT = "own rate limit";
 
 /** `refused`: no connection came about, so nothing can arrive later. `unknown`: it may, minutes later. */
-export type CommandReply = { is: "answered"; status: number } | { is: "refused" } | { is: "unknown" };
+export type CommandReply =
+  { is: "answered"; status: number } | { is: "refused" } | { is: "unknown" };
 
 /** Which calls go first when a rate limit is short: rule-keeping ones. */
 export const enum Urgent {
@@ -53,7 +67,15 @@
 }
 
 export type Answer =
-  | { is: "job"; status: 200 | 201; id: string; state: "queued" | "running" | "done" | "cancelled"; done?: number; running?: number; awaits?: readonly string[] }
+  | {
+      is: "job";
+      status: 200 | 201;
+      id: string;
+      state: "queued" | "running" | "done" | "cancelled";
+      done?: number;
+      running?: number;
+      awaits?: readonly string[];
+    }
   | { is: "never"; error: string }
   /** Its record would not fit a value of the state service. */
   | { is: "tooLong"; error: string }
@@ -70,7 +92,14 @@
   | { do: "answer"; req: number; answer: Answer }
   | { do: "state"; op: number; call: StateCall; urgent: Urgent }
   | { do: "cloud"; op: number; call: CloudCall; urgent: Urgent }
-  | { do: "command"; op: number; address: string; token: number; session: number; orders: Order[] }
+  | {
+      do: "command";
+      op: number;
+      address: string;
+      token: number;
+      session: number;
+      orders: Order[];
+    }
   /** Asks a machine for its report. */
   | { do: "inspect"; op: number; address: string }
   /**
--- a/src/coordination/fairness.ts
+++ b/src/coordination/fairness.ts
@@ -10,7 +10,10 @@
 export class FairQueue<T extends { readonly id: string }> {
   private items: T[] = [];
   /** Since when a job's questions are refused, until one is answered. Steady time, ms; in the order of those times. */
-  private readonly refusedMs = new Map<string, { since: number; last: number }>();
+  private readonly refusedMs = new Map<
+    string,
+    { since: number; last: number }
+  >();
   /** Questions refused so far. */
   refused = 0;
 
@@ -26,7 +29,8 @@
       return null;
     }
     let last = 0;
-    for (let i = 1; i < this.items.length; i++) if (this.rank(this.items[i]!) >= this.rank(this.items[last]!)) last = i;
+    for (let i = 1; i < this.items.length; i++)
+      if (this.rank(this.items[i]!) >= this.rank(this.items[last]!)) last = i;
     const out = this.items[last]!;
     if (this.rank(item) >= this.rank(out)) return this.refuse(item, nowMs);
     this.items.splice(last, 1);
@@ -44,7 +48,8 @@
     if (known) known.last = nowMs;
     else {
       // Never the oldest: the last one has waited least.
-      if (this.refusedMs.size >= MOST_REFUSED) this.refusedMs.delete([...this.refusedMs.keys()].at(-1)!);
+      if (this.refusedMs.size >= MOST_REFUSED)
+        this.refusedMs.delete([...this.refusedMs.keys()].at(-1)!);
       this.refusedMs.set(item.id, { since: nowMs, last: nowMs });
     }
     return item;
@@ -60,7 +65,10 @@
       this.items = [];
       return all;
     }
-    const first = this.items.map((item, i) => ({ item, i, rank: this.rank(item) })).sort((a, b) => (a.rank === b.rank ? a.i - b.i : a.rank - b.rank)).slice(0, n);
+    const first = this.items
+      .map((item, i) => ({ item, i, rank: this.rank(item) }))
+      .sort((a, b) => (a.rank === b.rank ? a.i - b.i : a.rank - b.rank))
+      .slice(0, n);
     const taken = new Set(first.map((f) => f.item));
     this.items = this.items.filter((x) => !taken.has(x));
     return first.map((f) => f.item);
--- a/src/coordination/finishing.ts
+++ b/src/coordination/finishing.ts
@@ -1,4 +1,12 @@
-import { endWrites, finBlock, finKey, inBlock, jobKey, type PastRecord, writeFin } from "../storage/records.js";
+import {
+  endWrites,
+  finBlock,
+  finKey,
+  inBlock,
+  jobKey,
+  type PastRecord,
+  writeFin,
+} from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
@@ -12,8 +20,26 @@
  * A job's final record. Invariant (hooks, nothing lost): it is all that hooks are sent from, so what they need of the job is
  * written in the very transaction that ends it, whichever way that is.
  */
-export function finalRecord(ctx: Context, spec: JobSpec, status: PastRecord["status"], done: number): PastRecord {
-  return { status, tasks: spec.tasks, done, ...(ctx.tuning.tellEnds ? { end: { team: spec.team, class: spec.class, at: Math.round(ctx.wallMs) } } : {}) };
+export function finalRecord(
+  ctx: Context,
+  spec: JobSpec,
+  status: PastRecord["status"],
+  done: number,
+): PastRecord {
+  return {
+    status,
+    tasks: spec.tasks,
+    done,
+    ...(ctx.tuning.tellEnds
+      ? {
+          end: {
+            team: spec.team,
+            class: spec.class,
+            at: Math.round(ctx.wallMs),
+          },
+        }
+      : {}),
+  };
 }
 
 /** The writing of what a group has finished: ranges of tasks, and the ends of jobs. */
@@ -33,7 +59,8 @@
 
   /** Writes what is finished: the job's end if nothing is left, else this group's ranges. */
   finishJob(job: JobRun): void {
-    if (job.gone || job.finished.isEmpty || job.view.spec.shape === "daemon") return;
+    if (job.gone || job.finished.isEmpty || job.view.spec.shape === "daemon")
+      return;
     const all = this.ctx.mirror.allFinished(job.id);
     all.addAll(job.finished);
     job.complete = all.size >= job.view.spec.tasks;
@@ -46,14 +73,24 @@
     if (job.finalizing || job.moving) return;
     job.finalizing = true;
     const id = job.id;
-    const beside = this.ctx.mirror.sideKeys(id).slice(0, this.ctx.settings.state.txnOps - 2);
+    const beside = this.ctx.mirror
+      .sideKeys(id)
+      .slice(0, this.ctx.settings.state.txnOps - 2);
     this.own.commit(
       [{ key: jobKey(id), version: job.view.version }],
-      endWrites(id, finalRecord(this.ctx, job.view.spec, "done", job.view.spec.tasks), beside),
+      endWrites(
+        id,
+        finalRecord(this.ctx, job.view.spec, "done", job.view.spec.tasks),
+        beside,
+      ),
       Urgent.Master,
       (end) => {
         job.finalizing = false;
-        if (end !== "ok") job.backoffUntilMs = Math.max(job.backoffUntilMs, this.ctx.nowMs + 300);
+        if (end !== "ok")
+          job.backoffUntilMs = Math.max(
+            job.backoffUntilMs,
+            this.ctx.nowMs + 300,
+          );
       },
     );
   }
@@ -79,19 +116,30 @@
     this.own.commit(
       // Without the job's record the ranges would be left behind by a job that is over. Invariant (a task that is done stays
       // done): a commit without an answer that is carried out after a later one would take what that added off the record.
-      [{ key: jobKey(job.id), version: job.view.version }, { key, version: this.ctx.mirror.revisionOf(key) }],
+      [
+        { key: jobKey(job.id), version: job.view.version },
+        { key, version: this.ctx.mirror.revisionOf(key) },
+      ],
       [{ op: "put", key, value: writeFin(covered) }],
       Urgent.Master,
       (end) => {
         job.writing = false;
         if (end === "ok") job.written.addAll(covered);
-        else job.backoffUntilMs = Math.max(job.backoffUntilMs, this.ctx.nowMs + 300);
+        else
+          job.backoffUntilMs = Math.max(
+            job.backoffUntilMs,
+            this.ctx.nowMs + 300,
+          );
       },
     );
   }
 
   /** What was not written, or not answered, is written again. */
   tick(job: JobRun): void {
-    if (this.ctx.nowMs >= job.backoffUntilMs && (job.complete || job.written.size < job.finished.size)) this.finishJob(job);
+    if (
+      this.ctx.nowMs >= job.backoffUntilMs &&
+      (job.complete || job.written.size < job.finished.size)
+    )
+      this.finishJob(job);
   }
 }
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -25,11 +25,15 @@
 /** The machines of one group: rents what waiting work needs and gives back what nothing needs. */
 export class Fleet {
   /** Machines to give back. `marked`: the roster says so. */
-  private readonly going = new Map<string, { why: string; retryMs: number; sent: boolean }>();
+  private readonly going = new Map<
+    string,
+    { why: string; retryMs: number; sent: boolean }
+  >();
   readonly renting: Renting;
   private listed = new Map<string, ListedMachine & { seenMs: number }>();
   private listAfter = "";
-  private listing: Map<string, ListedMachine & { seenMs: number }> | null = null;
+  private listing: Map<string, ListedMachine & { seenMs: number }> | null =
+    null;
   private nextListMs = 0;
   /** When the first page of the list was asked for. */
   private listingMs = 0;
@@ -50,7 +54,8 @@
 
   cameUp(w: Worker): void {
     // Found running, not rented by this master: somebody had a use for it.
-    if (!this.renting.booting.delete(w.id)) this.notePeak(w.typeName, this.count(w.typeName));
+    if (!this.renting.booting.delete(w.id))
+      this.notePeak(w.typeName, this.count(w.typeName));
     if (w.going) this.giveUp(w, "marked for return by a former master");
   }
 
@@ -64,7 +69,9 @@
   }
   private zones(): string[] {
     const zones = new Set<string>();
-    for (const t of this.ctx.catalog ?? []) for (const z of t.zones) if (this.ctx.groups.of(z) === this.own.group) zones.add(z);
+    for (const t of this.ctx.catalog ?? [])
+      for (const z of t.zones)
+        if (this.ctx.groups.of(z) === this.own.group) zones.add(z);
     return [...zones].sort();
   }
 
@@ -88,11 +95,18 @@
     const now = this.ctx.nowMs;
     const ids: string[] = [];
     for (const [id, g] of this.going) {
-      if (g.sent || now < g.retryMs || ids.length >= 100 || !this.own.roster.goingWritten(id)) continue;
+      if (
+        g.sent ||
+        now < g.retryMs ||
+        ids.length >= 100 ||
+        !this.own.roster.goingWritten(id)
+      )
+        continue;
       const w = this.own.workers.get(id);
       // Its tasks get the time to save; whoever can't is stopped at once.
       if (w && !w.lost && w.tasks.size > 0) {
-        for (const t of w.tasks.values()) this.own.stop(t, graceOf(t), "machine goes back");
+        for (const t of w.tasks.values())
+          this.own.stop(t, graceOf(t), "machine goes back");
         continue;
       }
       ids.push(id);
@@ -123,12 +137,14 @@
 
   private count(type: string): number {
     let n = 0;
-    for (const w of this.own.workers.values()) if (w.typeName === type && !w.lost && !w.going) n++;
+    for (const w of this.own.workers.values())
+      if (w.typeName === type && !w.lost && !w.going) n++;
     return n;
   }
   private notePeak(type: string, n: number): void {
     let p = this.peaks.get(type);
-    if (!p) this.peaks.set(type, (p = Array.from({ length: WARM_PERIODS }, () => 0)));
+    if (!p)
+      this.peaks.set(type, (p = Array.from({ length: WARM_PERIODS }, () => 0)));
     p[0] = Math.max(p[0]!, n);
   }
   private peakOf(type: string): number {
@@ -148,7 +164,9 @@
       }
     }
     const busy = new Map<string, number>();
-    for (const w of this.own.workers.values()) if (w.tasks.size > 0) busy.set(w.typeName, (busy.get(w.typeName) ?? 0) + 1);
+    for (const w of this.own.workers.values())
+      if (w.tasks.size > 0)
+        busy.set(w.typeName, (busy.get(w.typeName) ?? 0) + 1);
     for (const [type, n] of busy) this.notePeak(type, n);
   }
 
@@ -162,25 +180,54 @@
     const idle: Worker[] = [];
     const bootS = memo((w: Worker) => this.typeOf(w.typeName)?.bootS ?? 60);
     for (const w of this.own.workers.values())
-      if (!w.going && !w.lost && w.idleSinceMs !== null && now - w.idleSinceMs >= Math.max(this.ctx.tuning.idleReturnS, bootS(w) * this.ctx.tuning.idleBoots) * 1000) idle.push(w);
+      if (
+        !w.going &&
+        !w.lost &&
+        w.idleSinceMs !== null &&
+        now - w.idleSinceMs >=
+          Math.max(
+            this.ctx.tuning.idleReturnS,
+            bootS(w) * this.ctx.tuning.idleBoots,
+          ) *
+            1000
+      )
+        idle.push(w);
     const wanted = memo((w: Worker) => this.wanted(w));
-    const expected = memo((w: Worker) => this.ctx.settings.objectives.some((o) => o.kind === "wait" && (o.withinS ?? Infinity) < bootS(w) && this.serves(o.class, w)));
+    const expected = memo((w: Worker) =>
+      this.ctx.settings.objectives.some(
+        (o) =>
+          o.kind === "wait" &&
+          (o.withinS ?? Infinity) < bootS(w) &&
+          this.serves(o.class, w),
+      ),
+    );
     for (const w of idle.sort((a, b) => a.idleSinceMs! - b.idleSinceMs!)) {
       if (wanted(w)) continue;
       if (expected(w)) {
-        const left = spare.get(w.typeName) ?? this.count(w.typeName) - this.peakOf(w.typeName) - this.spareFor(w.typeName);
+        const left =
+          spare.get(w.typeName) ??
+          this.count(w.typeName) -
+            this.peakOf(w.typeName) -
+            this.spareFor(w.typeName);
         spare.set(w.typeName, left - 1);
         if (left <= 0) continue;
       }
       this.giveUp(w, "idle");
     }
     for (const w of this.own.workers.values())
-      if (!w.going && w.lost && now - w.answeredMs > this.ctx.tuning.silentReturnS * 1000) this.giveUp(w, "silent for too long");
+      if (
+        !w.going &&
+        w.lost &&
+        now - w.answeredMs > this.ctx.tuning.silentReturnS * 1000
+      )
+        this.giveUp(w, "silent for too long");
     for (const w of this.own.deafMachines().slice(0, this.own.deafReplaced()))
-      if (now - w.receipt.deafMs! > this.ctx.tuning.silentReturnS * 1000) this.giveUp(w, "does not receive");
+      if (now - w.receipt.deafMs! > this.ctx.tuning.silentReturnS * 1000)
+        this.giveUp(w, "does not receive");
     for (const [id, b] of this.renting.booting) {
       const usual = (this.typeOf(b.type)?.bootS ?? 60) * 1000;
-      if (now - b.rentedMs > usual * this.ctx.tuning.bootPatience + 5_000) this.giveBack(id, b.type, "never came up");
+      if (now - b.rentedMs > usual * this.ctx.tuning.bootPatience + 5_000)
+        this.giveBack(id, b.type, "never came up");
     }
   }
 
@@ -191,14 +238,27 @@
   }
   private serves(cls: string | undefined, w: Worker): boolean {
     const s = cls === undefined ? undefined : this.classNeeds.get(cls);
-    return s !== undefined && w.type !== null && allowedOn({ ...s, zone: null }, w.typeName, w.zone, w.spot) && fits(s, w.type) && (s.gpus > 0) === w.type.gpus > 0;
+    return (
+      s !== undefined &&
+      w.type !== null &&
+      allowedOn({ ...s, zone: null }, w.typeName, w.zone, w.spot) &&
+      fits(s, w.type) &&
+      s.gpus > 0 === w.type.gpus > 0
+    );
   }
 
   /** Some waiting task could use it. */
   private wanted(w: Worker): boolean {
     for (const j of this.own.jobs.values()) {
       const s = j.view.spec;
-      if (!j.waiting.isEmpty && allowedOn(s, w.typeName, w.zone, w.spot) && w.type && fits(s, w.type) && suits(s, w.type, w.spot, this.ctx.catalog)) return true;
+      if (
+        !j.waiting.isEmpty &&
+        allowedOn(s, w.typeName, w.zone, w.spot) &&
+        w.type &&
+        fits(s, w.type) &&
+        suits(s, w.type, w.spot, this.ctx.catalog)
+      )
+        return true;
     }
     return false;
   }
@@ -212,24 +272,32 @@
     if (!this.listing) this.listingMs = now;
     this.listing ??= new Map();
     const listing = this.listing;
-    this.ctx.cloud({ op: "list", after: this.listAfter }, Urgent.Spare, (reply) => {
-      if (reply.is !== "list") {
-        this.nextListMs = this.ctx.nowMs + 5_000;
-        return;
-      }
-      for (const m of reply.machines) if (this.ctx.groups.of(m.zone) === this.own.group) listing.set(m.id, { ...m, seenMs: this.ctx.nowMs });
-      const last = reply.machines.at(-1);
-      if (reply.more && last) {
-        this.listAfter = last.id;
-        this.nextListMs = this.ctx.nowMs + 500;
-        return;
-      }
-      this.listAfter = "";
-      this.listing = null;
-      this.listed = listing;
-      this.nextListMs = this.ctx.nowMs + Math.max(8_000, this.ctx.settings.cloud.listLagS * 1000);
-      this.readList();
-    });
+    this.ctx.cloud(
+      { op: "list", after: this.listAfter },
+      Urgent.Spare,
+      (reply) => {
+        if (reply.is !== "list") {
+          this.nextListMs = this.ctx.nowMs + 5_000;
+          return;
+        }
+        for (const m of reply.machines)
+          if (this.ctx.groups.of(m.zone) === this.own.group)
+            listing.set(m.id, { ...m, seenMs: this.ctx.nowMs });
+        const last = reply.machines.at(-1);
+        if (reply.more && last) {
+          this.listAfter = last.id;
+          this.nextListMs = this.ctx.nowMs + 500;
+          return;
+        }
+        this.listAfter = "";
+        this.listing = null;
+        this.listed = listing;
+        this.nextListMs =
+          this.ctx.nowMs +
+          Math.max(8_000, this.ctx.settings.cloud.listLagS * 1000);
+        this.readList();
+      },
+    );
   }
 
   private readList(): void {
@@ -246,14 +314,28 @@
       const known = this.renting.booting.get(m.id);
       // A rental of a former master, or one carried out late: used like any other once it comes up.
       // One that runs already may be cut off: it has as long as a new one to make itself heard.
-      if (!known) this.renting.booting.set(m.id, { type: m.type, zone: m.zone, spot: m.spot, rentedMs: m.state === "starting" ? now - m.ageS * 1000 : now });
+      if (!known)
+        this.renting.booting.set(m.id, {
+          type: m.type,
+          zone: m.zone,
+          spot: m.spot,
+          rentedMs: m.state === "starting" ? now - m.ageS * 1000 : now,
+        });
     }
-    for (const [id, at] of this.goneMs) if (now - at > 2 * lagMs + GONE_KEPT_MS) this.goneMs.delete(id);
+    for (const [id, at] of this.goneMs)
+      if (now - at > 2 * lagMs + GONE_KEPT_MS) this.goneMs.delete(id);
     for (const [id, b] of this.renting.booting)
-      if (!this.listed.has(id) && now - b.rentedMs > lagMs + 30_000) this.renting.booting.delete(id);
+      if (!this.listed.has(id) && now - b.rentedMs > lagMs + 30_000)
+        this.renting.booting.delete(id);
     for (const w of this.own.workers.values()) {
       // Taken by the cloud: neither heard of nor listed.
-      if (w.lost && !w.going && !this.listed.has(w.id) && now - w.answeredMs > lagMs + 60_000) this.giveUp(w, "gone");
+      if (
+        w.lost &&
+        !w.going &&
+        !this.listed.has(w.id) &&
+        now - w.answeredMs > lagMs + 60_000
+      )
+        this.giveUp(w, "gone");
     }
   }
 
@@ -261,15 +343,27 @@
   private spare(): { spec: JobSpec; places: number }[] {
     const out: { spec: JobSpec; places: number }[] = [];
     for (const o of this.ctx.settings.objectives) {
-      const spec = o.kind === "wait" && o.class !== undefined ? this.classNeeds.get(o.class) : undefined;
+      const spec =
+        o.kind === "wait" && o.class !== undefined
+          ? this.classNeeds.get(o.class)
+          : undefined;
       if (!spec) continue;
       const types = new Set<string>();
       const serves = memo((w: Worker) => this.serves(spec.class, w));
       for (const w of this.own.workers.values())
-        if (!w.lost && !w.going && w.type && (o.withinS ?? Infinity) < w.type.bootS && !types.has(w.typeName) && serves(w)) types.add(w.typeName);
+        if (
+          !w.lost &&
+          !w.going &&
+          w.type &&
+          (o.withinS ?? Infinity) < w.type.bootS &&
+          !types.has(w.typeName) &&
+          serves(w)
+        )
+          types.add(w.typeName);
       let places = 0;
       for (const t of types) places += this.spareFor(t);
-      if (places > 0) out.push({ spec: { ...spec, zone: null, deadlineS: null }, places });
+      if (places > 0)
+        out.push({ spec: { ...spec, zone: null, deadlineS: null }, places });
     }
     return out;
   }
--- a/src/coordination/gathering.ts
+++ b/src/coordination/gathering.ts
@@ -2,8 +2,20 @@
 import type { Holdings } from "./holdings.js";
 import type { Sharing } from "./limits/index.js";
 import type { JobSpec } from "./model.js";
-import { allowedOn, fitCount, fitLimit, placeAsked, suits } from "./placement.js";
-import { freeOn, type JobRun, take, type TaskRun, type Worker } from "./tasks.js";
+import {
+  allowedOn,
+  fitCount,
+  fitLimit,
+  placeAsked,
+  suits,
+} from "./placement.js";
+import {
+  freeOn,
+  type JobRun,
+  take,
+  type TaskRun,
+  type Worker,
+} from "./tasks.js";
 
 /** Looked at no more often than this: it reads all running tasks of a group. */
 const LOOK_MS = 1_000;
@@ -63,15 +75,39 @@
     if (this.boundS <= 0 || this.ctx.nowMs - this.atMs < LOOK_MS) return;
     this.atMs = this.ctx.nowMs;
     for (const { spec } of this.ctx.mirror.jobs.values())
-      if (spec.shape === "ensemble" && spec.tasks > (this.largest.get(spec.class) ?? 0) && (this.largest.has(spec.class) || this.largest.size < MAX_CLASSES)) this.largest.set(spec.class, spec.tasks);
-    const old = ready.filter((j) => this.isLarge(j.view.spec) && !j.view.spec.spread && j.suspectMs === null && this.ageS(j) >= this.boundS * FIT_PART && this.own.waitsWhole(j) && this.allowed(j));
-    this.gangs = old.length === 0 ? new Map() : this.dueOf(old.sort((a, b) => a.view.readyAt - b.view.readyAt));
+      if (
+        spec.shape === "ensemble" &&
+        spec.tasks > (this.largest.get(spec.class) ?? 0) &&
+        (this.largest.has(spec.class) || this.largest.size < MAX_CLASSES)
+      )
+        this.largest.set(spec.class, spec.tasks);
+    const old = ready.filter(
+      (j) =>
+        this.isLarge(j.view.spec) &&
+        !j.view.spec.spread &&
+        j.suspectMs === null &&
+        this.ageS(j) >= this.boundS * FIT_PART &&
+        this.own.waitsWhole(j) &&
+        this.allowed(j),
+    );
+    this.gangs =
+      old.length === 0
+        ? new Map()
+        : this.dueOf(old.sort((a, b) => a.view.readyAt - b.view.readyAt));
   }
 
   due(job: JobRun): Due {
     if (this.boundS <= 0 || job.suspectMs !== null) return "no";
-    if (job.view.spec.shape === "ensemble") return this.gangs.has(job.id) ? "gang" : this.isLarge(job.view.spec) && this.ageS(job) >= this.boundS * FIT_PART ? "fit" : "no";
-    return this.ageS(job) > this.boundS * ARRAY_PART && !this.begun(job) ? "array" : "no";
+    if (job.view.spec.shape === "ensemble")
+      return this.gangs.has(job.id)
+        ? "gang"
+        : this.isLarge(job.view.spec) &&
+            this.ageS(job) >= this.boundS * FIT_PART
+          ? "fit"
+          : "no";
+    return this.ageS(job) > this.boundS * ARRAY_PART && !this.begun(job)
+      ? "array"
+      : "no";
   }
   /** Seconds until a gang that is due has all its places, as far as can be said; what is done before then may use them. */
   gatheredS(job: JobRun): number {
@@ -79,11 +115,21 @@
   }
 
   private isLarge(spec: JobSpec): boolean {
-    return spec.shape === "ensemble" && spec.tasks > 1 && spec.tasks >= (this.largest.get(spec.class) ?? Infinity) * LARGE;
+    return (
+      spec.shape === "ensemble" &&
+      spec.tasks > 1 &&
+      spec.tasks >= (this.largest.get(spec.class) ?? Infinity) * LARGE
+    );
   }
   private begun(job: JobRun): boolean {
-    if (job.active.size > 0 || job.finished.size > 0 || this.ctx.mirror.finishedCount(job.id) > 0) return true;
-    for (const r of this.ctx.mirror.rooms.values()) if ((r.running.get(job.id) ?? 0) > 0) return true;
+    if (
+      job.active.size > 0 ||
+      job.finished.size > 0 ||
+      this.ctx.mirror.finishedCount(job.id) > 0
+    )
+      return true;
+    for (const r of this.ctx.mirror.rooms.values())
+      if ((r.running.get(job.id) ?? 0) > 0) return true;
     return false;
   }
   /** The group's part of its team's limit has room for it, whatever of it others of the team use now. */
@@ -110,7 +156,8 @@
       let best: { zone: string; inS: number } | null = null;
       for (const [zone, times] of byZone) {
         const inS = times[(taken.get(zone) ?? 0) + spec.tasks - 1];
-        if (inS !== undefined && inS < (best?.inS ?? Infinity)) best = { zone, inS };
+        if (inS !== undefined && inS < (best?.inS ?? Infinity))
+          best = { zone, inS };
       }
       // More than the group has: nothing is gained by holding here; it goes elsewhere, or machines are rented.
       if (!best) continue;
@@ -118,16 +165,24 @@
       taken.set(zone, (taken.get(zone) ?? 0) + spec.tasks);
       const head = first.get(zone) ?? { job, inS };
       first.set(zone, head);
-      if (this.ageS(job) + inS * SLOW >= this.boundS - MARGIN_S) due.set(head.job.id, head.inS);
+      if (this.ageS(job) + inS * SLOW >= this.boundS - MARGIN_S)
+        due.set(head.job.id, head.inS);
     }
     return due;
   }
 
   /** By zone, for gangs that don't need one zone all together: in how many seconds each place for such a task is free, soonest first. */
-  private freeing(spec: JobSpec, open: readonly Worker[]): Map<string, number[]> {
+  private freeing(
+    spec: JobSpec,
+    open: readonly Worker[],
+  ): Map<string, number[]> {
     const out = new Map<string, number[]>();
     for (const w of open) {
-      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || !suits(spec, w.type, w.spot, this.ctx.catalog)) continue;
+      if (
+        !allowedOn(spec, w.typeName, w.zone, w.spot) ||
+        !suits(spec, w.type, w.spot, this.ctx.catalog)
+      )
+        continue;
       const room = freeOn(w);
       const zone = spec.samePlace ? w.zone : "";
       let list = out.get(zone);
@@ -135,7 +190,9 @@
       let places = fitCount(spec, room);
       for (let i = 0; i < places; i++) list.push(0);
       if (w.tasks.size === 0) continue;
-      const ends = [...w.tasks.values()].map((t) => ({ inS: this.leftS(t), t })).sort((a, b) => a.inS - b.inS);
+      const ends = [...w.tasks.values()]
+        .map((t) => ({ inS: this.leftS(t), t }))
+        .sort((a, b) => a.inS - b.inS);
       for (const { inS, t } of ends) {
         if (inS === Infinity) break;
         const s = t.job.view.spec;
--- a/src/coordination/groups.ts
+++ b/src/coordination/groups.ts
@@ -12,11 +12,16 @@
   private readonly bare: string[];
 
   constructor(s: Pick<Settings, "label" | "area" | "peers" | "zones">) {
-    const nodes = [{ label: s.label, area: s.area }, ...s.peers].sort((a, b) => (a.label < b.label ? -1 : 1));
+    const nodes = [{ label: s.label, area: s.area }, ...s.peers].sort((a, b) =>
+      a.label < b.label ? -1 : 1,
+    );
     this.names = nodes.map((n) => n.label);
-    for (const n of nodes) if (!this.byZone.has(n.area)) this.byZone.set(n.area, n.label);
+    for (const n of nodes)
+      if (!this.byZone.has(n.area)) this.byZone.set(n.area, n.label);
     this.bare = s.zones.filter((z) => !this.byZone.has(z)).sort();
-    this.bare.forEach((z, i) => this.byZone.set(z, this.names[i % this.names.length]!));
+    this.bare.forEach((z, i) =>
+      this.byZone.set(z, this.names[i % this.names.length]!),
+    );
   }
 
   of(zone: string): string {
--- a/src/coordination/handover.ts
+++ b/src/coordination/handover.ts
@@ -18,7 +18,10 @@
   ) {}
 
   /** Sends the commit, again after a refusal; `undone`: it was surely not carried out. */
-  send(commit: (base: B, value: V, done: (end: CommitEnd) => void) => void, undone: () => void): void {
+  send(
+    commit: (base: B, value: V, done: (end: CommitEnd) => void) => void,
+    undone: () => void,
+  ): void {
     if (this.sent || this.settled) return;
     this.sent = true;
     commit(this.base, this.value, (end) => {
--- a/src/coordination/holdings.ts
+++ b/src/coordination/holdings.ts
@@ -59,7 +59,8 @@
     this.roster = new Roster(
       ctx,
       group,
-      (conditions, writes, done) => this.commit(conditions, writes, Urgent.Master, done),
+      (conditions, writes, done) =>
+        this.commit(conditions, writes, Urgent.Master, done),
       () => {
         this.dirty = true;
       },
@@ -71,8 +72,18 @@
   }
 
   /** Every commit of a master depends on its token, so that a late one changes nothing after a takeover. */
-  commit(conditions: Condition[], writes: Write[], urgent: Urgent, done: (end: CommitEnd) => void): void {
-    this.ctx.commit([{ key: groupKey(this.group), version: this.token }, ...conditions], writes, urgent, done);
+  commit(
+    conditions: Condition[],
+    writes: Write[],
+    urgent: Urgent,
+    done: (end: CommitEnd) => void,
+  ): void {
+    this.ctx.commit(
+      [{ key: groupKey(this.group), version: this.token }, ...conditions],
+      writes,
+      urgent,
+      done,
+    );
   }
 
   // ---- tasks ---------------------------------------------------------------------------------------------
@@ -81,7 +92,12 @@
     const { job, index } = t;
     if (job.active.get(index) === t) job.active.delete(index);
     this.ledger.drop(t);
-    if (!job.gone && job.mine.has(index) && !job.finished.has(index) && !job.moving?.tasks.has(index)) {
+    if (
+      !job.gone &&
+      job.mine.has(index) &&
+      !job.finished.has(index) &&
+      !job.moving?.tasks.has(index)
+    ) {
       if (job.waiting.isEmpty) job.waitingSinceMs = this.ctx.nowMs;
       job.waiting.add(index);
     }
@@ -95,7 +111,8 @@
     waiting.removeAll(job.finished);
     for (const i of job.active.keys()) waiting.remove(i);
     if (job.moving) waiting.removeAll(job.moving.tasks);
-    if (job.waiting.isEmpty && !waiting.isEmpty) job.waitingSinceMs = this.ctx.nowMs;
+    if (job.waiting.isEmpty && !waiting.isEmpty)
+      job.waitingSinceMs = this.ctx.nowMs;
     job.waiting = waiting;
     this.dirty = true;
   }
@@ -104,7 +121,11 @@
     if (t.stop && t.stop.graceS <= graceS) return;
     t.stop = { graceS, why };
     this.untold.add(t.worker);
-    this.ctx.log("debug", "stopping task", { task: taskKey(t.job.id, t.index), worker: t.worker.id, why });
+    this.ctx.log("debug", "stopping task", {
+      task: taskKey(t.job.id, t.index),
+      worker: t.worker.id,
+      why,
+    });
   }
 
   mayStart(job: JobRun): boolean {
@@ -119,12 +140,15 @@
 
   /** All tasks of the job wait here, and nothing of it is or may be on a machine of the group. */
   waitsWhole(job: JobRun): boolean {
-    return job.waiting.size === job.view.spec.tasks && !this.ledger.hasStrays(job.id);
+    return (
+      job.waiting.size === job.view.spec.tasks && !this.ledger.hasStrays(job.id)
+    );
   }
 
   runningOf(id: string): number {
     let n = 0;
-    for (const t of this.jobs.get(id)?.active.values() ?? []) if (t.phase === "running" || t.phase === "saving") n++;
+    for (const t of this.jobs.get(id)?.active.values() ?? [])
+      if (t.phase === "running" || t.phase === "saving") n++;
     return n;
   }
 
@@ -136,14 +160,19 @@
     const { spec } = job.view;
     // Parts of one gang wait for each other: with a turn by its size each, one held what the other came to only much later.
     if (spec.shape === "ensemble" && spec.spread) return spec.tasks;
-    if (spec.shape !== "batch" || !this.ctx.tuning.fleetOrder) return job.waiting.size;
-    return Math.max(job.waiting.size, spec.tasks - this.ctx.mirror.finishedCount(job.id));
+    if (spec.shape !== "batch" || !this.ctx.tuning.fleetOrder)
+      return job.waiting.size;
+    return Math.max(
+      job.waiting.size,
+      spec.tasks - this.ctx.mirror.finishedCount(job.id),
+    );
   }
 
   /** Tasks that wait, by kind of machine. */
   queue(): { plain: number; accelerated: number } {
     const queue = { plain: 0, accelerated: 0 };
-    for (const j of this.jobs.values()) queue[queueOf(j.view.spec)] += j.waiting.size;
+    for (const j of this.jobs.values())
+      queue[queueOf(j.view.spec)] += j.waiting.size;
     return queue;
   }
 
@@ -158,11 +187,14 @@
       used.set(team, u);
     };
     if (this.fence) {
-      for (const j of this.jobs.values()) if (j.old) add(j.view.spec.team, j.view.spec, j.waiting.size);
+      for (const j of this.jobs.values())
+        if (j.old) add(j.view.spec.team, j.view.spec, j.waiting.size);
       // A silent machine may also run tasks of jobs that are over, of any team.
       // One whose report may be a late copy may run more than that lists.
       for (const id of this.fence) {
-        const type = this.ctx.catalog?.find((t) => t.name === this.roster.machines().get(id)?.type);
+        const type = this.ctx.catalog?.find(
+          (t) => t.name === this.roster.machines().get(id)?.type,
+        );
         const known = listedOn(this.workers.get(id));
         blind.cpus += Math.max(0, (type?.cpus ?? Infinity) - known.cpus);
         blind.gpus += Math.max(0, (type?.gpus ?? Infinity) - known.gpus);
@@ -180,7 +212,12 @@
   }
 
   releaseAll(w: Worker, why: string): void {
-    if (w.tasks.size > 0) this.ctx.log("info", "tasks lost with their machine's session", { worker: w.id, tasks: w.tasks.size, why });
+    if (w.tasks.size > 0)
+      this.ctx.log("info", "tasks lost with their machine's session", {
+        worker: w.id,
+        tasks: w.tasks.size,
+        why,
+      });
     for (const t of [...w.tasks.values()]) this.requeue(t);
     this.ledger.clearStrays(w);
     this.noteIdle(w);
@@ -188,7 +225,10 @@
 
   /** Heard lately enough to expect that it takes orders. */
   private isHeard(w: Worker): boolean {
-    return !w.lost && this.ctx.nowMs - w.answeredMs < 2_000 * this.ctx.settings.reportS + 1_000;
+    return (
+      !w.lost &&
+      this.ctx.nowMs - w.answeredMs < 2_000 * this.ctx.settings.reportS + 1_000
+    );
   }
 
   /** Most of its workers have not been heard of for longer than a report and its retry take. */
@@ -208,7 +248,8 @@
   /** Machines that are heard and receive nothing, as far as known, longest first. */
   deafMachines(): Worker[] {
     const out: Worker[] = [];
-    for (const w of this.workers.values()) if (w.receipt.deafMs !== null && !w.lost && !w.going) out.push(w);
+    for (const w of this.workers.values())
+      if (w.receipt.deafMs !== null && !w.lost && !w.going) out.push(w);
     return out.sort((a, b) => a.receipt.deafMs! - b.receipt.deafMs!);
   }
   /** How many of them are replaced at a time. */
@@ -217,19 +258,38 @@
   }
 
   usable(w: Worker): boolean {
-    return !w.going && w.receipt.proven && w.receipt.deafMs === null && w.takenAtMs === null && w.type !== null && this.ctx.nowMs >= w.avoidUntilMs && this.isHeard(w) && this.roster.has(w.id);
+    return (
+      !w.going &&
+      w.receipt.proven &&
+      w.receipt.deafMs === null &&
+      w.takenAtMs === null &&
+      w.type !== null &&
+      this.ctx.nowMs >= w.avoidUntilMs &&
+      this.isHeard(w) &&
+      this.roster.has(w.id)
+    );
   }
 
   /** Machines that may be used now, and which of them serve short tasks only. */
-  usableWorkers(): { usable: readonly Worker[]; reserved: ReadonlySet<string> } {
+  usableWorkers(): {
+    usable: readonly Worker[];
+    reserved: ReadonlySet<string>;
+  } {
     const usable: Worker[] = [];
     for (const w of this.workers.values()) if (this.usable(w)) usable.push(w);
     // Which are reserved follows from which are usable: mostly the same as the last time, several times a second.
     const last = this.lastUsable;
-    if (usable.length === last.usable.length && usable.every((w, i) => w === last.usable[i])) return last;
+    if (
+      usable.length === last.usable.length &&
+      usable.every((w, i) => w === last.usable[i])
+    )
+      return last;
     return (this.lastUsable = { usable, reserved: this.reserved(usable) });
   }
-  private lastUsable: { usable: readonly Worker[]; reserved: ReadonlySet<string> } = { usable: [], reserved: new Set() };
+  private lastUsable: {
+    usable: readonly Worker[];
+    reserved: ReadonlySet<string>;
+  } = { usable: [], reserved: new Set() };
 
   /** Reserved for short tasks: the machines of each type that come last by name. */
   private reserved(usable: readonly Worker[]): Set<string> {
@@ -250,7 +310,10 @@
 
   /** What is held for a job is not there for others. */
   isHeld(w: Worker): boolean {
-    return this.holding.has(w) || (w.heldFor !== null && this.ctx.nowMs < w.heldFor.untilMs);
+    return (
+      this.holding.has(w) ||
+      (w.heldFor !== null && this.ctx.nowMs < w.heldFor.untilMs)
+    );
   }
 
   // ---- the fence, and what is gone -----------------------------------------------------------------------
@@ -267,7 +330,13 @@
   }
 
   private liftFence(why: string): void {
-    this.ctx.log("info", "takeover complete", { group: this.group, token: this.token, why, silent: [...(this.fence ?? [])].slice(0, 10), afterMs: Math.round(this.ctx.nowMs - this.sinceMs) });
+    this.ctx.log("info", "takeover complete", {
+      group: this.group,
+      token: this.token,
+      why,
+      silent: [...(this.fence ?? [])].slice(0, 10),
+      afterMs: Math.round(this.ctx.nowMs - this.sinceMs),
+    });
     this.fence = null;
     this.dirty = true;
   }
@@ -304,7 +373,9 @@
     if (!this.fence || asOfMs < this.sinceMs + LIST_SLACK_MS) return;
     for (const id of [...this.fence]) {
       if (machines.has(id) || this.workers.has(id)) continue;
-      this.ctx.log("info", "machine of the former master is gone", { worker: id });
+      this.ctx.log("info", "machine of the former master is gone", {
+        worker: id,
+      });
       this.forgetMachine(id);
       this.accountFor(id);
     }
@@ -316,15 +387,24 @@
     const leaseMs = this.ctx.settings.leaseS * 1000 * DRIFT + LEASE_SLACK_MS;
     if (this.fence && now - this.sinceMs > leaseMs) {
       // Invariant (ran_twice): a machine that has reported, though not under this token yet, may run tasks: it stays.
-      for (const id of this.fence) if (!this.workers.has(id)) this.forgetMachine(id);
+      for (const id of this.fence)
+        if (!this.workers.has(id)) this.forgetMachine(id);
       this.liftFence("leases of silent machines have ended");
     }
     for (const w of this.workers.values()) {
       // Invariant (ran_twice): a machine that was back at once begins a new lease, under the session that it had before if
       // that was its first: a start sent straight to it is carried out then. Its lease began before that command ended.
-      if (w.lost || w.direct || now - Math.max(w.answeredMs, w.receipt.commandMs) <= leaseMs) continue;
+      if (
+        w.lost ||
+        w.direct ||
+        now - Math.max(w.answeredMs, w.receipt.commandMs) <= leaseMs
+      )
+        continue;
       w.lost = true;
-      this.ctx.log("info", "worker is silent past its lease", { worker: w.id, tasks: w.tasks.size });
+      this.ctx.log("info", "worker is silent past its lease", {
+        worker: w.id,
+        tasks: w.tasks.size,
+      });
       this.releaseAll(w, "lease ended");
       this.forgetMachine(w.id);
     }
--- a/src/coordination/ledger.ts
+++ b/src/coordination/ledger.ts
@@ -32,7 +32,8 @@
   }
   drop(t: TaskRun): void {
     t.worker.free = null;
-    if (t.worker.tasks.delete(runKey(t.job.id, t.index, t.attempt))) this.use(t.job.view.spec.team, t.job.view.spec, -1);
+    if (t.worker.tasks.delete(runKey(t.job.id, t.index, t.attempt)))
+      this.use(t.job.view.spec.team, t.job.view.spec, -1);
   }
 
   addStray(s: Stray): void {
@@ -72,7 +73,8 @@
     return sum;
   }
   hasStrays(job: string, index?: number): boolean {
-    for (const s of this.straysOf(job)) if (index === undefined || s.index === index) return true;
+    for (const s of this.straysOf(job))
+      if (index === undefined || s.index === index) return true;
     return false;
   }
 
@@ -82,7 +84,12 @@
   }
   /** By team, a fresh copy. */
   used(): Map<string, Use> {
-    return new Map([...this.teams].map(([team, u]) => [team, { cpus: u.cpus, gpus: u.gpus }]));
+    return new Map(
+      [...this.teams].map(([team, u]) => [
+        team,
+        { cpus: u.cpus, gpus: u.gpus },
+      ]),
+    );
   }
   /** What tasks of jobs that nobody knows may use, of any team. */
   blindUse(): Use {
--- a/src/coordination/limits/demand.ts
+++ b/src/coordination/limits/demand.ts
@@ -54,8 +54,13 @@
     this.lookedMs = this.ctx.nowMs;
     this.byTeam = new Map();
     // Parts of a limit go where the queues go, in every group: the one that could start what comes first next.
-    const turn = (j: JobRun): number => (this.ctx.tuning.fleetOrder ? turnAt(j.view.readyAt, j.view.spec, this.own.unfinished(j)) : j.view.readyAt);
-    const jobs = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j) && !j.moving).sort((a, b) => turn(a) - turn(b) || (a.id < b.id ? -1 : 1));
+    const turn = (j: JobRun): number =>
+      this.ctx.tuning.fleetOrder
+        ? turnAt(j.view.readyAt, j.view.spec, this.own.unfinished(j))
+        : j.view.readyAt;
+    const jobs = [...this.own.jobs.values()]
+      .filter((j) => this.own.mayStart(j) && !j.moving)
+      .sort((a, b) => turn(a) - turn(b) || (a.id < b.id ? -1 : 1));
     const kinds = new Map<string, { has: boolean; places: number }>();
     const seen = new Map<string, number>();
     for (const j of jobs) {
@@ -68,12 +73,32 @@
       const whole = goesWhole(spec) || spec.shape === "daemon";
       // Accepted under a larger limit: it can't begin under this one, and what it waited for would be kept from all others.
       const least = spec.shape === "batch" ? 1 : spec.tasks;
-      if (spec.cpus * least > team.cpusMax + EPS || spec.gpus * least > team.gpusMax + EPS) continue;
+      if (
+        spec.cpus * least > team.cpusMax + EPS ||
+        spec.gpus * least > team.gpusMax + EPS
+      )
+        continue;
       const short = isShort(spec, this.ctx.tuning);
       // Jobs whose amounts differ by little share one look.
-      const key = JSON.stringify([Math.ceil(spec.cpus), spec.gpus, Math.ceil(spec.memGb / 8), spec.types, spec.zone, spec.spot, spec.samePlace, short]);
+      const key = JSON.stringify([
+        Math.ceil(spec.cpus),
+        spec.gpus,
+        Math.ceil(spec.memGb / 8),
+        spec.types,
+        spec.zone,
+        spec.spot,
+        spec.samePlace,
+        short,
+      ]);
       let kind = kinds.get(key);
-      if (!kind) kinds.set(key, (kind = { has: this.hasPlace(spec), places: this.placesNow(spec, short) }));
+      if (!kind)
+        kinds.set(
+          key,
+          (kind = {
+            has: this.hasPlace(spec),
+            places: this.placesNow(spec, short),
+          }),
+        );
       if (!kind.has && kind.places === 0) continue;
       const all = j.waiting.size;
       const list = this.byTeam.get(spec.team) ?? [];
@@ -81,7 +106,13 @@
       const add = (tasks: number, now: boolean): void => {
         // Whole milliseconds, as they are published: two groups that saw the same time differently each took the other to be
         // first, and neither took what nobody had.
-        if (tasks > 0) list.push({ need: [spec.cpus * tasks, spec.gpus * tasks], since: Math.round(turn(j)), readyAt, now });
+        if (tasks > 0)
+          list.push({
+            need: [spec.cpus * tasks, spec.gpus * tasks],
+            since: Math.round(turn(j)),
+            readyAt,
+            now,
+          });
       };
       const fit = whole && kind.places < all ? 0 : Math.min(all, kind.places);
       kind.places -= fit;
@@ -101,7 +132,11 @@
     const zones = new Map<string, number>();
     for (const w of usable) {
       if ((!short && reserved.has(w.id)) || this.own.isHeld(w)) continue;
-      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || !suits(spec, w.type, w.spot, this.ctx.catalog)) continue;
+      if (
+        !allowedOn(spec, w.typeName, w.zone, w.spot) ||
+        !suits(spec, w.type, w.spot, this.ctx.catalog)
+      )
+        continue;
       const key = spec.samePlace ? w.zone : "";
       zones.set(key, (zones.get(key) ?? 0) + fitCount(spec, freeOn(w)));
     }
--- a/src/coordination/limits/guarantees.ts
+++ b/src/coordination/limits/guarantees.ts
@@ -7,7 +7,9 @@
 
 /** What is guaranteed, where anything is: a dimension without a guarantee does not count where the other has one. */
 export function guaranteeOf(t: Team): Pair | null {
-  return t.cpus <= 0 && t.gpus <= 0 ? null : [t.cpus > 0 ? t.cpus : Infinity, t.gpus > 0 ? t.gpus : Infinity];
+  return t.cpus <= 0 && t.gpus <= 0
+    ? null
+    : [t.cpus > 0 ? t.cpus : Infinity, t.gpus > 0 ? t.gpus : Infinity];
 }
 
 /** Where a team stands at this moment. */
@@ -51,7 +53,11 @@
 
   private sum(team: string): { use: Pair; least: Pair; most: Pair } {
     const { mirror, groups } = this.ctx;
-    const sum = { use: [0, 0] as Pair, least: [0, 0] as Pair, most: [0, 0] as Pair };
+    const sum = {
+      use: [0, 0] as Pair,
+      least: [0, 0] as Pair,
+      most: [0, 0] as Pair,
+    };
     const entry = entryOf(mirror.limits, team);
     for (const g of new Set([...groups.names, ...mirror.rooms.keys()])) {
       if (g === this.own.group) continue;
@@ -62,11 +68,19 @@
       // Nothing was ever written, or less than all teams: it may use all that it has of the limit.
       const known = room?.teams && (row !== undefined || !room.cut);
       for (const d of DIMS) {
-        const part = entry ? (entry.cap[d] === Infinity ? Infinity : (entry.parts[g]?.[d] ?? 0)) : Infinity;
+        const part = entry
+          ? entry.cap[d] === Infinity
+            ? Infinity
+            : (entry.parts[g]?.[d] ?? 0)
+          : Infinity;
         sum.use[d] += row?.use[d] ?? 0;
         // What an owner that is gone had published is not sure to run any more.
         sum.least[d] += owned ? (row?.use[d] ?? 0) : 0;
-        sum.most[d] += known ? Math.max(row?.may[d] ?? 0, row?.use[d] ?? 0) : owned || room ? part : 0;
+        sum.most[d] += known
+          ? Math.max(row?.may[d] ?? 0, row?.use[d] ?? 0)
+          : owned || room
+            ? part
+            : 0;
       }
     }
     return sum;
@@ -78,7 +92,10 @@
     const g = t && guaranteeOf(t);
     if (!g) return { within: false, share: Infinity };
     const { use } = this.elsewhere(team);
-    const share = Math.max((use[0] + own.cpus) / g[0], (use[1] + own.gpus) / g[1]);
+    const share = Math.max(
+      (use[0] + own.cpus) / g[0],
+      (use[1] + own.gpus) / g[1],
+    );
     return { within: share < 1 - EPS, share };
   }
 
@@ -97,6 +114,9 @@
     if (!t || this.ctx.readAgeMs() > STALE_MS) return [0, 0];
     const { least } = this.elsewhere(team);
     const g = guaranteeOf(t) ?? [0, 0];
-    return [Math.max(0, least[0] + own.cpus - g[0]), Math.max(0, least[1] + own.gpus - g[1])];
+    return [
+      Math.max(0, least[0] + own.cpus - g[0]),
+      Math.max(0, least[1] + own.gpus - g[1]),
+    ];
   }
 }
--- a/src/coordination/limits/plan.ts
+++ b/src/coordination/limits/plan.ts
@@ -1,7 +1,20 @@
 import type { Team } from "../../config/settings.js";
 import type { Shares } from "../../storage/records.js";
 import { EPS } from "../placement.js";
-import { DIMS, type Entry, entryOf, hundredth, hundredthUp, limitOf, type LimitRecords, type NewEntry, overdrawn, type Pair, SLACK, withEntries } from "./shares.js";
+import {
+  DIMS,
+  type Entry,
+  entryOf,
+  hundredth,
+  hundredthUp,
+  limitOf,
+  type LimitRecords,
+  type NewEntry,
+  overdrawn,
+  type Pair,
+  SLACK,
+  withEntries,
+} from "./shares.js";
 
 /** What a group's waiting tasks of a team want beyond its part of the limit. */
 export interface Demand {
@@ -54,15 +67,27 @@
 }
 
 /** What is left of a want after what has come since it was told. */
-export const remaining = (want: Pair, beyond: Pair, part: Readonly<Pair> | undefined): Pair =>
-  DIMS.map((d) => Math.max(0, Math.min(want[d], want[d] + beyond[d] - (part?.[d] ?? 0)))) as Pair;
+export const remaining = (
+  want: Pair,
+  beyond: Pair,
+  part: Readonly<Pair> | undefined,
+): Pair =>
+  DIMS.map((d) =>
+    Math.max(0, Math.min(want[d], want[d] + beyond[d] - (part?.[d] ?? 0))),
+  ) as Pair;
 
 /**
  * What this group writes next of the teams' limits; null: all is as it should be. One plan carries all its changes:
  * several teams, several takers, limits that were raised or lowered, parts of groups that are gone.
  */
 export function planShares(s: Situation): Plan | null {
-  const plan: Plan = { writes: new Map(), reserved: new Map(), given: [], gone: [], caps: [] };
+  const plan: Plan = {
+    writes: new Map(),
+    reserved: new Map(),
+    given: [],
+    gone: [],
+    caps: [],
+  };
   const changed = new Map<string, NewEntry>();
   for (const team of s.teams.values()) {
     const limit = limitOf(team);
@@ -70,8 +95,13 @@
     if (!entry) {
       if (limit[0] === Infinity && limit[1] === Infinity) continue;
       // The first to see it: equal parts, which is what the version before goes by where nothing is written.
-      const part = limit.map((x) => (x === Infinity ? 0 : hundredth(x / s.groups.length))) as Pair;
-      changed.set(team.name, { cap: limit, parts: Object.fromEntries(s.groups.map((g) => [g, part])) });
+      const part = limit.map((x) =>
+        x === Infinity ? 0 : hundredth(x / s.groups.length),
+      ) as Pair;
+      changed.set(team.name, {
+        cap: limit,
+        parts: Object.fromEntries(s.groups.map((g) => [g, part])),
+      });
       plan.caps.push(team.name);
       continue;
     }
@@ -79,15 +109,33 @@
     if (next) changed.set(team.name, next);
   }
   // What does not fit into one transaction waits for the next.
-  const { writes, done } = withEntries(s.records, changed, s.valueBytes, s.writes);
+  const { writes, done } = withEntries(
+    s.records,
+    changed,
+    s.valueBytes,
+    s.writes,
+  );
   if (done.size === 0) return null;
-  for (const team of plan.reserved.keys()) if (!done.has(team)) plan.reserved.delete(team);
-  return { ...plan, writes, given: plan.given.filter((g) => done.has(g.team)), caps: plan.caps.filter((t) => done.has(t)) };
+  for (const team of plan.reserved.keys())
+    if (!done.has(team)) plan.reserved.delete(team);
+  return {
+    ...plan,
+    writes,
+    given: plan.given.filter((g) => done.has(g.team)),
+    caps: plan.caps.filter((t) => done.has(t)),
+  };
 }
 
-function planTeam(s: Situation, team: Team, had: Entry, plan: Plan): NewEntry | null {
+function planTeam(
+  s: Situation,
+  team: Team,
+  had: Entry,
+  plan: Plan,
+): NewEntry | null {
   const limit = limitOf(team);
-  const parts: Record<string, Pair> = Object.fromEntries(Object.entries(had.parts).map(([g, p]) => [g, [...p]]));
+  const parts: Record<string, Pair> = Object.fromEntries(
+    Object.entries(had.parts).map(([g, p]) => [g, [...p]]),
+  );
   const cap: Pair = [...had.cap];
   const part = (g: string): Pair => (parts[g] ??= [0, 0]);
   const use = s.use(team.name);
@@ -98,7 +146,9 @@
     if (cap[d] > limit[d] + SLACK) {
       // Lowered, and all are to go by it from now on. Where there was no limit, nobody's part says what it uses: with
       // the whole limit for each nothing starts until each has said so.
-      if (cap[d] === Infinity) for (const g of new Set([...s.groups, ...Object.keys(parts)])) part(g)[d] = hundredth(limit[d]);
+      if (cap[d] === Infinity)
+        for (const g of new Set([...s.groups, ...Object.keys(parts)]))
+          part(g)[d] = hundredth(limit[d]);
       cap[d] = limit[d];
       dirty = true;
       plan.caps.push(team.name);
@@ -131,14 +181,32 @@
     }
   }
   // While more is handed out than there is, nothing moves: what is given back is not for anyone.
-  const open = DIMS.every((d) => cap[d] === Infinity || (!overdrawn(had, d) && total(parts, d) <= cap[d] + EPS));
-  if (open && s.movable(had.key) && move(s, team.name, parts, cap, use, reserved, plan)) dirty = true;
-  if (reserved[0] > 0 || reserved[1] > 0) plan.reserved.set(team.name, reserved);
+  const open = DIMS.every(
+    (d) =>
+      cap[d] === Infinity ||
+      (!overdrawn(had, d) && total(parts, d) <= cap[d] + EPS),
+  );
+  if (
+    open &&
+    s.movable(had.key) &&
+    move(s, team.name, parts, cap, use, reserved, plan)
+  )
+    dirty = true;
+  if (reserved[0] > 0 || reserved[1] > 0)
+    plan.reserved.set(team.name, reserved);
   return dirty ? { parts, cap } : null;
 }
 
 /** Gives of the own part to groups that want more, and takes of what nobody has. Whether anything was moved. */
-function move(s: Situation, team: string, parts: Record<string, Pair>, cap: Pair, use: Pair, reserved: Pair, plan: Plan): boolean {
+function move(
+  s: Situation,
+  team: string,
+  parts: Record<string, Pair>,
+  cap: Pair,
+  use: Pair,
+  reserved: Pair,
+  plan: Plan,
+): boolean {
   const part = (g: string): Pair => (parts[g] ??= [0, 0]);
   let moved = false;
   for (const d of DIMS) {
@@ -155,21 +223,32 @@
         continue;
       }
       const keep = s.keep(team, t.since, t.group, t.now);
-      const give = hundredth(Math.max(0, Math.min(t.want - there, part(s.group)[d] - use[d] - keep[d])));
+      const give = hundredth(
+        Math.max(
+          0,
+          Math.min(t.want - there, part(s.group)[d] - use[d] - keep[d]),
+        ),
+      );
       if (give <= EPS) continue;
       part(s.group)[d] = hundredth(part(s.group)[d] - give);
       part(t.group)[d] = hundredth(part(t.group)[d] + give);
       reserved[d] += give;
       const given = plan.given.find((g) => g.team === team && g.to === t.group);
       if (given) given.give[d] += give;
-      else plan.given.push({ team, to: t.group, give: d === 0 ? [give, 0] : [0, give] });
+      else
+        plan.given.push({
+          team,
+          to: t.group,
+          give: d === 0 ? [give, 0] : [0, give],
+        });
       moved = true;
     }
   }
   return moved;
 }
 
-const total = (parts: Record<string, Pair>, d: 0 | 1): number => Object.values(parts).reduce((n, p) => n + p[d], 0);
+const total = (parts: Record<string, Pair>, d: 0 | 1): number =>
+  Object.values(parts).reduce((n, p) => n + p[d], 0);
 
 interface Taker {
   group: string;
@@ -183,13 +262,25 @@
  * that. With one time for both, a group whose oldest work lacked CPUs also came first for accelerators that only its youngest work
  * wanted, and was asked for them again at once: they went to and fro for as long as both waited.
  */
-function takersOf(s: Situation, team: string, parts: Readonly<Record<string, Pair>>, d: 0 | 1): Taker[] {
+function takersOf(
+  s: Situation,
+  team: string,
+  parts: Readonly<Record<string, Pair>>,
+  d: 0 | 1,
+): Taker[] {
   const takers: Taker[] = [];
   const ask = (group: string, w: Demand): void => {
     const now = remaining(w.now, w.beyond, parts[group])[d];
-    const soon = remaining([w.now[0] + w.soon[0], w.now[1] + w.soon[1]], w.beyond, parts[group])[d] - now;
-    if (now > EPS) takers.push({ group, since: w.nowSince[d], now: true, want: now });
-    if (soon > EPS) takers.push({ group, since: w.soonSince[d], now: false, want: soon });
+    const soon =
+      remaining(
+        [w.now[0] + w.soon[0], w.now[1] + w.soon[1]],
+        w.beyond,
+        parts[group],
+      )[d] - now;
+    if (now > EPS)
+      takers.push({ group, since: w.nowSince[d], now: true, want: now });
+    if (soon > EPS)
+      takers.push({ group, since: w.soonSince[d], now: false, want: soon });
   };
   for (const [group, wants] of s.others) {
     const w = wants.get(team);
@@ -197,5 +288,10 @@
   }
   const mine = s.mine.get(team);
   if (mine) ask(s.group, mine);
-  return takers.sort((a, b) => Number(b.now) - Number(a.now) || a.since - b.since || (a.group < b.group ? -1 : 1));
+  return takers.sort(
+    (a, b) =>
+      Number(b.now) - Number(a.now) ||
+      a.since - b.since ||
+      (a.group < b.group ? -1 : 1),
+  );
 }
--- a/src/coordination/limits/reclaims.ts
+++ b/src/coordination/limits/reclaims.ts
@@ -1,4 +1,9 @@
-import { bytesOf, RECLAIM_KEY, type Reclaim, writeReclaims } from "../../storage/records.js";
+import {
+  bytesOf,
+  RECLAIM_KEY,
+  type Reclaim,
+  writeReclaims,
+} from "../../storage/records.js";
 import type { Context } from "../context.js";
 import { Urgent } from "../effects.js";
 import type { Holdings } from "../holdings.js";
@@ -60,7 +65,10 @@
   /** Whether a team may claim so much more: it fits into its guarantee with all that it has and all that is claimed for it. */
   mayClaim(team: string, need: Pair): boolean {
     if (this.asking) return false;
-    const lacks = this.guarantees.lacks(team, this.own.usage().get(team) ?? NO_USE);
+    const lacks = this.guarantees.lacks(
+      team,
+      this.own.usage().get(team) ?? NO_USE,
+    );
     if (!lacks) return false;
     const { gets } = this.claimed(team);
     return DIMS.every((d) => need[d] + gets[d] <= lacks[d] + EPS);
@@ -74,23 +82,46 @@
   }
 
   /** Claims so much for a team at the cost of others; `granted`: now, and only now, they may be stopped. */
-  claim(team: string, need: Pair, from: Takes, graceS: number, granted: () => void): void {
+  claim(
+    team: string,
+    need: Pair,
+    from: Takes,
+    graceS: number,
+    granted: () => void,
+  ): void {
     if (this.asking) return;
-    const until = Math.round(this.ctx.wallMs + (CLAIM_S + graceS + 2 * this.ctx.settings.reportS) * 1000);
+    const until = Math.round(
+      this.ctx.wallMs +
+        (CLAIM_S + graceS + 2 * this.ctx.settings.reportS) * 1000,
+    );
     const all = this.standing();
-    const mine: Reclaim = { token: this.own.token, team, need, from: [...from].map(([t, p]) => [t, p[0], p[1]]), until };
+    const mine: Reclaim = {
+      token: this.own.token,
+      team,
+      need,
+      from: [...from].map(([t, p]) => [t, p[0], p[1]]),
+      until,
+    };
     all.set(this.own.group, [...(all.get(this.own.group) ?? []), mine]);
     const value = writeReclaims(all);
     if (bytesOf(value) > this.ctx.settings.state.valueBytes) return;
     this.asking = true;
     // No more urgent than the writing of rooms: a claim never overtakes the use that it was judged by.
-    this.own.commit([{ key: RECLAIM_KEY, version: this.ctx.mirror.versionOf(RECLAIM_KEY) }], [{ op: "put", key: RECLAIM_KEY, value }], Urgent.Spare, (end) => {
-      this.asking = false;
-      if (end !== "ok" || !this.own.permitted()) return;
-      const sum = this.reclaimed.get(team) ?? NOTHING;
-      const taken = [...from.values()].reduce<Pair>((s, p) => [s[0] + p[0], s[1] + p[1]], [0, 0]);
-      this.reclaimed.set(team, [sum[0] + taken[0], sum[1] + taken[1]]);
-      granted();
-    });
+    this.own.commit(
+      [{ key: RECLAIM_KEY, version: this.ctx.mirror.versionOf(RECLAIM_KEY) }],
+      [{ op: "put", key: RECLAIM_KEY, value }],
+      Urgent.Spare,
+      (end) => {
+        this.asking = false;
+        if (end !== "ok" || !this.own.permitted()) return;
+        const sum = this.reclaimed.get(team) ?? NOTHING;
+        const taken = [...from.values()].reduce<Pair>(
+          (s, p) => [s[0] + p[0], s[1] + p[1]],
+          [0, 0],
+        );
+        this.reclaimed.set(team, [sum[0] + taken[0], sum[1] + taken[1]]);
+        granted();
+      },
+    );
   }
 }
--- a/src/coordination/limits/shares.ts
+++ b/src/coordination/limits/shares.ts
@@ -1,5 +1,10 @@
 import type { Team } from "../../config/settings.js";
-import { bytesOf, limitKey, QUOTA_KEY, type Shares } from "../../storage/records.js";
+import {
+  bytesOf,
+  limitKey,
+  QUOTA_KEY,
+  type Shares,
+} from "../../storage/records.js";
 import { EPS } from "../placement.js";
 
 /**
@@ -15,9 +20,11 @@
 export type Pair = [cpus: number, gpus: number];
 
 /** Parts are written in hundredths, rounded down: sums of them don't pass the limit. */
-export const hundredth = (x: number): number => Math.floor(x * 100 + 1e-6) / 100;
+export const hundredth = (x: number): number =>
+  Math.floor(x * 100 + 1e-6) / 100;
 /** What is asked for is rounded up: a hundredth too little would start nothing. */
-export const hundredthUp = (x: number): number => Math.ceil(x * 100 - 1e-6) / 100;
+export const hundredthUp = (x: number): number =>
+  Math.ceil(x * 100 - 1e-6) / 100;
 /** Sums of earlier versions' unrounded parts differ from the limit by less than this. */
 export const SLACK = 0.05;
 
@@ -47,7 +54,11 @@
   sum: Pair;
 }
 
-export function entryIn(key: string, shares: Shares, team: string): Entry | null {
+export function entryIn(
+  key: string,
+  shares: Shares,
+  team: string,
+): Entry | null {
   const parts = shares[team];
   if (!parts || team === CAPS) return null;
   const sum: Pair = [0, 0];
@@ -55,7 +66,12 @@
   // Without a cap it was written by the version before, whose parts make up the whole limit.
   const written = shares[CAPS]?.[team] ?? sum;
   // JSON knows no Infinity: 0 stands for it.
-  return { key, parts, sum, cap: [written[0] || Infinity, written[1] || Infinity] };
+  return {
+    key,
+    parts,
+    sum,
+    cap: [written[0] || Infinity, written[1] || Infinity],
+  };
 }
 
 export function entryOf(records: LimitRecords, team: string): Entry | null {
@@ -70,13 +86,19 @@
 }
 
 /** More is handed out than the limit allows, until the groups have given back what they don't use of it. */
-export const overdrawn = (e: Entry, d: 0 | 1): boolean => e.sum[d] > e.cap[d] + EPS;
+export const overdrawn = (e: Entry, d: 0 | 1): boolean =>
+  e.sum[d] > e.cap[d] + EPS;
 
 /**
  * Up to how much a group may start tasks of a team, by what is written and by its own settings; `use`: what it uses
  * already. Where more is handed out than the smallest limit that is known of, nothing starts: tasks that run go on.
  */
-export function mayUse(team: Team, entry: Entry | null, group: string, use: () => Pair): Pair {
+export function mayUse(
+  team: Team,
+  entry: Entry | null,
+  group: string,
+  use: () => Pair,
+): Pair {
   const limit = limitOf(team);
   return DIMS.map((d) => {
     if (!entry) return limit[d] === Infinity ? Infinity : use()[d];
@@ -98,7 +120,12 @@
  * The records with some entries written anew, each value within `most` bytes: what has no room in its record goes to the
  * next one that has. `done`: teams that it holds; the others would take more than `writes` records at once.
  */
-export function withEntries(records: LimitRecords, changed: ReadonlyMap<string, NewEntry>, most: number, writes: number): { writes: Map<string, Shares>; done: Set<string> } {
+export function withEntries(
+  records: LimitRecords,
+  changed: ReadonlyMap<string, NewEntry>,
+  most: number,
+  writes: number,
+): { writes: Map<string, Shares>; done: Set<string> } {
   const out = new Map<string, { value: Shares; bytes: number }>();
   const done = new Set<string>();
   const open = (key: string): { value: Shares; bytes: number } => {
@@ -106,7 +133,8 @@
     const value: Shares = { ...had, [CAPS]: { ...had[CAPS] } };
     return out.get(key) ?? { value, bytes: bytesOf(value) };
   };
-  const cost = (team: string, parts: object, cap: object): number => bytesOf({ [team]: parts }) + bytesOf({ [team]: cap }) - 2;
+  const cost = (team: string, parts: object, cap: object): number =>
+    bytesOf({ [team]: parts }) + bytesOf({ [team]: cap }) - 2;
   for (const [team, e] of changed) {
     const cap = e.cap.map((x) => (x === Infinity ? 0 : x)) as Pair;
     const need = cost(team, e.parts, cap);
@@ -120,17 +148,27 @@
     for (const key of keys) {
       const r = open(key);
       const had = r.value[team];
-      const bytes = r.bytes + need - (had ? cost(team, had, r.value[CAPS]![team] ?? [0, 0]) : 0);
+      const bytes =
+        r.bytes +
+        need -
+        (had ? cost(team, had, r.value[CAPS]![team] ?? [0, 0]) : 0);
       if (bytes > most) continue;
       // Moving to another record is a change of both.
-      const fresh = [key, ...(at === undefined ? [] : [at])].filter((k) => !out.has(k)).length;
-      if (out.size + (key === at ? Number(!out.has(key)) : fresh) > writes) break;
+      const fresh = [key, ...(at === undefined ? [] : [at])].filter(
+        (k) => !out.has(k),
+      ).length;
+      if (out.size + (key === at ? Number(!out.has(key)) : fresh) > writes)
+        break;
       r.value[team] = e.parts;
       r.value[CAPS]![team] = cap;
       out.set(key, { value: r.value, bytes });
       if (at !== undefined && at !== key) {
         const from = open(at);
-        from.bytes -= cost(team, from.value[team]!, from.value[CAPS]![team] ?? [0, 0]);
+        from.bytes -= cost(
+          team,
+          from.value[team]!,
+          from.value[CAPS]![team] ?? [0, 0],
+        );
         delete from.value[team];
         delete from.value[CAPS]![team];
         out.set(at, from);
@@ -142,5 +180,10 @@
   return { writes: new Map([...out].map(([key, r]) => [key, r.value])), done };
 }
 
-export const withinShare = (used: { cpus: number; gpus: number }, need: { cpus: number; gpus: number }, share: Readonly<Pair>): boolean =>
-  used.cpus + need.cpus <= share[0] + EPS && used.gpus + need.gpus <= share[1] + EPS;
+export const withinShare = (
+  used: { cpus: number; gpus: number },
+  need: { cpus: number; gpus: number },
+  share: Readonly<Pair>,
+): boolean =>
+  used.cpus + need.cpus <= share[0] + EPS &&
+  used.gpus + need.gpus <= share[1] + EPS;
--- a/src/coordination/limits/sharing.ts
+++ b/src/coordination/limits/sharing.ts
@@ -1,5 +1,11 @@
 import type { Team } from "../../config/settings.js";
-import { groupKey, QUOTA_KEY, type Shares, type TeamRow, type Want } from "../../storage/records.js";
+import {
+  groupKey,
+  QUOTA_KEY,
+  type Shares,
+  type TeamRow,
+  type Want,
+} from "../../storage/records.js";
 import type { Context } from "../context.js";
 import { Urgent } from "../effects.js";
 import { Handover } from "../handover.js";
@@ -9,7 +15,16 @@
 import { EPS } from "../placement.js";
 import { Waits } from "./demand.js";
 import { type Demand, planShares, type Situation } from "./plan.js";
-import { CAPS, DIMS, type Entry, entryOf, hundredthUp, limitOf, mayUse, type Pair } from "./shares.js";
+import {
+  CAPS,
+  DIMS,
+  type Entry,
+  entryOf,
+  hundredthUp,
+  limitOf,
+  mayUse,
+  type Pair,
+} from "./shares.js";
 
 /** Parts are given no more often than this: what comes together goes together. */
 const GIVE_GAP_MS = 600;
@@ -23,7 +38,11 @@
 
 /** A group's part of the teams' limits, and giving of it to groups that want more. */
 export class Sharing {
-  private changing: { reserved: Map<string, Pair>; urgent: Urgent; change: Handover<Bases, Map<string, Shares>> } | null = null;
+  private changing: {
+    reserved: Map<string, Pair>;
+    urgent: Urgent;
+    change: Handover<Bases, Map<string, Shares>>;
+  } | null = null;
   private nextMs = -Infinity;
   private readonly waits: Waits;
   private entries = new Map<string, Entry | null>();
@@ -46,7 +65,8 @@
       this.entries = new Map();
     }
     let e = this.entries.get(team);
-    if (e === undefined) this.entries.set(team, (e = entryOf(mirror.limits, team)));
+    if (e === undefined)
+      this.entries.set(team, (e = entryOf(mirror.limits, team)));
     return e;
   }
 
@@ -57,7 +77,9 @@
   share(team: string): Pair {
     const t = this.ctx.settings.teams.get(team);
     if (!t) return [0, 0];
-    const [cpus, gpus] = mayUse(t, this.entry(team), this.own.group, () => this.uses()(team));
+    const [cpus, gpus] = mayUse(t, this.entry(team), this.own.group, () =>
+      this.uses()(team),
+    );
     const r = this.changing?.reserved.get(team);
     return r && !this.settled() ? [cpus - r[0], gpus - r[1]] : [cpus, gpus];
   }
@@ -69,12 +91,19 @@
   }
   /** What waits here of a team and has a place, now or to be rented. */
   waiting(team: string): Pair {
-    return this.waits.of(team).reduce<Pair>((s, w) => [s[0] + w.need[0], s[1] + w.need[1]], [0, 0]);
+    return this.waits
+      .of(team)
+      .reduce<Pair>((s, w) => [s[0] + w.need[0], s[1] + w.need[1]], [0, 0]);
   }
 
   /** The record shows how the last change ended. */
   private settled(): boolean {
-    return this.changing !== null && this.changing.change.base.records.some(([key, version]) => this.versionOf(key) !== version);
+    return (
+      this.changing !== null &&
+      this.changing.change.base.records.some(
+        ([key, version]) => this.versionOf(key) !== version,
+      )
+    );
   }
   private versionOf(key: string): number {
     return this.ctx.mirror.limits.get(key)?.version ?? 0;
@@ -104,7 +133,14 @@
   spareAt(group: string, team: string): Pair {
     const e = this.entry(team);
     const rows = this.ctx.mirror.rooms.get(group)?.teams;
-    return DIMS.map((d) => (!e || !rows || e.cap[d] === Infinity ? Infinity : Math.max(0, (e.parts[group]?.[d] ?? 0) - (rows.get(team)?.use[d] ?? 0)))) as Pair;
+    return DIMS.map((d) =>
+      !e || !rows || e.cap[d] === Infinity
+        ? Infinity
+        : Math.max(
+            0,
+            (e.parts[group]?.[d] ?? 0) - (rows.get(team)?.use[d] ?? 0),
+          ),
+    ) as Pair;
   }
 
   /** By team: what this group could use beyond its part. */
@@ -121,13 +157,21 @@
     const waiting = this.waits.of(team);
     if (waiting.length === 0) return null;
     const beyond = this.share(team);
-    const d: Demand = { now: [0, 0], nowSince: [Infinity, Infinity], soon: [0, 0], soonSince: [Infinity, Infinity], beyond };
+    const d: Demand = {
+      now: [0, 0],
+      nowSince: [Infinity, Infinity],
+      soon: [0, 0],
+      soonSince: [Infinity, Infinity],
+      beyond,
+    };
     const spare: Pair = [beyond[0] - use[0], beyond[1] - use[1]];
     // Who can start at once takes what there is first; what it lacks is wanted.
     for (const now of [true, false])
       for (const w of waiting) {
         if (w.now !== now) continue;
-        const lack = DIMS.map((k) => Math.max(0, hundredthUp(Math.min(w.need[k], w.need[k] - spare[k])))) as Pair;
+        const lack = DIMS.map((k) =>
+          Math.max(0, hundredthUp(Math.min(w.need[k], w.need[k] - spare[k]))),
+        ) as Pair;
         spare[0] -= w.need[0];
         spare[1] -= w.need[1];
         const [to, since] = now ? [d.now, d.nowSince] : [d.soon, d.soonSince];
@@ -149,11 +193,41 @@
       const d = this.demand(t.name, use(t.name));
       const k = this.own.ledger.useOf(t.name);
       const waits = this.waiting(t.name);
-      const may = this.own.fenced ? this.bounded(t, use(t.name)) : ([k.cpus, k.gpus] as Pair);
-      if (!d && k.cpus <= EPS && k.gpus <= EPS && may[0] <= EPS && may[1] <= EPS && waits[0] <= EPS && waits[1] <= EPS) continue;
-      const finite = (p: Pair): Pair => [Number.isFinite(p[0]) ? p[0] : 0, Number.isFinite(p[1]) ? p[1] : 0];
-      teams.set(t.name, { use: [k.cpus, k.gpus], may, now: d?.now ?? [0, 0], nowSince: d?.nowSince ?? [Infinity, Infinity], soon: d?.soon ?? [0, 0], soonSince: d?.soonSince ?? [Infinity, Infinity], beyond: finite(d?.beyond ?? [0, 0]), waits });
-      if (d) wants.set(t.name, { cpus: d.now[0] + d.soon[0], gpus: d.now[1] + d.soon[1], since: this.waits.of(t.name).reduce((n, w) => Math.min(n, w.readyAt), Infinity) });
+      const may = this.own.fenced
+        ? this.bounded(t, use(t.name))
+        : ([k.cpus, k.gpus] as Pair);
+      if (
+        !d &&
+        k.cpus <= EPS &&
+        k.gpus <= EPS &&
+        may[0] <= EPS &&
+        may[1] <= EPS &&
+        waits[0] <= EPS &&
+        waits[1] <= EPS
+      )
+        continue;
+      const finite = (p: Pair): Pair => [
+        Number.isFinite(p[0]) ? p[0] : 0,
+        Number.isFinite(p[1]) ? p[1] : 0,
+      ];
+      teams.set(t.name, {
+        use: [k.cpus, k.gpus],
+        may,
+        now: d?.now ?? [0, 0],
+        nowSince: d?.nowSince ?? [Infinity, Infinity],
+        soon: d?.soon ?? [0, 0],
+        soonSince: d?.soonSince ?? [Infinity, Infinity],
+        beyond: finite(d?.beyond ?? [0, 0]),
+        waits,
+      });
+      if (d)
+        wants.set(t.name, {
+          cpus: d.now[0] + d.soon[0],
+          gpus: d.now[1] + d.soon[1],
+          since: this.waits
+            .of(t.name)
+            .reduce((n, w) => Math.min(n, w.readyAt), Infinity),
+        });
     }
     return { teams, wants };
   }
@@ -161,7 +235,12 @@
   private bounded(t: Team, use: Pair): Pair {
     const e = this.entry(t.name)?.parts[this.own.group];
     const limit = limitOf(t);
-    return DIMS.map((d) => Math.min(use[d], e && Number.isFinite(limit[d]) ? Math.max(e[d], 0) : 1e9)) as Pair;
+    return DIMS.map((d) =>
+      Math.min(
+        use[d],
+        e && Number.isFinite(limit[d]) ? Math.max(e[d], 0) : 1e9,
+      ),
+    ) as Pair;
   }
 
   /** What other groups want, as they last wrote it. */
@@ -175,7 +254,13 @@
       else
         for (const [team, w] of room.wants) {
           const p = this.entry(team)?.parts[group] ?? [0, 0];
-          of.set(team, { now: [w.cpus, w.gpus], nowSince: [w.since, w.since], soon: [0, 0], soonSince: [Infinity, Infinity], beyond: [p[0], p[1]] });
+          of.set(team, {
+            now: [w.cpus, w.gpus],
+            nowSince: [w.since, w.since],
+            soon: [0, 0],
+            soonSince: [Infinity, Infinity],
+            beyond: [p[0], p[1]],
+          });
         }
       out.set(group, of);
     }
@@ -188,7 +273,12 @@
     for (const { shares } of this.ctx.mirror.limits.values())
       for (const [team, parts] of Object.entries(shares))
         for (const [g, p] of Object.entries(parts)) {
-          if (team === CAPS || this.ctx.groups.names.includes(g) || (p[0] <= EPS && p[1] <= EPS)) continue;
+          if (
+            team === CAPS ||
+            this.ctx.groups.names.includes(g) ||
+            (p[0] <= EPS && p[1] <= EPS)
+          )
+            continue;
           const token = this.ctx.vacantToken(g);
           if (token !== null) gone.set(g, token);
         }
@@ -230,11 +320,28 @@
     const plan = planShares(situation);
     if (!plan) return;
     this.nextMs = this.ctx.nowMs + GIVE_GAP_MS;
-    const base: Bases = { records: [...plan.writes.keys()].map((key) => [key, this.versionOf(key)]), gone: plan.gone.map((g) => [g, gone.get(g)!]) };
-    this.changing = { reserved: plan.reserved, urgent: plan.caps.length > 0 ? Urgent.Master : Urgent.Spare, change: new Handover(base, plan.writes) };
-    for (const g of plan.given) this.ctx.log("info", "giving part of a team's limit to another group", { team: g.team, to: g.to, cpus: g.give[0], gpus: g.give[1] });
-    for (const team of plan.caps) this.ctx.log("info", "writing a team's limit", { team, agreed });
-    for (const group of plan.gone) this.ctx.log("info", "parts of a group that is gone come back", { group });
+    const base: Bases = {
+      records: [...plan.writes.keys()].map((key) => [key, this.versionOf(key)]),
+      gone: plan.gone.map((g) => [g, gone.get(g)!]),
+    };
+    this.changing = {
+      reserved: plan.reserved,
+      urgent: plan.caps.length > 0 ? Urgent.Master : Urgent.Spare,
+      change: new Handover(base, plan.writes),
+    };
+    for (const g of plan.given)
+      this.ctx.log("info", "giving part of a team's limit to another group", {
+        team: g.team,
+        to: g.to,
+        cpus: g.give[0],
+        gpus: g.give[1],
+      });
+    for (const team of plan.caps)
+      this.ctx.log("info", "writing a team's limit", { team, agreed });
+    for (const group of plan.gone)
+      this.ctx.log("info", "parts of a group that is gone come back", {
+        group,
+      });
     this.send();
   }
 
@@ -242,7 +349,8 @@
   private keep(team: string, since: number, group: string, now: boolean): Pair {
     const sum: Pair = [0, 0];
     for (const w of this.waits.of(team)) {
-      const older = w.since < since || (w.since === since && this.own.group < group);
+      const older =
+        w.since < since || (w.since === since && this.own.group < group);
       if (now ? !(w.now && older) : !(w.now || older)) continue;
       sum[0] += w.need[0];
       sum[1] += w.need[1];
@@ -255,8 +363,15 @@
     c?.change.send(
       (base, value, done) =>
         this.own.commit(
-          [...base.records.map(([key, version]) => ({ key, version })), ...base.gone.map(([g, version]) => ({ key: groupKey(g), version }))],
-          [...value].map(([key, shares]) => ({ op: "put" as const, key, value: shares })),
+          [
+            ...base.records.map(([key, version]) => ({ key, version })),
+            ...base.gone.map(([g, version]) => ({ key: groupKey(g), version })),
+          ],
+          [...value].map(([key, shares]) => ({
+            op: "put" as const,
+            key,
+            value: shares,
+          })),
           c.urgent,
           done,
         ),
--- a/src/coordination/limits/shortfall.ts
+++ b/src/coordination/limits/shortfall.ts
@@ -33,26 +33,51 @@
     const looked = new Set<string>();
     for (const j of this.own.jobs.values()) {
       const { spec, readyAt } = j.view;
-      if (looked.has(spec.team) || !this.own.mayStart(j) || this.ctx.wallMs - readyAt < AFTER_MS) continue;
+      if (
+        looked.has(spec.team) ||
+        !this.own.mayStart(j) ||
+        this.ctx.wallMs - readyAt < AFTER_MS
+      )
+        continue;
       const team = this.ctx.settings.teams.get(spec.team);
-      if (!team || !guaranteeOf(team) || this.ctx.nowMs - (this.toldMs.get(spec.team) ?? -Infinity) < AGAIN_MS) continue;
+      if (
+        !team ||
+        !guaranteeOf(team) ||
+        this.ctx.nowMs - (this.toldMs.get(spec.team) ?? -Infinity) < AGAIN_MS
+      )
+        continue;
       const own = used.get(spec.team) ?? NO_USE;
       const lacks = this.guarantees.lacks(spec.team, own);
       const n = spec.shape === "ensemble" ? spec.tasks : 1;
-      if (!lacks || spec.cpus * n > lacks[0] + EPS || spec.gpus * n > lacks[1] + EPS) continue;
+      if (
+        !lacks ||
+        spec.cpus * n > lacks[0] + EPS ||
+        spec.gpus * n > lacks[1] + EPS
+      )
+        continue;
       looked.add(spec.team);
       this.toldMs.set(spec.team, this.ctx.nowMs);
       const share = this.sharing.share(spec.team);
-      const givers = [...this.ctx.settings.teams.keys()].filter((t) => t !== spec.team && this.reclaims.left(t).some((x) => x > EPS));
+      const givers = [...this.ctx.settings.teams.keys()].filter(
+        (t) => t !== spec.team && this.reclaims.left(t).some((x) => x > EPS),
+      );
       const why =
-        own.cpus + spec.cpus * n > share[0] + EPS || own.gpus + spec.gpus * n > share[1] + EPS
+        own.cpus + spec.cpus * n > share[0] + EPS ||
+        own.gpus + spec.gpus * n > share[1] + EPS
           ? "the part of its limit that it needs is not here yet"
           : !this.exhausted(spec)
             ? "machines are on their way or to be rented"
             : givers.length > 0
               ? "others are beyond theirs and are being stopped, or what they run here makes no room for it"
               : "nothing more is to be rented and nobody is beyond a guarantee";
-      this.ctx.log("info", "a guarantee is not met", { team: spec.team, group: this.own.group, job: spec.id, waitsS: Math.round((this.ctx.wallMs - readyAt) / 1000), lacksCpus: Number.isFinite(lacks[0]) ? Math.round(lacks[0]) : null, why });
+      this.ctx.log("info", "a guarantee is not met", {
+        team: spec.team,
+        group: this.own.group,
+        job: spec.id,
+        waitsS: Math.round((this.ctx.wallMs - readyAt) / 1000),
+        lacksCpus: Number.isFinite(lacks[0]) ? Math.round(lacks[0]) : null,
+        why,
+      });
     }
   }
 }
--- a/src/coordination/lookups.ts
+++ b/src/coordination/lookups.ts
@@ -22,14 +22,19 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly state: (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void) => void,
+    private readonly state: (
+      call: StateCall,
+      urgent: Urgent,
+      done: (r: StateReply, sentMs: number) => void,
+    ) => void,
     private readonly learnt: (id: string, past: PastRecord) => void,
   ) {}
 
   /** `past` null: it has none, or `failed` says why that can't be known now. */
   ask(id: string, done: Done): void {
     const asked = { id, atMs: this.ctx.nowMs, done };
-    if (!this.start(asked)) this.waiting.add(asked, this.ctx.nowMs)?.done(null, "too many questions");
+    if (!this.start(asked))
+      this.waiting.add(asked, this.ctx.nowMs)?.done(null, "too many questions");
   }
 
   /** Joins the read of this job that is under way, or begins one; false: there are as many as there may be. */
@@ -51,7 +56,12 @@
       const late = asked.filter((a) => a.atMs > sentMs);
       const p = r.is === "item" && r.item ? readPast(r.item.value) : null;
       if (p) this.learnt(id, p);
-      const failed = r.is !== "item" ? "state service does not answer" : r.item && !p ? "unreadable record" : null;
+      const failed =
+        r.is !== "item"
+          ? "state service does not answer"
+          : r.item && !p
+            ? "unreadable record"
+            : null;
       if (failed === null) this.waiting.answered(id);
       for (const a of served) {
         if (failed !== null) this.waiting.refuse(a, this.ctx.nowMs);
@@ -63,7 +73,8 @@
   }
 
   private next(): void {
-    while (this.reading.size < MOST_READS && this.waiting.size > 0) for (const a of this.waiting.take(1)) this.start(a);
+    while (this.reading.size < MOST_READS && this.waiting.size > 0)
+      for (const a of this.waiting.take(1)) this.start(a);
   }
 
   get refused(): number {
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -5,7 +5,13 @@
 import { Holdings } from "./holdings.js";
 import { Guarantees, Reclaims, Sharing, Shortfall } from "./limits/index.js";
 import type { JobView } from "./mirror.js";
-import { type Cause, type Order, type Report, type ReportedTask, taskKey } from "./model.js";
+import {
+  type Cause,
+  type Order,
+  type Report,
+  type ReportedTask,
+  taskKey,
+} from "./model.js";
 import { Moves } from "./moves.js";
 import { allowedOn, offer } from "./placement.js";
 import { Placing } from "./placing.js";
@@ -14,7 +20,13 @@
 import { newReceipt, Receipts } from "./receipt.js";
 import { Room } from "./room.js";
 import { Seldom } from "./seldom.js";
-import { type JobRun, newJobRun, runKey, type TaskRun, type Worker } from "./tasks.js";
+import {
+  type JobRun,
+  newJobRun,
+  runKey,
+  type TaskRun,
+  type Worker,
+} from "./tasks.js";
 
 /** Failures of one job within this time are of one try: a gang's tasks fail together. */
 const ONE_TRY_MS = 5_000;
@@ -53,19 +65,36 @@
     this.own = own;
     this.receipts = new Receipts(ctx, token);
     this.odd = new Seldom(ctx);
-    this.sharing = new Sharing(ctx, own, (spec) => this.fleet.renting.hasPlace(spec));
+    this.sharing = new Sharing(ctx, own, (spec) =>
+      this.fleet.renting.hasPlace(spec),
+    );
     this.guarantees = new Guarantees(ctx, own);
     this.fleet = new Fleet(ctx, own, this.sharing);
     const { renting } = this.fleet;
     this.moves = new Moves(ctx, own, renting, this.sharing);
     this.reclaims = new Reclaims(ctx, own, this.guarantees);
-    this.shortfall = new Shortfall(ctx, own, this.sharing, this.guarantees, this.reclaims, (spec) => renting.exhausted(spec));
-    this.placing = new Placing(ctx, own, this.sharing, this.guarantees, new Preemption(ctx, own, this.sharing, renting, this.reclaims));
+    this.shortfall = new Shortfall(
+      ctx,
+      own,
+      this.sharing,
+      this.guarantees,
+      this.reclaims,
+      (spec) => renting.exhausted(spec),
+    );
+    this.placing = new Placing(
+      ctx,
+      own,
+      this.sharing,
+      this.guarantees,
+      new Preemption(ctx, own, this.sharing, renting, this.reclaims),
+    );
     this.finishing = new Finishing(ctx, own);
     this.room = new Room(ctx, own, this.sharing, renting);
     // Whether a machine marked for return was returned is not known: it is given back once more, and the cloud's word
     // that it is gone takes it off the fence.
-    for (const [id, e] of own.roster.machines()) if (e.going) this.fleet.giveBack(id, e.type, "marked for return by a former master");
+    for (const [id, e] of own.roster.machines())
+      if (e.going)
+        this.fleet.giveBack(id, e.type, "marked for return by a former master");
     for (const view of ctx.mirror.jobs.values()) this.sync(view, true);
   }
 
@@ -89,7 +118,11 @@
     if (job.moving && view.version > job.moving.change.base) job.moving = null;
     job.mine = share.clone();
     // A gang's tasks complete together, in whichever group it was seen first.
-    if (view.spec.shape === "ensemble" && this.ctx.mirror.finished(view.id).size > 0) job.finished.addAll(job.mine);
+    if (
+      view.spec.shape === "ensemble" &&
+      this.ctx.mirror.finished(view.id).size > 0
+    )
+      job.finished.addAll(job.mine);
     this.own.refresh(job);
     this.finishing.finishJob(job);
   }
@@ -110,22 +143,40 @@
   report(r: Report): Answer {
     const now = this.ctx.nowMs;
     let w = this.own.workers.get(r.worker);
-    if (w && (w.typeName !== r.type || w.zone !== r.zone || w.spot !== r.spot)) {
+    if (
+      w &&
+      (w.typeName !== r.type || w.zone !== r.zone || w.spot !== r.spot)
+    ) {
       // Names are not given twice, and a machine does not change: whoever sent this, nothing is learnt from it.
-      this.odd.warn("report contradicts what is known of its machine", r.worker, { had: w.kind, says: offer(r.type, r.zone, r.spot) });
-      return { is: "later", afterS: 1, why: "contradicts what is known of the machine" };
+      this.odd.warn(
+        "report contradicts what is known of its machine",
+        r.worker,
+        { had: w.kind, says: offer(r.type, r.zone, r.spot) },
+      );
+      return {
+        is: "later",
+        afterS: 1,
+        why: "contradicts what is known of the machine",
+      };
     }
     if (w && this.receipts.isAmbiguous(w, r)) {
       if (this.receipts.mayAsk(w, false)) this.inspect(w);
       // Invariant (ran_twice): a start that a session which is not known yet carries out would be taken for lost with the one before.
-      if (r.session > w.session) return { is: "later", afterS: 1, why: "asking the machine itself" };
+      if (r.session > w.session)
+        return { is: "later", afterS: 1, why: "asking the machine itself" };
       w.answeredMs = now;
       return { is: "orders", token: this.token, orders: this.ordersFor(w) };
     }
     if (w ? this.receipts.isLate(w, r) : this.fleet.isGone(r.worker)) {
       // A late message: its list is as old as itself, and the worker doesn't wait for the answer any more.
       this.lateReports++;
-      this.ctx.log("debug", "late report", { worker: r.worker, session: r.session, tally: r.tally, had: w ? [w.session, w.tally, w.token] : "gone", lost: w?.lost });
+      this.ctx.log("debug", "late report", {
+        worker: r.worker,
+        session: r.session,
+        tally: r.tally,
+        had: w ? [w.session, w.tally, w.token] : "gone",
+        lost: w?.lost,
+      });
       if (w && this.receipts.mayAsk(w)) this.inspect(w);
       return { is: "later", afterS: 1, why: "late report" };
     }
@@ -139,7 +190,14 @@
     const rose = r.session > w.session;
     this.receipts.note(w, r, rose);
     if (rose) this.newSession(w, r.session);
-    if (r.token > this.token) this.ctx.log("warn", "worker has seen a higher token", { worker: w.id, token: r.token, mine: this.token, tally: r.tally, session: r.session });
+    if (r.token > this.token)
+      this.ctx.log("warn", "worker has seen a higher token", {
+        worker: w.id,
+        token: r.token,
+        mine: this.token,
+        tally: r.tally,
+        session: r.session,
+      });
     w.tally = r.tally;
     w.token = Math.max(w.token, r.token);
     w.address = r.address;
@@ -148,7 +206,10 @@
     w.heardMs = now;
     if (wasLost) {
       w.lost = false;
-      this.ctx.log("info", "worker is back", { worker: w.id, session: r.session });
+      this.ctx.log("info", "worker is back", {
+        worker: w.id,
+        session: r.session,
+      });
     }
     if (!w.type) {
       w.type = this.ctx.catalog?.find((t) => t.name === r.type) ?? null;
@@ -184,7 +245,11 @@
       lost: false,
       heardMs: this.ctx.nowMs,
       // One that nobody has heard of may be a late copy of a machine that is gone: it has to show first that it receives.
-      receipt: newReceipt(this.own.roster.has(r.worker) || this.fleet.renting.booting.has(r.worker), this.ctx.nowMs),
+      receipt: newReceipt(
+        this.own.roster.has(r.worker) ||
+          this.fleet.renting.booting.has(r.worker),
+        this.ctx.nowMs,
+      ),
       firstMs: this.ctx.nowMs,
       takenAtMs: null,
       tasks: new Map(),
@@ -211,27 +276,55 @@
     w.receipt.askedMs = askedMs;
     this.ctx.inspect(w.address, (r) => {
       w.receipt.asking = false;
-      if (!r || r.worker !== w.id || this.own.workers.get(w.id) !== w || !this.own.permitted()) return;
+      if (
+        !r ||
+        r.worker !== w.id ||
+        this.own.workers.get(w.id) !== w ||
+        !this.own.permitted()
+      )
+        return;
       this.receipts.answered(w);
       if (w.heardMs > askedMs) return;
       if (this.receipts.isAmbiguous(w, r) && r.tally > w.tally) {
         if (r.session > w.session) this.newSession(w, r.session);
-        Object.assign(w, { tally: r.tally, token: Math.max(w.token, r.token), heardMs: this.ctx.nowMs });
+        Object.assign(w, {
+          tally: r.tally,
+          token: Math.max(w.token, r.token),
+          heardMs: this.ctx.nowMs,
+        });
         this.reconcile(w, r.tasks, false);
         this.own.noteIdle(w);
         return;
       }
       // A start on its way to it may still be carried out by its new life: until it is known what became of that, its lease counts. One
       // that was answered since the question may have been carried out after this answer was made, which then does not show it.
-      if (w.direct || w.receipt.commandMs >= askedMs || (r.session === w.session && w.openStarts.size > 0)) return;
+      if (
+        w.direct ||
+        w.receipt.commandMs >= askedMs ||
+        (r.session === w.session && w.openStarts.size > 0)
+      )
+        return;
       if (!this.receipts.isLate(w, r)) return;
-      this.ctx.log("info", "machine has begun anew", { worker: w.id, had: [w.session, w.tally], now: [r.session, r.tally], tasks: w.tasks.size });
+      this.ctx.log("info", "machine has begun anew", {
+        worker: w.id,
+        had: [w.session, w.tally],
+        now: [r.session, r.tally],
+        tasks: w.tasks.size,
+      });
       this.receipts.beganAnew(w);
       this.own.releaseAll(w, "machine has begun anew");
       w.openStarts.clear();
       w.images.clear();
-      Object.assign(w, { session: r.session, tally: r.tally, token: r.token, lost: false, answeredMs: this.ctx.nowMs, heardMs: this.ctx.nowMs });
-      if (!w.going) this.own.roster.set(w.id, { going: false, type: w.typeName });
+      Object.assign(w, {
+        session: r.session,
+        tally: r.tally,
+        token: r.token,
+        lost: false,
+        answeredMs: this.ctx.nowMs,
+        heardMs: this.ctx.nowMs,
+      });
+      if (!w.going)
+        this.own.roster.set(w.id, { going: false, type: w.typeName });
       this.reconcile(w, r.tasks, false);
       this.own.noteIdle(w);
       this.own.dirty = true;
@@ -251,7 +344,11 @@
    * `ordered`: the report was made after every answer before it, as a machine's own reports are. Its answer to a question is
    * not: an order may reach it after that, so that an ordered task which it does not show may still start.
    */
-  private reconcile(w: Worker, reported: readonly ReportedTask[], ordered = true): void {
+  private reconcile(
+    w: Worker,
+    reported: readonly ReportedTask[],
+    ordered = true,
+  ): void {
     const now = this.ctx.nowMs;
     let missing = false;
     let carriedOut = false;
@@ -271,7 +368,8 @@
         else if (t.told > 0) {
           missing = true;
           // What a machine that receives nothing was to start goes elsewhere as soon as it can't be carried out any more.
-          if (w.receipt.deafMs !== null && !w.openStarts.has(key)) this.own.requeue(t);
+          if (w.receipt.deafMs !== null && !w.openStarts.has(key))
+            this.own.requeue(t);
         }
       } else if (r.state === "exited") {
         if (t.phase === "ordered") carriedOut = true;
@@ -279,33 +377,55 @@
       } else {
         if (t.phase === "ordered") carriedOut = true;
         if (t.phase !== r.state) {
-          this.ctx.log("debug", "task phase", { task: taskKey(t.job.id, t.index), worker: w.id, from: t.phase, to: r.state, afterMs: Math.round(now - t.sinceMs) });
+          this.ctx.log("debug", "task phase", {
+            task: taskKey(t.job.id, t.index),
+            worker: w.id,
+            from: t.phase,
+            to: r.state,
+            afterMs: Math.round(now - t.sinceMs),
+          });
           t.phase = r.state;
           t.sinceMs = now;
         }
-        if (r.state === "running" || r.state === "waiting") this.noteImage(w, t);
+        if (r.state === "running" || r.state === "waiting")
+          this.noteImage(w, t);
       }
     }
     for (const [key, r] of shown) {
       if (r.state === "exited") {
-        w.exited.push({ job: r.job, index: r.index, attempt: r.attempt, cause: r.cause });
+        w.exited.push({
+          job: r.job,
+          index: r.index,
+          attempt: r.attempt,
+          cause: r.cause,
+        });
         if (!w.tasks.has(key) && r.cause === "done") this.foundDone(r);
         continue;
       }
       if (w.tasks.has(key) || this.adopt(w, r)) continue;
-      const spec = (this.own.jobs.get(r.job)?.view ?? this.ctx.mirror.jobs.get(r.job))?.spec;
+      const spec = (
+        this.own.jobs.get(r.job)?.view ?? this.ctx.mirror.jobs.get(r.job)
+      )?.spec;
       this.own.ledger.addStray({
         worker: w,
         job: r.job,
         index: r.index,
         attempt: r.attempt,
-        need: spec ? { team: spec.team, cpus: spec.cpus, gpus: spec.gpus, memGb: spec.memGb } : (strays.get(key)?.need ?? null),
+        need: spec
+          ? {
+              team: spec.team,
+              cpus: spec.cpus,
+              gpus: spec.gpus,
+              memGb: spec.memGb,
+            }
+          : (strays.get(key)?.need ?? null),
         sinceMs: strays.get(key)?.sinceMs ?? now,
       });
     }
     this.receipts.noteOrders(w, missing, carriedOut);
     // What is gone from a machine has made room, or was what a waiting task had to wait for.
-    for (const key of strays.keys()) if (!w.strays.has(key)) this.own.dirty = true;
+    for (const key of strays.keys())
+      if (!w.strays.has(key)) this.own.dirty = true;
   }
 
   private noteImage(w: Worker, t: TaskRun): void {
@@ -325,7 +445,13 @@
   /** A result that was reported under another attempt counts all the same. */
   private foundDone(r: ReportedTask): void {
     const job = this.own.jobs.get(r.job);
-    if (!job || job.view.spec.shape === "daemon" || !job.mine.has(r.index) || job.finished.has(r.index)) return;
+    if (
+      !job ||
+      job.view.spec.shape === "daemon" ||
+      !job.mine.has(r.index) ||
+      job.finished.has(r.index)
+    )
+      return;
     const running = job.active.get(r.index);
     this.finishing.finish(job, r.index);
     if (running) this.own.stop(running, 0, "done elsewhere");
@@ -334,12 +460,26 @@
   /** A task that a former master started (or whose start we forgot): ours from now on, if it may be. */
   private adopt(w: Worker, r: ReportedTask): boolean {
     const job = this.own.jobs.get(r.job);
-    if (!job || job.gone || !job.waiting.has(r.index) || r.state === "exited") return false;
+    if (!job || job.gone || !job.waiting.has(r.index) || r.state === "exited")
+      return false;
     const spec = job.view.spec;
-    if (spec.shape === "ensemble" && [...job.active.values()].some((t) => t.attempt !== r.attempt)) return false;
+    if (
+      spec.shape === "ensemble" &&
+      [...job.active.values()].some((t) => t.attempt !== r.attempt)
+    )
+      return false;
     if (!allowedOn(spec, w.typeName, w.zone, w.spot)) return false;
     job.waiting.remove(r.index);
-    const t: TaskRun = { job, index: r.index, attempt: r.attempt, worker: w, phase: r.state, told: 0, sinceMs: this.ctx.nowMs, stop: null };
+    const t: TaskRun = {
+      job,
+      index: r.index,
+      attempt: r.attempt,
+      worker: w,
+      phase: r.state,
+      told: 0,
+      sinceMs: this.ctx.nowMs,
+      stop: null,
+    };
     job.active.set(r.index, t);
     this.own.ledger.put(t);
     this.noteImage(w, t);
@@ -347,20 +487,30 @@
   }
 
   private lostTask(t: TaskRun): void {
-    this.ctx.log("info", "task vanished from its machine", { task: taskKey(t.job.id, t.index), worker: t.worker.id });
+    this.ctx.log("info", "task vanished from its machine", {
+      task: taskKey(t.job.id, t.index),
+      worker: t.worker.id,
+    });
     this.own.requeue(t);
   }
 
   private exited(t: TaskRun, cause: Cause | null, saved: boolean): void {
     const { job, worker: w } = t;
-    this.ctx.log("debug", "task ended", { task: taskKey(job.id, t.index), worker: w.id, cause, saved });
-    if (cause === "done" && !job.gone && job.view.spec.shape !== "daemon") this.finishing.finish(job, t.index);
+    this.ctx.log("debug", "task ended", {
+      task: taskKey(job.id, t.index),
+      worker: w.id,
+      cause,
+      saved,
+    });
+    if (cause === "done" && !job.gone && job.view.spec.shape !== "daemon")
+      this.finishing.finish(job, t.index);
     if (cause === "done") {
       w.failed.clear();
       this.clears(job);
     }
     if (cause === "error") this.failed(t);
-    if (cause === "no_room" || cause === "busy") w.avoidUntilMs = this.ctx.nowMs + 2_000;
+    if (cause === "no_room" || cause === "busy")
+      w.avoidUntilMs = this.ctx.nowMs + 2_000;
     if (cause === "no_such") job.backoffUntilMs = this.ctx.nowMs + 2_000;
     this.own.requeue(t);
   }
@@ -377,26 +527,56 @@
     job.errors.set(w.id, (job.errors.get(w.id) ?? 0) + 1);
     if (now - job.failedMs > ONE_TRY_MS) job.failedTries++;
     job.failedMs = now;
-    const healthy = job.finished.size > 0 || this.ctx.mirror.finishedCount(job.id) > 0;
+    const healthy =
+      job.finished.size > 0 || this.ctx.mirror.finishedCount(job.id) > 0;
     // Others of it that have run for longer than this one did speak for the job, but not for ever.
     const ranMs = t.phase === "running" ? now - t.sinceMs : 0;
-    const others = [...job.active.values()].some((x) => x !== t && x.phase === "running" && now - x.sinceMs > ranMs * 1.2 + 1_000);
-    if (!healthy && job.errors.size >= (others ? SUSPECT_ANYWAY : SUSPECT_AFTER)) this.suspect(job);
+    const others = [...job.active.values()].some(
+      (x) =>
+        x !== t &&
+        x.phase === "running" &&
+        now - x.sinceMs > ranMs * 1.2 + 1_000,
+    );
+    if (
+      !healthy &&
+      job.errors.size >= (others ? SUSPECT_ANYWAY : SUSPECT_AFTER)
+    )
+      this.suspect(job);
     else {
       w.failed.add(job.id);
       w.avoidUntilMs = Math.max(w.avoidUntilMs, now + 5_000 * w.failed.size);
-      this.ctx.log("info", "task failed", { task: taskKey(job.id, t.index), worker: w.id, jobsFailedHere: w.failed.size });
+      this.ctx.log("info", "task failed", {
+        task: taskKey(job.id, t.index),
+        worker: w.id,
+        jobsFailedHere: w.failed.size,
+      });
     }
-    if (w.failed.size >= 2 && !w.going) this.fleet.giveUp(w, "tasks of several jobs failed on it");
+    if (w.failed.size >= 2 && !w.going)
+      this.fleet.giveUp(w, "tasks of several jobs failed on it");
   }
 
   private suspect(job: JobRun): void {
     const now = this.ctx.nowMs;
-    job.backoffUntilMs = Math.max(job.backoffUntilMs, now + Math.min(MOST_PAUSE_MS, 1_000 * 2 ** Math.min(10, job.failedTries)));
+    job.backoffUntilMs = Math.max(
+      job.backoffUntilMs,
+      now + Math.min(MOST_PAUSE_MS, 1_000 * 2 ** Math.min(10, job.failedTries)),
+    );
     if (job.suspectMs !== null) return;
     job.suspectMs = now;
-    for (const x of this.own.workers.values()) if (x.failed.delete(job.id) && x.failed.size === 0) x.avoidUntilMs = Math.min(x.avoidUntilMs, now);
-    this.ctx.log("warn", "job fails wherever it runs; tried again ever more slowly", { job: job.id, class: job.view.spec.class, team: job.view.spec.team, machines: [...job.errors.keys()].slice(0, 5), failures: [...job.errors.values()].reduce((a, b) => a + b, 0) });
+    for (const x of this.own.workers.values())
+      if (x.failed.delete(job.id) && x.failed.size === 0)
+        x.avoidUntilMs = Math.min(x.avoidUntilMs, now);
+    this.ctx.log(
+      "warn",
+      "job fails wherever it runs; tried again ever more slowly",
+      {
+        job: job.id,
+        class: job.view.spec.class,
+        team: job.view.spec.team,
+        machines: [...job.errors.keys()].slice(0, 5),
+        failures: [...job.errors.values()].reduce((a, b) => a + b, 0),
+      },
+    );
   }
 
   /** Something of a job has completed: it has no mistake, and what failed before were machines. */
@@ -415,8 +595,15 @@
     const left = (w.takenAtMs - this.ctx.nowMs) / 1000;
     for (const t of [...w.tasks.values()]) {
       const spec = t.job.view.spec;
-      if (t.stop || spec.checkpointS <= 0 || left > spec.saveS + 2 * this.ctx.settings.reportS + 2) continue;
-      for (const peer of spec.shape === "ensemble" ? [...t.job.active.values()] : [t])
+      if (
+        t.stop ||
+        spec.checkpointS <= 0 ||
+        left > spec.saveS + 2 * this.ctx.settings.reportS + 2
+      )
+        continue;
+      for (const peer of spec.shape === "ensemble"
+        ? [...t.job.active.values()]
+        : [t])
         this.own.stop(peer, spec.saveS + 1, "machine is taken back");
     }
   }
@@ -427,24 +614,64 @@
     for (const e of w.exited) {
       const job = this.own.jobs.get(e.job);
       // Clearing a result that is not written yet would have the task run again after a takeover.
-      if (job && e.cause === "done" && job.finished.has(e.index) && !job.written.has(e.index)) continue;
+      if (
+        job &&
+        e.cause === "done" &&
+        job.finished.has(e.index) &&
+        !job.written.has(e.index)
+      )
+        continue;
       if (w.openStarts.has(runKey(e.job, e.index, e.attempt))) continue;
-      orders.push({ op: "forget", job: e.job, index: e.index, attempt: e.attempt });
+      orders.push({
+        op: "forget",
+        job: e.job,
+        index: e.index,
+        attempt: e.attempt,
+      });
     }
-    for (const s of w.strays.values()) orders.push({ op: "stop", job: s.job, index: s.index, attempt: s.attempt, graceS: 0 });
+    for (const s of w.strays.values())
+      orders.push({
+        op: "stop",
+        job: s.job,
+        index: s.index,
+        attempt: s.attempt,
+        graceS: 0,
+      });
     for (const t of w.tasks.values()) {
       if (t.stop && t.phase === "ordered") {
         // Invariant (ran_cancelled): its start may still arrive, minutes late. Started and stopped in one answer,
         // the worker holds the attempt as exited, and the late start has no effect.
         if (!w.openStarts.has(runKey(t.job.id, t.index, t.attempt))) continue;
-        orders.push({ op: "start", job: t.job.id, index: t.index, attempt: t.attempt });
-        orders.push({ op: "stop", job: t.job.id, index: t.index, attempt: t.attempt, graceS: 0 });
+        orders.push({
+          op: "start",
+          job: t.job.id,
+          index: t.index,
+          attempt: t.attempt,
+        });
+        orders.push({
+          op: "stop",
+          job: t.job.id,
+          index: t.index,
+          attempt: t.attempt,
+          graceS: 0,
+        });
       } else if (t.stop) {
         if (!(t.phase === "saving" && t.stop.graceS > 0))
-          orders.push({ op: "stop", job: t.job.id, index: t.index, attempt: t.attempt, graceS: t.stop.graceS });
+          orders.push({
+            op: "stop",
+            job: t.job.id,
+            index: t.index,
+            attempt: t.attempt,
+            graceS: t.stop.graceS,
+          });
       } else if (t.phase === "ordered") {
         t.told++;
-        orders.push({ op: "start", job: t.job.id, index: t.index, attempt: t.attempt });
+        orders.push({
+          op: "start",
+          job: t.job.id,
+          index: t.index,
+          attempt: t.attempt,
+        });
       }
     }
     return orders;
@@ -484,11 +711,27 @@
   sendDirect(): void {
     for (const w of this.own.untold) {
       this.own.untold.delete(w);
-      if (!this.ctx.tuning.directOrders || w.direct || w.lost || w.receipt.deafMs !== null || !this.own.permitted()) continue;
+      if (
+        !this.ctx.tuning.directOrders ||
+        w.direct ||
+        w.lost ||
+        w.receipt.deafMs !== null ||
+        !this.own.permitted()
+      )
+        continue;
       // Neither clears, nor a start that is to be stopped at once: both belong into answers, which can't be late.
-      const orders = this.ordersFor(w).filter((o) => o.op !== "forget" && !(o.op === "start" && w.tasks.get(runKey(o.job, o.index, o.attempt))?.stop));
+      const orders = this.ordersFor(w).filter(
+        (o) =>
+          o.op !== "forget" &&
+          !(
+            o.op === "start" &&
+            w.tasks.get(runKey(o.job, o.index, o.attempt))?.stop
+          ),
+      );
       if (orders.length === 0) continue;
-      const keys = orders.filter((o) => o.op === "start").map((o) => runKey(o.job, o.index, o.attempt));
+      const keys = orders
+        .filter((o) => o.op === "start")
+        .map((o) => runKey(o.job, o.index, o.attempt));
       const session = w.session;
       for (const k of keys) w.openStarts.set(k, (w.openStarts.get(k) ?? 0) + 1);
       w.direct = true;
--- a/src/coordination/mirror.ts
+++ b/src/coordination/mirror.ts
@@ -47,7 +47,8 @@
   | { kind: "unreadable"; key: string };
 
 /** When its own deadline is, as time of day. */
-export const ownDueAt = (spec: JobSpec, acceptedAt: number): number => (spec.deadlineS === null ? Infinity : acceptedAt + spec.deadlineS * 1000);
+export const ownDueAt = (spec: JobSpec, acceptedAt: number): number =>
+  spec.deadlineS === null ? Infinity : acceptedAt + spec.deadlineS * 1000;
 
 /** About 150 bytes each: a question about any of these costs no read. */
 const PAST_KEPT = 20_000;
@@ -76,7 +77,10 @@
   readonly ownerChanged = new Map<string, number>();
   /** Final states: never change, so they may be kept; the most recent ones only. */
   readonly past = new Map<string, PastRecord>();
-  private readonly gangs = new Map<string, GangView & { ready: Map<string, number> }>();
+  private readonly gangs = new Map<
+    string,
+    GangView & { ready: Map<string, number> }
+  >();
   private readonly fins = new Map<string, Map<string, RangeSet>>();
   private readonly sides = new Map<string, Set<string>>();
   private readonly versions = new Map<string, number>();
@@ -116,7 +120,8 @@
   private readonly ahead = new Map<string, number>();
   private reached(epoch: number): void {
     this.epoch = Math.max(this.epoch, epoch);
-    for (const [key, version] of this.ahead) if (version <= this.epoch) this.ahead.delete(key);
+    for (const [key, version] of this.ahead)
+      if (version <= this.epoch) this.ahead.delete(key);
   }
   /** Jobs that are over but left such records behind. */
   leftovers(): string[] {
@@ -132,7 +137,8 @@
   keepPast(id: string, p: PastRecord): void {
     this.past.delete(id);
     this.past.set(id, p);
-    if (this.past.size > PAST_KEPT) this.past.delete(this.past.keys().next().value!);
+    if (this.past.size > PAST_KEPT)
+      this.past.delete(this.past.keys().next().value!);
   }
 
   /** The whole of what is alive, read anew: what is absent has gone. */
@@ -140,7 +146,8 @@
     const seen: Seen[] = [];
     const present = new Set(items.map((i) => i.key));
     for (const [key, version] of this.versions)
-      if (!present.has(key) && version <= epoch) seen.push(...this.drop(key, epoch));
+      if (!present.has(key) && version <= epoch)
+        seen.push(...this.drop(key, epoch));
     // Groups first, jobs last: a master that starts on its group's record then finds all its jobs as old ones.
     for (const i of items) seen.push(...this.put(i.key, i.value, i.version));
     this.reached(epoch);
@@ -168,7 +175,11 @@
       return [{ kind: "past", id: k.id, past: p }];
     }
     // A change that this copy has passed already (two reads may overlap) says nothing new.
-    if (version <= (this.versions.get(key) ?? 0) || (version <= this.epoch && this.ready)) return [];
+    if (
+      version <= (this.versions.get(key) ?? 0) ||
+      (version <= this.epoch && this.ready)
+    )
+      return [];
     this.versions.set(key, version);
     switch (k.kind) {
       case "group": {
@@ -229,7 +240,11 @@
         const attempt = readAttempt(value);
         if (attempt === null) return [{ kind: "unreadable", key }];
         let g = this.gangs.get(k.id);
-        if (!g) this.gangs.set(k.id, (g = { attempt: 0, version: 0, ready: new Map() }));
+        if (!g)
+          this.gangs.set(
+            k.id,
+            (g = { attempt: 0, version: 0, ready: new Map() }),
+          );
         if (k.kind === "gang") {
           g.attempt = attempt;
           g.version = version;
@@ -251,7 +266,15 @@
           return [{ kind: "job", job: old, fresh: false }];
         }
         const { spec, ...rest } = r;
-        const job: JobView = { id: k.id, spec, ...rest, readyAt: r.releasedAt ?? r.acceptedAt, urgency: spec.urgency, dueAt: ownDueAt(spec, r.acceptedAt), version };
+        const job: JobView = {
+          id: k.id,
+          spec,
+          ...rest,
+          readyAt: r.releasedAt ?? r.acceptedAt,
+          urgency: spec.urgency,
+          dueAt: ownDueAt(spec, r.acceptedAt),
+          version,
+        };
         this.jobs.set(k.id, job);
         return [{ kind: "job", job, fresh: true }];
       }
--- a/src/coordination/model.ts
+++ b/src/coordination/model.ts
@@ -29,8 +29,17 @@
   deadlineS: number | null;
 }
 
-export type TaskState = "fetching" | "waiting" | "running" | "saving" | "exited";
-export type Cause = "done" | "stopped" | "peers" | "incomplete" | "error" | "no_room" | "busy" | "no_such";
+export type TaskState =
+  "fetching" | "waiting" | "running" | "saving" | "exited";
+export type Cause =
+  | "done"
+  | "stopped"
+  | "peers"
+  | "incomplete"
+  | "error"
+  | "no_room"
+  | "busy"
+  | "no_such";
 
 export interface ReportedTask {
   job: string;
@@ -135,4 +144,5 @@
 }
 
 /** `req-000412` and 3 make `req-000412/3`. */
-export const taskKey = (job: string, index: number): string => `${job}/${index}`;
+export const taskKey = (job: string, index: number): string =>
+  `${job}/${index}`;
--- a/src/coordination/orphans.ts
+++ b/src/coordination/orphans.ts
@@ -40,22 +40,46 @@
       }
   }
 
-  private move(job: JobView, group: string, part: RangeSet, token: number): void {
+  private move(
+    job: JobView,
+    group: string,
+    part: RangeSet,
+    token: number,
+  ): void {
     if (this.busy.has(job.id)) return;
     const rest = part.clone();
     const done = this.ctx.mirror.finished(job.id).get(group);
     if (done) rest.removeAll(done);
     const split = this.cut(job.spec);
     // A gang whose parts lie in several groups starts under one attempt that all have called: it is left alone.
-    if (!split || (job.spec.shape === "ensemble" && job.spec.spread && job.split.size > 1)) return;
-    const to = [...split].sort(([a, x], [b, y]) => y.size - x.size || (a < b ? -1 : 1))[0]?.[0];
+    if (
+      !split ||
+      (job.spec.shape === "ensemble" && job.spec.spread && job.split.size > 1)
+    )
+      return;
+    const to = [...split].sort(
+      ([a, x], [b, y]) => y.size - x.size || (a < b ? -1 : 1),
+    )[0]?.[0];
     if (to === undefined) return;
     const next = movedSplit(job.split, group, rest, to);
     next.delete(group);
     const value = writeJob({ ...job, split: next });
     if (bytesOf(value) > this.ctx.settings.state.valueBytes) return;
     this.busy.add(job.id);
-    this.ctx.log("info", "tasks of a group that is gone go to another", { job: job.id, tasks: rest.size, from: group, to });
-    this.ctx.commit([{ key: groupKey(group), version: token }, { key: jobKey(job.id), version: job.version }], [{ op: "put", key: jobKey(job.id), value }], Urgent.Spare, () => this.busy.delete(job.id));
+    this.ctx.log("info", "tasks of a group that is gone go to another", {
+      job: job.id,
+      tasks: rest.size,
+      from: group,
+      to,
+    });
+    this.ctx.commit(
+      [
+        { key: groupKey(group), version: token },
+        { key: jobKey(job.id), version: job.version },
+      ],
+      [{ op: "put", key: jobKey(job.id), value }],
+      Urgent.Spare,
+      () => this.busy.delete(job.id),
+    );
   }
 }
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -25,8 +25,13 @@
  * hold ends so much before them; where they are not, only the first can be had. An outage is survived for hold
  * and lease together in any case.
  */
-export function holdMs(s: Pick<Settings, "cancelS" | "leaseS" | "reportS">): number {
-  const most = Math.max(1_000, Math.floor((s.cancelS - s.leaseS) * 1000 - MARGIN_MS));
+export function holdMs(
+  s: Pick<Settings, "cancelS" | "leaseS" | "reportS">,
+): number {
+  const most = Math.max(
+    1_000,
+    Math.floor((s.cancelS - s.leaseS) * 1000 - MARGIN_MS),
+  );
   const bridged = Math.floor((s.leaseS - s.reportS * 1.25) * 1000 - FIND_MS);
   return bridged >= LEAST_HOLD_MS ? Math.min(most, bridged) : most;
 }
@@ -45,7 +50,10 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly state: (call: { op: "newHold"; ttlMs: number } | { op: "touch"; hold: number }, done: (r: { is: string; hold?: number }, sentMs: number) => void) => void,
+    private readonly state: (
+      call: { op: "newHold"; ttlMs: number } | { op: "touch"; hold: number },
+      done: (r: { is: string; hold?: number }, sentMs: number) => void,
+    ) => void,
     private readonly lostHold: () => void,
     private readonly changed: () => void,
     private readonly deaf: (group: string) => boolean,
@@ -65,7 +73,9 @@
    * the hold's length. The state service ends no hold earlier, whatever it answers to whom.
    */
   get permitUntilMs(): number {
-    return this.hold === null ? -Infinity : Math.min(this.touchedMs, this.readMs) + this.ttlMs * 0.998 - 100;
+    return this.hold === null
+      ? -Infinity
+      : Math.min(this.touchedMs, this.readMs) + this.ttlMs * 0.998 - 100;
   }
   get holdId(): number | null {
     return this.hold;
@@ -89,7 +99,17 @@
     this.hadPermit = permitted;
     const { nowMs } = this.ctx;
     if (permitted) this.ctx.log("info", "permit is there", { hold: this.hold });
-    else this.ctx.log("warn", "permit ended: workers are not answered until the state service is", { touchAgeMs: Math.round(nowMs - this.touchedMs), readAgeMs: Math.round(nowMs - this.readMs), ttlMs: this.ttlMs, hold: this.hold });
+    else
+      this.ctx.log(
+        "warn",
+        "permit ended: workers are not answered until the state service is",
+        {
+          touchAgeMs: Math.round(nowMs - this.touchedMs),
+          readAgeMs: Math.round(nowMs - this.readMs),
+          ttlMs: this.ttlMs,
+          hold: this.hold,
+        },
+      );
   }
   private hadPermit = false;
 
@@ -128,7 +148,9 @@
     if (hold !== this.hold) return;
     this.hold = null;
     this.touchAgainMs = 0;
-    this.ctx.log("warn", "hold ended; groups are lost until taken again", { hold });
+    this.ctx.log("warn", "hold ended; groups are lost until taken again", {
+      hold,
+    });
     this.lostHold();
     this.keepHold();
   }
@@ -136,7 +158,8 @@
   /** Token of a group that is this controller's under its present hold. */
   tokenOf(group: string): number | null {
     const r = this.ctx.mirror.groups.get(group);
-    if (!r || r.owner !== this.ctx.settings.label || r.hold !== this.hold) return null;
+    if (!r || r.owner !== this.ctx.settings.label || r.hold !== this.hold)
+      return null;
     return this.ceding.get(group) === r.version ? null : r.version;
   }
 
@@ -145,7 +168,10 @@
   /** Groups being given up, by token: nothing is done under it any more, whatever becomes of the commit. */
   private readonly ceding = new Map<string, number>();
   private readonly cedeSent = new Set<string>();
-  private readonly unservedMs = new Map<string, { first: number; last: number }>();
+  private readonly unservedMs = new Map<
+    string,
+    { first: number; last: number }
+  >();
   private readonly claimMs = new Map<string, number>();
   private readonly upSince = new Map<string, number>();
 
@@ -155,8 +181,10 @@
   }
 
   peersUp(up: readonly string[]): void {
-    for (const p of this.upSince.keys()) if (!up.includes(p)) this.upSince.delete(p);
-    for (const p of up) if (!this.upSince.has(p)) this.upSince.set(p, this.ctx.nowMs);
+    for (const p of this.upSince.keys())
+      if (!up.includes(p)) this.upSince.delete(p);
+    for (const p of up)
+      if (!this.upSince.has(p)) this.upSince.set(p, this.ctx.nowMs);
   }
 
   /** A worker of another's group can't be served there: if that lasts, this controller asks for the group. */
@@ -174,17 +202,34 @@
   }
 
   private claim(group: string, token: number): void {
-    if (this.ctx.nowMs - (this.claimMs.get(group) ?? -Infinity) < CLAIM_GAP_MS) return;
+    if (this.ctx.nowMs - (this.claimMs.get(group) ?? -Infinity) < CLAIM_GAP_MS)
+      return;
     this.claimMs.set(group, this.ctx.nowMs);
     this.ctx.log("info", "asking for a group", { group, token });
-    this.ctx.commit([{ key: groupKey(group), version: token }], [{ op: "put", key: claimKey(group), value: { by: this.ctx.settings.label, token } }], Urgent.Hold, () => {});
+    this.ctx.commit(
+      [{ key: groupKey(group), version: token }],
+      [
+        {
+          op: "put",
+          key: claimKey(group),
+          value: { by: this.ctx.settings.label, token },
+        },
+      ],
+      Urgent.Hold,
+      () => {},
+    );
   }
 
   /** Gives a group up for a peer that hears its workers, or for its home controller that is back. */
   private heed(): void {
     for (const [group, c] of this.ctx.mirror.claims) {
       const token = this.tokenOf(group);
-      if (token === null || c.token !== token || c.by === this.ctx.settings.label) continue;
+      if (
+        token === null ||
+        c.token !== token ||
+        c.by === this.ctx.settings.label
+      )
+        continue;
       if (c.by !== group && !this.deaf(group)) continue;
       this.ctx.log("info", "handing group over", { group, token, to: c.by });
       this.ceding.set(group, token);
@@ -197,14 +242,24 @@
       }
       if (this.cedeSent.has(group)) continue;
       this.cedeSent.add(group);
-      this.ctx.commit([{ key: groupKey(group), version: token }], [{ op: "delete", key: groupKey(group) }], Urgent.Hold, () => this.cedeSent.delete(group));
+      this.ctx.commit(
+        [{ key: groupKey(group), version: token }],
+        [{ op: "delete", key: groupKey(group) }],
+        Urgent.Hold,
+        () => this.cedeSent.delete(group),
+      );
     }
   }
 
   /** The home controller asks for its group back once it has been in touch with the owner for a while. */
   private comeHome(group: string, owner: string, token: number): void {
     const since = this.upSince.get(owner);
-    if (since !== undefined && this.ctx.nowMs - since > HOME_AFTER_MS && this.permitted()) this.claim(group, token);
+    if (
+      since !== undefined &&
+      this.ctx.nowMs - since > HOME_AFTER_MS &&
+      this.permitted()
+    )
+      this.claim(group, token);
   }
 
   /** A group that no settings name and nobody has: taken like any other, without a master. */
@@ -223,7 +278,14 @@
     this.taking.add(group);
     this.ctx.commit(
       [{ key: groupKey(group), version }],
-      [{ op: "put", key: groupKey(group), value: { owner: this.ctx.settings.label, hold }, hold }],
+      [
+        {
+          op: "put",
+          key: groupKey(group),
+          value: { owner: this.ctx.settings.label, hold },
+          hold,
+        },
+      ],
       Urgent.Hold,
       () => this.taking.delete(group),
     );
@@ -241,7 +303,8 @@
     this.keepHold();
     if (this.hold === null || !this.ctx.mirror.ready) return;
     this.heed();
-    for (const [group, r] of this.ctx.mirror.groups) this.lastToken.set(group, r.version);
+    for (const [group, r] of this.ctx.mirror.groups)
+      this.lastToken.set(group, r.version);
     const me = this.ctx.settings.label;
     const names = this.ctx.groups.names;
     for (const group of names) {
@@ -250,21 +313,32 @@
         this.absentSince.delete(group);
         // Left by this controller before it was started again: nobody else acts on it.
         if (r.owner === me && r.hold !== this.hold) this.take(group, r.version);
-        else if (group === me && r.owner !== me) this.comeHome(group, r.owner, r.version);
+        else if (group === me && r.owner !== me)
+          this.comeHome(group, r.owner, r.version);
         continue;
       }
       let since = this.absentSince.get(group);
-      if (since === undefined) this.absentSince.set(group, (since = this.ctx.nowMs));
+      if (since === undefined)
+        this.absentSince.set(group, (since = this.ctx.nowMs));
       // Handed over: whoever asked for it comes first. Else nobody's: its home controller does, then the others
       // by turns.
-      const heir = this.freshClaim(group) && this.ctx.nowMs - since < CLAIM_GAP_MS ? this.ctx.mirror.claims.get(group)!.by : group;
+      const heir =
+        this.freshClaim(group) && this.ctx.nowMs - since < CLAIM_GAP_MS
+          ? this.ctx.mirror.claims.get(group)!.by
+          : group;
       if (heir === me) {
         this.take(group, 0);
         continue;
       }
       if (heir !== group) continue;
-      const rank = (names.indexOf(me) - names.indexOf(group) + names.length) % names.length;
-      if (this.ctx.nowMs - since > 1_500 * rank + (this.ctx.nowMs - this.startMs < 12_000 ? 10_000 : 0)) this.take(group, 0);
+      const rank =
+        (names.indexOf(me) - names.indexOf(group) + names.length) %
+        names.length;
+      if (
+        this.ctx.nowMs - since >
+        1_500 * rank + (this.ctx.nowMs - this.startMs < 12_000 ? 10_000 : 0)
+      )
+        this.take(group, 0);
     }
   }
 }
--- a/src/coordination/parts.ts
+++ b/src/coordination/parts.ts
@@ -14,20 +14,39 @@
 }
 export const NO_GANG: GangView = { attempt: 0, version: 0, ready: new Map() };
 
-export const inParts = (spec: JobSpec, groups: number): boolean => spec.shape === "ensemble" && spec.spread && groups > 1;
+export const inParts = (spec: JobSpec, groups: number): boolean =>
+  spec.shape === "ensemble" && spec.spread && groups > 1;
 
-export type PartStep = { is: "ready"; after: number } | { is: "call" } | { is: "start"; attempt: number } | { is: "wait" };
+export type PartStep =
+  | { is: "ready"; after: number }
+  | { is: "call" }
+  | { is: "start"; attempt: number }
+  | { is: "wait" };
 
 /**
  * What a group does whose part has room and nothing left on any machine. `tried`: the attempt that this master has
  * started its part under. Invariant (ran_twice): the records only say when to start and under which attempt; that
  * nothing of the part is anywhere is each master's own knowledge, as for every other job.
  */
-export function partStep(groups: readonly string[], group: string, gang: GangView, tried: number): PartStep {
+export function partStep(
+  groups: readonly string[],
+  group: string,
+  gang: GangView,
+  tried: number,
+): PartStep {
   const mine = gang.ready.get(group);
   // Called after this group said that it was ready: whoever starts late still completes the gang.
-  if (gang.attempt > 0 && mine !== gang.attempt && tried !== gang.attempt && mine !== undefined) return { is: "start", attempt: gang.attempt };
+  if (
+    gang.attempt > 0 &&
+    mine !== gang.attempt &&
+    tried !== gang.attempt &&
+    mine !== undefined
+  )
+    return { is: "start", attempt: gang.attempt };
   if (mine !== gang.attempt) return { is: "ready", after: gang.attempt };
   const first = [...groups].sort()[0];
-  return first === group && groups.every((g) => gang.ready.get(g) === gang.attempt) ? { is: "call" } : { is: "wait" };
+  return first === group &&
+    groups.every((g) => gang.ready.get(g) === gang.attempt)
+    ? { is: "call" }
+    : { is: "wait" };
 }
--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -10,29 +10,48 @@
 }
 
 export const fits = (need: Amounts, room: Amounts): boolean =>
-  need.cpus <= room.cpus + EPS && need.gpus <= room.gpus + EPS && need.memGb <= room.memGb + EPS;
+  need.cpus <= room.cpus + EPS &&
+  need.gpus <= room.gpus + EPS &&
+  need.memGb <= room.memGb + EPS;
 
 /** How many tasks of this need go into this room. */
 export function fitCount(need: Amounts, room: Amounts): number {
   let n = Infinity;
   if (need.cpus > 0) n = Math.min(n, Math.floor((room.cpus + EPS) / need.cpus));
   if (need.gpus > 0) n = Math.min(n, Math.floor((room.gpus + EPS) / need.gpus));
-  if (need.memGb > 0) n = Math.min(n, Math.floor((room.memGb + EPS) / need.memGb));
+  if (need.memGb > 0)
+    n = Math.min(n, Math.floor((room.memGb + EPS) / need.memGb));
   return n === Infinity ? 1_000 : Math.max(0, n);
 }
 
 /** How many tasks go into what is left of a limit, which counts no memory. */
-export const fitLimit = (need: Amounts, left: { cpus: number; gpus: number }): number => fitCount({ cpus: need.cpus, gpus: need.gpus, memGb: 0 }, { cpus: left.cpus, gpus: left.gpus, memGb: 0 });
+export const fitLimit = (
+  need: Amounts,
+  left: { cpus: number; gpus: number },
+): number =>
+  fitCount(
+    { cpus: need.cpus, gpus: need.gpus, memGb: 0 },
+    { cpus: left.cpus, gpus: left.gpus, memGb: 0 },
+  );
 
 /** The type, zone and kind that a job's tasks may run on. */
-export function allowedOn(spec: JobSpec, type: string, zone: string, spot: boolean): boolean {
+export function allowedOn(
+  spec: JobSpec,
+  type: string,
+  zone: string,
+  spot: boolean,
+): boolean {
   if (spec.types !== null && !spec.types.includes(type)) return false;
   if (spec.zone !== null && spec.zone !== zone) return false;
   return spec.spot || !spot;
 }
 
 export function couldRun(spec: JobSpec, t: MachineType, zone: string): boolean {
-  return t.zones.includes(zone) && allowedOn(spec, t.name, zone, false) && fits(spec, t);
+  return (
+    t.zones.includes(zone) &&
+    allowedOn(spec, t.name, zone, false) &&
+    fits(spec, t)
+  );
 }
 
 /** How much dearer a place on an accelerated machine may be than one on a plain machine, for plain work. */
@@ -43,24 +62,38 @@
  * one only where a place on it costs about as much as on a plain machine (a cheap spot offer), or where no plain
  * machine could run it.
  */
-export function suits(spec: JobSpec, t: MachineType | null, spot: boolean, catalog: readonly MachineType[] | null): boolean {
+export function suits(
+  spec: JobSpec,
+  t: MachineType | null,
+  spot: boolean,
+  catalog: readonly MachineType[] | null,
+): boolean {
   if (!t || spec.gpus > 0 || t.gpus === 0) return true;
   let plain = Infinity;
-  for (const x of catalog ?? []) if (x.gpus === 0 && x.zones.some((z) => couldRun(spec, x, z))) plain = Math.min(plain, x.price / fitCount(spec, x));
-  return (spot ? t.spotPrice : t.price) / Math.max(1, fitCount(spec, t)) <= plain * LIKE_PRICE;
+  for (const x of catalog ?? [])
+    if (x.gpus === 0 && x.zones.some((z) => couldRun(spec, x, z)))
+      plain = Math.min(plain, x.price / fitCount(spec, x));
+  return (
+    (spot ? t.spotPrice : t.price) / Math.max(1, fitCount(spec, t)) <=
+    plain * LIKE_PRICE
+  );
 }
 
 /** With `spread`, at most half of the tasks, rounded up, may be in one zone. */
-export const zoneCap = (spec: JobSpec): number => (spec.spread ? Math.ceil(spec.tasks / 2) : Infinity);
+export const zoneCap = (spec: JobSpec): number =>
+  spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
 
 /** All tasks go to one group: gangs start together, and `samePlace` wants one zone. */
-export const goesWhole = (spec: JobSpec): boolean => spec.shape === "ensemble" || spec.samePlace;
+export const goesWhole = (spec: JobSpec): boolean =>
+  spec.shape === "ensemble" || spec.samePlace;
 
 /** What a job asks of the place of a task, as one word: jobs that share it can use the same machines. */
-export const placeAsked = (s: JobSpec): string => JSON.stringify([s.cpus, s.gpus, s.memGb, s.types, s.zone, s.spot]);
+export const placeAsked = (s: JobSpec): string =>
+  JSON.stringify([s.cpus, s.gpus, s.memGb, s.types, s.zone, s.spot]);
 
 /** A type in a zone, spot or ordinary, as one word. */
-export const offer = (type: string, zone: string, spot: boolean): string => `${type}/${zone}/${spot ? "spot" : "ordinary"}`;
+export const offer = (type: string, zone: string, spot: boolean): string =>
+  `${type}/${zone}/${spot ? "spot" : "ordinary"}`;
 
 /**
  * What found no room in a placing pass. Room only shrinks during one: whatever asks for the same kind of place
@@ -83,11 +116,18 @@
     if (Misfits.own(s)) return;
     const key = Misfits.kind(s, look);
     const list = this.of.get(key) ?? [];
-    list.push({ cpus: s.cpus, gpus: s.gpus, memGb: s.memGb, tasks: Misfits.tasks(s) });
+    list.push({
+      cpus: s.cpus,
+      gpus: s.gpus,
+      memGb: s.memGb,
+      tasks: Misfits.tasks(s),
+    });
     this.of.set(key, list);
   }
   includes(s: JobSpec, look: string): boolean {
     if (Misfits.own(s)) return false;
-    return (this.of.get(Misfits.kind(s, look)) ?? []).some((m) => fits(m, s) && m.tasks <= Misfits.tasks(s));
+    return (this.of.get(Misfits.kind(s, look)) ?? []).some(
+      (m) => fits(m, s) && m.tasks <= Misfits.tasks(s),
+    );
   }
 }
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -7,10 +7,24 @@
 import type { Guarantees, Sharing } from "./limits/index.js";
 import { type JobSpec, taskKey } from "./model.js";
 import { inParts, partStep } from "./parts.js";
-import { allowedOn, type Amounts, fitCount, fitLimit, Misfits, suits, zoneCap } from "./placement.js";
+import {
+  allowedOn,
+  type Amounts,
+  fitCount,
+  fitLimit,
+  Misfits,
+  suits,
+  zoneCap,
+} from "./placement.js";
 import type { Preemption } from "./preemption.js";
 import { isLate, isShort, Round } from "./queues.js";
-import { freeOn, type JobRun, take, type TaskRun, type Worker } from "./tasks.js";
+import {
+  freeOn,
+  type JobRun,
+  take,
+  type TaskRun,
+  type Worker,
+} from "./tasks.js";
 
 /** Attempts of one token: with a token below 2^33 they stay below 2^53. */
 const ATTEMPTS = 2 ** 20;
@@ -56,14 +70,22 @@
 
   place(): void {
     // With thousands of waiting jobs a pass takes longer: it may take no more than a small part of the time.
-    if (!this.own.dirty || this.ctx.nowMs - this.placedMs < Math.max(PLACE_GAP_MS, this.own.jobs.size / 5) || !this.own.permitted()) return;
+    if (
+      !this.own.dirty ||
+      this.ctx.nowMs - this.placedMs <
+        Math.max(PLACE_GAP_MS, this.own.jobs.size / 5) ||
+      !this.own.permitted()
+    )
+      return;
     this.own.dirty = false;
     this.placedMs = this.ctx.nowMs;
     this.passes++;
     this.own.holding.clear();
     this.kept.clear();
     this.keptS = Infinity;
-    const ready = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j));
+    const ready = [...this.own.jobs.values()].filter((j) =>
+      this.own.mayStart(j),
+    );
     if (ready.length === 0) return;
     this.gathering.look(ready);
     const used = this.own.usage();
@@ -75,31 +97,51 @@
         spec: j.view.spec,
         standing: j.view,
         tasks: this.own.unfinished(j),
-        late: isLate(j.view.spec, j.view, this.ctx.wallMs, this.ctx.settings.objectives),
+        late: isLate(
+          j.view.spec,
+          j.view,
+          this.ctx.wallMs,
+          this.ctx.settings.objectives,
+        ),
         due: this.gathering.due(j),
         job: j,
       })),
       this.ctx.tuning,
       this.turn,
-      this.ctx.tuning.guaranteeOrder ? (team) => this.guarantees.standing(team, used.get(team) ?? NO_USE) : null,
+      this.ctx.tuning.guaranteeOrder
+        ? (team) => this.guarantees.standing(team, used.get(team) ?? NO_USE)
+        : null,
     );
     const madeRoom = new Set(workers.map((w) => w.heldFor?.job));
     const blocked: JobRun[] = [];
     const misfits = new Misfits();
-    const most = (head: { due: Due }): number => (head.due === "array" ? 1 : round.most());
+    const most = (head: { due: Due }): number =>
+      head.due === "array" ? 1 : round.most();
     for (let head = round.head(); head; head = round.head()) {
       const job = head.job;
       const short = isShort(job.view.spec, this.ctx.tuning);
       const look = `${short}/${this.fillsIn(job.view.spec)}`;
       // Room that was made for a job is hidden from the others.
       const own = madeRoom.has(job.id);
-      const n = !own && head.due === "no" && misfits.includes(job.view.spec, look) ? 0 : this.placeSome(job, most(head), short ? workers : unreserved, free, reserved, used);
+      const n =
+        !own && head.due === "no" && misfits.includes(job.view.spec, look)
+          ? 0
+          : this.placeSome(
+              job,
+              most(head),
+              short ? workers : unreserved,
+              free,
+              reserved,
+              used,
+            );
       if (n === null) misfits.add(job.view.spec, look);
       if (n) round.served(n);
       else if (blocked.length < 3 && job.suspectMs === null) blocked.push(job);
       if (!n || job.waiting.isEmpty || head.due === "array") round.skip();
     }
-    for (const job of blocked) if (this.ctx.nowMs - job.waitingSinceMs > PREEMPT_AFTER_MS) this.preemption.consider(job, workers, free, used);
+    for (const job of blocked)
+      if (this.ctx.nowMs - job.waitingSinceMs > PREEMPT_AFTER_MS)
+        this.preemption.consider(job, workers, free, used);
   }
 
   /** Places a whole gang, or up to `most` tasks on one machine; the number of tasks placed, null: no room. */
@@ -114,20 +156,38 @@
     const spec = job.view.spec;
     const gang = spec.shape === "ensemble";
     // A gang starts anew only when nothing of its last attempt is left; its tasks complete or fail together.
-    if (gang && (job.active.size > 0 || job.waiting.size < job.mine.size || this.own.ledger.hasStrays(job.id))) return 0;
+    if (
+      gang &&
+      (job.active.size > 0 ||
+        job.waiting.size < job.mine.size ||
+        this.own.ledger.hasStrays(job.id))
+    )
+      return 0;
     const team = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
     const share = this.sharing.share(spec.team);
-    const allowed = fitLimit(spec, { cpus: share[0] - team.cpus, gpus: share[1] - team.gpus });
+    const allowed = fitLimit(spec, {
+      cpus: share[0] - team.cpus,
+      gpus: share[1] - team.gpus,
+    });
     // Invariant (rule ran_twice): nothing is started that may still be on some machine.
-    const startable = (i: number): boolean => !this.own.ledger.hasStrays(job.id, i);
-    const want = gang ? job.waiting.size : Math.min(most, allowed, job.waiting.size);
+    const startable = (i: number): boolean =>
+      !this.own.ledger.hasStrays(job.id, i);
+    const want = gang
+      ? job.waiting.size
+      : Math.min(most, allowed, job.waiting.size);
     if (want === 0) return 0;
     const gathers = gang && this.gathering.due(job) === "gang";
     if (allowed < want) {
       if (gathers) this.keepLimit(spec, used);
       return 0;
     }
-    const indices = [...job.waiting.take(gang ? want : want + this.own.ledger.straysOf(job.id).size)].filter(startable).slice(0, want);
+    const indices = [
+      ...job.waiting.take(
+        gang ? want : want + this.own.ledger.straysOf(job.id).size,
+      ),
+    ]
+      .filter(startable)
+      .slice(0, want);
     if (indices.length === 0) return 0;
     const chosen = this.choose(job, indices.length, gang, open, free, reserved);
     if (chosen.length === 0 || (gang && chosen.length < want)) {
@@ -138,11 +198,17 @@
         if (gathers) {
           this.keep(chosen, job);
           this.keepLimit(spec, used);
-        } else if (job.suspectMs === null && this.ctx.wallMs - job.view.readyAt > this.ctx.tuning.holdAfterS * 1000) this.hold(chosen, spec, free);
+        } else if (
+          job.suspectMs === null &&
+          this.ctx.wallMs - job.view.readyAt > this.ctx.tuning.holdAfterS * 1000
+        )
+          this.hold(chosen, spec, free);
       }
       return null;
     }
-    const attempt = inParts(spec, job.view.split.size) ? this.partAttempt(job) : this.own.token * ATTEMPTS + ++this.attempts;
+    const attempt = inParts(spec, job.view.split.size)
+      ? this.partAttempt(job)
+      : this.own.token * ATTEMPTS + ++this.attempts;
     if (attempt === null) {
       // The other parts are not ready yet: its room is held until they are.
       this.hold(chosen, spec, free);
@@ -151,11 +217,24 @@
     for (const [k, w] of chosen.entries()) {
       const index = indices[k]!;
       job.waiting.remove(index);
-      const t: TaskRun = { job, index, attempt, worker: w, phase: "ordered", told: 0, sinceMs: this.ctx.nowMs, stop: null };
+      const t: TaskRun = {
+        job,
+        index,
+        attempt,
+        worker: w,
+        phase: "ordered",
+        told: 0,
+        sinceMs: this.ctx.nowMs,
+        stop: null,
+      };
       job.active.set(index, t);
       this.own.ledger.put(t);
       w.idleSinceMs = null;
-      this.ctx.log("debug", "starting task", { task: taskKey(job.id, index), attempt, worker: w.id });
+      this.ctx.log("debug", "starting task", {
+        task: taskKey(job.id, index),
+        attempt,
+        worker: w.id,
+      });
       take(free.get(w)!, spec);
       team.cpus += spec.cpus;
       team.gpus += spec.gpus;
@@ -166,7 +245,11 @@
   }
 
   /** Keeps the room that a gang could use already from those behind it in this pass, and from other groups' gangs. */
-  private hold(chosen: readonly Worker[], spec: JobSpec, free: ReadonlyMap<Worker, Amounts>): void {
+  private hold(
+    chosen: readonly Worker[],
+    spec: JobSpec,
+    free: ReadonlyMap<Worker, Amounts>,
+  ): void {
     for (const w of chosen) {
       take(free.get(w)!, spec);
       this.own.holding.add(w);
@@ -176,7 +259,10 @@
   /** Of its team's limit, too, what comes free is for a gang that gathers: small ones of the same team took it as fast. */
   private keepLimit(spec: JobSpec, used: Map<string, Use>): void {
     const team = used.get(spec.team) ?? NO_USE;
-    used.set(spec.team, { cpus: team.cpus + spec.cpus * spec.tasks, gpus: team.gpus + spec.gpus * spec.tasks });
+    used.set(spec.team, {
+      cpus: team.cpus + spec.cpus * spec.tasks,
+      gpus: team.gpus + spec.gpus * spec.tasks,
+    });
   }
 
   /** The same, but for what is done before the gang can have all its places: that may use them meanwhile. */
@@ -184,27 +270,49 @@
     const { cpus, gpus, memGb } = job.view.spec;
     for (const w of chosen) {
       const k = this.kept.get(w) ?? { cpus: 0, gpus: 0, memGb: 0 };
-      this.kept.set(w, { cpus: k.cpus + cpus, gpus: k.gpus + gpus, memGb: k.memGb + memGb });
+      this.kept.set(w, {
+        cpus: k.cpus + cpus,
+        gpus: k.gpus + gpus,
+        memGb: k.memGb + memGb,
+      });
       this.own.holding.add(w);
     }
     this.keptS = Math.min(this.keptS, this.gathering.gatheredS(job));
   }
   private fillsIn(spec: JobSpec): boolean {
-    return this.kept.size > 0 && spec.shape === "batch" && spec.estimateS > 0 && spec.estimateS * BACKFILL_SLOW < this.keptS;
+    return (
+      this.kept.size > 0 &&
+      spec.shape === "batch" &&
+      spec.estimateS > 0 &&
+      spec.estimateS * BACKFILL_SLOW < this.keptS
+    );
   }
   /** What is free on a machine for this job. */
-  private roomOn(w: Worker, free: ReadonlyMap<Worker, Amounts>, spec: JobSpec): Amounts {
+  private roomOn(
+    w: Worker,
+    free: ReadonlyMap<Worker, Amounts>,
+    spec: JobSpec,
+  ): Amounts {
     const room = free.get(w)!;
     const kept = this.kept.get(w);
     if (!kept || this.fillsIn(spec)) return room;
-    return { cpus: room.cpus - kept.cpus, gpus: room.gpus - kept.gpus, memGb: room.memGb - kept.memGb };
+    return {
+      cpus: room.cpus - kept.cpus,
+      gpus: room.gpus - kept.gpus,
+      memGb: room.memGb - kept.memGb,
+    };
   }
 
   /** The attempt under which a part of a gang is to start now; null: not yet. */
   private partAttempt(job: JobRun): number | null {
     if (job.calling) return null;
     const gang = this.ctx.mirror.gang(job.id);
-    const step = partStep([...job.view.split.keys()], this.own.group, gang, job.tried);
+    const step = partStep(
+      [...job.view.split.keys()],
+      this.own.group,
+      gang,
+      job.tried,
+    );
     if (step.is === "start") return (job.tried = step.attempt);
     if (step.is === "wait") return null;
     job.calling = true;
@@ -215,15 +323,38 @@
     const called = { key: gangKey(job.id), version: gang.version };
     const ready = readyKey(job.id, this.own.group);
     // Both are conditional on the call that they follow: one that is carried out late, after the next, says nothing.
-    if (step.is === "ready") this.own.commit([alive, called, { key: ready, version: this.ctx.mirror.revisionOf(ready) }], [{ op: "put", key: ready, value: { attempt: step.after } }], Urgent.Master, done);
-    else this.own.commit([alive, called], [{ op: "put", key: called.key, value: { attempt: this.own.token * ATTEMPTS + ++this.attempts } }], Urgent.Master, done);
+    if (step.is === "ready")
+      this.own.commit(
+        [
+          alive,
+          called,
+          { key: ready, version: this.ctx.mirror.revisionOf(ready) },
+        ],
+        [{ op: "put", key: ready, value: { attempt: step.after } }],
+        Urgent.Master,
+        done,
+      );
+    else
+      this.own.commit(
+        [alive, called],
+        [
+          {
+            op: "put",
+            key: called.key,
+            value: { attempt: this.own.token * ATTEMPTS + ++this.attempts },
+          },
+        ],
+        Urgent.Master,
+        done,
+      );
     return null;
   }
 
   /** Zones where tasks of this job are or may be, with their number: tasks of old attempts count. */
   private zonesOf(job: JobRun): Map<string, number> {
     const zones = new Map<string, number>();
-    const add = (zone: string): void => void zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    const add = (zone: string): void =>
+      void zones.set(zone, (zones.get(zone) ?? 0) + 1);
     for (const t of job.active.values()) add(t.worker.zone);
     for (const s of this.own.ledger.straysOf(job.id)) add(s.worker.zone);
     return zones;
@@ -251,8 +382,17 @@
     let best: { w: Worker; n: number; score: number } | null = null;
     for (const w of open) {
       if (only !== null && w.zone !== only) continue;
-      if (w.heldFor && w.heldFor.job !== job.id && this.ctx.nowMs < w.heldFor.untilMs) continue;
-      if (!allowedOn(spec, w.typeName, w.zone, w.spot) || !suits(spec, w.type, w.spot, this.ctx.catalog)) continue;
+      if (
+        w.heldFor &&
+        w.heldFor.job !== job.id &&
+        this.ctx.nowMs < w.heldFor.untilMs
+      )
+        continue;
+      if (
+        !allowedOn(spec, w.typeName, w.zone, w.spot) ||
+        !suits(spec, w.type, w.spot, this.ctx.catalog)
+      )
+        continue;
       const room = this.roomOn(w, free, spec);
       // Invariant (rule wrong_place): with `spread`, no zone holds more than half, old attempts included.
       const n = Math.min(fitCount(spec, room), cap - (at.get(w.zone) ?? 0));
@@ -265,7 +405,8 @@
       else byZone.set(key, [c]);
     }
     if (!best) return [];
-    if (!gang && !spec.samePlace) return Array.from({ length: Math.min(want, best.n) }, () => best.w);
+    if (!gang && !spec.samePlace)
+      return Array.from({ length: Math.min(want, best.n) }, () => best.w);
     let most: Worker[] = [];
     for (const list of byZone.values()) {
       const out: Worker[] = [];
@@ -273,7 +414,11 @@
       list.sort((a, b) => b.score - a.score);
       for (const { w, n } of list) {
         if (out.length === want) break;
-        const k = Math.min(n, want - out.length, cap - (count.get(w.zone) ?? 0));
+        const k = Math.min(
+          n,
+          want - out.length,
+          cap - (count.get(w.zone) ?? 0),
+        );
         for (let i = 0; i < k; i++) out.push(w);
         count.set(w.zone, (count.get(w.zone) ?? 0) + Math.max(0, k));
       }
@@ -283,13 +428,19 @@
   }
 
   /** Higher is better: its image is there, unreserved, little left over. */
-  private score(job: JobRun, w: Worker, room: Amounts, reserved: ReadonlySet<string>): number {
+  private score(
+    job: JobRun,
+    w: Worker,
+    room: Amounts,
+    reserved: ReadonlySet<string>,
+  ): number {
     const spec = job.view.spec;
     let s = 0;
     if (job.errors.has(w.id)) s -= 1_000;
     if (!spec.image || w.images.has(spec.image)) s += 200;
     if (reserved.has(w.id)) s -= 100;
-    for (const t of w.tasks.values()) if (t.job.view.spec.image === spec.image) s += 50;
+    for (const t of w.tasks.values())
+      if (t.job.view.spec.image === spec.image) s += 50;
     const rest = w.type ? (room.cpus - spec.cpus) / (w.type.cpus || 1) : 0;
     return s - rest * 10;
   }
