--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -1,9 +1,21 @@
 import type { Context } from "./context.js";
 import type { Holdings } from "./holdings.js";
 import type { Use } from "./ledger.js";
-import { type Pair, type Reclaims, type Sharing, withinShare } from "./limits/index.js";
+import {
+  type Pair,
+  type Reclaims,
+  type Sharing,
+  withinShare,
+} from "./limits/index.js";
 import { URGENCIES } from "./model.js";
-import { allowedOn, type Amounts, EPS, fitCount, fits, suits } from "./placement.js";
+import {
+  allowedOn,
+  type Amounts,
+  EPS,
+  fitCount,
+  fits,
+  suits,
+} from "./placement.js";
 import type { Renting } from "./renting.js";
 import { graceOf, type JobRun, type TaskRun, type Worker } from "./tasks.js";
 
@@ -19,11 +31,20 @@
 
   /** PROTOCOL, "Preemption": for a job of higher urgency, or to give a team its guarantee back. */
   private mayPreempt(job: JobRun, t: TaskRun, why: Why): boolean {
-    return !t.stop && t.phase !== "saving" && !isGang(t.job) && this.comesBefore(job, t.job, why);
+    return (
+      !t.stop &&
+      t.phase !== "saving" &&
+      !isGang(t.job) &&
+      this.comesBefore(job, t.job, why)
+    );
   }
 
   private comesBefore(job: JobRun, running: JobRun, why: Why): boolean {
-    if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(running.view.urgency)) return true;
+    if (
+      URGENCIES.indexOf(job.view.urgency) >
+      URGENCIES.indexOf(running.view.urgency)
+    )
+      return true;
     return why.has(running.view.spec.team);
   }
 
@@ -34,7 +55,10 @@
   private givers(job: JobRun, want: number): Why {
     const { spec } = job.view;
     const out = new Map<string, Pair>();
-    if (!this.reclaims.mayClaim(spec.team, [spec.cpus * want, spec.gpus * want])) return out;
+    if (
+      !this.reclaims.mayClaim(spec.team, [spec.cpus * want, spec.gpus * want])
+    )
+      return out;
     for (const team of this.ctx.settings.teams.keys()) {
       if (team === spec.team) continue;
       const left = this.reclaims.left(team);
@@ -45,7 +69,8 @@
 
   /** Whether any job here runs tasks that may be stopped for this one: mostly none does, and no machine need be looked at. */
   private anyBehind(job: JobRun, why: Why): boolean {
-    for (const j of this.own.jobs.values()) if (j.active.size > 0 && this.comesBefore(job, j, why)) return true;
+    for (const j of this.own.jobs.values())
+      if (j.active.size > 0 && this.comesBefore(job, j, why)) return true;
     return false;
   }
 
@@ -53,19 +78,29 @@
   private lossOf(t: TaskRun): number {
     const spec = t.job.view.spec;
     const ran = t.phase === "running" ? (this.ctx.nowMs - t.sinceMs) / 1000 : 0;
-    return 5 + (spec.checkpointS > 0 ? spec.saveS : ran) * Math.max(1, spec.cpus);
+    return (
+      5 + (spec.checkpointS > 0 ? spec.saveS : ran) * Math.max(1, spec.cpus)
+    );
   }
 
   /**
    * Tasks to stop on one machine so that one of the job's fits: the least lost first; null: that can't be had there.
    * `left`: what may still be taken of each team for a guarantee.
    */
-  private victimsOn(w: Worker, job: JobRun, free: Amounts, why: Why, left: Map<string, Pair>): { victims: TaskRun[]; loss: number } | null {
+  private victimsOn(
+    w: Worker,
+    job: JobRun,
+    free: Amounts,
+    why: Why,
+    left: Map<string, Pair>,
+  ): { victims: TaskRun[]; loss: number } | null {
     const spec = job.view.spec;
     const room = { ...free };
     const victims: TaskRun[] = [];
     let loss = 0;
-    for (const t of [...w.tasks.values()].filter((x) => this.mayPreempt(job, x, why)).sort((x, y) => this.lossOf(x) - this.lossOf(y))) {
+    for (const t of [...w.tasks.values()]
+      .filter((x) => this.mayPreempt(job, x, why))
+      .sort((x, y) => this.lossOf(x) - this.lossOf(y))) {
       if (fits(spec, room)) break;
       if (!this.charge(t, job, left)) continue;
       victims.push(t);
@@ -78,10 +113,12 @@
   /** Counts a task against what may be taken of its team, if it is stopped for a guarantee; false: nothing may be any more. */
   private charge(t: TaskRun, job: JobRun, left: Map<string, Pair>): boolean {
     const { spec, urgency } = t.job.view;
-    if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(urgency)) return true;
+    if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(urgency))
+      return true;
     const l = left.get(spec.team);
     // The last task may go beyond, so that no guarantee stays unmet for the size of a task.
-    if (!l || !((spec.cpus > 0 && l[0] > EPS) || (spec.gpus > 0 && l[1] > EPS))) return false;
+    if (!l || !((spec.cpus > 0 && l[0] > EPS) || (spec.gpus > 0 && l[1] > EPS)))
+      return false;
     left.set(spec.team, [l[0] - spec.cpus, l[1] - spec.gpus]);
     return true;
   }
@@ -91,34 +128,65 @@
    * machines where the least is lost, for a gang as many as it lacks, in one zone if it must be. The room is held for
    * the job until they are gone.
    */
-  consider(job: JobRun, workers: readonly Worker[], free: ReadonlyMap<Worker, Amounts>, used: ReadonlyMap<string, Use>): void {
+  consider(
+    job: JobRun,
+    workers: readonly Worker[],
+    free: ReadonlyMap<Worker, Amounts>,
+    used: ReadonlyMap<string, Use>,
+  ): void {
     const spec = job.view.spec;
     const gang = spec.shape === "ensemble";
     if (spec.spread || (spec.samePlace && !gang)) return;
     if (gang && !this.own.waitsWhole(job)) return;
     const want = gang ? spec.tasks : 1;
-    if (!withinShare(used.get(spec.team) ?? { cpus: 0, gpus: 0 }, { cpus: spec.cpus * want, gpus: spec.gpus * want }, this.sharing.share(spec.team))) return;
+    if (
+      !withinShare(
+        used.get(spec.team) ?? { cpus: 0, gpus: 0 },
+        { cpus: spec.cpus * want, gpus: spec.gpus * want },
+        this.sharing.share(spec.team),
+      )
+    )
+      return;
     const now = this.ctx.nowMs;
-    if (workers.some((w) => w.heldFor?.job === job.id && now < w.heldFor.untilMs)) return;
+    if (
+      workers.some((w) => w.heldFor?.job === job.id && now < w.heldFor.untilMs)
+    )
+      return;
     const why = this.givers(job, want);
     if (!this.anyBehind(job, why) || !this.renting.exhausted(spec)) return;
     const may = workers.filter(
-      (w) => allowedOn(spec, w.typeName, w.zone, w.spot) && suits(spec, w.type, w.spot, this.ctx.catalog) && !(w.heldFor && now < w.heldFor.untilMs) && !job.errors.has(w.id),
+      (w) =>
+        allowedOn(spec, w.typeName, w.zone, w.spot) &&
+        suits(spec, w.type, w.spot, this.ctx.catalog) &&
+        !(w.heldFor && now < w.heldFor.untilMs) &&
+        !job.errors.has(w.id),
     );
     let best: Choice | null = null;
-    for (const zone of spec.samePlace ? new Set(may.map((w) => w.zone)) : [null]) {
+    for (const zone of spec.samePlace
+      ? new Set(may.map((w) => w.zone))
+      : [null]) {
       const here = zone === null ? may : may.filter((w) => w.zone === zone);
       const rooms = here.filter((w) => fits(spec, free.get(w)!));
-      const lacking = want - rooms.reduce((n, w) => n + fitCount(spec, free.get(w)!), 0);
+      const lacking =
+        want - rooms.reduce((n, w) => n + fitCount(spec, free.get(w)!), 0);
       if (lacking <= 0) continue;
-      const choice = this.tasksFor(job, here, rooms, lacking, free, why) ?? this.gangFor(job, here, rooms, lacking, free, why);
+      const choice =
+        this.tasksFor(job, here, rooms, lacking, free, why) ??
+        this.gangFor(job, here, rooms, lacking, free, why);
       if (choice && (!best || choice.loss < best.loss)) best = choice;
     }
     if (best) this.carryOut(job, want, best);
   }
 
   /** Single tasks, machine by machine, where the least is lost. */
-  private tasksFor(job: JobRun, here: readonly Worker[], rooms: readonly Worker[], lacking: number, free: ReadonlyMap<Worker, Amounts>, why: Why): Choice | null {
+  private tasksFor(
+    job: JobRun,
+    here: readonly Worker[],
+    rooms: readonly Worker[],
+    lacking: number,
+    free: ReadonlyMap<Worker, Amounts>,
+    why: Why,
+  ): Choice | null {
     const options = here
       .filter((w) => !rooms.includes(w))
       .flatMap((w) => {
@@ -147,39 +215,78 @@
    * Only gangs may give: the one that loses the least and makes enough room, whole and by an orderly stop. One that can't
    * save, or that other groups have a part of, is left alone.
    */
-  private gangFor(job: JobRun, here: readonly Worker[], rooms: readonly Worker[], lacking: number, free: ReadonlyMap<Worker, Amounts>, why: Why): Choice | null {
+  private gangFor(
+    job: JobRun,
+    here: readonly Worker[],
+    rooms: readonly Worker[],
+    lacking: number,
+    free: ReadonlyMap<Worker, Amounts>,
+    why: Why,
+  ): Choice | null {
     const spec = job.view.spec;
     let best: Choice | null = null;
     for (const g of this.own.jobs.values()) {
       const other = g.view.spec;
-      if (!isGang(g) || other.checkpointS <= 0 || g.active.size < other.tasks || !why.has(other.team) || !this.comesBefore(job, g, why)) continue;
+      if (
+        !isGang(g) ||
+        other.checkpointS <= 0 ||
+        g.active.size < other.tasks ||
+        !why.has(other.team) ||
+        !this.comesBefore(job, g, why)
+      )
+        continue;
       const tasks = [...g.active.values()];
       if (tasks.some((t) => t.stop || t.phase !== "running")) continue;
       if (!this.charge(tasks[0]!, job, new Map(why))) continue;
       const room = new Map<Worker, Amounts>();
       for (const t of tasks) {
-        const r = room.get(t.worker) ?? { ...(free.get(t.worker) ?? { cpus: 0, gpus: 0, memGb: 0 }) };
+        const r = room.get(t.worker) ?? {
+          ...(free.get(t.worker) ?? { cpus: 0, gpus: 0, memGb: 0 }),
+        };
         addTo(r, other);
         room.set(t.worker, r);
       }
-      const makes = [...room].filter(([w]) => here.includes(w) && !rooms.includes(w));
-      if (makes.reduce((n, [, r]) => n + fitCount(spec, r), 0) < lacking) continue;
+      const makes = [...room].filter(
+        ([w]) => here.includes(w) && !rooms.includes(w),
+      );
+      if (makes.reduce((n, [, r]) => n + fitCount(spec, r), 0) < lacking)
+        continue;
       const loss = tasks.reduce((n, t) => n + this.lossOf(t), 0);
-      if (!best || loss < best.loss) best = { workers: [...rooms, ...makes.map(([w]) => w)], victims: tasks, loss };
+      if (!best || loss < best.loss)
+        best = {
+          workers: [...rooms, ...makes.map(([w]) => w)],
+          victims: tasks,
+          loss,
+        };
     }
     return best;
   }
 
-  private carryOut(job: JobRun, want: number, { workers, victims }: Choice): void {
+  private carryOut(
+    job: JobRun,
+    want: number,
+    { workers, victims }: Choice,
+  ): void {
     const spec = job.view.spec;
     const grace = Math.max(0, ...victims.map(graceOf));
     const stop = (): void => {
       // It may have begun, or ended, while the claim was written.
       if (job.gone || job.waiting.isEmpty) return;
-      const untilMs = this.ctx.nowMs + grace * 1000 + 2_000 * this.ctx.settings.reportS + 3_000;
+      const untilMs =
+        this.ctx.nowMs +
+        grace * 1000 +
+        2_000 * this.ctx.settings.reportS +
+        3_000;
       for (const w of workers) w.heldFor = { job: job.id, untilMs };
-      const still = victims.filter((t) => !t.stop && t.job.active.get(t.index) === t);
-      this.ctx.log("info", "stopping tasks for a job that comes first", { job: job.id, team: spec.team, workers: [...new Set(still.map((t) => t.worker.id))], tasks: still.length });
+      const still = victims.filter(
+        (t) => !t.stop && t.job.active.get(t.index) === t,
+      );
+      this.ctx.log("info", "stopping tasks for a job that comes first", {
+        job: job.id,
+        team: spec.team,
+        workers: [...new Set(still.map((t) => t.worker.id))],
+        tasks: still.length,
+      });
       for (const t of still) {
         this.own.stop(t, isGang(t.job) ? grace : graceOf(t), "preempted");
         // It does not come up elsewhere a moment later: whoever it was stopped for comes first there, too.
@@ -189,12 +296,19 @@
     const from = new Map<string, Pair>();
     for (const t of victims) {
       const v = t.job.view;
-      if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(v.urgency)) continue;
+      if (URGENCIES.indexOf(job.view.urgency) > URGENCIES.indexOf(v.urgency))
+        continue;
       const p = from.get(v.spec.team) ?? [0, 0];
       from.set(v.spec.team, [p[0] + v.spec.cpus, p[1] + v.spec.gpus]);
     }
     if (from.size === 0) return stop();
-    this.reclaims.claim(spec.team, [spec.cpus * want, spec.gpus * want], from, grace, stop);
+    this.reclaims.claim(
+      spec.team,
+      [spec.cpus * want, spec.gpus * want],
+      from,
+      grace,
+      stop,
+    );
   }
 }
 
@@ -207,7 +321,8 @@
   loss: number;
 }
 /** A gang that loses one task loses all. */
-const isGang = (j: JobRun): boolean => j.view.spec.shape === "ensemble" && j.view.spec.tasks > 1;
+const isGang = (j: JobRun): boolean =>
+  j.view.spec.shape === "ensemble" && j.view.spec.tasks > 1;
 
 function addTo(room: Amounts, spec: Amounts): void {
   room.cpus += spec.cpus;
--- a/src/coordination/queues.ts
+++ b/src/coordination/queues.ts
@@ -1,5 +1,10 @@
 import type { Due } from "./gathering.js";
-import { type JobSpec, type Standing, type Tuning, URGENCIES } from "./model.js";
+import {
+  type JobSpec,
+  type Standing,
+  type Tuning,
+  URGENCIES,
+} from "./model.js";
 
 /** What the queues need to know of a job that has waiting tasks in this group. */
 export interface Queued {
@@ -19,7 +24,9 @@
  */
 export function isShort(spec: JobSpec, tuning: Tuning): boolean {
   if (spec.shape === "daemon") return false;
-  return spec.shape === "ensemble" ? spec.estimateS * spec.tasks < tuning.shortGangS : spec.estimateS < tuning.shortCutoffS;
+  return spec.shape === "ensemble"
+    ? spec.estimateS * spec.tasks < tuning.shortGangS
+    : spec.estimateS < tuning.shortCutoffS;
 }
 
 /**
@@ -31,8 +38,11 @@
 }
 /** What has to begin now, where that costs others no more than one task's place; then urgency; then what has to gather its places. */
 function urgent(a: Queued, b: Queued): number {
-  if ((a.due === "array") !== (b.due === "array")) return a.due === "array" ? -1 : 1;
-  const u = URGENCIES.indexOf(b.standing.urgency) - URGENCIES.indexOf(a.standing.urgency);
+  if ((a.due === "array") !== (b.due === "array"))
+    return a.due === "array" ? -1 : 1;
+  const u =
+    URGENCIES.indexOf(b.standing.urgency) -
+    URGENCIES.indexOf(a.standing.urgency);
   return u !== 0 ? u : GATHERS[b.due] - GATHERS[a.due];
 }
 const GATHERS: Record<Due, number> = { gang: 2, fit: 1, no: 0, array: 0 };
@@ -40,17 +50,30 @@
   if (a.late !== b.late) return a.late ? 1 : -1;
   return turnMs(a) - turnMs(b) || (a.spec.id < b.spec.id ? -1 : 1);
 }
-const turnMs = (q: Queued): number => turnAt(q.standing.readyAt, q.spec, q.tasks);
+const turnMs = (q: Queued): number =>
+  turnAt(q.standing.readyAt, q.spec, q.tasks);
 /** Whose turn it is, as a time of day in ms: age, less the work that is still to be done. */
-export const turnAt = (readyAt: number, spec: JobSpec, tasks: number): number => readyAt + spec.estimateS * tasks * 1000;
+export const turnAt = (readyAt: number, spec: JobSpec, tasks: number): number =>
+  readyAt + spec.estimateS * tasks * 1000;
 
 /** Nothing is put back for being late for longer than this. */
 const LATE_FOR_MS = 600_000;
 
-export function isLate(spec: JobSpec, standing: Standing, wallMs: number, objectives: readonly { kind: string; class?: string; withinS?: number }[]): boolean {
+export function isLate(
+  spec: JobSpec,
+  standing: Standing,
+  wallMs: number,
+  objectives: readonly { kind: string; class?: string; withinS?: number }[],
+): boolean {
   if (wallMs - standing.readyAt > LATE_FOR_MS) return false;
   let { dueAt } = standing;
-  for (const o of objectives) if (o.kind === "finished" && o.class === spec.class && o.withinS !== undefined) dueAt = Math.min(dueAt, standing.readyAt + o.withinS * 1000);
+  for (const o of objectives)
+    if (
+      o.kind === "finished" &&
+      o.class === spec.class &&
+      o.withinS !== undefined
+    )
+      dueAt = Math.min(dueAt, standing.readyAt + o.withinS * 1000);
   // Estimates are often wrong by half: only what half of it can't save is given up.
   return wallMs > dueAt - spec.estimateS * 0.5 * 1000;
 }
@@ -127,27 +150,33 @@
     this.short = new Queue(rank);
     this.long = new Queue(rank);
     this.from = this.short;
-    for (const j of jobs) (isShort(j.spec, tuning) ? this.short : this.long).add(j);
+    for (const j of jobs)
+      (isShort(j.spec, tuning) ? this.short : this.long).add(j);
     this.short.sort();
     this.long.sort();
   }
 
   private longsTurn(): boolean {
     if (this.long.isEmpty) return false;
-    return this.short.isEmpty || this.turn.sinceLong >= this.tuning.longEvery - 1;
+    return (
+      this.short.isEmpty || this.turn.sinceLong >= this.tuning.longEvery - 1
+    );
   }
   /** The job to serve next; `served` and `skip` speak of it. */
   head(): T | undefined {
     this.from = this.longsTurn() ? this.long : this.short;
     // What has to begin now waits for no turn of its queue.
     const [short, long] = [this.short.first(), this.long.first()];
-    if (short && long && (short.due === "no") !== (long.due === "no")) this.from = short.due === "no" ? this.long : this.short;
+    if (short && long && (short.due === "no") !== (long.due === "no"))
+      this.from = short.due === "no" ? this.long : this.short;
     return (this.at = this.from.first());
   }
   /** Tasks of the head that may be served before the other queue has its turn. */
   most(): number {
     if (this.from === this.long) return this.short.isEmpty ? Infinity : 1;
-    return this.long.isEmpty ? Infinity : Math.max(1, this.tuning.longEvery - 1 - this.turn.sinceLong);
+    return this.long.isEmpty
+      ? Infinity
+      : Math.max(1, this.tuning.longEvery - 1 - this.turn.sinceLong);
   }
   /** `n` tasks of the head were served. */
   served(n: number): void {
--- a/src/coordination/reading.ts
+++ b/src/coordination/reading.ts
@@ -36,12 +36,23 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly ownership: Pick<Ownership, "read" | "staleMs" | "permitUntilMs">,
-    private readonly state: (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void) => void,
+    private readonly ownership: Pick<
+      Ownership,
+      "read" | "staleMs" | "permitUntilMs"
+    >,
+    private readonly state: (
+      call: StateCall,
+      urgent: Urgent,
+      done: (r: StateReply, sentMs: number) => void,
+    ) => void,
     /** Acts on what the copy shows now. */
     private readonly see: (seen: readonly Seen[]) => void,
     /** Passes on what was read, beyond what the copy keeps. */
-    private readonly tell: (from: number, to: number, changes: readonly Change[]) => void,
+    private readonly tell: (
+      from: number,
+      to: number,
+      changes: readonly Change[],
+    ) => void,
     /** Asks to be called again. */
     private readonly ask: (afterMs: number) => void,
     /** Tells a question that it can't be answered now. */
@@ -57,11 +68,21 @@
     this.readNow();
   }
 
-  private load(after = "", items: Item[] = [], since: number | null = null, firstSentMs = 0): void {
+  private load(
+    after = "",
+    items: Item[] = [],
+    since: number | null = null,
+    firstSentMs = 0,
+  ): void {
     this.loading = true;
     this.state({ op: "list", prefix: NOW, after }, Urgent.Hold, (r, sentMs) => {
-      const newer = r.is === "items" ? r.items.find((i) => i.version > r.epoch) : undefined;
-      if (r.is === "items" && newer) this.odd.warn("state service contradicts itself", newer.key, { stamp: newer.version, epoch: r.epoch });
+      const newer =
+        r.is === "items" ? r.items.find((i) => i.version > r.epoch) : undefined;
+      if (r.is === "items" && newer)
+        this.odd.warn("state service contradicts itself", newer.key, {
+          stamp: newer.version,
+          epoch: r.epoch,
+        });
       if (r.is !== "items" || newer) {
         this.loading = false;
         this.nextWatchMs = this.ctx.nowMs + 300;
@@ -82,7 +103,8 @@
   }
 
   watch(): void {
-    if (this.watching || this.loading || this.ctx.nowMs < this.nextWatchMs) return;
+    if (this.watching || this.loading || this.ctx.nowMs < this.nextWatchMs)
+      return;
     if (!this.ctx.mirror.ready) return this.load();
     this.watching = true;
     this.changes(WATCH_MS, (ok) => {
@@ -104,28 +126,42 @@
 
   private changes(waitMs: number, done: (ok: boolean) => void): void {
     const since = this.ctx.mirror.epoch;
-    this.state({ op: "changes", prefix: ROOT, since, waitMs }, Urgent.Hold, (r, sentMs) => {
-      // Of no use, and no proof of a read: it tells of changes after the moment that it speaks for, or of a moment before the one asked about.
-      const newer = r.is === "changes" ? r.changes.find((c) => c.version > r.epoch) : undefined;
-      if (r.is === "changes" && (newer || r.epoch < since)) {
-        this.odd.warn("state service contradicts itself", newer?.key ?? ROOT, { stamp: newer?.version, epoch: r.epoch, since });
-        this.noteState(false);
-        return done(false);
-      }
-      if (r.is === "changes") {
-        this.ownership.read(sentMs);
-        this.noteState(true);
-        this.see(this.ctx.mirror.apply(r.changes, r.epoch));
-        this.tell(since, r.epoch, r.changes);
-        done(true);
-      } else {
-        if (r.is === "gone") {
-          this.ctx.log("warn", "watch fell too far behind; reading everything again");
-          if (!this.loading) this.load();
-        } else this.noteState(false);
-        done(false);
-      }
-    });
+    this.state(
+      { op: "changes", prefix: ROOT, since, waitMs },
+      Urgent.Hold,
+      (r, sentMs) => {
+        // Of no use, and no proof of a read: it tells of changes after the moment that it speaks for, or of a moment before the one asked about.
+        const newer =
+          r.is === "changes"
+            ? r.changes.find((c) => c.version > r.epoch)
+            : undefined;
+        if (r.is === "changes" && (newer || r.epoch < since)) {
+          this.odd.warn(
+            "state service contradicts itself",
+            newer?.key ?? ROOT,
+            { stamp: newer?.version, epoch: r.epoch, since },
+          );
+          this.noteState(false);
+          return done(false);
+        }
+        if (r.is === "changes") {
+          this.ownership.read(sentMs);
+          this.noteState(true);
+          this.see(this.ctx.mirror.apply(r.changes, r.epoch));
+          this.tell(since, r.epoch, r.changes);
+          done(true);
+        } else {
+          if (r.is === "gone") {
+            this.ctx.log(
+              "warn",
+              "watch fell too far behind; reading everything again",
+            );
+            if (!this.loading) this.load();
+          } else this.noteState(false);
+          done(false);
+        }
+      },
+    );
   }
 
   private noteState(up: boolean): void {
@@ -133,14 +169,21 @@
     if (!up && this.ownership.staleMs < 3_000) return;
     this.stateDown = !up;
     if (up) this.ctx.log("info", "state service answers again");
-    else this.ctx.log("warn", "state service does not answer", { permitLeftMs: Math.round(this.ownership.permitUntilMs - this.ctx.nowMs) });
+    else
+      this.ctx.log("warn", "state service does not answer", {
+        permitLeftMs: Math.round(this.ownership.permitUntilMs - this.ctx.nowMs),
+      });
   }
 
   /**
    * Invariant (rules forgotten, went_back): an answer that is not final rests on a read that was sent after the
    * question came. One read serves all questions that came before it.
    */
-  afterRead(req: number, id: string, next: (req: number, id: string) => void): void {
+  afterRead(
+    req: number,
+    id: string,
+    next: (req: number, id: string) => void,
+  ): void {
     const past = this.ctx.mirror.past.get(id);
     if (past) {
       this.waiting.answered(id);
@@ -157,12 +200,16 @@
   }
   /** Questions refused so far, and since when the job that has been refused longest is. */
   get refusals(): { refused: number; oldestMs: number | null } {
-    return { refused: this.waiting.refused, oldestMs: this.waiting.oldestMs(this.ctx.nowMs) };
+    return {
+      refused: this.waiting.refused,
+      oldestMs: this.waiting.oldestMs(this.ctx.nowMs),
+    };
   }
 
   readNow(): void {
     if (this.reading || this.waiting.size === 0) return;
-    if (this.ctx.nowMs < this.nextReadMs) return this.wakeIn(this.nextReadMs - this.ctx.nowMs);
+    if (this.ctx.nowMs < this.nextReadMs)
+      return this.wakeIn(this.nextReadMs - this.ctx.nowMs);
     this.reading = true;
     const served = this.waiting.take();
     this.changes(0, (ok) => {
@@ -173,7 +220,11 @@
           this.waiting.answered(w.id);
           w.next(w.req, w.id);
         } else if (this.ctx.nowMs - w.atMs < AGAIN_MS) this.wait(w);
-        else this.refuse(this.waiting.refuse(w, this.ctx.nowMs).req, "state service does not answer");
+        else
+          this.refuse(
+            this.waiting.refuse(w, this.ctx.nowMs).req,
+            "state service does not answer",
+          );
       }
       this.readNow();
     });
--- a/src/coordination/receipt.ts
+++ b/src/coordination/receipt.ts
@@ -67,12 +67,26 @@
    * than it has shown is older or of another life, and what it does not list may run there.
    */
   isLate(w: Worker, r: Report): boolean {
-    if (r.token < w.token || r.session < w.session || (r.session === w.session && (r.tally <= w.tally || w.lost))) return true;
+    if (
+      r.token < w.token ||
+      r.session < w.session ||
+      (r.session === w.session && (r.tally <= w.tally || w.lost))
+    )
+      return true;
     const { former, sessionMs } = w.receipt;
     if (!former || this.ctx.nowMs > former.untilMs) return false;
     // It began anew a while ago: sessions take a lease each, tallies a while. What is beyond that its former life had.
-    if ((r.session - w.session) * this.leaseMs > this.ctx.nowMs - sessionMs + this.leaseMs / 2) return true;
-    return r.tally > w.tally + TALLY_SLACK + ((this.ctx.nowMs - w.heardMs) / 1000) * TALLY_PER_S;
+    if (
+      (r.session - w.session) * this.leaseMs >
+      this.ctx.nowMs - sessionMs + this.leaseMs / 2
+    )
+      return true;
+    return (
+      r.tally >
+      w.tally +
+        TALLY_SLACK +
+        ((this.ctx.nowMs - w.heardMs) / 1000) * TALLY_PER_S
+    );
   }
 
   /**
@@ -81,18 +95,34 @@
    */
   isAmbiguous(w: Worker, r: Report): boolean {
     const { former } = w.receipt;
-    return former !== null && this.ctx.nowMs < former.untilMs && !w.lost && r.token >= w.token && r.session >= w.session && r.session <= former.session && r.tally <= former.tally;
+    return (
+      former !== null &&
+      this.ctx.nowMs < former.untilMs &&
+      !w.lost &&
+      r.token >= w.token &&
+      r.session >= w.session &&
+      r.session <= former.session &&
+      r.tally <= former.tally
+    );
   }
 
   /** Whether to ask a machine itself: nothing new was heard of it for longer than reports and retries take, and yet something comes. */
   mayAsk(w: Worker, quietFor = true): boolean {
     const quietMs = (this.ctx.settings.reportS * 1.25 + 1) * 1000;
-    return !w.receipt.asking && (!quietFor || this.ctx.nowMs - w.heardMs > quietMs) && this.ctx.nowMs - w.receipt.askedMs > ASK_GAP_MS;
+    return (
+      !w.receipt.asking &&
+      (!quietFor || this.ctx.nowMs - w.heardMs > quietMs) &&
+      this.ctx.nowMs - w.receipt.askedMs > ASK_GAP_MS
+    );
   }
 
   /** Now and then a machine that does not receive is asked whether it does again. */
   mayProbe(w: Worker): boolean {
-    return w.receipt.deafMs !== null && !w.receipt.asking && this.ctx.nowMs - w.receipt.askedMs > PROBE_GAP_MS;
+    return (
+      w.receipt.deafMs !== null &&
+      !w.receipt.asking &&
+      this.ctx.nowMs - w.receipt.askedMs > PROBE_GAP_MS
+    );
   }
 
   /** Notes what a report that counts says of receipt, before the rest of it is looked at. */
@@ -101,20 +131,29 @@
     if (rose) {
       c.sessionMs = this.ctx.nowMs;
       // Its lease ran out although a report of it was answered within the last half of one.
-      if (!w.lost && this.ctx.nowMs - w.answeredMs < this.leaseMs / 2) this.deaf(w, "its lease ended although its reports are answered");
+      if (!w.lost && this.ctx.nowMs - w.answeredMs < this.leaseMs / 2)
+        this.deaf(w, "its lease ended although its reports are answered");
       return;
     }
-    if (r.token === this.token && w.token !== this.token) this.hears(w, "it has seen this master's token");
+    if (r.token === this.token && w.token !== this.token)
+      this.hears(w, "it has seen this master's token");
     else if (r.token === this.token) c.proven = true;
     // Answered several times under this token, and it still has not seen it.
-    else if (w.token < this.token && ++c.missed > MISSED) this.deaf(w, "it does not see this master's token");
-    if (c.deafMs !== null && this.ctx.nowMs - Math.max(c.deafMs, c.sessionMs) > this.leaseMs * 1.1 + 1_000) this.hears(w, "its lease goes on");
+    else if (w.token < this.token && ++c.missed > MISSED)
+      this.deaf(w, "it does not see this master's token");
+    if (
+      c.deafMs !== null &&
+      this.ctx.nowMs - Math.max(c.deafMs, c.sessionMs) >
+        this.leaseMs * 1.1 + 1_000
+    )
+      this.hears(w, "its lease goes on");
   }
 
   /** What a report shows of the starts that answers before it bore: some that should be there are not, or all are. */
   noteOrders(w: Worker, missing: boolean, shown: boolean): void {
     if (shown) this.hears(w, "it has carried out an order");
-    else if (missing && ++w.receipt.missed > MISSED) this.deaf(w, "it does not carry out what answers to it say");
+    else if (missing && ++w.receipt.missed > MISSED)
+      this.deaf(w, "it does not carry out what answers to it say");
   }
 
   /** A command or a question was answered by the machine itself. */
@@ -128,7 +167,12 @@
     if (c.deafMs !== null) return;
     c.deafMs = this.ctx.nowMs;
     c.deafTimes++;
-    this.ctx.log("warn", "machine does not receive", { worker: w.id, why, times: c.deafTimes, tasks: w.tasks.size });
+    this.ctx.log("warn", "machine does not receive", {
+      worker: w.id,
+      why,
+      times: c.deafTimes,
+      tasks: w.tasks.size,
+    });
   }
 
   private hears(w: Worker, why: string): void {
@@ -136,15 +180,31 @@
     c.proven = true;
     c.missed = 0;
     if (c.deafMs === null) return;
-    this.ctx.log("info", "machine receives again", { worker: w.id, why, afterMs: Math.round(this.ctx.nowMs - c.deafMs) });
+    this.ctx.log("info", "machine receives again", {
+      worker: w.id,
+      why,
+      afterMs: Math.round(this.ctx.nowMs - c.deafMs),
+    });
     c.deafMs = null;
   }
 
   /** Its answer to a question is of a later life than what is known. */
   beganAnew(w: Worker): void {
-    const reached = w.tally + TALLY_SLACK + ((this.ctx.nowMs - w.heardMs) / 1000) * TALLY_PER_S;
+    const reached =
+      w.tally +
+      TALLY_SLACK +
+      ((this.ctx.nowMs - w.heardMs) / 1000) * TALLY_PER_S;
     const before = w.receipt.former;
-    const former = { session: Math.max(w.session, before?.session ?? 0), tally: Math.max(reached, before?.tally ?? 0), untilMs: this.ctx.nowMs + FORMER_LEASES * this.leaseMs };
-    w.receipt = { ...newReceipt(true, this.ctx.nowMs), askedMs: w.receipt.askedMs, deafTimes: w.receipt.deafTimes, former };
+    const former = {
+      session: Math.max(w.session, before?.session ?? 0),
+      tally: Math.max(reached, before?.tally ?? 0),
+      untilMs: this.ctx.nowMs + FORMER_LEASES * this.leaseMs,
+    };
+    w.receipt = {
+      ...newReceipt(true, this.ctx.nowMs),
+      askedMs: w.receipt.askedMs,
+      deafTimes: w.receipt.deafTimes,
+      former,
+    };
   }
 }
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -2,7 +2,19 @@
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
 import type { JobSpec, MachineType, Standing, Tuning } from "./model.js";
-import { allowedOn, type Amounts, couldRun, fitCount, fitLimit, fits, goesWhole, offer, placeAsked, suits, zoneCap } from "./placement.js";
+import {
+  allowedOn,
+  type Amounts,
+  couldRun,
+  fitCount,
+  fitLimit,
+  fits,
+  goesWhole,
+  offer,
+  placeAsked,
+  suits,
+  zoneCap,
+} from "./placement.js";
 import { isShort } from "./queues.js";
 import type { Sharing } from "./limits/index.js";
 import { queueOf } from "./splitter.js";
@@ -14,7 +26,8 @@
   zone: string;
   spot: boolean;
 }
-const same = (a: Offer, b: Offer): boolean => a.type === b.type && a.zone === b.zone && a.spot === b.spot;
+const same = (a: Offer, b: Offer): boolean =>
+  a.type === b.type && a.zone === b.zone && a.spot === b.spot;
 
 export interface Booting extends Offer {
   rentedMs: number;
@@ -74,15 +87,33 @@
     // What jobs with a deadline ask for depends on the work that is due: each of them is looked at.
     const key = `${place}/${spec.deadlineS === null}/${spec.spread ? `spread/${spec.tasks}/${n}/${active > 0 ? spec.id : ""}` : whole ? `${spec.shape}/${spec.samePlace}/${n}/${active > 0 ? spec.id : ""}` : ""}`;
     let ask = this.known.get(key);
-    if (!ask) this.known.set(key, (ask = { vain: false, roomy: (s, places) => this.roomy(s, short, place, places) }));
+    if (!ask)
+      this.known.set(
+        key,
+        (ask = {
+          vain: false,
+          roomy: (s, places) => this.roomy(s, short, place, places),
+        }),
+      );
     return ask;
   }
 
-  private roomy(spec: JobSpec, short: boolean, place: string, places: readonly Place[]): readonly Place[] {
+  private roomy(
+    spec: JobSpec,
+    short: boolean,
+    place: string,
+    places: readonly Place[],
+  ): readonly Place[] {
     let list = this.lists.get(place);
     if (!list) this.lists.set(place, (list = { seen: 0, places: [] }));
     const still = list.places.filter((p) => fitCount(spec, p.room) > 0);
-    for (const p of places.slice(list.seen)) if ((short || !p.reserved) && this.serves(spec, p) && fitCount(spec, p.room) > 0) still.push(p);
+    for (const p of places.slice(list.seen))
+      if (
+        (short || !p.reserved) &&
+        this.serves(spec, p) &&
+        fitCount(spec, p.room) > 0
+      )
+        still.push(p);
     list.places = still;
     list.seen = places.length;
     return still;
@@ -97,7 +128,10 @@
   private planned: Planned[] = [];
   private readonly emptyUntilMs = new Map<string, number>();
   /** By offer: machines that the group held when the cloud had no more, the most it can expect to have. */
-  private readonly ceilings = new Map<string, Offer & { machines: number; untilMs: number }>();
+  private readonly ceilings = new Map<
+    string,
+    Offer & { machines: number; untilMs: number }
+  >();
   private requests = 0;
   private planMs = -Infinity;
 
@@ -134,31 +168,61 @@
       const next = { ...plan, count: Math.min(plan.count, MOST_AT_ONCE) };
       // Invariant: a charter is never used again by anyone. The token belongs to one master of one group.
       const request = `${this.ctx.settings.label}-${this.own.token}-${++this.requests}`;
-      r = { ...next, request, rentedMs: this.ctx.nowMs, sent: false, retryMs: 0 };
+      r = {
+        ...next,
+        request,
+        rentedMs: this.ctx.nowMs,
+        sent: false,
+        retryMs: 0,
+      };
       this.rentals.push(r);
       this.ctx.log("info", "renting machines", { request, ...next });
     }
     if (r.sent || this.ctx.nowMs < r.retryMs) return;
     const rental = r;
     rental.sent = true;
-    this.ctx.cloud({ op: "rent", request: r.request, type: r.type, zone: r.zone, spot: r.spot, count: r.count }, Urgent.Master, (reply) => {
-      if (reply.is !== "rented" && reply.is !== "noCapacity") {
-        // The same charter again: whatever became of the request, it rents once.
-        rental.sent = false;
-        rental.retryMs = this.ctx.nowMs + 1_500;
-        return;
-      }
-      this.rentals.splice(this.rentals.indexOf(rental), 1);
-      const { type, zone, spot, count } = rental;
-      const got = reply.is === "rented" ? reply.machines : [];
-      for (const id of got) if (!this.own.workers.has(id)) this.booting.set(id, { type, zone, spot, rentedMs: this.ctx.nowMs });
-      if (got.length > 0) this.ceilings.delete(offer(type, zone, spot));
-      if (got.length < count) {
-        this.noteEmpty(rental);
-        this.ctx.log("info", "cloud has no more machines", { type, zone, spot, asked: count, got: got.length });
-      }
-      this.planMs = -Infinity;
-    });
+    this.ctx.cloud(
+      {
+        op: "rent",
+        request: r.request,
+        type: r.type,
+        zone: r.zone,
+        spot: r.spot,
+        count: r.count,
+      },
+      Urgent.Master,
+      (reply) => {
+        if (reply.is !== "rented" && reply.is !== "noCapacity") {
+          // The same charter again: whatever became of the request, it rents once.
+          rental.sent = false;
+          rental.retryMs = this.ctx.nowMs + 1_500;
+          return;
+        }
+        this.rentals.splice(this.rentals.indexOf(rental), 1);
+        const { type, zone, spot, count } = rental;
+        const got = reply.is === "rented" ? reply.machines : [];
+        for (const id of got)
+          if (!this.own.workers.has(id))
+            this.booting.set(id, {
+              type,
+              zone,
+              spot,
+              rentedMs: this.ctx.nowMs,
+            });
+        if (got.length > 0) this.ceilings.delete(offer(type, zone, spot));
+        if (got.length < count) {
+          this.noteEmpty(rental);
+          this.ctx.log("info", "cloud has no more machines", {
+            type,
+            zone,
+            spot,
+            asked: count,
+            got: got.length,
+          });
+        }
+        this.planMs = -Infinity;
+      },
+    );
   }
 
   /**
@@ -167,10 +231,19 @@
    */
   private noteEmpty(r: Rental): void {
     const what = offer(r.type, r.zone, r.spot);
-    this.ceilings.set(what, { type: r.type, zone: r.zone, spot: r.spot, machines: this.held(r), untilMs: this.ctx.nowMs + CEILING_MS });
+    this.ceilings.set(what, {
+      type: r.type,
+      zone: r.zone,
+      spot: r.spot,
+      machines: this.held(r),
+      untilMs: this.ctx.nowMs + CEILING_MS,
+    });
     const rate = this.ctx.settings.cloud.rps / this.ctx.groups.names.length;
     const offers = this.zones().length * (this.ctx.catalog?.length ?? 1) * 2;
-    this.emptyUntilMs.set(what, this.ctx.nowMs + Math.max(NO_CAPACITY_MS, (offers / (rate / 2)) * 1000));
+    this.emptyUntilMs.set(
+      what,
+      this.ctx.nowMs + Math.max(NO_CAPACITY_MS, (offers / (rate / 2)) * 1000),
+    );
   }
 
   // ---- what there is to be had ---------------------------------------------------------------------------
@@ -178,7 +251,14 @@
   /** Machines of an offer that the group has, or that are on their way. */
   private held(o: Offer): number {
     let n = 0;
-    for (const w of this.own.workers.values()) if (w.typeName === o.type && w.zone === o.zone && w.spot === o.spot && !w.lost) n++;
+    for (const w of this.own.workers.values())
+      if (
+        w.typeName === o.type &&
+        w.zone === o.zone &&
+        w.spot === o.spot &&
+        !w.lost
+      )
+        n++;
     for (const b of this.booting.values()) if (same(b, o)) n++;
     return n;
   }
@@ -192,25 +272,39 @@
     return out;
   }
   private isEmpty(type: string, zone: string, spot: boolean): boolean {
-    return (this.emptyUntilMs.get(offer(type, zone, spot)) ?? 0) > this.ctx.nowMs;
+    return (
+      (this.emptyUntilMs.get(offer(type, zone, spot)) ?? 0) > this.ctx.nowMs
+    );
   }
   /** What the cloud refused of late: `type/zone/kind`. */
   soldOut(): string[] {
     const out: string[] = [];
-    for (const [k, until] of this.emptyUntilMs) if (until + 30_000 > this.ctx.nowMs) out.push(k);
+    for (const [k, until] of this.emptyUntilMs)
+      if (until + 30_000 > this.ctx.nowMs) out.push(k);
     return out;
   }
 
   /** Offers of these zones that the job may use and that may have something left, with the most to ask for. */
-  private *offers(spec: JobSpec, zones: readonly string[], left: ReadonlyMap<string, number>): Generator<{ t: MachineType; zone: string; spot: boolean; most: number }> {
+  private *offers(
+    spec: JobSpec,
+    zones: readonly string[],
+    left: ReadonlyMap<string, number>,
+  ): Generator<{ t: MachineType; zone: string; spot: boolean; most: number }> {
     for (const t of this.ctx.catalog ?? [])
       for (const zone of zones) {
         if (!couldRun(spec, t, zone)) continue;
         for (const spot of spec.spot ? [true, false] : [false]) {
-          if (this.isEmpty(t.name, zone, spot) || !suits(spec, t, spot, this.ctx.catalog)) continue;
-          const planned = this.planned.find((p) => same(p, { type: t.name, zone, spot }))?.count ?? 0;
+          if (
+            this.isEmpty(t.name, zone, spot) ||
+            !suits(spec, t, spot, this.ctx.catalog)
+          )
+            continue;
+          const planned =
+            this.planned.find((p) => same(p, { type: t.name, zone, spot }))
+              ?.count ?? 0;
           // Nothing left when it last rested, and it has rested: there may be any number by now.
-          const most = (left.get(offer(t.name, zone, spot)) || Infinity) - planned;
+          const most =
+            (left.get(offer(t.name, zone, spot)) || Infinity) - planned;
           if (most > 0) yield { t, zone, spot, most };
         }
       }
@@ -218,34 +312,47 @@
 
   /** Nothing that this job could use is on its way or, as far as known, to be had. */
   exhausted(spec: JobSpec): boolean {
-    for (const c of this.comingNow()) if (this.serves(spec, c) && fits(spec, c.room)) return false;
+    for (const c of this.comingNow())
+      if (this.serves(spec, c) && fits(spec, c.room)) return false;
     return this.offers(spec, this.zones(), new Map()).next().done === true;
   }
 
   /** Some machine has room for a task of this job, or one that has may be had. */
   hasPlace(spec: JobSpec): boolean {
     for (const w of this.own.usableWorkers().usable)
-      if (this.serves(spec, { type: w.typeName, zone: w.zone, spot: w.spot }) && fits(spec, freeOn(w))) return true;
+      if (
+        this.serves(spec, { type: w.typeName, zone: w.zone, spot: w.spot }) &&
+        fits(spec, freeOn(w))
+      )
+        return true;
     return !this.exhausted(spec);
   }
 
   /** Tasks of this job that machines on their way have room for. */
   comingFor(spec: JobSpec): number {
     let n = 0;
-    for (const c of this.comingNow()) if (this.serves(spec, c)) n += fitCount(spec, c.room);
+    for (const c of this.comingNow())
+      if (this.serves(spec, c)) n += fitCount(spec, c.room);
     return n;
   }
 
   private serves(spec: JobSpec, o: Offer): boolean {
-    return allowedOn(spec, o.type, o.zone, o.spot) && suits(spec, this.typeOf(o.type) ?? null, o.spot, this.ctx.catalog);
+    return (
+      allowedOn(spec, o.type, o.zone, o.spot) &&
+      suits(spec, this.typeOf(o.type) ?? null, o.spot, this.ctx.catalog)
+    );
   }
 
   /** The same for all jobs that are looked at in one step; not to be changed. */
   private comingNow(): readonly Place[] {
-    if (this.lastComing.nowMs !== this.ctx.nowMs) this.lastComing = { nowMs: this.ctx.nowMs, places: this.coming() };
+    if (this.lastComing.nowMs !== this.ctx.nowMs)
+      this.lastComing = { nowMs: this.ctx.nowMs, places: this.coming() };
     return this.lastComing.places;
   }
-  private lastComing: { nowMs: number; places: readonly Place[] } = { nowMs: -Infinity, places: [] };
+  private lastComing: { nowMs: number; places: readonly Place[] } = {
+    nowMs: -Infinity,
+    places: [],
+  };
 
   /**
    * Machines on their way; and those that receive nothing, but for the few that are replaced at a time: a broken link to a
@@ -255,13 +362,23 @@
     const out: Place[] = [];
     const add = (m: Offer): void => {
       const t = this.typeOf(m.type);
-      if (t) out.push({ type: m.type, zone: m.zone, spot: m.spot, reserved: false, room: { cpus: t.cpus, gpus: t.gpus, memGb: t.memGb } });
+      if (t)
+        out.push({
+          type: m.type,
+          zone: m.zone,
+          spot: m.spot,
+          reserved: false,
+          room: { cpus: t.cpus, gpus: t.gpus, memGb: t.memGb },
+        });
     };
     for (const b of this.booting.values()) add(b);
     for (const r of this.rentals) for (let i = 0; i < r.count; i++) add(r);
     // Up, but not to be used yet: its place in the roster is being written.
-    for (const w of this.own.workers.values()) if (!w.lost && !w.going && !this.own.roster.has(w.id)) add({ type: w.typeName, zone: w.zone, spot: w.spot });
-    for (const w of this.own.deafMachines().slice(this.own.deafReplaced())) add({ type: w.typeName, zone: w.zone, spot: w.spot });
+    for (const w of this.own.workers.values())
+      if (!w.lost && !w.going && !this.own.roster.has(w.id))
+        add({ type: w.typeName, zone: w.zone, spot: w.spot });
+    for (const w of this.own.deafMachines().slice(this.own.deafReplaced()))
+      add({ type: w.typeName, zone: w.zone, spot: w.spot });
     return out;
   }
 
@@ -272,50 +389,90 @@
     this.planned = [];
     const places = this.coming();
     const { usable, reserved } = this.own.usableWorkers();
-    for (const w of usable) places.push({ type: w.typeName, zone: w.zone, spot: w.spot, reserved: reserved.has(w.id), room: freeOn(w) });
+    for (const w of usable)
+      places.push({
+        type: w.typeName,
+        zone: w.zone,
+        spot: w.spot,
+        reserved: reserved.has(w.id),
+        room: freeOn(w),
+      });
     const left = this.left();
     const headroom = this.sharing.headroom();
     const asks = new Asks(this.ctx.tuning, (spec, p) => this.serves(spec, p));
     /** Work of arrays that is due so far, by kind of machine, in seconds of one place. */
     const dueWork = { plain: 0, accelerated: 0 };
     // What runs now is halfway, on the whole.
-    const addDue = (j: JobRun): number => (dueWork[queueOf(j.view.spec)] += (j.waiting.size + j.active.size / 2) * j.view.spec.estimateS);
-    for (const j of this.own.jobs.values()) if (j.waiting.isEmpty && j.view.spec.shape === "batch") addDue(j);
-    const due = (j: JobRun): number => (Number.isFinite(j.view.dueAt) ? j.view.dueAt : j.view.readyAt);
-    const jobs = [...this.own.jobs.values()].filter((j) => this.own.mayStart(j) && j.suspectMs === null).sort((a, b) => due(a) - due(b));
+    const addDue = (j: JobRun): number =>
+      (dueWork[queueOf(j.view.spec)] +=
+        (j.waiting.size + j.active.size / 2) * j.view.spec.estimateS);
+    for (const j of this.own.jobs.values())
+      if (j.waiting.isEmpty && j.view.spec.shape === "batch") addDue(j);
+    const due = (j: JobRun): number =>
+      Number.isFinite(j.view.dueAt) ? j.view.dueAt : j.view.readyAt;
+    const jobs = [...this.own.jobs.values()]
+      .filter((j) => this.own.mayStart(j) && j.suspectMs === null)
+      .sort((a, b) => due(a) - due(b));
     for (const j of jobs) {
       const spec = j.view.spec;
       const room = headroom.get(spec.team);
       if (!room) continue;
       // What the team may not use now is not waited for: nothing is rented for it.
       const n = Math.min(j.waiting.size, fitLimit(spec, room));
-      if (n === 0 || (spec.shape === "ensemble" && n < j.waiting.size)) continue;
+      if (n === 0 || (spec.shape === "ensemble" && n < j.waiting.size))
+        continue;
       room.cpus -= n * spec.cpus;
       room.gpus -= n * spec.gpus;
       const ask = asks.of(spec, n, j.active.size);
       // Room and offers only shrink while a plan is made: what was to be had of neither is not looked for again.
       if (ask.vain) continue;
       const mine = ask.roomy(spec, places);
-      if (spec.spread) ask.vain = !this.planSpread(j, n, mine, places, left) && spec.deadlineS === null;
-      else if (goesWhole(spec)) ask.vain = !this.planWhole(j, n, mine, places, left) && spec.deadlineS === null;
+      if (spec.spread)
+        ask.vain =
+          !this.planSpread(j, n, mine, places, left) && spec.deadlineS === null;
+      else if (goesWhole(spec))
+        ask.vain =
+          !this.planWhole(j, n, mine, places, left) && spec.deadlineS === null;
       else {
         let lacking = this.fill(spec, n, mine);
         const found = lacking < n;
-        if (spec.shape === "batch" && spec.deadlineS !== null && spec.estimateS > 0)
-          lacking = this.inTurns(j, lacking, addDue(j), places.filter((p) => this.serves(spec, p)));
-        const rented = this.rentFor(spec, j.view, lacking, this.zones(), places, left);
+        if (
+          spec.shape === "batch" &&
+          spec.deadlineS !== null &&
+          spec.estimateS > 0
+        )
+          lacking = this.inTurns(
+            j,
+            lacking,
+            addDue(j),
+            places.filter((p) => this.serves(spec, p)),
+          );
+        const rented = this.rentFor(
+          spec,
+          j.view,
+          lacking,
+          this.zones(),
+          places,
+          left,
+        );
         ask.vain = !found && !rented && spec.deadlineS === null;
       }
     }
     for (const s of spare) {
-      const want = this.fill(s.spec, s.places, places.filter((p) => this.serves(s.spec, p)));
+      const want = this.fill(
+        s.spec,
+        s.places,
+        places.filter((p) => this.serves(s.spec, p)),
+      );
       this.rentFor(s.spec, null, want, this.zones(), places, left);
     }
   }
 
   /** Time until the job's own deadline, in seconds: what others need of it makes it no cheaper to be late. */
   private leftS(spec: JobSpec, standing: Standing | null): number {
-    return spec.deadlineS === null || !standing ? Infinity : (standing.dueAt - this.ctx.wallMs) / 1000;
+    return spec.deadlineS === null || !standing
+      ? Infinity
+      : (standing.dueAt - this.ctx.wallMs) / 1000;
   }
 
   /**
@@ -323,10 +480,23 @@
    * most are to be done. By the deadline alone, late jobs waited for cheap machines that were sold out
    * (docs/incidents/claimdesk-fleet-late-jobs.md).
    */
-  private hopeS(spec: JobSpec, standing: Standing | null, leftS: number): number {
+  private hopeS(
+    spec: JobSpec,
+    standing: Standing | null,
+    leftS: number,
+  ): number {
     let s = leftS;
     for (const o of this.ctx.settings.objectives)
-      if (standing && o.kind === "finished" && o.class === spec.class && o.withinS !== undefined) s = Math.max(s, (standing.readyAt - this.ctx.wallMs) / 1000 + o.withinS);
+      if (
+        standing &&
+        o.kind === "finished" &&
+        o.class === spec.class &&
+        o.withinS !== undefined
+      )
+        s = Math.max(
+          s,
+          (standing.readyAt - this.ctx.wallMs) / 1000 + o.withinS,
+        );
     return s;
   }
 
@@ -335,20 +505,36 @@
    * until then needs beyond what the present places can do one task after the other. A machine costs as much while
    * it boots and fetches as while it works. `due`: all work due until then, in seconds of one place.
    */
-  private inTurns(j: JobRun, lacking: number, due: number, all: readonly Place[]): number {
+  private inTurns(
+    j: JobRun,
+    lacking: number,
+    due: number,
+    all: readonly Place[],
+  ): number {
     const spec = j.view.spec;
     const leftS = this.leftS(spec, j.view);
-    const slots = all.reduce((n, p) => n + fitCount(spec, this.typeOf(p.type)!), 0);
+    const slots = all.reduce(
+      (n, p) => n + fitCount(spec, this.typeOf(p.type)!),
+      0,
+    );
     const lackS = due - (slots * leftS) / SLOW;
     if (lackS <= 0) return 0;
-    return Math.min(lacking, Math.ceil(lackS / Math.max(spec.estimateS, leftS - this.readyS(spec))));
+    return Math.min(
+      lacking,
+      Math.ceil(lackS / Math.max(spec.estimateS, leftS - this.readyS(spec))),
+    );
   }
 
   /** Until a machine that is asked for now runs a task: its boot, as slow as most are, and the image. */
   private readyS(spec: JobSpec): number {
     let s = Infinity;
     for (const t of this.ctx.catalog ?? [])
-      if (t.zones.some((z) => couldRun(spec, t, z))) s = Math.min(s, t.bootS * SLOW + (t.fetchGbPerS > 0 ? spec.imageGb / t.fetchGbPerS : 0));
+      if (t.zones.some((z) => couldRun(spec, t, z)))
+        s = Math.min(
+          s,
+          t.bootS * SLOW +
+            (t.fetchGbPerS > 0 ? spec.imageGb / t.fetchGbPerS : 0),
+        );
     return Number.isFinite(s) ? s : 0;
   }
 
@@ -368,21 +554,46 @@
    * starts once all of it has room, so only where that can be had: part of what it needs would stand idle until the
    * rest came. An array in one zone runs on whatever there is: it stays with the zone that has most for it.
    */
-  private planWhole(j: JobRun, n: number, mine: readonly Place[], places: Place[], left: ReadonlyMap<string, number>): boolean {
+  private planWhole(
+    j: JobRun,
+    n: number,
+    mine: readonly Place[],
+    places: Place[],
+    left: ReadonlyMap<string, number>,
+  ): boolean {
     const spec = j.view.spec;
-    const at = j.active.size > 0 ? new Set([...j.active.values()].map((t) => t.worker.zone)) : null;
-    const zones = this.zones().filter((z) => at === null || !spec.samePlace || at.has(z));
-    let best: { zones: string[]; places: Place[]; lacking: number } | null = null;
+    const at =
+      j.active.size > 0
+        ? new Set([...j.active.values()].map((t) => t.worker.zone))
+        : null;
+    const zones = this.zones().filter(
+      (z) => at === null || !spec.samePlace || at.has(z),
+    );
+    let best: { zones: string[]; places: Place[]; lacking: number } | null =
+      null;
     for (const set of spec.samePlace ? zones.map((z) => [z]) : [zones]) {
       const here = mine.filter((p) => set.includes(p.zone));
-      const lacking = Math.max(0, n - here.reduce((sum, p) => sum + fitCount(spec, p.room), 0));
+      const lacking = Math.max(
+        0,
+        n - here.reduce((sum, p) => sum + fitCount(spec, p.room), 0),
+      );
       let rentable = 0;
-      if (lacking > 0) for (const o of this.offers(spec, set, left)) rentable += o.most * fitCount(spec, o.t);
+      if (lacking > 0)
+        for (const o of this.offers(spec, set, left))
+          rentable += o.most * fitCount(spec, o.t);
       const some = spec.shape !== "ensemble" && (lacking < n || rentable > 0);
-      if ((lacking <= rentable || some) && (!best || lacking < best.lacking)) best = { zones: set, places: here, lacking };
+      if ((lacking <= rentable || some) && (!best || lacking < best.lacking))
+        best = { zones: set, places: here, lacking };
     }
     if (!best) return false;
-    this.rentFor(spec, j.view, this.fill(spec, n, best.places), best.zones, places, left);
+    this.rentFor(
+      spec,
+      j.view,
+      this.fill(spec, n, best.places),
+      best.zones,
+      places,
+      left,
+    );
     return true;
   }
 
@@ -390,28 +601,53 @@
    * For a job with `spread`: room in a zone that may take no more of its tasks is none for it. A gang that fitted well into one
    * zone of its group had nothing rented in the others, and waited for ever.
    */
-  private planSpread(j: JobRun, n: number, mine: readonly Place[], places: Place[], left: ReadonlyMap<string, number>): boolean {
+  private planSpread(
+    j: JobRun,
+    n: number,
+    mine: readonly Place[],
+    places: Place[],
+    left: ReadonlyMap<string, number>,
+  ): boolean {
     const spec = j.view.spec;
     const may = new Map(this.zones().map((z) => [z, zoneCap(spec)]));
-    for (const t of j.active.values()) may.set(t.worker.zone, (may.get(t.worker.zone) ?? 0) - 1);
+    for (const t of j.active.values())
+      may.set(t.worker.zone, (may.get(t.worker.zone) ?? 0) - 1);
     const takes: { zone: string; here: number; rent: number }[] = [];
     let lacking = n;
     for (const [zone, most] of may) {
-      const here = Math.max(0, Math.min(lacking, most, mine.reduce((sum, p) => sum + (p.zone === zone ? fitCount(spec, p.room) : 0), 0)));
+      const here = Math.max(
+        0,
+        Math.min(
+          lacking,
+          most,
+          mine.reduce(
+            (sum, p) => sum + (p.zone === zone ? fitCount(spec, p.room) : 0),
+            0,
+          ),
+        ),
+      );
       lacking -= here;
       takes.push({ zone, here, rent: 0 });
     }
     for (const t of takes) {
       let rentable = 0;
-      for (const o of this.offers(spec, [t.zone], left)) rentable += o.most * fitCount(spec, o.t);
-      t.rent = Math.max(0, Math.min(lacking, may.get(t.zone)! - t.here, rentable));
+      for (const o of this.offers(spec, [t.zone], left))
+        rentable += o.most * fitCount(spec, o.t);
+      t.rent = Math.max(
+        0,
+        Math.min(lacking, may.get(t.zone)! - t.here, rentable),
+      );
       lacking -= t.rent;
     }
     // A gang starts once all of it has room.
     if (spec.shape === "ensemble" && lacking > 0) return false;
     let some = false;
     for (const { zone, here, rent } of takes) {
-      this.fill(spec, here, mine.filter((p) => p.zone === zone));
+      this.fill(
+        spec,
+        here,
+        mine.filter((p) => p.zone === zone),
+      );
       if (rent > 0) this.rentFor(spec, j.view, rent, [zone], places, left);
       some ||= here + rent > 0;
     }
@@ -419,7 +655,14 @@
   }
 
   /** Plans machines for `need` tasks, where a task's place costs least; whether any were to be had. */
-  private rentFor(spec: JobSpec, standing: Standing | null, need: number, zones: readonly string[], places: Place[], left: ReadonlyMap<string, number>): boolean {
+  private rentFor(
+    spec: JobSpec,
+    standing: Standing | null,
+    need: number,
+    zones: readonly string[],
+    places: Place[],
+    left: ReadonlyMap<string, number>,
+  ): boolean {
     let planned = false;
     // A job that may use cheap machines waits for one as long as a dearer one would still be in time.
     const leftS = this.leftS(spec, standing);
@@ -427,16 +670,27 @@
       spec.spot &&
       standing !== null &&
       spec.deadlineS !== null &&
-      this.ctx.wallMs - standing.readyAt < (standing.dueAt - standing.readyAt) * this.ctx.tuning.cheapPatience &&
+      this.ctx.wallMs - standing.readyAt <
+        (standing.dueAt - standing.readyAt) * this.ctx.tuning.cheapPatience &&
       leftS > this.readyS(spec) + spec.estimateS * SLOW;
     // A machine that comes too late for all that is expected saves nothing: only a cheap one is worth it.
-    const lost = spec.spot && this.hopeS(spec, standing, leftS) < this.readyS(spec) + spec.estimateS / 2;
+    const lost =
+      spec.spot &&
+      this.hopeS(spec, standing, leftS) <
+        this.readyS(spec) + spec.estimateS / 2;
     while (need > 0) {
-      let best: { t: MachineType; zone: string; spot: boolean; most: number } | null = null;
+      let best: {
+        t: MachineType;
+        zone: string;
+        spot: boolean;
+        most: number;
+      } | null = null;
       let bestCost = Infinity;
       for (const o of this.offers(spec, zones, left)) {
         if ((early || lost) && !o.spot) continue;
-        const cost = (o.spot ? o.t.spotPrice : o.t.price) / Math.min(fitCount(spec, o.t), need);
+        const cost =
+          (o.spot ? o.t.spotPrice : o.t.price) /
+          Math.min(fitCount(spec, o.t), need);
         if (cost < bestCost) {
           best = o;
           bestCost = cost;
--- a/src/coordination/room.ts
+++ b/src/coordination/room.ts
@@ -1,4 +1,13 @@
-import { bytesOf, type FreeKind, type YieldKind, roomKey, type RoomRecord, type RoomRow, tenth, writeRoom } from "../storage/records.js";
+import {
+  bytesOf,
+  type FreeKind,
+  type YieldKind,
+  roomKey,
+  type RoomRecord,
+  type RoomRow,
+  tenth,
+  writeRoom,
+} from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
@@ -30,16 +39,28 @@
     for (const t of w.tasks.values()) {
       const { spec, urgency } = t.job.view;
       // A gang loses all its tasks with one: it does not give way.
-      if ((spec.shape === "ensemble" && spec.tasks > 1) || URGENCIES.indexOf(urgency) >= level) continue;
+      if (
+        (spec.shape === "ensemble" && spec.tasks > 1) ||
+        URGENCIES.indexOf(urgency) >= level
+      )
+        continue;
       more = true;
       cpus += spec.cpus;
       gpus += spec.gpus;
       memGb += spec.memGb;
     }
     if (!more) continue;
-    const kind: YieldKind = [tenth(cpus), tenth(gpus), tenth(memGb), 1, level, level];
+    const kind: YieldKind = [
+      tenth(cpus),
+      tenth(gpus),
+      tenth(memGb),
+      1,
+      level,
+      level,
+    ];
     const last = out.at(-1);
-    if (last && last.slice(0, 3).join() === kind.slice(0, 3).join()) last[5] = level;
+    if (last && last.slice(0, 3).join() === kind.slice(0, 3).join())
+      last[5] = level;
     else out.push(kind);
   }
   return out;
@@ -68,7 +89,18 @@
     for (const w of usable) {
       const key = w.kind;
       let row = rows.get(key);
-      if (!row) rows.set(key, (row = { type: w.typeName, zone: w.zone, spot: w.spot, machines: 0, free: [], reserved: [] }));
+      if (!row)
+        rows.set(
+          key,
+          (row = {
+            type: w.typeName,
+            zone: w.zone,
+            spot: w.spot,
+            machines: 0,
+            free: [],
+            reserved: [],
+          }),
+        );
       row.machines++;
       const f = freeOn(w);
       for (const y of levels.length > 1 ? yieldsOf(w, levels) : []) {
@@ -100,8 +132,21 @@
     const { renting } = this;
     const soldOut = renting.soldOut();
     // Nothing left of what is sold out goes without saying.
-    const left = new Map([...renting.left()].filter(([what, n]) => n > 0 || !soldOut.includes(what)));
-    return { rows: [...rows.values()], queue: { plain: queueFrom[0]![0], accelerated: queueFrom[0]![1] }, queueFrom, running, soldOut, left, ...this.sharing.rows(), cut: false };
+    const left = new Map(
+      [...renting.left()].filter(
+        ([what, n]) => n > 0 || !soldOut.includes(what),
+      ),
+    );
+    return {
+      rows: [...rows.values()],
+      queue: { plain: queueFrom[0]![0], accelerated: queueFrom[0]![1] },
+      queueFrom,
+      running,
+      soldOut,
+      left,
+      ...this.sharing.rows(),
+      cut: false,
+    };
   }
 
   /** Urgencies that jobs were seen to have, lowest first: who asks for less than the highest may be asked to give way. */
@@ -109,7 +154,8 @@
     if (this.ctx.nowMs - this.levelsMs >= LEVELS_MS) {
       this.levelsMs = this.ctx.nowMs;
       const seen = new Set(this.seen);
-      for (const j of this.ctx.mirror.jobs.values()) seen.add(URGENCIES.indexOf(j.urgency));
+      for (const j of this.ctx.mirror.jobs.values())
+        seen.add(URGENCIES.indexOf(j.urgency));
       this.seen = [...seen].sort((a, b) => a - b);
     }
     return this.seen;
@@ -123,32 +169,52 @@
     for (const j of this.own.jobs.values()) {
       if (j.waiting.isEmpty) continue;
       const kind = queueOf(j.view.spec) === "plain" ? 0 : 1;
-      for (let u = URGENCIES.indexOf(j.view.urgency); u >= 0; u--) out[u]![kind] += j.waiting.size;
+      for (let u = URGENCIES.indexOf(j.view.urgency); u >= 0; u--)
+        out[u]![kind] += j.waiting.size;
     }
     return out;
   }
 
   /** For splits: the room as it was a moment ago, and what splits have handed to the group since. */
   lately(): { room: RoomRecord; handed: readonly Handed[] } {
-    if (!this.recent || this.ctx.nowMs - this.recent.atMs >= SPLIT_MS) this.recent = { atMs: this.ctx.nowMs, room: this.now(), handed: [] };
+    if (!this.recent || this.ctx.nowMs - this.recent.atMs >= SPLIT_MS)
+      this.recent = { atMs: this.ctx.nowMs, room: this.now(), handed: [] };
     return this.recent;
   }
   noteHanded(spec: JobSpec, tasks: number): void {
     this.recent?.handed.push({ spec, tasks });
   }
-  private recent: { atMs: number; room: RoomRecord; handed: Handed[] } | null = null;
+  private recent: { atMs: number; room: RoomRecord; handed: Handed[] } | null =
+    null;
 
   /** What is written of it: what fits a value. Running counts give way first, then the smallest kinds of free room. */
   fitted(): RoomRecord {
     const all = this.now();
     const rows = all.rows.sort((x, y) => y.machines - x.machines);
-    const record: RoomRecord & { rows: RoomRow[] } = { ...all, rows: rows.map((r) => ({ type: r.type, zone: r.zone, spot: r.spot, machines: r.machines, free: [], reserved: [] })), running: new Map() };
+    const record: RoomRecord & { rows: RoomRow[] } = {
+      ...all,
+      rows: rows.map((r) => ({
+        type: r.type,
+        zone: r.zone,
+        spot: r.spot,
+        machines: r.machines,
+        free: [],
+        reserved: [],
+      })),
+      running: new Map(),
+    };
     const { soldOut, left, wants } = record;
     const teams = (record.teams = new Map(all.teams));
     const most = this.ctx.settings.state.valueBytes;
     // With very many teams, types and zones these give way: hints first, then the rows of the fewest machines. A record
     // that does not fit would be refused for ever, and the group's room never known again.
-    const cut = [() => left.delete([...left.keys()].at(-1)!), () => soldOut.pop() !== undefined, () => wants.delete([...wants.keys()].at(-1)!), () => teams.delete([...teams.keys()].at(-1)!) && (record.cut = true), () => record.rows.pop() !== undefined];
+    const cut = [
+      () => left.delete([...left.keys()].at(-1)!),
+      () => soldOut.pop() !== undefined,
+      () => wants.delete([...wants.keys()].at(-1)!),
+      () => teams.delete([...teams.keys()].at(-1)!) && (record.cut = true),
+      () => record.rows.pop() !== undefined,
+    ];
     while (bytesOf(writeRoom(record)) > most && cut.some((one) => one()));
     let bytes = most - bytesOf(writeRoom(record));
     const fits = (entry: readonly unknown[], around = 0): boolean => {
@@ -158,10 +224,22 @@
       return true;
     };
     const size = (k: FreeKind): number => k[3] * (k[0] + 100 * k[1]);
-    const kinds = rows.slice(0, record.rows.length).flatMap((r, i) => [...r.free.map((kind) => ({ to: record.rows[i]!.free, kind })), ...r.reserved.map((kind) => ({ to: record.rows[i]!.reserved, kind }))]);
-    for (const { to, kind } of kinds.sort((x, y) => size(y.kind) - size(x.kind))) if (fits(kind)) to.push(kind);
-    for (const [i, r] of rows.slice(0, record.rows.length).entries()) for (const y of r.yields ?? []) if (fits(y, record.rows[i]!.yields ? 0 : FIELD_BYTES)) (record.rows[i]!.yields ??= []).push(y);
-    for (const entry of all.running) if (fits(entry)) record.running.set(...entry);
+    const kinds = rows
+      .slice(0, record.rows.length)
+      .flatMap((r, i) => [
+        ...r.free.map((kind) => ({ to: record.rows[i]!.free, kind })),
+        ...r.reserved.map((kind) => ({ to: record.rows[i]!.reserved, kind })),
+      ]);
+    for (const { to, kind } of kinds.sort(
+      (x, y) => size(y.kind) - size(x.kind),
+    ))
+      if (fits(kind)) to.push(kind);
+    for (const [i, r] of rows.slice(0, record.rows.length).entries())
+      for (const y of r.yields ?? [])
+        if (fits(y, record.rows[i]!.yields ? 0 : FIELD_BYTES))
+          (record.rows[i]!.yields ??= []).push(y);
+    for (const entry of all.running)
+      if (fits(entry)) record.running.set(...entry);
     return record;
   }
 
@@ -173,9 +251,14 @@
     this.writtenMs = this.ctx.nowMs;
     this.busy = true;
     const key = roomKey(this.own.group);
-    this.own.commit([{ key, version: this.ctx.mirror.revisionOf(key) }], [{ op: "put", key, value }], Urgent.Spare, (end) => {
-      this.busy = false;
-      if (end === "ok") this.written = text;
-    });
+    this.own.commit(
+      [{ key, version: this.ctx.mirror.revisionOf(key) }],
+      [{ op: "put", key, value }],
+      Urgent.Spare,
+      (end) => {
+        this.busy = false;
+        if (end === "ok") this.written = text;
+      },
+    );
   }
 }
--- a/src/coordination/roster.ts
+++ b/src/coordination/roster.ts
@@ -1,4 +1,9 @@
-import { bytesOf, type RosterEntry, rosterKey, writeRoster } from "../storage/records.js";
+import {
+  bytesOf,
+  type RosterEntry,
+  rosterKey,
+  writeRoster,
+} from "../storage/records.js";
 import type { Condition, Write } from "../protocol/state.js";
 import type { CommitEnd, Context } from "./context.js";
 
@@ -22,7 +27,11 @@
   constructor(
     private readonly ctx: Context,
     private readonly group: string,
-    private readonly commit: (conditions: Condition[], writes: Write[], done: (end: CommitEnd) => void) => void,
+    private readonly commit: (
+      conditions: Condition[],
+      writes: Write[],
+      done: (end: CommitEnd) => void,
+    ) => void,
     private readonly changed: () => void,
   ) {
     for (const [chunk, m] of ctx.mirror.rosters.get(group) ?? []) {
@@ -52,13 +61,18 @@
   /** Bytes that a record takes, worked out once for as long as nobody changes it. */
   private sizeOf(chunk: number, m: ReadonlyMap<string, RosterEntry>): number {
     let size = this.sizes.get(chunk);
-    if (size === undefined) this.sizes.set(chunk, (size = bytesOf(writeRoster(m))));
+    if (size === undefined)
+      this.sizes.set(chunk, (size = bytesOf(writeRoster(m))));
     return size;
   }
   private readonly sizes = new Map<number, number>();
 
   /** The first record, from `from` on, that has room for this machine, and the bytes that it takes with it, if that was worked out. */
-  private roomy(id: string, entry: RosterEntry, from = 0): { chunk: number; size?: number } {
+  private roomy(
+    id: string,
+    entry: RosterEntry,
+    from = 0,
+  ): { chunk: number; size?: number } {
     const most = this.ctx.settings.state.valueBytes - SLACK_BYTES;
     for (let chunk = from; ; chunk++) {
       const m = this.want.get(chunk);
@@ -75,7 +89,10 @@
 
   set(id: string, entry: RosterEntry): void {
     const known = this.chunkOf(id);
-    const { chunk, size } = known === undefined ? this.roomy(id, entry) : { chunk: known, size: undefined };
+    const { chunk, size } =
+      known === undefined
+        ? this.roomy(id, entry)
+        : { chunk: known, size: undefined };
     const m = this.want.get(chunk)!;
     const old = m.get(id);
     if (old && old.going === entry.going && old.type === entry.type) return;
@@ -118,7 +135,11 @@
       parts.add(to);
       last = to;
     }
-    this.ctx.log("info", "dividing a roster record that became too large", { group: this.group, chunk, parts: [...parts] });
+    this.ctx.log("info", "dividing a roster record that became too large", {
+      group: this.group,
+      chunk,
+      parts: [...parts],
+    });
     return parts;
   }
 
@@ -127,9 +148,13 @@
     if (this.together.size === 0) {
       const chunk = this.dirty.values().next().value;
       if (chunk === undefined) return;
-      this.together = this.fits(this.want.get(chunk)!) ? new Set([chunk]) : this.divide(chunk);
+      this.together = this.fits(this.want.get(chunk)!)
+        ? new Set([chunk])
+        : this.divide(chunk);
     }
-    const sent = new Map([...this.together].map((chunk) => [chunk, new Map(this.want.get(chunk))]));
+    const sent = new Map(
+      [...this.together].map((chunk) => [chunk, new Map(this.want.get(chunk))]),
+    );
     for (const chunk of sent.keys()) this.dirty.delete(chunk);
     this.busy = true;
     // Conditional on what this master last knew of them: a commit without an answer that is carried out after a later
@@ -138,13 +163,19 @@
       const key = rosterKey(this.group, chunk);
       return { key, version: this.ctx.mirror.revisionOf(key) };
     });
-    const writes = [...sent].map(([chunk, m]): Write => ({ op: "put", key: rosterKey(this.group, chunk), value: writeRoster(m) }));
+    const writes = [...sent].map(([chunk, m]): Write => ({
+      op: "put",
+      key: rosterKey(this.group, chunk),
+      value: writeRoster(m),
+    }));
     this.commit(conditions, writes, (end) => {
       this.busy = false;
       if (end === "ok") {
         this.together = new Set();
         // Taken off since, or listed elsewhere by now: only a commit that names it there counts.
-        for (const [chunk, m] of sent) for (const [id, e] of m) if (this.want.get(chunk)!.has(id)) this.written.set(id, e);
+        for (const [chunk, m] of sent)
+          for (const [id, e] of m)
+            if (this.want.get(chunk)!.has(id)) this.written.set(id, e);
         this.changed();
       } else {
         for (const chunk of sent.keys()) this.dirty.add(chunk);
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -93,7 +93,12 @@
   tasks: Map<string, TaskRun>;
   strays: Map<string, Stray>;
   /** Exited tasks of the last report that wait for a `forget`. */
-  exited: { job: string; index: number; attempt: number; cause: Cause | null }[];
+  exited: {
+    job: string;
+    index: number;
+    attempt: number;
+    cause: Cause | null;
+  }[];
   /** Images it should have, by last use. */
   images: Map<string, { gb: number; usedMs: number }>;
   going: boolean;
@@ -117,7 +122,8 @@
   return spec.checkpointS > 0 ? spec.saveS + 1 : 0;
 }
 
-export const runKey = (job: string, index: number, attempt: number): string => `${job}/${index}#${attempt}`;
+export const runKey = (job: string, index: number, attempt: number): string =>
+  `${job}/${index}#${attempt}`;
 
 export function newJobRun(view: JobView, old: boolean, nowMs: number): JobRun {
   return {
@@ -152,7 +158,11 @@
   return { cpus: w.free.cpus, gpus: w.free.gpus, memGb: w.free.memGb };
 }
 function countFree(w: Worker): Amounts {
-  const free = { cpus: w.type?.cpus ?? 0, gpus: w.type?.gpus ?? 0, memGb: w.type?.memGb ?? 0 };
+  const free = {
+    cpus: w.type?.cpus ?? 0,
+    gpus: w.type?.gpus ?? 0,
+    memGb: w.type?.memGb ?? 0,
+  };
   for (const t of w.tasks.values()) take(free, t.job.view.spec);
   for (const s of w.strays.values()) {
     // A task of a job that nobody knows any more: it may take the whole machine.
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -1,5 +1,14 @@
 import type { StateCall, StateReply, Write } from "../protocol/state.js";
-import { bytesOf, endWrites, jobKey, type JobRecord, pastKey, type PastRecord, writeJob, writePast } from "../storage/records.js";
+import {
+  bytesOf,
+  endWrites,
+  jobKey,
+  type JobRecord,
+  pastKey,
+  type PastRecord,
+  writeJob,
+  writePast,
+} from "../storage/records.js";
 import type { Awaiting } from "./awaiting.js";
 import type { Context } from "./context.js";
 import { type Answer, Urgent } from "./effects.js";
@@ -40,23 +49,38 @@
     private readonly ownership: Pick<Ownership, "readAgeMs">,
     private readonly awaiting: Awaiting,
     private readonly reading: Reading,
-    state: (call: StateCall, urgent: Urgent, done: (r: StateReply, sentMs: number) => void) => void,
+    state: (
+      call: StateCall,
+      urgent: Urgent,
+      done: (r: StateReply, sentMs: number) => void,
+    ) => void,
     private readonly answer: (req: number, answer: Answer) => void,
     private readonly later: (req: number, why: string, afterS?: number) => void,
   ) {
     this.lookups = new Lookups(ctx, state, (id, past) => this.learnt(id, past));
     const { memMb, heapMb = Infinity } = ctx.settings;
-    this.maxJobs = Math.floor((Math.min(memMb * JOBS_SHARE, heapMb * HEAP_SHARE) * 1024) / JOB_KIB);
+    this.maxJobs = Math.floor(
+      (Math.min(memMb * JOBS_SHARE, heapMb * HEAP_SHARE) * 1024) / JOB_KIB,
+    );
   }
 
   memory(short: boolean): void {
     if (short === this.short) return;
     this.short = short;
-    this.ctx.log(short ? "warn" : "info", short ? "memory is short: new jobs are refused" : "memory is there again: new jobs are accepted", { jobs: this.ctx.mirror.jobs.size });
+    this.ctx.log(
+      short ? "warn" : "info",
+      short
+        ? "memory is short: new jobs are refused"
+        : "memory is there again: new jobs are accepted",
+      { jobs: this.ctx.mirror.jobs.size },
+    );
   }
 
   /** A job's final state, read from the state service; null: it has none, or that can't be known now. */
-  lookUp(id: string, done: (past: PastRecord | null, failed: string | null) => void): void {
+  lookUp(
+    id: string,
+    done: (past: PastRecord | null, failed: string | null) => void,
+  ): void {
     this.lookups.ask(id, done);
   }
 
@@ -66,49 +90,110 @@
   }
 
   /** Calls `then` with what became of a job that is not alive; a final state never changes. */
-  private past(req: number, id: string, then: (p: PastRecord | null) => void): void {
+  private past(
+    req: number,
+    id: string,
+    then: (p: PastRecord | null) => void,
+  ): void {
     const known = this.ctx.mirror.past.get(id);
     if (known) return then(known);
-    this.lookUp(id, (p, failed) => (failed === null ? then(p) : this.later(req, failed)));
+    this.lookUp(id, (p, failed) =>
+      failed === null ? then(p) : this.later(req, failed),
+    );
   }
 
   tellStatus(req: number, id: string, status: 200 | 201): void {
-    const job = this.ctx.mirror.past.has(id) ? undefined : this.ctx.mirror.jobs.get(id);
+    const job = this.ctx.mirror.past.has(id)
+      ? undefined
+      : this.ctx.mirror.jobs.get(id);
     if (job) {
       // Invariant (orphaned, went_back): another controller may know already that one of these is cancelled.
       const unsure = this.awaiting.unsure(id);
-      if (unsure !== null) return this.past(req, unsure, (p) => (p ? this.tellStatus(req, id, status) : this.later(req, "not known yet")));
-      if (this.awaiting.isDoomed(id)) return this.answer(req, { is: "job", status, id, state: "cancelled", done: 0, running: 0 });
+      if (unsure !== null)
+        return this.past(req, unsure, (p) =>
+          p
+            ? this.tellStatus(req, id, status)
+            : this.later(req, "not known yet"),
+        );
+      if (this.awaiting.isDoomed(id))
+        return this.answer(req, {
+          is: "job",
+          status,
+          id,
+          state: "cancelled",
+          done: 0,
+          running: 0,
+        });
       let running = 0;
-      for (const g of this.ctx.groups.names) running += this.masters.get(g)?.own.runningOf(id) ?? this.ctx.mirror.rooms.get(g)?.running.get(id) ?? 0;
+      for (const g of this.ctx.groups.names)
+        running +=
+          this.masters.get(g)?.own.runningOf(id) ??
+          this.ctx.mirror.rooms.get(g)?.running.get(id) ??
+          0;
       const done = this.ctx.mirror.allFinished(id).size;
-      return this.answer(req, { is: "job", status, id, state: running > 0 ? "running" : "queued", done, running, awaits: this.awaiting.waitsFor(id) });
+      return this.answer(req, {
+        is: "job",
+        status,
+        id,
+        state: running > 0 ? "running" : "queued",
+        done,
+        running,
+        awaits: this.awaiting.waitsFor(id),
+      });
     }
     this.past(req, id, (p) => {
       if (!p) return this.answer(req, { is: "unknownJob" });
-      this.answer(req, { is: "job", status, id, state: p.status, done: p.done, running: 0 });
+      this.answer(req, {
+        is: "job",
+        status,
+        id,
+        state: p.status,
+        done: p.done,
+        running: 0,
+      });
     });
   }
 
   submit(req: number, spec: JobSpec, awaits: readonly string[]): void {
     const id = spec.id;
     if (this.ctx.mirror.past.has(id)) return this.tellStatus(req, id, 200);
-    if (this.ctx.mirror.jobs.has(id)) return this.reading.afterRead(req, id, (r, i) => this.tellStatus(r, i, 200));
+    if (this.ctx.mirror.jobs.has(id))
+      return this.reading.afterRead(req, id, (r, i) =>
+        this.tellStatus(r, i, 200),
+      );
     if (!this.ctx.mirror.ready) return this.later(req, "not ready yet");
     const no = this.cannotRun(spec);
     // Whatever the catalog says today: a job that was accepted once is answered from its record.
-    if (no === "undecided") return this.known(req, id, () => this.later(req, "machine types are not known yet"));
-    if (no !== null) return this.known(req, id, () => this.answer(req, { is: "never", error: no }));
+    if (no === "undecided")
+      return this.known(req, id, () =>
+        this.later(req, "machine types are not known yet"),
+      );
+    if (no !== null)
+      return this.known(req, id, () =>
+        this.answer(req, { is: "never", error: no }),
+      );
     const tooLong = this.tooLong(spec, awaits);
-    if (tooLong !== null) return this.known(req, id, () => this.answer(req, { is: "tooLong", error: tooLong }));
+    if (tooLong !== null)
+      return this.known(req, id, () =>
+        this.answer(req, { is: "tooLong", error: tooLong }),
+      );
     // Every controller holds all live jobs: more than fit are not accepted, on any of them.
-    if (this.ctx.mirror.jobs.size >= this.maxJobs) return this.known(req, id, () => this.later(req, "too many unfinished jobs", 10));
-    if (this.short) return this.known(req, id, () => this.later(req, "memory is short", 10));
+    if (this.ctx.mirror.jobs.size >= this.maxJobs)
+      return this.known(req, id, () =>
+        this.later(req, "too many unfinished jobs", 10),
+      );
+    if (this.short)
+      return this.known(req, id, () => this.later(req, "memory is short", 10));
     if (awaits.length === 0) return this.accept(req, spec, []);
     // What this copy shows of a job was so a moment ago: it was accepted. Only what it does not show takes a fresh read,
     // and what it may be too old for.
-    const shown = awaits.every((name) => this.ctx.mirror.past.has(name) || (this.ctx.mirror.jobs.has(name) && this.awaiting.unsure(name) === null));
-    if (shown && this.ownership.readAgeMs < FRESH_MS) return this.judge(req, spec, awaits, []);
+    const shown = awaits.every(
+      (name) =>
+        this.ctx.mirror.past.has(name) ||
+        (this.ctx.mirror.jobs.has(name) && this.awaiting.unsure(name) === null),
+    );
+    if (shown && this.ownership.readAgeMs < FRESH_MS)
+      return this.judge(req, spec, awaits, []);
     this.reading.afterRead(req, id, () => this.judge(req, spec, awaits, []));
   }
 
@@ -116,32 +201,74 @@
    * What a job waits for, name by name, each by a read that was sent after the question: whoever names a job has been
    * told before that it was accepted. `open`: those found alive; `doomed`: one is cancelled.
    */
-  private judge(req: number, spec: JobSpec, names: readonly string[], open: readonly string[], doomed = false): void {
+  private judge(
+    req: number,
+    spec: JobSpec,
+    names: readonly string[],
+    open: readonly string[],
+    doomed = false,
+  ): void {
     const id = spec.id;
-    if (this.ctx.mirror.past.has(id) || this.ctx.mirror.jobs.has(id)) return this.tellStatus(req, id, 200);
+    if (this.ctx.mirror.past.has(id) || this.ctx.mirror.jobs.has(id))
+      return this.tellStatus(req, id, 200);
     const [name, ...rest] = names;
-    if (name === undefined) return doomed ? this.acceptCancelled(req, spec) : this.accept(req, spec, open);
+    if (name === undefined)
+      return doomed
+        ? this.acceptCancelled(req, spec)
+        : this.accept(req, spec, open);
     if (!this.ctx.mirror.past.has(name) && this.ctx.mirror.jobs.has(name)) {
       const unsure = this.awaiting.unsure(name);
-      if (unsure !== null) return this.past(req, unsure, (p) => (p ? this.judge(req, spec, names, open, doomed) : this.later(req, "not known yet")));
-      return this.judge(req, spec, rest, [...open, name], doomed || this.awaiting.isDoomed(name));
+      if (unsure !== null)
+        return this.past(req, unsure, (p) =>
+          p
+            ? this.judge(req, spec, names, open, doomed)
+            : this.later(req, "not known yet"),
+        );
+      return this.judge(
+        req,
+        spec,
+        rest,
+        [...open, name],
+        doomed || this.awaiting.isDoomed(name),
+      );
     }
     this.past(req, name, (p) => {
-      if (!p) return this.known(req, id, () => this.answer(req, { is: "never", error: `awaits: ${name} was never accepted` }));
+      if (!p)
+        return this.known(req, id, () =>
+          this.answer(req, {
+            is: "never",
+            error: `awaits: ${name} was never accepted`,
+          }),
+        );
       this.judge(req, spec, rest, open, doomed || p.status === "cancelled");
     });
   }
 
   /** A job's record must fit a value, while it waits and once it is cut over the groups. */
   private tooLong(spec: JobSpec, awaits: readonly string[]): string | null {
-    const record = { spec, acceptedAt: this.ctx.wallMs, awaits: [], releasedAt: this.ctx.wallMs, split: new Map(this.ctx.groups.names.map((g) => [g, RangeSet.upTo(spec.tasks)])) };
-    const bytes = Math.max(bytesOf(writeJob(record)), bytesOf(writeJob({ ...record, split: new Map(), awaits })));
-    return bytes > this.ctx.settings.state.valueBytes ? `body: names and lists take ${bytes} bytes of a record, at most ${this.ctx.settings.state.valueBytes} fit` : null;
+    const record = {
+      spec,
+      acceptedAt: this.ctx.wallMs,
+      awaits: [],
+      releasedAt: this.ctx.wallMs,
+      split: new Map(
+        this.ctx.groups.names.map((g) => [g, RangeSet.upTo(spec.tasks)]),
+      ),
+    };
+    const bytes = Math.max(
+      bytesOf(writeJob(record)),
+      bytesOf(writeJob({ ...record, split: new Map(), awaits })),
+    );
+    return bytes > this.ctx.settings.state.valueBytes
+      ? `body: names and lists take ${bytes} bytes of a record, at most ${this.ctx.settings.state.valueBytes} fit`
+      : null;
   }
 
   /** Cuts a job over the groups by their room at this moment; null: not now. */
   cut(spec: JobSpec): Map<string, RangeSet> | null {
-    const capable = this.ctx.catalog ? capableGroups(spec, this.ctx.catalog, this.ctx.groups) : [];
+    const capable = this.ctx.catalog
+      ? capableGroups(spec, this.ctx.catalog, this.ctx.groups)
+      : [];
     if (!this.ctx.catalog || capable.length === 0) return null;
     const rooms = new Map(this.ctx.mirror.rooms);
     const handed = new Map(this.ctx.handed);
@@ -150,7 +277,14 @@
       rooms.set(g, own.room);
       handed.set(g, own.handed);
     }
-    const split = splitJob(spec, capable, rooms, this.ctx.catalog, isShort(spec, this.ctx.tuning), handed);
+    const split = splitJob(
+      spec,
+      capable,
+      rooms,
+      this.ctx.catalog,
+      isShort(spec, this.ctx.tuning),
+      handed,
+    );
     for (const [g, r] of split) {
       const m = this.masters.get(g);
       if (m) m.room.noteHanded(spec, r.size);
@@ -161,30 +295,72 @@
 
   /** Accepting is one commit, with the split in it; the masters learn of the job from the record. */
   private accept(req: number, spec: JobSpec, awaits: readonly string[]): void {
-    const split = awaits.length > 0 ? new Map<string, RangeSet>() : this.cut(spec);
+    const split =
+      awaits.length > 0 ? new Map<string, RangeSet>() : this.cut(spec);
     if (!split) return this.later(req, "machine types are not known yet");
-    const record: JobRecord = { spec, acceptedAt: this.ctx.wallMs, split, awaits, releasedAt: null };
-    this.commitNew(req, spec.id, { op: "put", key: jobKey(spec.id), value: writeJob(record) }, () => {
-      this.answer(req, { is: "job", status: 201, id: spec.id, state: "queued" });
-      this.ctx.log("debug", "job accepted", { job: spec.id, class: spec.class, tasks: spec.tasks, awaits, split: [...split].map(([g, r]) => [g, r.size]) });
-      this.reading.watchSoon();
-    });
+    const record: JobRecord = {
+      spec,
+      acceptedAt: this.ctx.wallMs,
+      split,
+      awaits,
+      releasedAt: null,
+    };
+    this.commitNew(
+      req,
+      spec.id,
+      { op: "put", key: jobKey(spec.id), value: writeJob(record) },
+      () => {
+        this.answer(req, {
+          is: "job",
+          status: 201,
+          id: spec.id,
+          state: "queued",
+        });
+        this.ctx.log("debug", "job accepted", {
+          job: spec.id,
+          class: spec.class,
+          tasks: spec.tasks,
+          awaits,
+          split: [...split].map(([g, r]) => [g, r.size]),
+        });
+        this.reading.watchSoon();
+      },
+    );
   }
 
   /** It needs a cancelled job: it is accepted all the same, and cancelled with it. */
   private acceptCancelled(req: number, spec: JobSpec): void {
     const past = finalRecord(this.ctx, spec, "cancelled", 0);
-    this.commitNew(req, spec.id, { op: "put", key: pastKey(spec.id), value: writePast(past) }, () => {
-      this.learnt(spec.id, past);
-      this.answer(req, { is: "job", status: 201, id: spec.id, state: "cancelled" });
-    });
+    this.commitNew(
+      req,
+      spec.id,
+      { op: "put", key: pastKey(spec.id), value: writePast(past) },
+      () => {
+        this.learnt(spec.id, past);
+        this.answer(req, {
+          is: "job",
+          status: 201,
+          id: spec.id,
+          state: "cancelled",
+        });
+      },
+    );
   }
 
-  private commitNew(req: number, id: string, write: Write, ok: () => void): void {
-    const absent = [jobKey(id), pastKey(id)].map((key) => ({ key, version: 0 }));
+  private commitNew(
+    req: number,
+    id: string,
+    write: Write,
+    ok: () => void,
+  ): void {
+    const absent = [jobKey(id), pastKey(id)].map((key) => ({
+      key,
+      version: 0,
+    }));
     this.ctx.commit(absent, [write], Urgent.User, (end) => {
       if (end === "ok") ok();
-      else if (end === "conflict") this.reading.afterRead(req, id, (r, i) => this.tellStatus(r, i, 200));
+      else if (end === "conflict")
+        this.reading.afterRead(req, id, (r, i) => this.tellStatus(r, i, 200));
       else this.later(req, "state service does not answer");
     });
   }
@@ -193,7 +369,9 @@
   private known(req: number, id: string, unknown: () => void): void {
     this.reading.afterRead(req, id, () => {
       if (this.ctx.mirror.jobs.has(id)) return this.tellStatus(req, id, 200);
-      this.past(req, id, (p) => (p ? this.tellStatus(req, id, 200) : unknown()));
+      this.past(req, id, (p) =>
+        p ? this.tellStatus(req, id, 200) : unknown(),
+      );
     });
   }
 
@@ -202,19 +380,40 @@
     const team = this.ctx.settings.teams.get(spec.team);
     if (!team) return `crew: unknown team ${spec.team}`;
     const n = spec.shape === "batch" ? 1 : spec.tasks;
-    if (spec.cpus * n > team.cpusMax + EPS || spec.gpus * n > team.gpusMax + EPS) return "cores, accelerators: more than the team's limit";
+    if (
+      spec.cpus * n > team.cpusMax + EPS ||
+      spec.gpus * n > team.gpusMax + EPS
+    )
+      return "cores, accelerators: more than the team's limit";
     if (!this.ctx.catalog) return "undecided";
-    if (capableGroups(spec, this.ctx.catalog, this.ctx.groups).length === 0) return "a task fits no allowed machine type";
+    if (capableGroups(spec, this.ctx.catalog, this.ctx.groups).length === 0)
+      return "a task fits no allowed machine type";
     return null;
   }
 
   withdraw(req: number, id: string, tries: number): void {
-    const job = this.ctx.mirror.past.has(id) ? undefined : this.ctx.mirror.jobs.get(id);
+    const job = this.ctx.mirror.past.has(id)
+      ? undefined
+      : this.ctx.mirror.jobs.get(id);
     if (!job) {
-      return this.past(req, id, (p) => this.answer(req, p ? { is: "job", status: 200, id, state: p.status } : { is: "unknownJob" }));
+      return this.past(req, id, (p) =>
+        this.answer(
+          req,
+          p
+            ? { is: "job", status: 200, id, state: p.status }
+            : { is: "unknownJob" },
+        ),
+      );
     }
-    const past = finalRecord(this.ctx, job.spec, "cancelled", this.ctx.mirror.allFinished(id).size);
-    const beside = this.ctx.mirror.sideKeys(id).slice(0, this.ctx.settings.state.txnOps - 2);
+    const past = finalRecord(
+      this.ctx,
+      job.spec,
+      "cancelled",
+      this.ctx.mirror.allFinished(id).size,
+    );
+    const beside = this.ctx.mirror
+      .sideKeys(id)
+      .slice(0, this.ctx.settings.state.txnOps - 2);
     // Invariant (went_back): cancelled and done are conditional on the same record, so only one of them happens.
     this.ctx.commit(
       [{ key: jobKey(id), version: job.version }],
@@ -224,7 +423,10 @@
         if (end === "ok") {
           this.learnt(id, past);
           this.answer(req, { is: "job", status: 200, id, state: "cancelled" });
-        } else if (end === "conflict" && tries > 0) this.reading.afterRead(req, id, (r, i) => this.withdraw(r, i, tries - 1));
+        } else if (end === "conflict" && tries > 0)
+          this.reading.afterRead(req, id, (r, i) =>
+            this.withdraw(r, i, tries - 1),
+          );
         else this.later(req, "state service does not answer");
       },
     );
--- a/src/coordination/vacancies.ts
+++ b/src/coordination/vacancies.ts
@@ -26,7 +26,10 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly ownership: Pick<Ownership, "tokenOf" | "takeVacant" | "giveUp">,
+    private readonly ownership: Pick<
+      Ownership,
+      "tokenOf" | "takeVacant" | "giveUp"
+    >,
   ) {}
 
   /** The token to act under for a group that no settings name; null: not yet, or another does. Asking for it is wanting it. */
@@ -34,7 +37,10 @@
     this.wanted.set(group, this.ctx.nowMs);
     const h = this.held.get(group);
     if (!h || this.ownership.tokenOf(group) !== h.token) return null;
-    return this.ctx.nowMs - h.ms > this.ctx.settings.leaseS * 1000 * DRIFT + LEASE_SLACK_MS ? h.token : null;
+    return this.ctx.nowMs - h.ms >
+      this.ctx.settings.leaseS * 1000 * DRIFT + LEASE_SLACK_MS
+      ? h.token
+      : null;
   }
 
   /** Only called by a controller that has a group. */
@@ -43,7 +49,8 @@
     for (const [group, askedMs] of this.wanted) {
       const token = this.ownership.tokenOf(group);
       if (token !== null) {
-        if (this.held.get(group)?.token !== token) this.held.set(group, { token, ms: nowMs });
+        if (this.held.get(group)?.token !== token)
+          this.held.set(group, { token, ms: nowMs });
         if (nowMs - askedMs > UNWANTED_MS) this.ownership.giveUp(group);
         continue;
       }
@@ -55,10 +62,13 @@
       }
       const changed = mirror.ownerChanged.get(group) ?? 0;
       let a = this.absent.get(group);
-      if (!a || a.changed !== changed) this.absent.set(group, (a = { changed, ms: nowMs }));
+      if (!a || a.changed !== changed)
+        this.absent.set(group, (a = { changed, ms: nowMs }));
       const n = groups.names.length;
-      const rank = (groups.names.indexOf(settings.label) - turn(group, n) + n) % n;
-      if (nowMs - a.ms > ABSENT_MS + rank * TURN_MS) this.ownership.takeVacant(group);
+      const rank =
+        (groups.names.indexOf(settings.label) - turn(group, n) + n) % n;
+      if (nowMs - a.ms > ABSENT_MS + rank * TURN_MS)
+        this.ownership.takeVacant(group);
     }
   }
 }
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -5,7 +5,14 @@
 import type { Settings } from "./config/settings.js";
 import { Controller } from "./coordination/controller.js";
 import { Seldom } from "./coordination/seldom.js";
-import type { Answer, CloudCall, CloudReply, Effect, Input, Level } from "./coordination/effects.js";
+import type {
+  Answer,
+  CloudCall,
+  CloudReply,
+  Effect,
+  Input,
+  Level,
+} from "./coordination/effects.js";
 import type { Tuning } from "./coordination/model.js";
 import { StateClient } from "./storage/client.js";
 import { CloudClient } from "./transport/cloud.js";
@@ -25,8 +32,12 @@
 
 /** What the old space may take, in MB: V8 states its limit with the young generation's. */
 function heapMb(): number {
-  const stated = process.execArgv.map((a) => /^--max[-_]old[-_]space[-_]size=(\d+)$/.exec(a)?.[1]).find((x) => x !== undefined);
-  return stated === undefined ? (getHeapStatistics().heap_size_limit / 2 ** 20) * 0.7 : Number(stated);
+  const stated = process.execArgv
+    .map((a) => /^--max[-_]old[-_]space[-_]size=(\d+)$/.exec(a)?.[1])
+    .find((x) => x !== undefined);
+  return stated === undefined
+    ? (getHeapStatistics().heap_size_limit / 2 ** 20) * 0.7
+    : Number(stated);
 }
 
 /** What may be turned on beside the core. */
@@ -37,7 +48,13 @@
   /** A line of the log, whether it is written or not. */
   logged?(msg: string): void;
   /** A call ended. `waitedMs`: for this controller's own limit. */
-  called?(service: "state" | "cloud", op: string, outcome: string, waitedMs: number, tookMs: number): void;
+  called?(
+    service: "state" | "cloud",
+    op: string,
+    outcome: string,
+    waitedMs: number,
+    tookMs: number,
+  ): void;
 }
 
 /** Runs one controller: feeds inputs to the core and carries out what it returns. */
@@ -61,12 +78,27 @@
     private readonly settings: Settings,
     tuning: Tuning,
   ) {
-    this.log = pino({ level: process.env["LOG_LEVEL"] ?? "info", base: { node: settings.label }, timestamp: pino.stdTimeFunctions.isoTime }, pino.destination({ fd: 2, sync: true }));
-    this.core = new Controller({ ...settings, heapMb: heapMb() }, tuning, performance.now(), Date.now());
+    this.log = pino(
+      {
+        level: process.env["LOG_LEVEL"] ?? "info",
+        base: { node: settings.label },
+        timestamp: pino.stdTimeFunctions.isoTime,
+      },
+      pino.destination({ fd: 2, sync: true }),
+    );
+    this.core = new Controller(
+      { ...settings, heapMb: heapMb() },
+      tuning,
+      performance.now(),
+      Date.now(),
+    );
     this.state = new StateClient(settings);
     this.cloud = new CloudClient(settings);
     this.workers = new WorkerClient(settings.maxSockets);
-    this.mesh = new Mesh(settings, { serve: (type, body) => this.serve(type, body), stateOk: () => this.state.ok });
+    this.mesh = new Mesh(settings, {
+      serve: (type, body) => this.serve(type, body),
+      stateOk: () => this.state.ok,
+    });
     this.state.through = this.mesh;
   }
 
@@ -98,26 +130,49 @@
     for (const x of this.extras) x.logged?.(msg);
     this.log[level](fields, msg);
   }
-  private async callState(call: StateCall, urgent: number): Promise<{ reply: StateReply; sentMs: number }> {
+  private async callState(
+    call: StateCall,
+    urgent: number,
+  ): Promise<{ reply: StateReply; sentMs: number }> {
     if (this.extras.length === 0) return this.state.call(call, urgent);
     const askedMs = performance.now();
     const r = await this.state.call(call, urgent);
-    for (const x of this.extras) x.called?.("state", call.op, r.reply.is, r.sentMs - askedMs, performance.now() - r.sentMs);
+    for (const x of this.extras)
+      x.called?.(
+        "state",
+        call.op,
+        r.reply.is,
+        r.sentMs - askedMs,
+        performance.now() - r.sentMs,
+      );
     return r;
   }
 
-  private async callCloud(call: CloudCall, urgent: number): Promise<CloudReply> {
+  private async callCloud(
+    call: CloudCall,
+    urgent: number,
+  ): Promise<CloudReply> {
     if (this.extras.length === 0) return this.cloud.call(call, urgent);
     const askedMs = performance.now();
     const reply = await this.cloud.call(call, urgent);
-    for (const x of this.extras) x.called?.("cloud", call.op, reply.is, 0, performance.now() - askedMs);
+    for (const x of this.extras)
+      x.called?.("cloud", call.op, reply.is, 0, performance.now() - askedMs);
     return reply;
   }
 
   async run(): Promise<void> {
     await this.mesh.listen();
-    await listen(api(this, this.extras.flatMap((x) => (x.routes ? [x.routes.bind(x)] : []))), this.settings);
-    this.log.info({ area: this.settings.area, groups: this.core.groups.names }, "controller started");
+    await listen(
+      api(
+        this,
+        this.extras.flatMap((x) => (x.routes ? [x.routes.bind(x)] : [])),
+      ),
+      this.settings,
+    );
+    this.log.info(
+      { area: this.settings.area, groups: this.core.groups.names },
+      "controller started",
+    );
     this.feed({ is: "tick" });
     setInterval(() => this.tick(), TICK_MS);
     this.watchMemory();
@@ -127,8 +182,20 @@
   private watchMemory(): void {
     const most = heapMb() * HEAP_FULL * 2 ** 20;
     new PerformanceObserver((list) => {
-      if (!list.getEntries().some((e) => (e as { detail?: { kind?: number } }).detail?.kind === constants.NODE_PERFORMANCE_GC_MAJOR)) return;
-      this.feed({ is: "memory", short: getHeapStatistics().used_heap_size > most });
+      if (
+        !list
+          .getEntries()
+          .some(
+            (e) =>
+              (e as { detail?: { kind?: number } }).detail?.kind ===
+              constants.NODE_PERFORMANCE_GC_MAJOR,
+          )
+      )
+        return;
+      this.feed({
+        is: "memory",
+        short: getHeapStatistics().used_heap_size > most,
+      });
     }).observe({ entryTypes: ["gc"] });
   }
 
@@ -144,19 +211,36 @@
   }
 
   /** What a peer asks for: to answer a worker's report, or to carry a call to the state service. */
-  private async serve(type: Frame.Report | Frame.State, body: string): Promise<{ status: number; body: string }> {
+  private async serve(
+    type: Frame.Report | Frame.State,
+    body: string,
+  ): Promise<{ status: number; body: string }> {
     if (type === Frame.State) {
       const call = json(body) as StateCall | undefined;
       if (typeof call?.op !== "string") return { status: 400, body: "" };
-      return { status: 200, body: JSON.stringify(await this.state.carry(call)) };
+      return {
+        status: 200,
+        body: JSON.stringify(await this.state.carry(call)),
+      };
     }
     const r = parseReport(body);
     if (!r.ok) return { status: 400, body: "" };
-    const answer = toHttp(await this.ask((req) => ({ is: "report", req, report: r.value, relayed: true })));
+    const answer = toHttp(
+      await this.ask((req) => ({
+        is: "report",
+        req,
+        report: r.value,
+        relayed: true,
+      })),
+    );
     return { status: answer.status, body: await answer.text() };
   }
 
-  async relay(master: string, zone: string, body: string): Promise<{ status: number; body: string } | null> {
+  async relay(
+    master: string,
+    zone: string,
+    body: string,
+  ): Promise<{ status: number; body: string } | null> {
     const r = await this.mesh.call(master, Frame.Report, body, 2_000);
     if (r?.status !== 200) this.feed({ is: "unserved", zone });
     return r;
@@ -172,7 +256,10 @@
 
   fault(error: Error): void {
     this.faults++;
-    this.log.error({ err: error, stack: error.stack, faults: this.faults }, "fault while serving a request");
+    this.log.error(
+      { err: error, stack: error.stack, faults: this.faults },
+      "fault while serving a request",
+    );
   }
 
   /**
@@ -203,10 +290,25 @@
     const now = performance.now();
     if (now - this.toldWithheldMs > WITHHELD_LOG_MS) {
       this.toldWithheldMs = now;
-      this.write("warn", { what: e.do, withheld: this.withheld, permitEndedMs: Math.round(now - this.core.permit.untilMs) }, "not sent, for its permit ended before it could leave");
+      this.write(
+        "warn",
+        {
+          what: e.do,
+          withheld: this.withheld,
+          permitEndedMs: Math.round(now - this.core.permit.untilMs),
+        },
+        "not sent, for its permit ended before it could leave",
+      );
     }
-    if (e.do === "answer") this.carryOut({ ...e, answer: { is: "later", afterS: 1, why: "no permit" } });
-    else if (e.do === "command") setImmediate(() => this.feed({ is: "command", op: e.op, reply: { is: "refused" } }));
+    if (e.do === "answer")
+      this.carryOut({
+        ...e,
+        answer: { is: "later", afterS: 1, why: "no permit" },
+      });
+    else if (e.do === "command")
+      setImmediate(() =>
+        this.feed({ is: "command", op: e.op, reply: { is: "refused" } }),
+      );
   }
 
   private carryOut(e: Effect): void {
@@ -217,19 +319,27 @@
         this.pending.delete(e.req);
         break;
       case "state":
-        void this.callState(e.call, e.urgent).then(({ reply, sentMs }) => this.feed({ is: "state", op: e.op, reply, sentMs }));
+        void this.callState(e.call, e.urgent).then(({ reply, sentMs }) =>
+          this.feed({ is: "state", op: e.op, reply, sentMs }),
+        );
         break;
       case "cloud":
-        void this.callCloud(e.call, e.urgent).then((reply) => this.feed({ is: "cloud", op: e.op, reply }));
+        void this.callCloud(e.call, e.urgent).then((reply) =>
+          this.feed({ is: "cloud", op: e.op, reply }),
+        );
         break;
       case "seen":
         for (const x of this.extras) x.seen?.(e);
         break;
       case "command":
-        void this.workers.command(e.address, e.token, e.session, e.orders).then((reply) => this.feed({ is: "command", op: e.op, reply }));
+        void this.workers
+          .command(e.address, e.token, e.session, e.orders)
+          .then((reply) => this.feed({ is: "command", op: e.op, reply }));
         break;
       case "inspect":
-        void this.workers.inspect(e.address).then((report) => this.feed({ is: "inspected", op: e.op, report }));
+        void this.workers
+          .inspect(e.address)
+          .then((report) => this.feed({ is: "inspected", op: e.op, report }));
         break;
       case "wake":
         setTimeout(() => this.feed({ is: "wake" }), e.afterMs);
--- a/src/hooks/breaker.ts
+++ b/src/hooks/breaker.ts
@@ -1,17 +1,38 @@
 /** What the core and its parts know of a receiver: every subscription to one origin shares it. */
 
 /** Reasons that a notification is repeated for, as its header names them. */
-export const REASONS = ["timeout", "reset", "status", "refused", "tls", "blocked", "name", "owner-lost", "redriven"] as const;
+export const REASONS = [
+  "timeout",
+  "reset",
+  "status",
+  "refused",
+  "tls",
+  "blocked",
+  "name",
+  "owner-lost",
+  "redriven",
+] as const;
 export type Reason = (typeof REASONS)[number];
 /** After these the receiver may have it. */
-export const mayHave = (r: Reason): boolean => r === "timeout" || r === "reset" || r === "status" || r === "owner-lost" || r === "redriven";
+export const mayHave = (r: Reason): boolean =>
+  r === "timeout" ||
+  r === "reset" ||
+  r === "status" ||
+  r === "owner-lost" ||
+  r === "redriven";
 
 export interface BackoffLimits {
   baseMs: number;
   mostMs: number;
 }
 /** Exponential with full jitter: anything from nothing to the bound, which doubles with each failure. `random` lies within 0 and 1. */
-export const backoffMs = (b: BackoffLimits, failures: number, random: number): number => random * Math.min(b.mostMs, b.baseMs * 2 ** Math.min(40, Math.max(0, failures - 1)));
+export const backoffMs = (
+  b: BackoffLimits,
+  failures: number,
+  random: number,
+): number =>
+  random *
+  Math.min(b.mostMs, b.baseMs * 2 ** Math.min(40, Math.max(0, failures - 1)));
 
 export type BreakerState = "closed" | "open" | "half-open";
 
@@ -57,8 +78,14 @@
     // Attempts that were on their way together fail together: that is one failure of the receiver.
     if (this.failures < this.after || nowMs < this.untilMs) return;
     this.openings++;
-    const most = Math.min(this.pause.mostMs, this.pause.baseMs * 2 ** Math.min(40, this.openings - 1));
-    this.untilMs = Math.max(this.untilMs, nowMs + (most / 2) * (1 + this.random()));
+    const most = Math.min(
+      this.pause.mostMs,
+      this.pause.baseMs * 2 ** Math.min(40, this.openings - 1),
+    );
+    this.untilMs = Math.max(
+      this.untilMs,
+      nowMs + (most / 2) * (1 + this.random()),
+    );
   }
   /** It was given up on our side: says nothing of the receiver. */
   neither(): void {
--- a/src/hooks/core.ts
+++ b/src/hooks/core.ts
@@ -1,9 +1,36 @@
-import type { Change, Condition, Item, StateCall, StateReply, Write } from "../protocol/state.js";
+import type {
+  Change,
+  Condition,
+  Item,
+  StateCall,
+  StateReply,
+  Write,
+} from "../protocol/state.js";
 import { Urgent } from "../coordination/effects.js";
 import { Breaker, type BackoffLimits, type BreakerState } from "./breaker.js";
-import { type Attempted, Delivery, type DeliveryLimits, type Host, type Launch } from "./delivery.js";
+import {
+  type Attempted,
+  Delivery,
+  type DeliveryLimits,
+  type Host,
+  type Launch,
+} from "./delivery.js";
 import { chosen, laneOf } from "./lanes.js";
-import { hereKey, HOOKS_NOW, LANES, ownKey, readAt, readHere, readOwn, readSub, readUpto, subKey, type Subscription, UPTO_KEY, writeSub } from "./records.js";
+import {
+  hereKey,
+  HOOKS_NOW,
+  LANES,
+  ownKey,
+  readAt,
+  readHere,
+  readOwn,
+  readSub,
+  readUpto,
+  subKey,
+  type Subscription,
+  UPTO_KEY,
+  writeSub,
+} from "./records.js";
 import { type HookRequest, Requests } from "./requests.js";
 import { Tail } from "./tail.js";
 
@@ -23,8 +50,19 @@
   | { do: "attempt"; attempt: number; hook: string; launch: Launch }
   | { do: "abort"; attempt: number }
   | { do: "reply"; req: number; status: number; body: object }
-  | { do: "settled"; hook: string; outcome: "delivered" | "dead"; attempts: number; /** From the end of the job, ms by time of day. */ tookMs: number }
-  | { do: "log"; level: "error" | "warn" | "info" | "debug"; msg: string; fields: Record<string, unknown> };
+  | {
+      do: "settled";
+      hook: string;
+      outcome: "delivered" | "dead";
+      attempts: number;
+      /** From the end of the job, ms by time of day. */ tookMs: number;
+    }
+  | {
+      do: "log";
+      level: "error" | "warn" | "info" | "debug";
+      msg: string;
+      fields: Record<string, unknown>;
+    };
 
 export interface HookLimits extends DeliveryLimits {
   /** Changes a second that hooks may make, and how many at once. */
@@ -68,11 +106,15 @@
   // ---- what the records say
   private epoch = -1;
   private listing = false;
-  private backlog: { from: number; to: number; changes: readonly Change[] }[] = [];
+  private backlog: { from: number; to: number; changes: readonly Change[] }[] =
+    [];
   private listAgainMs = -Infinity;
   readonly subs = new Map<string, Kept<Subscription>>();
   private readonly ats = new Map<string, Kept<unknown>>();
-  private readonly owns = new Map<number, Kept<{ owner: string; hold: number }>>();
+  private readonly owns = new Map<
+    number,
+    Kept<{ owner: string; hold: number }>
+  >();
   private readonly heres = new Map<string, Kept<{ hold: number }>>();
   private upto: Kept<Record<string, number>> = { value: {}, version: 0 };
   private present = "";
@@ -149,12 +191,23 @@
     const op = ++this.ops;
     this.stateOps.set(op, done);
     // Users and holds never wait for hooks; masters only when hooks have waited for long.
-    const patient = this.refusedSinceMs === null || this.nowMs - this.refusedSinceMs < PATIENT_MS;
-    this.out.push({ do: "state", op, call, urgent: urgent ?? (patient ? Urgent.Spare : Urgent.Master) });
+    const patient =
+      this.refusedSinceMs === null ||
+      this.nowMs - this.refusedSinceMs < PATIENT_MS;
+    this.out.push({
+      do: "state",
+      op,
+      call,
+      urgent: urgent ?? (patient ? Urgent.Spare : Urgent.Master),
+    });
   }
   /** Hooks have a part of this controller's changes for themselves: what waits for it gathers, and goes with one change. */
   mayWrite(changes: number): boolean {
-    this.level = Math.min(this.limits.changesBurst, this.level + ((this.nowMs - this.levelMs) / 1000) * this.limits.changesPerS);
+    this.level = Math.min(
+      this.limits.changesBurst,
+      this.level +
+        ((this.nowMs - this.levelMs) / 1000) * this.limits.changesPerS,
+    );
     this.levelMs = this.nowMs;
     if (this.level < Math.min(changes, this.limits.changesBurst)) return false;
     this.level -= changes;
@@ -163,7 +216,15 @@
   breaker(url: string): Breaker {
     const origin = URL.canParse(url) ? new URL(url).origin : url;
     let b = this.breakers.get(origin);
-    if (!b) this.breakers.set(origin, (b = new Breaker(this.limits.breakerAfter, this.limits.breakerPause, this.random)));
+    if (!b)
+      this.breakers.set(
+        origin,
+        (b = new Breaker(
+          this.limits.breakerAfter,
+          this.limits.breakerPause,
+          this.random,
+        )),
+      );
     return b;
   }
   private get permitted(): boolean {
@@ -176,26 +237,72 @@
     const attempt = ++this.attempts;
     this.flights.set(attempt, d);
     this.out.push({ do: "attempt", attempt, hook: d.name, launch });
-    this.log("debug", "hook's attempt", { hook: d.name, id: launch.end.id, attempt: launch.attempt, reason: launch.reason });
+    this.log("debug", "hook's attempt", {
+      hook: d.name,
+      id: launch.end.id,
+      attempt: launch.attempt,
+      reason: launch.reason,
+    });
     return attempt;
   }
   abort(attempt: number): void {
     this.out.push({ do: "abort", attempt });
   }
-  settled(hook: string, o: { outcome: "delivered" | "dead"; end: { id: string; at: number }; attempts: number }): void {
-    this.out.push({ do: "settled", hook, outcome: o.outcome, attempts: o.attempts, tookMs: Math.max(0, this.wallMs - o.end.at) });
-    if (o.outcome === "dead") this.log("warn", "hook's notification given up", { hook, id: o.end.id, attempts: o.attempts });
+  settled(
+    hook: string,
+    o: {
+      outcome: "delivered" | "dead";
+      end: { id: string; at: number };
+      attempts: number;
+    },
+  ): void {
+    this.out.push({
+      do: "settled",
+      hook,
+      outcome: o.outcome,
+      attempts: o.attempts,
+      tookMs: Math.max(0, this.wallMs - o.end.at),
+    });
+    if (o.outcome === "dead")
+      this.log("warn", "hook's notification given up", {
+        hook,
+        id: o.end.id,
+        attempts: o.attempts,
+      });
   }
-  log(level: "error" | "warn" | "info" | "debug", msg: string, fields: Record<string, unknown> = {}): void {
+  log(
+    level: "error" | "warn" | "info" | "debug",
+    msg: string,
+    fields: Record<string, unknown> = {},
+  ): void {
     this.out.push({ do: "log", level, msg, fields });
   }
   ended(name: string): void {
     const s = this.subs.get(name);
     const lane = laneOf(name);
     const token = this.tokenOf(lane);
-    if (!s || token === null || s.value.state === "ended" || this.writing.has(`sub ${name}`)) return;
+    if (
+      !s ||
+      token === null ||
+      s.value.state === "ended" ||
+      this.writing.has(`sub ${name}`)
+    )
+      return;
     this.log("warn", "hook's receiver is gone for good", { hook: name });
-    this.put(`sub ${name}`, [{ key: ownKey(lane), version: token }, { key: subKey(name), version: s.version }], [{ op: "put", key: subKey(name), value: writeSub({ ...s.value, state: "ended" }) }]);
+    this.put(
+      `sub ${name}`,
+      [
+        { key: ownKey(lane), version: token },
+        { key: subKey(name), version: s.version },
+      ],
+      [
+        {
+          op: "put",
+          key: subKey(name),
+          value: writeSub({ ...s.value, state: "ended" }),
+        },
+      ],
+    );
   }
 
   // ---- what is read --------------------------------------------------------------------------------------
@@ -203,7 +310,12 @@
   private seen(from: number, to: number, changes: readonly Change[]): void {
     const { unnamed } = this.tail;
     this.tail.push(from, to, changes);
-    if (this.tail.unnamed > unnamed) this.log("warn", "jobs ended on a controller without hooks; nobody is told of them", { jobs: this.tail.unnamed - unnamed });
+    if (this.tail.unnamed > unnamed)
+      this.log(
+        "warn",
+        "jobs ended on a controller without hooks; nobody is told of them",
+        { jobs: this.tail.unnamed - unnamed },
+      );
     if (this.listing) {
       this.backlog.push({ from, to, changes });
       return;
@@ -216,33 +328,45 @@
       this.epoch = -1;
       return;
     }
-    for (const c of changes) if (c.version > this.epoch && c.key.startsWith(HOOKS_NOW)) this.note(c.key, c.op === "put" ? c.value : undefined, c.version);
+    for (const c of changes)
+      if (c.version > this.epoch && c.key.startsWith(HOOKS_NOW))
+        this.note(c.key, c.op === "put" ? c.value : undefined, c.version);
     this.epoch = Math.max(this.epoch, to);
   }
-  private list(after = "", items: Item[] = [], epoch: number | null = null): void {
+  private list(
+    after = "",
+    items: Item[] = [],
+    epoch: number | null = null,
+  ): void {
     this.listing = true;
-    this.state({ op: "list", prefix: HOOKS_NOW, after }, (r) => {
-      if (r.is !== "items") {
+    this.state(
+      { op: "list", prefix: HOOKS_NOW, after },
+      (r) => {
+        if (r.is !== "items") {
+          this.listing = false;
+          this.backlog = [];
+          this.listAgainMs = this.nowMs + AGAIN_MS;
+          return;
+        }
+        const all = [...items, ...r.items];
+        // Pages are of different revisions: what changed after the first is read again with the changes after it.
+        const first = epoch ?? r.epoch;
+        const last = r.items.at(-1);
+        if (r.more && last) return this.list(last.key, all, first);
         this.listing = false;
+        for (const m of [this.subs, this.ats, this.owns, this.heres]) m.clear();
+        this.upto = { value: {}, version: 0 };
+        for (const i of all)
+          if (i.version <= first) this.note(i.key, i.value, i.version);
+        // What changed between the pages comes with the changes after the first; what was not there in its own page any more was deleted after it.
+        this.epoch = first;
+        const backlog = this.backlog;
         this.backlog = [];
-        this.listAgainMs = this.nowMs + AGAIN_MS;
-        return;
-      }
-      const all = [...items, ...r.items];
-      // Pages are of different revisions: what changed after the first is read again with the changes after it.
-      const first = epoch ?? r.epoch;
-      const last = r.items.at(-1);
-      if (r.more && last) return this.list(last.key, all, first);
-      this.listing = false;
-      for (const m of [this.subs, this.ats, this.owns, this.heres]) m.clear();
-      this.upto = { value: {}, version: 0 };
-      for (const i of all) if (i.version <= first) this.note(i.key, i.value, i.version);
-      // What changed between the pages comes with the changes after the first; what was not there in its own page any more was deleted after it.
-      this.epoch = first;
-      const backlog = this.backlog;
-      this.backlog = [];
-      for (const b of backlog) if (this.epoch >= 0) this.follow(b.from, b.to, b.changes);
-    }, Urgent.Master);
+        for (const b of backlog)
+          if (this.epoch >= 0) this.follow(b.from, b.to, b.changes);
+      },
+      Urgent.Master,
+    );
   }
   /** `undefined`: deleted. */
   private note(key: string, value: unknown, version: number): void {
@@ -255,28 +379,44 @@
     const gone = value === undefined;
     if (kind === "sub") keep(this.subs, name, gone ? null : readSub(value));
     else if (kind === "at") keep(this.ats, name, gone ? null : value);
-    else if (kind === "own") keep(this.owns, Number(name), gone ? null : readOwn(value));
-    else if (kind === "here") keep(this.heres, name, gone ? null : readHere(value));
-    else if (kind === "upto") this.upto = { value: gone ? {} : readUpto(value), version: gone ? 0 : version };
+    else if (kind === "own")
+      keep(this.owns, Number(name), gone ? null : readOwn(value));
+    else if (kind === "here")
+      keep(this.heres, name, gone ? null : readHere(value));
+    else if (kind === "upto")
+      this.upto = {
+        value: gone ? {} : readUpto(value),
+        version: gone ? 0 : version,
+      };
   }
 
   // ---- lanes ---------------------------------------------------------------------------------------------
 
   private tokenOf(lane: number): number | null {
     const o = this.owns.get(lane);
-    return o && o.value.owner === this.label && o.value.hold === this.hold ? o.version : null;
+    return o && o.value.owner === this.label && o.value.hold === this.hold
+      ? o.version
+      : null;
   }
 
   /** One commit under a name at a time; what it changed is seen with the changes. */
   private put(name: string, conditions: Condition[], writes: Write[]): void {
-    if (this.writing.has(name) || this.nowMs < (this.againMs.get(name) ?? -Infinity)) return;
+    if (
+      this.writing.has(name) ||
+      this.nowMs < (this.againMs.get(name) ?? -Infinity)
+    )
+      return;
     this.writing.add(name);
-    this.state({ op: "commit", conditions, writes }, (r) => {
-      this.writing.delete(name);
-      if (r.is !== "committed") this.againMs.set(name, this.nowMs + AGAIN_MS);
-      // Until the change is seen the old version would be written again.
-      else this.againMs.set(name, this.nowMs + AGAIN_MS / 4);
-    }, Urgent.Master);
+    this.state(
+      { op: "commit", conditions, writes },
+      (r) => {
+        this.writing.delete(name);
+        if (r.is !== "committed") this.againMs.set(name, this.nowMs + AGAIN_MS);
+        // Until the change is seen the old version would be written again.
+        else this.againMs.set(name, this.nowMs + AGAIN_MS / 4);
+      },
+      Urgent.Master,
+    );
   }
 
   private act(): void {
@@ -291,42 +431,78 @@
     }
     const hold = this.hold!;
     const here = this.heres.get(this.label);
-    if (here?.value.hold !== hold) this.put("here", [{ key: hereKey(this.label), version: here?.version ?? 0 }], [{ op: "put", key: hereKey(this.label), value: { hold }, hold }]);
+    if (here?.value.hold !== hold)
+      this.put(
+        "here",
+        [{ key: hereKey(this.label), version: here?.version ?? 0 }],
+        [{ op: "put", key: hereKey(this.label), value: { hold }, hold }],
+      );
     const present = [...this.heres.keys()].sort();
     if (present.join() !== this.present) {
       this.present = present.join();
       this.presentSinceMs = this.nowMs;
     }
     const byLane = new Map<number, string[]>();
-    for (const name of this.ats.keys()) byLane.set(laneOf(name), [...(byLane.get(laneOf(name)) ?? []), name]);
-    for (let lane = 0; lane < LANES; lane++) this.keepLane(lane, byLane.get(lane) ?? [], present, hold);
+    for (const name of this.ats.keys())
+      byLane.set(laneOf(name), [...(byLane.get(laneOf(name)) ?? []), name]);
+    for (let lane = 0; lane < LANES; lane++)
+      this.keepLane(lane, byLane.get(lane) ?? [], present, hold);
     this.deliver(present);
     this.writeUpto(byLane);
   }
 
-  private keepLane(lane: number, names: readonly string[], present: readonly string[], hold: number): void {
+  private keepLane(
+    lane: number,
+    names: readonly string[],
+    present: readonly string[],
+    hold: number,
+  ): void {
     const own = this.owns.get(lane);
     const token = this.tokenOf(lane);
-    const settled = this.nowMs - this.presentSinceMs >= SETTLED_MS && present.includes(this.label);
+    const settled =
+      this.nowMs - this.presentSinceMs >= SETTLED_MS &&
+      present.includes(this.label);
     const mine = chosen(lane, present) === this.label;
-    for (const name of names) if (this.deliveries.has(name) && this.deliveries.get(name)!.token !== token) this.drop(name);
+    for (const name of names)
+      if (
+        this.deliveries.has(name) &&
+        this.deliveries.get(name)!.token !== token
+      )
+        this.drop(name);
     const take = (version: number): void =>
-      this.put(`lane ${lane}`, [{ key: ownKey(lane), version }], [{ op: "put", key: ownKey(lane), value: { owner: this.label, hold }, hold }]);
+      this.put(
+        `lane ${lane}`,
+        [{ key: ownKey(lane), version }],
+        [
+          {
+            op: "put",
+            key: ownKey(lane),
+            value: { owner: this.label, hold },
+            hold,
+          },
+        ],
+      );
     if (token === null) {
       if (names.length === 0 || !settled) return;
       // Absent: nobody's. Left by this controller before it was started again: nobody else acts on it.
-      if (mine && (!own || own.value.owner === this.label)) take(own?.version ?? 0);
+      if (mine && (!own || own.value.owner === this.label))
+        take(own?.version ?? 0);
       return;
     }
     if (settled && !mine) {
       // Invariant (nothing in flight twice): given up when nothing is in flight, and what was learnt is written.
       if (names.every((n) => this.deliveries.get(n)?.quiet !== false)) {
         for (const n of names) this.drop(n);
-        this.put(`lane ${lane}`, [{ key: ownKey(lane), version: token }], [{ op: "delete", key: ownKey(lane) }]);
+        this.put(
+          `lane ${lane}`,
+          [{ key: ownKey(lane), version: token }],
+          [{ op: "delete", key: ownKey(lane) }],
+        );
       }
       return;
     }
-    for (const name of names) if (!this.deliveries.has(name)) this.begin(name, lane, token);
+    for (const name of names)
+      if (!this.deliveries.has(name)) this.begin(name, lane, token);
   }
 
   /**
@@ -338,7 +514,19 @@
     const at = readAt(kept.value);
     if (!at) return;
     const upto = this.upto.value[lane] ?? 0;
-    this.deliveries.set(name, new Delivery(this, name, token, { key: ownKey(lane), version: token }, () => this.subs.get(name)?.value ?? null, kept.version, at, upto));
+    this.deliveries.set(
+      name,
+      new Delivery(
+        this,
+        name,
+        token,
+        { key: ownKey(lane), version: token },
+        () => this.subs.get(name)?.value ?? null,
+        kept.version,
+        at,
+        upto,
+      ),
+    );
   }
   private drop(name: string): void {
     this.deliveries.get(name)?.stop();
@@ -350,7 +538,9 @@
 
   private deliver(present: readonly string[]): void {
     // Who wrote longest ago comes first with what there is of changes: by turns of the steps alone some waited ten seconds.
-    for (const [name, d] of [...this.deliveries].sort(([, x], [, y]) => x.wroteMs - y.wroteMs)) {
+    for (const [name, d] of [...this.deliveries].sort(
+      ([, x], [, y]) => x.wroteMs - y.wroteMs,
+    )) {
       const at = this.ats.get(name);
       if (d.foreign || !at) this.drop(name);
       else d.act(chosen(laneOf(name), present) === this.label);
@@ -360,12 +550,17 @@
   /** Up to where each lane is settled: a subscription that nothing ends for needs no writes of its own. */
   private writeUpto(byLane: ReadonlyMap<number, readonly string[]>): void {
     const next: Record<string, number> = {};
-    const conditions: Condition[] = [{ key: UPTO_KEY, version: this.upto.version }];
+    const conditions: Condition[] = [
+      { key: UPTO_KEY, version: this.upto.version },
+    ];
     let behind = 0;
     for (const [lane, names] of byLane) {
       const token = this.tokenOf(lane);
-      if (token === null || !names.every((n) => this.deliveries.has(n))) continue;
-      const to = Math.min(...names.map((n) => this.deliveries.get(n)!.settledTo));
+      if (token === null || !names.every((n) => this.deliveries.has(n)))
+        continue;
+      const to = Math.min(
+        ...names.map((n) => this.deliveries.get(n)!.settledTo),
+      );
       const was = this.upto.value[lane] ?? 0;
       if (to <= was) continue;
       next[lane] = to;
@@ -374,7 +569,9 @@
     }
     if (behind < this.limits.settleEvery || this.writing.has("upto")) return;
     if (!this.mayWrite(1)) return;
-    this.put("upto", conditions, [{ op: "put", key: UPTO_KEY, value: { ...this.upto.value, ...next } }]);
+    this.put("upto", conditions, [
+      { op: "put", key: UPTO_KEY, value: { ...this.upto.value, ...next } },
+    ]);
   }
 
   // ---- figures -------------------------------------------------------------------------------------------
@@ -385,16 +582,40 @@
     if (!d) return null;
     const b = d.behind;
     const sub = this.subs.get(name)?.value;
-    return { window: b.window, batches: b.batches, fresh: b.fresh, deadBatches: b.dead, oldestAt: b.oldestAt === null ? null : new Date(b.oldestAt).toISOString(), receiver: sub ? this.breaker(sub.url).state(this.nowMs) : "closed" };
+    return {
+      window: b.window,
+      batches: b.batches,
+      fresh: b.fresh,
+      deadBatches: b.dead,
+      oldestAt: b.oldestAt === null ? null : new Date(b.oldestAt).toISOString(),
+      receiver: sub ? this.breaker(sub.url).state(this.nowMs) : "closed",
+    };
   }
-  get figures(): { owned: number; inFlight: number; window: number; batches: number; deadBatches: number; oldestAt: number | null; receivers: Record<BreakerState, number> } {
-    const f = { owned: this.deliveries.size, inFlight: this.flights.size, window: 0, batches: 0, deadBatches: 0, oldestAt: null as number | null, receivers: { closed: 0, open: 0, "half-open": 0 } };
+  get figures(): {
+    owned: number;
+    inFlight: number;
+    window: number;
+    batches: number;
+    deadBatches: number;
+    oldestAt: number | null;
+    receivers: Record<BreakerState, number>;
+  } {
+    const f = {
+      owned: this.deliveries.size,
+      inFlight: this.flights.size,
+      window: 0,
+      batches: 0,
+      deadBatches: 0,
+      oldestAt: null as number | null,
+      receivers: { closed: 0, open: 0, "half-open": 0 },
+    };
     for (const d of this.deliveries.values()) {
       const b = d.behind;
       f.window += b.window;
       f.batches += b.batches;
       f.deadBatches += b.dead;
-      if (b.oldestAt !== null) f.oldestAt = Math.min(f.oldestAt ?? Infinity, b.oldestAt);
+      if (b.oldestAt !== null)
+        f.oldestAt = Math.min(f.oldestAt ?? Infinity, b.oldestAt);
     }
     for (const b of this.breakers.values()) f.receivers[b.state(this.nowMs)]++;
     return f;
--- a/src/hooks/delivery.ts
+++ b/src/hooks/delivery.ts
@@ -1,6 +1,18 @@
-import type { Condition, Item, StateCall, StateReply, Write } from "../protocol/state.js";
+import type {
+  Condition,
+  Item,
+  StateCall,
+  StateReply,
+  Write,
+} from "../protocol/state.js";
 import { PAST } from "../storage/records.js";
-import { type Breaker, backoffMs, type BackoffLimits, mayHave, type Reason } from "./breaker.js";
+import {
+  type Breaker,
+  backoffMs,
+  type BackoffLimits,
+  mayHave,
+  type Reason,
+} from "./breaker.js";
 import {
   after,
   AT_HEAD,
@@ -74,8 +86,15 @@
   abort(attempt: number): void;
   /** The receiver wants no more. */
   ended(name: string): void;
-  settled(name: string, o: { outcome: "delivered" | "dead"; end: Ending; attempts: number }): void;
-  log(level: "error" | "warn" | "info" | "debug", msg: string, fields?: Record<string, unknown>): void;
+  settled(
+    name: string,
+    o: { outcome: "delivered" | "dead"; end: Ending; attempts: number },
+  ): void;
+  log(
+    level: "error" | "warn" | "info" | "debug",
+    msg: string,
+    fields?: Record<string, unknown>,
+  ): void;
 }
 
 interface Entry extends Owed {
@@ -145,8 +164,19 @@
     const { window, ...rec } = at;
     this.rec = rec;
     // The former owner may have sent any of these, as often as it wrote down.
-    this.window = window.map((o) => ({ ...o, reserved: o.attempts, failures: 0, reason: "owner-lost", notBeforeMs: host.nowMs, flying: null, over: null }));
-    this.rec.cursor = later(at.cursor ?? { version, id: LAST_ID }, { version: at.listing ? 0 : upto, id: LAST_ID });
+    this.window = window.map((o) => ({
+      ...o,
+      reserved: o.attempts,
+      failures: 0,
+      reason: "owner-lost",
+      notBeforeMs: host.nowMs,
+      flying: null,
+      over: null,
+    }));
+    this.rec.cursor = later(at.cursor ?? { version, id: LAST_ID }, {
+      version: at.listing ? 0 : upto,
+      id: LAST_ID,
+    });
     this.pos = this.rec.cursor;
   }
 
@@ -157,17 +187,38 @@
   }
   /** Nothing is in flight, and nothing that was learnt waits to be written. */
   get quiet(): boolean {
-    return !this.busy && this.window.every((e) => e.flying === null && e.over === null);
+    return (
+      !this.busy &&
+      this.window.every((e) => e.flying === null && e.over === null)
+    );
   }
   /** Up to this revision all ends that this subscription is owed are in its records. */
   get settledTo(): number {
     if (!this.loaded || this.rec.listing) return this.rec.cursor?.version ?? 0;
-    return this.fresh.length > 0 ? this.fresh[0]!.at.version - 1 : this.pos.version - (this.pos.id === LAST_ID ? 0 : 1);
+    return this.fresh.length > 0
+      ? this.fresh[0]!.at.version - 1
+      : this.pos.version - (this.pos.id === LAST_ID ? 0 : 1);
   }
   /** What waits, as far as it is counted; and when its oldest ended. */
-  get behind(): { window: number; batches: number; fresh: number; dead: number; oldestAt: number | null } {
-    const oldest = this.window.find((e) => e.over === null)?.end.at ?? this.front?.entries[0]?.end.at ?? this.fresh[0]?.end.at ?? null;
-    return { window: this.window.length, batches: this.rec.spool.next - this.rec.spool.first, fresh: this.fresh.length, dead: this.rec.dead.next - this.rec.dead.first, oldestAt: oldest };
+  get behind(): {
+    window: number;
+    batches: number;
+    fresh: number;
+    dead: number;
+    oldestAt: number | null;
+  } {
+    const oldest =
+      this.window.find((e) => e.over === null)?.end.at ??
+      this.front?.entries[0]?.end.at ??
+      this.fresh[0]?.end.at ??
+      null;
+    return {
+      window: this.window.length,
+      batches: this.rec.spool.next - this.rec.spool.first,
+      fresh: this.fresh.length,
+      dead: this.rec.dead.next - this.rec.dead.first,
+      oldestAt: oldest,
+    };
   }
   /** For good: the lane is not this controller's any more. */
   stop(): void {
@@ -176,7 +227,8 @@
   }
   /** Ends all that is in flight: it can't be known whether the lane is still this controller's. */
   abort(): void {
-    for (const e of this.window) if (e.flying !== null) this.host.abort(e.flying);
+    for (const e of this.window)
+      if (e.flying !== null) this.host.abort(e.flying);
   }
 
   // ---- one step ------------------------------------------------------------------------------------------
@@ -188,7 +240,13 @@
     if (!this.loaded) return this.load();
     if (!sub) return this.clean();
     this.collect(sub);
-    for (const e of this.window) if (e.over === null && e.flying === null && this.host.wallMs >= e.end.since + this.host.limits.horizonMs) this.over(e, "dead");
+    for (const e of this.window)
+      if (
+        e.over === null &&
+        e.flying === null &&
+        this.host.wallMs >= e.end.since + this.host.limits.horizonMs
+      )
+        this.over(e, "dead");
     const active = sending && sub.state === "active";
     if (!this.busy && this.host.nowMs >= this.againMs) this.write(sub, active);
     if (active) this.send(sub);
@@ -199,26 +257,37 @@
     if (this.reading) return;
     this.reading = true;
     const from = this.rec.spool.next;
-    this.host.state({ op: "list", prefix: spoolPrefix(this.name), after: from === 0 ? "" : spoolKey(this.name, from - 1) }, (r) => {
-      this.reading = false;
-      if (this.stopped || r.is !== "items") return;
-      for (const i of r.items) {
-        const b = readBatch(i.value);
-        if (!b || batchNumber(i.key) !== this.rec.spool.next) continue;
-        this.rec.spool.next++;
-        if (b.to) this.rec.cursor = later(this.rec.cursor ?? NONE, b.to);
-      }
-      this.pos = later(this.pos, this.rec.cursor ?? NONE);
-      this.loaded = !r.more;
-      this.act(false);
-    });
+    this.host.state(
+      {
+        op: "list",
+        prefix: spoolPrefix(this.name),
+        after: from === 0 ? "" : spoolKey(this.name, from - 1),
+      },
+      (r) => {
+        this.reading = false;
+        if (this.stopped || r.is !== "items") return;
+        for (const i of r.items) {
+          const b = readBatch(i.value);
+          if (!b || batchNumber(i.key) !== this.rec.spool.next) continue;
+          this.rec.spool.next++;
+          if (b.to) this.rec.cursor = later(this.rec.cursor ?? NONE, b.to);
+        }
+        this.pos = later(this.pos, this.rec.cursor ?? NONE);
+        this.loaded = !r.more;
+        this.act(false);
+      },
+    );
   }
 
   // ---- what is owed --------------------------------------------------------------------------------------
 
   private wants(sub: Subscription, e: Ending): boolean {
     if (sub.state === "ended" || e.outcome === "test") return false;
-    return (sub.teams === null || sub.teams.includes(e.team)) && (sub.classes === null || sub.classes.includes(e.class)) && sub.outcomes.includes(e.outcome);
+    return (
+      (sub.teams === null || sub.teams.includes(e.team)) &&
+      (sub.classes === null || sub.classes.includes(e.class)) &&
+      sub.outcomes.includes(e.outcome)
+    );
   }
 
   private collect(sub: Subscription): void {
@@ -229,14 +298,23 @@
     if (this.busy || this.host.nowMs < this.againMs) return;
     // Behind what this controller has read: the state service's log goes further back.
     this.reading = true;
-    const since = this.pos.id === LAST_ID ? this.pos.version : this.pos.version - 1;
-    this.host.state({ op: "changes", prefix: PAST, since: Math.max(0, since), waitMs: 0 }, (r) => {
-      this.reading = false;
-      if (this.stopped) return;
-      if (r.is === "changes") this.take(sub, endingsOf(r.changes).filter((e) => after(e.at, this.pos)), r.epoch);
-      else if (r.is === "gone") this.startListing();
-      else this.againMs = this.host.nowMs + AGAIN_MS;
-    });
+    const since =
+      this.pos.id === LAST_ID ? this.pos.version : this.pos.version - 1;
+    this.host.state(
+      { op: "changes", prefix: PAST, since: Math.max(0, since), waitMs: 0 },
+      (r) => {
+        this.reading = false;
+        if (this.stopped) return;
+        if (r.is === "changes")
+          this.take(
+            sub,
+            endingsOf(r.changes).filter((e) => after(e.at, this.pos)),
+            r.epoch,
+          );
+        else if (r.is === "gone") this.startListing();
+        else this.againMs = this.host.nowMs + AGAIN_MS;
+      },
+    );
   }
   /** As many as there is room for; the rest is read again. */
   private take(sub: Subscription, ends: readonly Ended[], to: number): void {
@@ -253,7 +331,11 @@
    * are owed; the record says how far that has come, so that nothing is found twice.
    */
   private startListing(): void {
-    this.host.log("warn", "hook is too far behind the log; reading all final records", { hook: this.name, since: this.pos.version });
+    this.host.log(
+      "warn",
+      "hook is too far behind the log; reading all final records",
+      { hook: this.name, since: this.pos.version },
+    );
     this.reading = true;
     this.host.state({ op: "list", prefix: PAST, after: `${PAST}~` }, (r) => {
       this.reading = false;
@@ -261,7 +343,13 @@
       // What is fresh is later than the cursor too, and found again.
       this.fresh = [];
       this.pos = this.rec.cursor ?? NONE;
-      this.commit({ ...this.rec, listing: { to: r.epoch, after: "" } }, this.window, [], [], () => {});
+      this.commit(
+        { ...this.rec, listing: { to: r.epoch, after: "" } },
+        this.window,
+        [],
+        [],
+        () => {},
+      );
     });
   }
   private list(sub: Subscription): void {
@@ -271,9 +359,16 @@
     this.host.state({ op: "list", prefix: PAST, after: at.after }, (r) => {
       this.reading = false;
       if (this.stopped || r.is !== "items") return;
-      const found = r.items.map((i: Item) => endingOf(i)).filter((e) => e !== null);
+      const found = r.items
+        .map((i: Item) => endingOf(i))
+        .filter((e) => e !== null);
       const cursor = this.rec.cursor ?? NONE;
-      const items = found.filter((e) => after(e.at, cursor) && e.at.version <= at.to && this.wants(sub, e.end));
+      const items = found.filter(
+        (e) =>
+          after(e.at, cursor) &&
+          e.at.version <= at.to &&
+          this.wants(sub, e.end),
+      );
       const last = r.items.at(-1);
       this.page = { items, after: last?.key ?? at.after, last: !r.more };
     });
@@ -284,7 +379,11 @@
     const at = this.rec.listing!;
     const batch = this.packer(BATCH_HEAD);
     let n = 0;
-    while (n < page.items.length && batch.add({ end: page.items[n]!.end, attempts: 0 })) n++;
+    while (
+      n < page.items.length &&
+      batch.add({ end: page.items[n]!.end, attempts: 0 })
+    )
+      n++;
     const rest = page.items.slice(n);
     const done = rest.length === 0;
     if (n === 0 && !page.last) {
@@ -296,14 +395,29 @@
     if (!this.host.mayWrite(n > 0 ? 2 : 1)) return false;
     const over = done && page.last;
     const { spool } = this.rec;
-    const next = { ...this.rec, spool: { ...spool, next: spool.next + (n > 0 ? 1 : 0) }, listing: over ? null : { to: at.to, after: done ? page.after : PAST + page.items[n - 1]!.end.id } };
+    const next = {
+      ...this.rec,
+      spool: { ...spool, next: spool.next + (n > 0 ? 1 : 0) },
+      listing: over
+        ? null
+        : {
+            to: at.to,
+            after: done ? page.after : PAST + page.items[n - 1]!.end.id,
+          },
+    };
     if (over) next.cursor = { version: at.to, id: LAST_ID };
     const key = spoolKey(this.name, spool.next);
-    this.commit(next, this.window, n > 0 ? [{ key, version: 0 }] : [], n > 0 ? [{ op: "put", key, value: writeBatch(batch, null) }] : [], () => {
-      if (over) this.pos = later(this.pos, { version: at.to, id: LAST_ID });
-      if (done) this.page = null;
-      else page.items = rest;
-    });
+    this.commit(
+      next,
+      this.window,
+      n > 0 ? [{ key, version: 0 }] : [],
+      n > 0 ? [{ op: "put", key, value: writeBatch(batch, null) }] : [],
+      () => {
+        if (over) this.pos = later(this.pos, { version: at.to, id: LAST_ID });
+        if (done) this.page = null;
+        else page.items = rest;
+      },
+    );
     return true;
   }
 
@@ -321,15 +435,24 @@
       this.reading = false;
       if (this.stopped || r.is !== "item") return;
       const b = r.item ? readBatch(r.item.value) : null;
-      if (!b) this.host.log("error", "hook's batch can't be read", { hook: this.name, batch: first });
-      if (this.rec.spool.first === first) this.front = { n: first, entries: b?.entries ?? [] };
+      if (!b)
+        this.host.log("error", "hook's batch can't be read", {
+          hook: this.name,
+          batch: first,
+        });
+      if (this.rec.spool.first === first)
+        this.front = { n: first, entries: b?.entries ?? [] };
     });
   }
 
   private over(e: Entry, how: "delivered" | "dead"): void {
     e.over = how;
     this.tidySinceMs ??= this.host.nowMs;
-    this.host.settled(this.name, { outcome: how, end: e.end, attempts: e.attempts });
+    this.host.settled(this.name, {
+      outcome: how,
+      end: e.end,
+      attempts: e.attempts,
+    });
   }
 
   private write(sub: Subscription, active: boolean): void {
@@ -338,71 +461,168 @@
     const { spool } = this.rec;
     const waiting = spool.first < spool.next;
     if (waiting && this.front?.n !== spool.first) this.readFront();
-    if (this.rec.listing && this.page && spool.next - spool.first < this.host.limits.spoolBatches && this.spoolPage()) return;
+    if (
+      this.rec.listing &&
+      this.page &&
+      spool.next - spool.first < this.host.limits.spoolBatches &&
+      this.spoolPage()
+    )
+      return;
 
     const open = active && this.host.breaker(sub.url).allows(nowMs);
     const kept = this.window.filter((e) => e.over === null);
     const testing = active && sub.tests > this.rec.tests;
-    const more = testing || (waiting ? this.front?.n === spool.first : this.fresh.length > 0 && !this.rec.listing);
-    const reserve = open && kept.some((e) => e.flying === null && e.attempts >= e.reserved && e.notBeforeMs <= nowMs + TIDY_MS / 2);
+    const more =
+      testing ||
+      (waiting
+        ? this.front?.n === spool.first
+        : this.fresh.length > 0 && !this.rec.listing);
+    const reserve =
+      open &&
+      kept.some(
+        (e) =>
+          e.flying === null &&
+          e.attempts >= e.reserved &&
+          e.notBeforeMs <= nowMs + TIDY_MS / 2,
+      );
     const pull = open && more && kept.length < WINDOW_MOST;
-    const tidy = this.tidySinceMs !== null && (nowMs - this.tidySinceMs >= TIDY_MS || kept.length === 0);
+    const tidy =
+      this.tidySinceMs !== null &&
+      (nowMs - this.tidySinceMs >= TIDY_MS || kept.length === 0);
     if (reserve || pull || tidy) {
       if (this.writeWindow(kept, pull, testing)) return;
     }
     // A full batch can't go into the window: it goes into the spool, in a change of its own.
-    if (!this.rec.listing && spool.next - spool.first < this.host.limits.spoolBatches && (waiting || !pull)) this.spoolFresh();
+    if (
+      !this.rec.listing &&
+      spool.next - spool.first < this.host.limits.spoolBatches &&
+      (waiting || !pull)
+    )
+      this.spoolFresh();
   }
 
   private writeWindow(kept: Entry[], pull: boolean, testing: boolean): boolean {
     const { nowMs } = this.host;
     const dead = this.window.filter((e) => e.over === "dead");
     const letters = this.packer(BATCH_HEAD);
-    const buried = dead.filter((e) => letters.add({ end: e.end, attempts: e.attempts }));
+    const buried = dead.filter((e) =>
+      letters.add({ end: e.end, attempts: e.attempts }),
+    );
     const packer = this.packer(AT_HEAD);
     const reserved = new Map<Entry, number>();
     // Dead ones that don't fit their batch are still named.
-    for (const e of dead) if (!buried.includes(e)) packer.add({ end: e.end, attempts: e.reserved });
+    for (const e of dead)
+      if (!buried.includes(e)) packer.add({ end: e.end, attempts: e.reserved });
     for (const e of kept) {
-      const next = e.flying === null && e.attempts >= e.reserved && e.notBeforeMs <= nowMs + 60_000 ? e.attempts + (e.attempts === 0 ? 1 : RESERVE) : e.reserved;
+      const next =
+        e.flying === null &&
+        e.attempts >= e.reserved &&
+        e.notBeforeMs <= nowMs + 60_000
+          ? e.attempts + (e.attempts === 0 ? 1 : RESERVE)
+          : e.reserved;
       reserved.set(e, next);
       packer.add({ end: e.end, attempts: next });
     }
     const fresh: Entry[] = [];
     const add = (o: Owed): boolean => {
-      if (kept.length + fresh.length >= WINDOW_MOST || !packer.add({ end: o.end, attempts: o.attempts + 1 })) return false;
-      fresh.push({ end: o.end, attempts: o.attempts, reserved: o.attempts + 1, failures: 0, reason: o.attempts > 0 ? "redriven" : null, notBeforeMs: nowMs, flying: null, over: null });
+      if (
+        kept.length + fresh.length >= WINDOW_MOST ||
+        !packer.add({ end: o.end, attempts: o.attempts + 1 })
+      )
+        return false;
+      fresh.push({
+        end: o.end,
+        attempts: o.attempts,
+        reserved: o.attempts + 1,
+        failures: 0,
+        reason: o.attempts > 0 ? "redriven" : null,
+        notBeforeMs: nowMs,
+        flying: null,
+        over: null,
+      });
       return true;
     };
-    const next = { ...this.rec, spool: { ...this.rec.spool }, dead: { ...this.rec.dead } };
+    const next = {
+      ...this.rec,
+      spool: { ...this.rec.spool },
+      dead: { ...this.rec.dead },
+    };
     const writes: Write[] = [];
     let taken = 0;
     let cursor = this.rec.cursor;
     if (pull) {
       const test = this.rec.tests + 1;
-      if (testing && add({ end: { id: `test-${test}`, outcome: "test", tasks: 0, done: 0, team: "", class: "", at: Math.round(this.host.wallMs), since: Math.round(this.host.wallMs) }, attempts: 0 })) next.tests = test;
+      if (
+        testing &&
+        add({
+          end: {
+            id: `test-${test}`,
+            outcome: "test",
+            tasks: 0,
+            done: 0,
+            team: "",
+            class: "",
+            at: Math.round(this.host.wallMs),
+            since: Math.round(this.host.wallMs),
+          },
+          attempts: 0,
+        })
+      )
+        next.tests = test;
       if (next.spool.first < next.spool.next) {
         if (this.front?.n === next.spool.first) {
           const { entries } = this.front;
-          while (next.spool.taken < entries.length && add(entries[next.spool.taken]!)) next.spool.taken++;
+          while (
+            next.spool.taken < entries.length &&
+            add(entries[next.spool.taken]!)
+          )
+            next.spool.taken++;
           if (next.spool.taken >= entries.length) {
-            writes.push({ op: "delete", key: spoolKey(this.name, next.spool.first) });
-            next.spool = { first: next.spool.first + 1, taken: 0, next: next.spool.next };
+            writes.push({
+              op: "delete",
+              key: spoolKey(this.name, next.spool.first),
+            });
+            next.spool = {
+              first: next.spool.first + 1,
+              taken: 0,
+              next: next.spool.next,
+            };
           }
         }
       } else if (!this.rec.listing) {
-        while (taken < this.fresh.length && add({ end: this.fresh[taken]!.end, attempts: 0 })) cursor = this.fresh[taken++]!.at;
-        if (taken === this.fresh.length) cursor = later(cursor ?? NONE, this.pos);
+        while (
+          taken < this.fresh.length &&
+          add({ end: this.fresh[taken]!.end, attempts: 0 })
+        )
+          cursor = this.fresh[taken++]!.at;
+        if (taken === this.fresh.length)
+          cursor = later(cursor ?? NONE, this.pos);
       }
     }
     next.cursor = cursor;
     if (buried.length > 0) {
-      writes.push({ op: "put", key: deadKey(this.name, next.dead.next), value: writeBatch(letters, null) });
+      writes.push({
+        op: "put",
+        key: deadKey(this.name, next.dead.next),
+        value: writeBatch(letters, null),
+      });
       next.dead.next++;
-      if (next.dead.next - next.dead.first > DEAD_BATCHES) writes.push({ op: "delete", key: deadKey(this.name, next.dead.first++) });
+      if (next.dead.next - next.dead.first > DEAD_BATCHES)
+        writes.push({
+          op: "delete",
+          key: deadKey(this.name, next.dead.first++),
+        });
     }
-    const settled = new Set(this.window.filter((e) => e.over === "delivered" || buried.includes(e)));
-    if (settled.size === 0 && fresh.length === 0 && writes.length === 0 && kept.every((e) => reserved.get(e) === e.reserved)) return false;
+    const settled = new Set(
+      this.window.filter((e) => e.over === "delivered" || buried.includes(e)),
+    );
+    if (
+      settled.size === 0 &&
+      fresh.length === 0 &&
+      writes.length === 0 &&
+      kept.every((e) => reserved.get(e) === e.reserved)
+    )
+      return false;
     if (!this.host.mayWrite(1 + writes.length)) return false;
     this.tidySinceMs = null;
     this.commit(next, packer, [], writes, () => {
@@ -410,7 +630,8 @@
       if (next.spool.first !== this.front?.n) this.front = null;
       for (const [e, n] of reserved) e.reserved = n;
       this.window = [...this.window.filter((e) => !settled.has(e)), ...fresh];
-      if (this.window.some((e) => e.over !== null)) this.tidySinceMs ??= this.host.nowMs;
+      if (this.window.some((e) => e.over !== null))
+        this.tidySinceMs ??= this.host.nowMs;
     });
     return true;
   }
@@ -418,10 +639,22 @@
   private spoolFresh(): void {
     const batch = this.packer(BATCH_HEAD);
     let n = 0;
-    while (n < this.fresh.length && batch.add({ end: this.fresh[n]!.end, attempts: 0 })) n++;
+    while (
+      n < this.fresh.length &&
+      batch.add({ end: this.fresh[n]!.end, attempts: 0 })
+    )
+      n++;
     // Fewer than fill it wait for more, unless they keep the lane from saying how far it is settled.
-    const old = this.fresh.length > 0 && this.host.tail.end - this.fresh[0]!.at.version > this.host.limits.settleEvery;
-    if (n === 0 || (n === this.fresh.length && n < FRESH_MOST && !old) || !this.host.mayWrite(1)) return;
+    const old =
+      this.fresh.length > 0 &&
+      this.host.tail.end - this.fresh[0]!.at.version >
+        this.host.limits.settleEvery;
+    if (
+      n === 0 ||
+      (n === this.fresh.length && n < FRESH_MOST && !old) ||
+      !this.host.mayWrite(1)
+    )
+      return;
     const to = this.fresh[n - 1]!.at;
     const key = spoolKey(this.name, this.rec.spool.next);
     const done = (): void => {
@@ -431,15 +664,35 @@
     };
     // On the record's condition, for taking from the batch changes it: a copy of this commit that is carried out later, when the batch
     // is gone again, would leave it behind for ever. Without a change of the record: whoever comes next finds the batches beyond those that the record names, and each says how far it goes.
-    const conditions = [this.owner, { key: atKey(this.name), version: this.version }, { key, version: 0 }];
-    this.perform({ op: "commit", conditions, writes: [{ op: "put", key, value: writeBatch(batch, to) }] }, key, (item) => item !== null, done);
+    const conditions = [
+      this.owner,
+      { key: atKey(this.name), version: this.version },
+      { key, version: 0 },
+    ];
+    this.perform(
+      {
+        op: "commit",
+        conditions,
+        writes: [{ op: "put", key, value: writeBatch(batch, to) }],
+      },
+      key,
+      (item) => item !== null,
+      done,
+    );
   }
 
   /** Dead letters go to the end of the spool, a batch at a time, with their horizon anew. */
   private redrive(sub: Subscription): void {
     const { dead, spool } = this.rec;
     if (dead.first >= dead.next) {
-      if (this.host.mayWrite(1)) this.commit({ ...this.rec, redrives: sub.redrives }, this.window, [], [], () => {});
+      if (this.host.mayWrite(1))
+        this.commit(
+          { ...this.rec, redrives: sub.redrives },
+          this.window,
+          [],
+          [],
+          () => {},
+        );
       return;
     }
     if (this.reading) return;
@@ -447,13 +700,36 @@
     const from = deadKey(this.name, dead.first);
     this.host.state({ op: "get", key: from }, (r) => {
       this.reading = false;
-      if (this.stopped || this.busy || r.is !== "item" || !this.host.mayWrite(3)) return;
+      if (
+        this.stopped ||
+        this.busy ||
+        r.is !== "item" ||
+        !this.host.mayWrite(3)
+      )
+        return;
       const entries = r.item ? (readBatch(r.item.value)?.entries ?? []) : [];
       const batch = this.packer(BATCH_HEAD);
-      for (const o of entries) batch.add({ end: { ...o.end, since: Math.round(this.host.wallMs) }, attempts: o.attempts });
+      for (const o of entries)
+        batch.add({
+          end: { ...o.end, since: Math.round(this.host.wallMs) },
+          attempts: o.attempts,
+        });
       const key = spoolKey(this.name, spool.next);
-      const next = { ...this.rec, dead: { ...dead, first: dead.first + 1 }, spool: { ...spool, next: spool.next + 1 } };
-      this.commit(next, this.window, [{ key, version: 0 }], [{ op: "delete", key: from }, { op: "put", key, value: writeBatch(batch, null) }], () => {});
+      const next = {
+        ...this.rec,
+        dead: { ...dead, first: dead.first + 1 },
+        spool: { ...spool, next: spool.next + 1 },
+      };
+      this.commit(
+        next,
+        this.window,
+        [{ key, version: 0 }],
+        [
+          { op: "delete", key: from },
+          { op: "put", key, value: writeBatch(batch, null) },
+        ],
+        () => {},
+      );
     });
   }
 
@@ -462,21 +738,51 @@
     this.abort();
     if (this.busy || this.reading || this.host.nowMs < this.againMs) return;
     this.reading = true;
-    this.host.state({ op: "list", prefix: spoolPrefix(this.name), after: "" }, (a) =>
-      this.host.state({ op: "list", prefix: deadPrefix(this.name), after: "" }, (b) => {
-        this.reading = false;
-        this.againMs = this.host.nowMs + AGAIN_MS;
-        if (this.stopped || a.is !== "items" || b.is !== "items" || this.sub()) return;
-        const keys = [...a.items, ...b.items].map((i) => i.key);
-        const some = keys.length === 0 ? [atKey(this.name)] : keys.slice(0, this.host.limits.txnOps);
-        if (!this.host.mayWrite(some.length)) return;
-        this.host.state({ op: "commit", conditions: [this.owner, { key: atKey(this.name), version: this.version }], writes: some.map((key) => ({ op: "delete", key })) }, () => {});
-      }),
+    this.host.state(
+      { op: "list", prefix: spoolPrefix(this.name), after: "" },
+      (a) =>
+        this.host.state(
+          { op: "list", prefix: deadPrefix(this.name), after: "" },
+          (b) => {
+            this.reading = false;
+            this.againMs = this.host.nowMs + AGAIN_MS;
+            if (
+              this.stopped ||
+              a.is !== "items" ||
+              b.is !== "items" ||
+              this.sub()
+            )
+              return;
+            const keys = [...a.items, ...b.items].map((i) => i.key);
+            const some =
+              keys.length === 0
+                ? [atKey(this.name)]
+                : keys.slice(0, this.host.limits.txnOps);
+            if (!this.host.mayWrite(some.length)) return;
+            this.host.state(
+              {
+                op: "commit",
+                conditions: [
+                  this.owner,
+                  { key: atKey(this.name), version: this.version },
+                ],
+                writes: some.map((key) => ({ op: "delete", key })),
+              },
+              () => {},
+            );
+          },
+        ),
     );
   }
 
   /** Writes the record, and what goes with it; again until it is known to be carried out. */
-  private commit(next: Omit<AtRecord, "window">, window: Packer | readonly Entry[], conditions: Condition[], writes: Write[], ok: () => void): void {
+  private commit(
+    next: Omit<AtRecord, "window">,
+    window: Packer | readonly Entry[],
+    conditions: Condition[],
+    writes: Write[],
+    ok: () => void,
+  ): void {
     let packed: Packer;
     if (window instanceof Packer) packed = window;
     else {
@@ -484,7 +790,11 @@
       for (const e of window) packed.add({ end: e.end, attempts: e.reserved });
     }
     const key = atKey(this.name);
-    const rec = { ...next, seq: this.rec.token === this.token ? this.rec.seq + 1 : 1, token: this.token };
+    const rec = {
+      ...next,
+      seq: this.rec.token === this.token ? this.rec.seq + 1 : 1,
+      token: this.token,
+    };
     const call: StateCall = {
       op: "commit",
       // Invariant (one sender): conditional on the lane's token, as every commit of a master is on its group's.
@@ -504,7 +814,12 @@
   }
 
   /** Sends a commit, again until it is known to be carried out. `mine`: what `key` holds then, and otherwise does not. */
-  private perform(call: StateCall, key: string, mine: (item: Item | null) => boolean, done: (version: number) => void): void {
+  private perform(
+    call: StateCall,
+    key: string,
+    mine: (item: Item | null) => boolean,
+    done: (version: number) => void,
+  ): void {
     this.busy = true;
     this.wroteMs = this.host.nowMs;
     const send = (): void =>
@@ -525,14 +840,19 @@
   private retry: { untilMs: number; send: () => void } | null = null;
   /** What was not carried out is sent again unchanged: a copy that is still on its way then finds other revisions. */
   retryDue(): void {
-    if (this.stopped || !this.retry || this.host.nowMs < this.retry.untilMs) return;
+    if (this.stopped || !this.retry || this.host.nowMs < this.retry.untilMs)
+      return;
     const { send } = this.retry;
     this.retry = null;
     send();
   }
 
   /** After a conflict: an earlier copy of the same commit was carried out, or the lane is another's by now. */
-  private proof(key: string, mine: (item: Item | null) => boolean, done: (version: number) => void): void {
+  private proof(
+    key: string,
+    mine: (item: Item | null) => boolean,
+    done: (version: number) => void,
+  ): void {
     const look = (): void =>
       this.host.state({ op: "get", key }, (r) => {
         if (this.stopped) return;
@@ -542,7 +862,10 @@
           this.busy = false;
         } else {
           this.foreign = true;
-          this.host.log("info", "hook's record is another's", { hook: this.name, key });
+          this.host.log("info", "hook's record is another's", {
+            hook: this.name,
+            key,
+          });
         }
       });
     look();
@@ -555,13 +878,35 @@
     let flying = this.flying;
     for (const e of this.window) {
       if (e.over !== null) continue;
-      if (sub.ordered && (e.flying !== null || e.attempts >= e.reserved || this.host.nowMs < e.notBeforeMs)) return;
-      if (e.flying !== null || e.attempts >= e.reserved || this.host.nowMs < e.notBeforeMs) continue;
-      if (flying >= (sub.ordered ? 1 : this.host.limits.parallel) || !this.host.mayLaunch() || !breaker.allows(this.host.nowMs)) return;
+      if (
+        sub.ordered &&
+        (e.flying !== null ||
+          e.attempts >= e.reserved ||
+          this.host.nowMs < e.notBeforeMs)
+      )
+        return;
+      if (
+        e.flying !== null ||
+        e.attempts >= e.reserved ||
+        this.host.nowMs < e.notBeforeMs
+      )
+        continue;
+      if (
+        flying >= (sub.ordered ? 1 : this.host.limits.parallel) ||
+        !this.host.mayLaunch() ||
+        !breaker.allows(this.host.nowMs)
+      )
+        return;
       breaker.begin(this.host.nowMs);
       e.attempts++;
       flying++;
-      e.flying = this.host.launch(this, { end: e.end, attempt: e.attempts, reason: e.reason, ask: sub.ask && e.reason !== null && mayHave(e.reason), sub });
+      e.flying = this.host.launch(this, {
+        end: e.end,
+        attempt: e.attempts,
+        reason: e.reason,
+        ask: sub.ask && e.reason !== null && mayHave(e.reason),
+        sub,
+      });
       if (sub.ordered) return;
     }
   }
@@ -580,14 +925,18 @@
       e.reason = "reset";
       return;
     }
-    if (r.is === "had" || (r.is === "answered" && r.status >= 200 && r.status < 300)) {
+    if (
+      r.is === "had" ||
+      (r.is === "answered" && r.status >= 200 && r.status < 300)
+    ) {
       breaker.well();
       this.over(e, "delivered");
       return;
     }
     e.failures++;
     e.reason = r.is === "failed" ? r.why : "status";
-    e.notBeforeMs = nowMs + backoffMs(limits.backoff, e.failures, this.host.random());
+    e.notBeforeMs =
+      nowMs + backoffMs(limits.backoff, e.failures, this.host.random());
     if (r.is === "failed") return breaker.failed(nowMs);
     if (r.status >= 500 || r.status === 429) breaker.failed(nowMs);
     else breaker.well();
@@ -597,7 +946,8 @@
     }
     if (r.retryAfterMs !== null) {
       e.notBeforeMs = Math.max(e.notBeforeMs, nowMs + r.retryAfterMs);
-      if (r.status === 429 || r.status === 503) breaker.rest(nowMs, r.retryAfterMs);
+      if (r.status === 429 || r.status === 503)
+        breaker.rest(nowMs, r.retryAfterMs);
     }
   }
 }
--- a/src/hooks/http.ts
+++ b/src/hooks/http.ts
@@ -2,7 +2,9 @@
 import { json } from "../transport/client.js";
 import type { HookRequest } from "./requests.js";
 
-export type AskHooks = (request: HookRequest) => Promise<{ status: number; body: object }>;
+export type AskHooks = (
+  request: HookRequest,
+) => Promise<{ status: number; body: object }>;
 
 const ACTS = ["pause", "resume", "test", "redrive"] as const;
 
@@ -11,18 +13,47 @@
   const app = new Hono();
   const answer = async (request: HookRequest): Promise<Response> => {
     const r = await ask(request);
-    return Response.json(r.body, { status: r.status, ...(r.status === 503 ? { headers: { "retry-after": "1" } } : {}) });
+    return Response.json(r.body, {
+      status: r.status,
+      ...(r.status === 503 ? { headers: { "retry-after": "1" } } : {}),
+    });
   };
-  const withBody = async (text: string, make: (body: unknown) => HookRequest): Promise<Response> => {
+  const withBody = async (
+    text: string,
+    make: (body: unknown) => HookRequest,
+  ): Promise<Response> => {
     const body = json(text);
-    return body === undefined ? Response.json({ error: "body: not JSON" }, { status: 400 }) : answer(make(body));
+    return body === undefined
+      ? Response.json({ error: "body: not JSON" }, { status: 400 })
+      : answer(make(body));
   };
   app.get("/v1/hooks", () => answer({ is: "list" }));
-  app.post("/v1/hooks", limit, async (c) => withBody(await c.req.text(), (body) => ({ is: "add", body })));
-  app.get("/v1/hooks/:name", (c) => answer({ is: "show", name: c.req.param("name") }));
-  app.patch("/v1/hooks/:name", limit, async (c) => withBody(await c.req.text(), (body) => ({ is: "change", name: c.req.param("name"), body })));
-  app.delete("/v1/hooks/:name", (c) => answer({ is: "remove", name: c.req.param("name") }));
-  app.get("/v1/hooks/:name/dead", (c) => answer({ is: "dead", name: c.req.param("name"), after: c.req.query("after") ?? "" }));
-  for (const act of ACTS) app.post(`/v1/hooks/:name/${act}`, limit, (c) => answer({ is: "act", name: c.req.param("name"), act }));
+  app.post("/v1/hooks", limit, async (c) =>
+    withBody(await c.req.text(), (body) => ({ is: "add", body })),
+  );
+  app.get("/v1/hooks/:name", (c) =>
+    answer({ is: "show", name: c.req.param("name") }),
+  );
+  app.patch("/v1/hooks/:name", limit, async (c) =>
+    withBody(await c.req.text(), (body) => ({
+      is: "change",
+      name: c.req.param("name"),
+      body,
+    })),
+  );
+  app.delete("/v1/hooks/:name", (c) =>
+    answer({ is: "remove", name: c.req.param("name") }),
+  );
+  app.get("/v1/hooks/:name/dead", (c) =>
+    answer({
+      is: "dead",
+      name: c.req.param("name"),
+      after: c.req.query("after") ?? "",
+    }),
+  );
+  for (const act of ACTS)
+    app.post(`/v1/hooks/:name/${act}`, limit, (c) =>
+      answer({ is: "act", name: c.req.param("name"), act }),
+    );
   return app;
 }
--- a/src/hooks/index.ts
+++ b/src/hooks/index.ts
@@ -19,7 +19,11 @@
   /** A call to the state service, within this controller's limits. */
   state(call: StateCall, urgent: number): Promise<StateReply>;
   permit(): { hold: number | null; untilMs: number };
-  log(level: "error" | "warn" | "info" | "debug", fields: Record<string, unknown>, msg: string): void;
+  log(
+    level: "error" | "warn" | "info" | "debug",
+    fields: Record<string, unknown>,
+    msg: string,
+  ): void;
   /** For metrics. */
   settled(outcome: "delivered" | "dead", tookMs: number): void;
   attempted(outcome: string, tookMs: number): void;
@@ -31,7 +35,10 @@
 export class Hooks {
   private readonly core: HookCore;
   private readonly sender: Sender;
-  private readonly asked = new Map<number, (r: { status: number; body: object }) => void>();
+  private readonly asked = new Map<
+    number,
+    (r: { status: number; body: object }) => void
+  >();
   private requests = 0;
 
   /** Throws a plain sentence if the settings are bad. `file`: where they come from. */
@@ -45,7 +52,13 @@
     const sending = senderSettings(settings, file, agent);
     this.sender = new Sender(sending);
     const rng = xoroshiro128plus((Date.now() ^ (process.pid << 16)) | 0);
-    this.core = new HookCore(platform.label, hookLimits(settings, platform), () => uniformFloat64(rng), new Set(sending.keys.keys()), (url) => this.sender.refuses(url));
+    this.core = new HookCore(
+      platform.label,
+      hookLimits(settings, platform),
+      () => uniformFloat64(rng),
+      new Set(sending.keys.keys()),
+      (url) => this.sender.refuses(url),
+    );
   }
 
   /** What the scheduler's core read of the state service. */
@@ -70,24 +83,41 @@
         this.asked.delete(req);
         resolve(r);
       };
-      const timer = setTimeout(() => end({ status: 503, body: { error: "state service does not answer" } }), ASKED_MS);
+      const timer = setTimeout(
+        () =>
+          end({
+            status: 503,
+            body: { error: "state service does not answer" },
+          }),
+        ASKED_MS,
+      );
       this.asked.set(req, end);
       this.feed({ is: "request", req, request });
     });
   }
 
   private feed(input: HookInput): void {
-    for (const e of this.core.step(input, performance.now(), Date.now())) this.carryOut(e);
+    for (const e of this.core.step(input, performance.now(), Date.now()))
+      this.carryOut(e);
   }
   private carryOut(e: HookEffect): void {
     switch (e.do) {
       case "state":
-        void this.host.state(e.call, e.urgent).then((reply) => this.feed({ is: "state", op: e.op, reply }));
+        void this.host
+          .state(e.call, e.urgent)
+          .then((reply) => this.feed({ is: "state", op: e.op, reply }));
         break;
       case "attempt": {
         const sentMs = performance.now();
         void this.sender.attempt(e.attempt, e.hook, e.launch).then((result) => {
-          this.host.attempted(result.is === "failed" ? result.why : result.is === "answered" ? `${Math.floor(result.status / 100)}xx` : result.is, performance.now() - sentMs);
+          this.host.attempted(
+            result.is === "failed"
+              ? result.why
+              : result.is === "answered"
+                ? `${Math.floor(result.status / 100)}xx`
+                : result.is,
+            performance.now() - sentMs,
+          );
           this.feed({ is: "attempted", attempt: e.attempt, result });
         });
         break;
--- a/src/hooks/lanes.ts
+++ b/src/hooks/lanes.ts
@@ -18,10 +18,18 @@
   return w;
 }
 /** Rendezvous hashing: whose the lane is among those present. When one goes, only its own lanes move. */
-export function chosen(lane: number, present: readonly string[]): string | null {
+export function chosen(
+  lane: number,
+  present: readonly string[],
+): string | null {
   let best: string | null = null;
   for (const label of present) {
-    if (best === null || weight(lane, label) > weight(lane, best) || (weight(lane, label) === weight(lane, best) && label < best)) best = label;
+    if (
+      best === null ||
+      weight(lane, label) > weight(lane, best) ||
+      (weight(lane, label) === weight(lane, best) && label < best)
+    )
+      best = label;
   }
   return best;
 }
--- a/src/hooks/networks.ts
+++ b/src/hooks/networks.ts
@@ -11,7 +11,9 @@
     const one = ipaddr.parse(text);
     return [one, one.kind() === "ipv4" ? 32 : 128];
   } catch {
-    throw new Error(`${text}: not a network such as 10.1.0.0/16 or 2001:db8::/32`);
+    throw new Error(
+      `${text}: not a network such as 10.1.0.0/16 or 2001:db8::/32`,
+    );
   }
 }
 
@@ -33,7 +35,8 @@
     if (!ipaddr.isValid(address)) return false;
     // An IPv6-mapped address is the IPv4 address that is connected to.
     const a = ipaddr.process(address);
-    for (const [net, bits] of this.listed) if (net.kind() === a.kind() && a.match(net as never, bits)) return true;
+    for (const [net, bits] of this.listed)
+      if (net.kind() === a.kind() && a.match(net as never, bits)) return true;
     return !this.onlyListed && a.range() === "unicast";
   }
 
@@ -41,13 +44,33 @@
    * Resolves names for a connection: the address that is connected to is the very one that was checked, so a name that
    * resolves differently a second time gains nothing. `resolve`: the system's resolver.
    */
-  lookup(resolve: (host: string, done: (e: Error | null, found: LookupAddress[]) => void) => void = (host, done) => lookup(host, { all: true }, done)): LookupFunction {
+  lookup(
+    resolve: (
+      host: string,
+      done: (e: Error | null, found: LookupAddress[]) => void,
+    ) => void = (host, done) => lookup(host, { all: true }, done),
+  ): LookupFunction {
     return (host, options, callback) =>
       resolve(host, (e, found) => {
         if (e) return callback(e, "", 0);
-        const good = found.filter((f) => this.allows(f.address) && (!options.family || options.family === f.family));
-        if (good.length === 0) return callback(new Blocked(`${host} resolves to ${found.map((f) => f.address).join(", ") || "nothing"}`), "", 0);
-        if (options.all) (callback as unknown as (e: null, all: LookupAddress[]) => void)(null, good);
+        const good = found.filter(
+          (f) =>
+            this.allows(f.address) &&
+            (!options.family || options.family === f.family),
+        );
+        if (good.length === 0)
+          return callback(
+            new Blocked(
+              `${host} resolves to ${found.map((f) => f.address).join(", ") || "nothing"}`,
+            ),
+            "",
+            0,
+          );
+        if (options.all)
+          (callback as unknown as (e: null, all: LookupAddress[]) => void)(
+            null,
+            good,
+          );
         else callback(null, good[0]!.address, good[0]!.family);
       });
   }
--- a/src/hooks/records.ts
+++ b/src/hooks/records.ts
@@ -23,9 +23,12 @@
 export const deadPrefix = (name: string): string => `lc/hook/dead/${name}/`;
 /** Batches sort by their number. */
 const numbered = (n: number): string => String(n).padStart(10, "0");
-export const spoolKey = (name: string, n: number): string => spoolPrefix(name) + numbered(n);
-export const deadKey = (name: string, n: number): string => deadPrefix(name) + numbered(n);
-export const batchNumber = (key: string): number => Number(key.slice(key.lastIndexOf("/") + 1));
+export const spoolKey = (name: string, n: number): string =>
+  spoolPrefix(name) + numbered(n);
+export const deadKey = (name: string, n: number): string =>
+  deadPrefix(name) + numbered(n);
+export const batchNumber = (key: string): number =>
+  Number(key.slice(key.lastIndexOf("/") + 1));
 
 /** The number of lanes: a subscription's name decides its lane, the same on every controller and for ever. */
 export const LANES = 16;
@@ -54,7 +57,8 @@
 }
 /** After every id of its revision. */
 export const LAST_ID = "\uffff";
-export const after = (a: Cursor, b: Cursor): boolean => a.version > b.version || (a.version === b.version && a.id > b.id);
+export const after = (a: Cursor, b: Cursor): boolean =>
+  a.version > b.version || (a.version === b.version && a.id > b.id);
 export const later = (a: Cursor, b: Cursor): Cursor => (after(a, b) ? a : b);
 
 export type SubState = "active" | "paused" | "ended";
@@ -89,7 +93,17 @@
   rd: v.number(),
   ts: v.number(),
 });
-const Packed = v.tuple([v.string(), v.picklist([0, 1, 2]), v.number(), v.number(), v.number(), v.number(), v.number(), v.number(), v.number()]);
+const Packed = v.tuple([
+  v.string(),
+  v.picklist([0, 1, 2]),
+  v.number(),
+  v.number(),
+  v.number(),
+  v.number(),
+  v.number(),
+  v.number(),
+  v.number(),
+]);
 const Names = v.array(v.string());
 const cursor = v.tuple([v.number(), v.string()]);
 const At = v.object({
@@ -104,7 +118,11 @@
   ts: v.number(),
   ls: v.optional(v.nullable(v.tuple([v.number(), v.string()])), null),
 });
-const Batch = v.object({ to: v.nullable(cursor), nm: Names, e: v.array(Packed) });
+const Batch = v.object({
+  to: v.nullable(cursor),
+  nm: Names,
+  e: v.array(Packed),
+});
 const Own = v.object({ owner: v.string(), hold: v.number() });
 const Here = v.object({ hold: v.number() });
 const Upto = v.record(v.string(), v.number());
@@ -138,16 +156,41 @@
 
 export function readSub(value: unknown): Subscription | null {
   const o = read(Sub, value);
-  return o && { url: o.u, teams: o.t, classes: o.c, outcomes: o.o, keys: o.k, ordered: o.ord, ask: o.ask, state: o.st, redrives: o.rd, tests: o.ts };
+  return (
+    o && {
+      url: o.u,
+      teams: o.t,
+      classes: o.c,
+      outcomes: o.o,
+      keys: o.k,
+      ordered: o.ord,
+      ask: o.ask,
+      state: o.st,
+      redrives: o.rd,
+      tests: o.ts,
+    }
+  );
 }
-export const writeSub = (s: Subscription): object => ({ u: s.url, t: s.teams, c: s.classes, o: s.outcomes, k: s.keys, ord: s.ordered, ask: s.ask, st: s.state, rd: s.redrives, ts: s.tests });
+export const writeSub = (s: Subscription): object => ({
+  u: s.url,
+  t: s.teams,
+  c: s.classes,
+  o: s.outcomes,
+  k: s.keys,
+  ord: s.ordered,
+  ask: s.ask,
+  st: s.state,
+  rd: s.redrives,
+  ts: s.tests,
+});
 
 const CODES = ["done", "cancelled", "test"] as const;
 type PackedEntry = v.InferOutput<typeof Packed>;
 
 const ATTEMPT_DIGITS = 7;
 const LEAST_NAME = 24;
-const quoted = (text: string): number => Buffer.byteLength(JSON.stringify(text));
+const quoted = (text: string): number =>
+  Buffer.byteLength(JSON.stringify(text));
 /** As much of a name as takes so many bytes. */
 function cut(name: string, most: number): string {
   if (quoted(name) <= most) return name;
@@ -176,10 +219,26 @@
   add(o: Owed): boolean {
     const before = this.names.length;
     const e = o.end;
-    const packed: PackedEntry = [e.id, CODES.indexOf(e.outcome) as 0 | 1 | 2, e.tasks, e.done, this.place(e.team), this.place(e.class), e.at, e.since - e.at, o.attempts];
+    const packed: PackedEntry = [
+      e.id,
+      CODES.indexOf(e.outcome) as 0 | 1 | 2,
+      e.tasks,
+      e.done,
+      this.place(e.team),
+      this.place(e.class),
+      e.at,
+      e.since - e.at,
+      o.attempts,
+    ];
     // An entry that was written once fits again when its attempts have become more.
     const room = ATTEMPT_DIGITS - String(o.attempts).length;
-    const more = room + Buffer.byteLength(JSON.stringify(packed)) + 1 + this.names.slice(before).reduce((n, x) => n + Buffer.byteLength(JSON.stringify(x)) + 1, 0);
+    const more =
+      room +
+      Buffer.byteLength(JSON.stringify(packed)) +
+      1 +
+      this.names
+        .slice(before)
+        .reduce((n, x) => n + Buffer.byteLength(JSON.stringify(x)) + 1, 0);
     if (this.bytes + more > this.most) {
       this.names.length = before;
       return false;
@@ -190,7 +249,16 @@
   }
 }
 const unpack = (nm: readonly string[], e: PackedEntry): Owed => ({
-  end: { id: e[0], outcome: CODES[e[1]]!, tasks: e[2], done: e[3], team: nm[e[4]] ?? "", class: nm[e[5]] ?? "", at: e[6], since: e[6] + e[7] },
+  end: {
+    id: e[0],
+    outcome: CODES[e[1]]!,
+    tasks: e[2],
+    done: e[3],
+    team: nm[e[4]] ?? "",
+    class: nm[e[5]] ?? "",
+    at: e[6],
+    since: e[6] + e[7],
+  },
   attempts: e[8],
 });
 
@@ -215,7 +283,10 @@
   );
 }
 /** `window` holds the record's window already packed. */
-export const writeAt = (a: Omit<AtRecord, "window">, window: Packer): object => ({
+export const writeAt = (
+  a: Omit<AtRecord, "window">,
+  window: Packer,
+): object => ({
   q: a.seq,
   tk: a.token,
   c: a.cursor && [a.cursor.version, a.cursor.id],
@@ -229,14 +300,39 @@
 });
 /** The state of a subscription that was just made. */
 export const newAt = (): object =>
-  writeAt({ seq: 0, token: 0, cursor: null, spool: { first: 0, taken: 0, next: 0 }, dead: { first: 0, next: 0 }, redrives: 0, tests: 0, listing: null }, new Packer(0));
+  writeAt(
+    {
+      seq: 0,
+      token: 0,
+      cursor: null,
+      spool: { first: 0, taken: 0, next: 0 },
+      dead: { first: 0, next: 0 },
+      redrives: 0,
+      tests: 0,
+      listing: null,
+    },
+    new Packer(0),
+  );
 
 export function readBatch(value: unknown): Batch | null {
   const o = read(Batch, value);
-  return o && { to: o.to && { version: o.to[0], id: o.to[1] }, entries: o.e.map((e) => unpack(o.nm, e)) };
+  return (
+    o && {
+      to: o.to && { version: o.to[0], id: o.to[1] },
+      entries: o.e.map((e) => unpack(o.nm, e)),
+    }
+  );
 }
-export const writeBatch = (p: Packer, to: Cursor | null): object => ({ to: to && [to.version, to.id], nm: p.names, e: p.entries });
+export const writeBatch = (p: Packer, to: Cursor | null): object => ({
+  to: to && [to.version, to.id],
+  nm: p.names,
+  e: p.entries,
+});
 
-export const readOwn = (value: unknown): { owner: string; hold: number } | null => read(Own, value);
-export const readHere = (value: unknown): { hold: number } | null => read(Here, value);
-export const readUpto = (value: unknown): Record<string, number> => read(Upto, value) ?? {};
+export const readOwn = (
+  value: unknown,
+): { owner: string; hold: number } | null => read(Own, value);
+export const readHere = (value: unknown): { hold: number } | null =>
+  read(Here, value);
+export const readUpto = (value: unknown): Record<string, number> =>
+  read(Upto, value) ?? {};
--- a/src/hooks/requests.ts
+++ b/src/hooks/requests.ts
@@ -1,7 +1,18 @@
 import * as v from "valibot";
 import { firstIssue } from "../protocol/jobs.js";
 import type { StateCall, StateReply } from "../protocol/state.js";
-import { atKey, deadPrefix, newAt, OUTCOMES, readBatch, readSub, subKey, SUBS, type Subscription, writeSub } from "./records.js";
+import {
+  atKey,
+  deadPrefix,
+  newAt,
+  OUTCOMES,
+  readBatch,
+  readSub,
+  subKey,
+  SUBS,
+  type Subscription,
+  writeSub,
+} from "./records.js";
 
 /** What users ask of hooks, over HTTP or the command line. */
 export type HookRequest =
@@ -17,19 +28,30 @@
 const TRIES = 4;
 /** A record of a subscription stays within the smallest values. */
 const text = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
-const several = v.nullable(v.pipe(v.array(text), v.minLength(1), v.maxLength(32)));
+const several = v.nullable(
+  v.pipe(v.array(text), v.minLength(1), v.maxLength(32)),
+);
 const fields = {
   url: v.pipe(v.string(), v.maxLength(1_000)),
   crews: several,
   jobclasses: several,
-  outcomes: v.pipe(v.array(v.picklist(OUTCOMES)), v.minLength(1), v.maxLength(2)),
+  outcomes: v.pipe(
+    v.array(v.picklist(OUTCOMES)),
+    v.minLength(1),
+    v.maxLength(2),
+  ),
   keys: v.pipe(v.array(text), v.minLength(1), v.maxLength(4)),
   ordered: v.boolean(),
   ask: v.boolean(),
 };
-const Change = v.strictObject(v.entriesFromObjects([v.partial(v.object(fields))]));
+const Change = v.strictObject(
+  v.entriesFromObjects([v.partial(v.object(fields))]),
+);
 const Add = v.strictObject({
-  name: v.pipe(v.string(), v.regex(HOOK_NAME, "small letters, digits and dashes, at most 40")),
+  name: v.pipe(
+    v.string(),
+    v.regex(HOOK_NAME, "small letters, digits and dashes, at most 40"),
+  ),
   ...fields,
   crews: v.optional(fields.crews, null),
   jobclasses: v.optional(fields.jobclasses, null),
@@ -56,8 +78,15 @@
 /** Each is one or a few reads and one conditional commit; what can't be done changes nothing. */
 export class Requests {
   constructor(
-    private readonly state: (call: StateCall, done: (r: StateReply) => void) => void,
-    private readonly answer: (req: number, status: number, body: object) => void,
+    private readonly state: (
+      call: StateCall,
+      done: (r: StateReply) => void,
+    ) => void,
+    private readonly answer: (
+      req: number,
+      status: number,
+      body: object,
+    ) => void,
     private readonly figuresOf: (name: string) => object | null,
     private readonly keys: ReadonlySet<string>,
     private readonly refuses: (url: string) => string | null,
@@ -73,7 +102,9 @@
           reply(200, { hooks: [...subs].map(([name, s]) => shown(name, s)) });
         });
       case "show":
-        return this.one(r.name, reply, (s) => reply(200, { ...shown(r.name, s), sending: this.figuresOf(r.name) }));
+        return this.one(r.name, reply, (s) =>
+          reply(200, { ...shown(r.name, s), sending: this.figuresOf(r.name) }),
+        );
       case "add":
         return this.add(r.body, reply);
       case "change":
@@ -81,25 +112,45 @@
       case "act":
         return this.edit(r.name, reply, TRIES, (s) => {
           if (r.act === "test" || r.act === "redrive") {
-            if (s.state !== "active") return { error: `hook is ${s.state}: resume it first` };
-            return r.act === "test" ? { ...s, tests: s.tests + 1 } : { ...s, redrives: s.redrives + 1 };
+            if (s.state !== "active")
+              return { error: `hook is ${s.state}: resume it first` };
+            return r.act === "test"
+              ? { ...s, tests: s.tests + 1 }
+              : { ...s, redrives: s.redrives + 1 };
           }
           return { ...s, state: r.act === "pause" ? "paused" : "active" };
         });
       case "remove":
         return this.remove(r.name, reply, TRIES);
       case "dead":
-        return this.state({ op: "list", prefix: deadPrefix(r.name), after: r.after }, (got) => {
-          if (got.is !== "items") return reply(503, busy);
-          const letters = got.items.flatMap((i) =>
-            (readBatch(i.value)?.entries ?? []).map((o) => ({ id: o.end.id, status: o.end.outcome, crew: o.end.team, jobclass: o.end.class, endedAt: new Date(o.end.at).toISOString(), attempts: o.attempts })),
-          );
-          reply(200, { dead: letters, next: got.more ? (got.items.at(-1)?.key ?? null) : null });
-        });
+        return this.state(
+          { op: "list", prefix: deadPrefix(r.name), after: r.after },
+          (got) => {
+            if (got.is !== "items") return reply(503, busy);
+            const letters = got.items.flatMap((i) =>
+              (readBatch(i.value)?.entries ?? []).map((o) => ({
+                id: o.end.id,
+                status: o.end.outcome,
+                crew: o.end.team,
+                jobclass: o.end.class,
+                endedAt: new Date(o.end.at).toISOString(),
+                attempts: o.attempts,
+              })),
+            );
+            reply(200, {
+              dead: letters,
+              next: got.more ? (got.items.at(-1)?.key ?? null) : null,
+            });
+          },
+        );
     }
   }
 
-  private list(done: (subs: Map<string, Subscription> | null) => void, after = "", so: Map<string, Subscription> = new Map()): void {
+  private list(
+    done: (subs: Map<string, Subscription> | null) => void,
+    after = "",
+    so: Map<string, Subscription> = new Map(),
+  ): void {
     this.state({ op: "list", prefix: SUBS, after }, (r) => {
       if (r.is !== "items") return done(null);
       for (const i of r.items) {
@@ -111,7 +162,11 @@
       else done(so);
     });
   }
-  private one(name: string, reply: Reply, then: (s: Subscription, version: number) => void): void {
+  private one(
+    name: string,
+    reply: Reply,
+    then: (s: Subscription, version: number) => void,
+  ): void {
     this.state({ op: "get", key: subKey(name) }, (r) => {
       if (r.is !== "item") return reply(503, busy);
       const s = r.item ? readSub(r.item.value) : null;
@@ -121,13 +176,18 @@
   }
 
   /** Why a subscription can't be: the field and the reason. */
-  private wrong(s: { url?: string | undefined; keys?: string[] | undefined }): string | null {
+  private wrong(s: {
+    url?: string | undefined;
+    keys?: string[] | undefined;
+  }): string | null {
     if (s.url !== undefined) {
       const why = this.refuses(s.url);
       if (why !== null) return `url: ${why}`;
     }
     const unknown = s.keys?.find((k) => !this.keys.has(k));
-    return unknown === undefined ? null : `keys: no key ${unknown} in the operators' file`;
+    return unknown === undefined
+      ? null
+      : `keys: no key ${unknown} in the operators' file`;
   }
 
   private add(body: unknown, reply: Reply): void {
@@ -138,8 +198,20 @@
     if (no !== null) return reply(422, { error: no });
     this.list((subs) => {
       if (!subs) return reply(503, busy);
-      if (subs.size >= this.most && !subs.has(f.name)) return reply(422, { error: `name: at most ${this.most} hooks` });
-      const sub: Subscription = { url: f.url, teams: f.crews, classes: f.jobclasses, outcomes: [...new Set(f.outcomes)], keys: f.keys, ordered: f.ordered, ask: f.ask, state: "active", redrives: 0, tests: 0 };
+      if (subs.size >= this.most && !subs.has(f.name))
+        return reply(422, { error: `name: at most ${this.most} hooks` });
+      const sub: Subscription = {
+        url: f.url,
+        teams: f.crews,
+        classes: f.jobclasses,
+        outcomes: [...new Set(f.outcomes)],
+        keys: f.keys,
+        ordered: f.ordered,
+        ask: f.ask,
+        state: "active",
+        redrives: 0,
+        tests: 0,
+      };
       const keys = [subKey(f.name), atKey(f.name)];
       this.state(
         {
@@ -153,7 +225,11 @@
         (r) => {
           if (r.is === "committed") return reply(201, shown(f.name, sub));
           if (r.is !== "conflict") return reply(503, busy);
-          reply(409, { error: subs.has(f.name) ? "name: there is such a hook" : "name: there was such a hook a moment ago; try again soon" });
+          reply(409, {
+            error: subs.has(f.name)
+              ? "name: there is such a hook"
+              : "name: there was such a hook a moment ago; try again soon",
+          });
         },
       );
     });
@@ -177,25 +253,46 @@
     }));
   }
 
-  private edit(name: string, reply: Reply, tries: number, how: (s: Subscription) => Subscription | { error: string }): void {
+  private edit(
+    name: string,
+    reply: Reply,
+    tries: number,
+    how: (s: Subscription) => Subscription | { error: string },
+  ): void {
     this.one(name, reply, (s, version) => {
       const next = how(s);
       if ("error" in next) return reply(409, next);
-      this.state({ op: "commit", conditions: [{ key: subKey(name), version }], writes: [{ op: "put", key: subKey(name), value: writeSub(next) }] }, (r) => {
-        if (r.is === "committed") reply(200, shown(name, next));
-        else if (r.is === "conflict" && tries > 0) this.edit(name, reply, tries - 1, how);
-        else reply(503, busy);
-      });
+      this.state(
+        {
+          op: "commit",
+          conditions: [{ key: subKey(name), version }],
+          writes: [{ op: "put", key: subKey(name), value: writeSub(next) }],
+        },
+        (r) => {
+          if (r.is === "committed") reply(200, shown(name, next));
+          else if (r.is === "conflict" && tries > 0)
+            this.edit(name, reply, tries - 1, how);
+          else reply(503, busy);
+        },
+      );
     });
   }
 
   private remove(name: string, reply: Reply, tries: number): void {
     this.one(name, reply, (_, version) => {
-      this.state({ op: "commit", conditions: [{ key: subKey(name), version }], writes: [{ op: "delete", key: subKey(name) }] }, (r) => {
-        if (r.is === "committed") reply(200, { name, removed: true });
-        else if (r.is === "conflict" && tries > 0) this.remove(name, reply, tries - 1);
-        else reply(503, busy);
-      });
+      this.state(
+        {
+          op: "commit",
+          conditions: [{ key: subKey(name), version }],
+          writes: [{ op: "delete", key: subKey(name) }],
+        },
+        (r) => {
+          if (r.is === "committed") reply(200, { name, removed: true });
+          else if (r.is === "conflict" && tries > 0)
+            this.remove(name, reply, tries - 1);
+          else reply(503, busy);
+        },
+      );
     });
   }
 }
