--- a/src/hooks/sender.ts
+++ b/src/hooks/sender.ts
@@ -25,15 +25,23 @@
 /** Seconds, or a date. */
 function retryAfterMs(text: string | undefined, wallMs: number): number | null {
   if (text === undefined) return null;
-  const ms = /^\d{1,9}$/.test(text) ? Number(text) * 1000 : Date.parse(text) - wallMs;
-  return Number.isFinite(ms) ? Math.min(MAX_RETRY_AFTER_MS, Math.max(0, ms)) : null;
+  const ms = /^\d{1,9}$/.test(text)
+    ? Number(text) * 1000
+    : Date.parse(text) - wallMs;
+  return Number.isFinite(ms)
+    ? Math.min(MAX_RETRY_AFTER_MS, Math.max(0, ms))
+    : null;
 }
 
 function whyNot(e: NodeJS.ErrnoException, connected: boolean): Attempted {
   const code = e.code ?? "";
   if (e instanceof Blocked) return { is: "failed", why: "blocked" };
-  if (/CERT|SSL|TLS|ALTNAME|SELF_SIGNED|ERR_TLS|UNABLE_TO_(GET|VERIFY)/.test(code)) return { is: "failed", why: "tls" };
-  if (code === "ENOTFOUND" || code === "EAI_AGAIN") return { is: "failed", why: "name" };
+  if (
+    /CERT|SSL|TLS|ALTNAME|SELF_SIGNED|ERR_TLS|UNABLE_TO_(GET|VERIFY)/.test(code)
+  )
+    return { is: "failed", why: "tls" };
+  if (code === "ENOTFOUND" || code === "EAI_AGAIN")
+    return { is: "failed", why: "name" };
   return { is: "failed", why: connected ? "reset" : "refused" };
 }
 
@@ -44,55 +52,105 @@
   private readonly flights = new Map<number, () => void>();
 
   constructor(private readonly s: SenderSettings) {
-    const options = { keepAlive: true, maxTotalSockets: s.maxSockets, maxFreeSockets: Math.ceil(s.maxSockets / 4), timeout: s.deadlineMs, lookup: s.networks.lookup() };
+    const options = {
+      keepAlive: true,
+      maxTotalSockets: s.maxSockets,
+      maxFreeSockets: Math.ceil(s.maxSockets / 4),
+      timeout: s.deadlineMs,
+      lookup: s.networks.lookup(),
+    };
     this.plain = new http.Agent(options);
     // No sessions are resumed: a certificate that has expired since would not be looked at.
-    this.secure = new https.Agent({ ...options, maxCachedSessions: 0, ...(s.ca === null ? {} : { ca: [...rootCertificates, s.ca] }) });
+    this.secure = new https.Agent({
+      ...options,
+      maxCachedSessions: 0,
+      ...(s.ca === null ? {} : { ca: [...rootCertificates, s.ca] }),
+    });
   }
 
   /** Why a URL can't be sent to; null: it can, as far as can be said without resolving its name. */
   refuses(text: string): string | null {
     if (!URL.canParse(text)) return "not a URL";
     const url = new URL(text);
-    if (url.protocol !== "https:" && !(url.protocol === "http:" && this.s.allowHttp)) return this.s.allowHttp ? "https or http expected" : "https expected";
-    if (url.username !== "" || url.password !== "") return "must not hold a user or password";
+    if (
+      url.protocol !== "https:" &&
+      !(url.protocol === "http:" && this.s.allowHttp)
+    )
+      return this.s.allowHttp ? "https or http expected" : "https expected";
+    if (url.username !== "" || url.password !== "")
+      return "must not hold a user or password";
     if (url.hash !== "") return "must not hold a fragment";
     const host = url.hostname.replace(/^\[(.*)\]$/, "$1");
-    if (isIP(host) && !this.s.networks.allows(host)) return `address ${host} is not in a network that hooks may connect to`;
+    if (isIP(host) && !this.s.networks.allows(host))
+      return `address ${host} is not in a network that hooks may connect to`;
     return null;
   }
 
   async attempt(attempt: number, hook: string, l: Launch): Promise<Attempted> {
     const why = this.refuses(l.sub.url);
     if (why !== null) return { is: "failed", why: "blocked" };
-    const keys = l.sub.keys.map((k) => this.s.keys.get(k)).filter((k) => k !== undefined);
+    const keys = l.sub.keys
+      .map((k) => this.s.keys.get(k))
+      .filter((k) => k !== undefined);
     if (keys.length === 0) return { is: "failed", why: "blocked" };
     const endsMs = performance.now() + this.s.deadlineMs;
     if (l.ask) {
-      const got = await this.request(attempt, "GET", l.sub.url, this.headers(hook, l, keys, ""), null, endsMs);
+      const got = await this.request(
+        attempt,
+        "GET",
+        l.sub.url,
+        this.headers(hook, l, keys, ""),
+        null,
+        endsMs,
+      );
       if (got.is === "aborted") return got;
       // Whatever else it says, it is not known to have it.
       if (got.is === "answered" && got.status === 200) return { is: "had" };
       if (got.is === "failed") return got;
     }
     const body = messageBody(l.end);
-    return this.request(attempt, "POST", l.sub.url, { ...this.headers(hook, l, keys, body), "content-type": "application/json", "content-length": Buffer.byteLength(body) }, body, endsMs);
+    return this.request(
+      attempt,
+      "POST",
+      l.sub.url,
+      {
+        ...this.headers(hook, l, keys, body),
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+      },
+      body,
+      endsMs,
+    );
   }
 
-  private headers(hook: string, l: Launch, keys: readonly Uint8Array[], body: string): http.OutgoingHttpHeaders {
+  private headers(
+    hook: string,
+    l: Launch,
+    keys: readonly Uint8Array[],
+    body: string,
+  ): http.OutgoingHttpHeaders {
     const id = webhookId(hook, l.end);
     const now = Math.floor(Date.now() / 1000);
     return {
       "user-agent": this.s.agent,
       "webhook-id": id,
       "webhook-timestamp": String(now),
-      "webhook-signature": keys.map((k) => signature(k, id, now, body)).join(" "),
+      "webhook-signature": keys
+        .map((k) => signature(k, id, now, body))
+        .join(" "),
       "linencove-attempt": String(l.attempt),
       ...(l.reason === null ? {} : { "linencove-repeat": l.reason }),
     };
   }
 
-  private request(attempt: number, method: "GET" | "POST", url: string, headers: http.OutgoingHttpHeaders, body: string | null, endsMs: number): Promise<Attempted> {
+  private request(
+    attempt: number,
+    method: "GET" | "POST",
+    url: string,
+    headers: http.OutgoingHttpHeaders,
+    body: string | null,
+    endsMs: number,
+  ): Promise<Attempted> {
     return new Promise((resolve) => {
       const secure = url.startsWith("https:");
       let connected = false;
@@ -105,23 +163,38 @@
         resolve(r);
         if (r.is !== "answered") req.destroy();
       };
-      const timer = setTimeout(() => end({ is: "failed", why: "timeout" }), Math.max(1, endsMs - performance.now()));
+      const timer = setTimeout(
+        () => end({ is: "failed", why: "timeout" }),
+        Math.max(1, endsMs - performance.now()),
+      );
       this.flights.set(attempt, () => end({ is: "aborted" }));
-      const req = (secure ? https : http).request(url, { method, headers, agent: secure ? this.secure : this.plain }, (res) => {
-        const done = (): void => end({ is: "answered", status: res.statusCode ?? 0, retryAfterMs: retryAfterMs(res.headers["retry-after"], Date.now()) });
-        let size = 0;
-        // The status has said what counts; the rest is read so that the connection can serve again, within bounds.
-        res.on("data", (d: Buffer) => {
-          size += d.length;
-          if (size > this.s.maxAnswerBytes) {
-            done();
-            req.destroy();
-          }
-        });
-        res.on("end", done);
-        res.on("error", done);
-        res.on("close", done);
-      });
+      const req = (secure ? https : http).request(
+        url,
+        { method, headers, agent: secure ? this.secure : this.plain },
+        (res) => {
+          const done = (): void =>
+            end({
+              is: "answered",
+              status: res.statusCode ?? 0,
+              retryAfterMs: retryAfterMs(
+                res.headers["retry-after"],
+                Date.now(),
+              ),
+            });
+          let size = 0;
+          // The status has said what counts; the rest is read so that the connection can serve again, within bounds.
+          res.on("data", (d: Buffer) => {
+            size += d.length;
+            if (size > this.s.maxAnswerBytes) {
+              done();
+              req.destroy();
+            }
+          });
+          res.on("end", done);
+          res.on("error", done);
+          res.on("close", done);
+        },
+      );
       req.on("socket", (socket) => {
         // Taken over from an earlier request: that one's address was checked.
         if (!socket.connecting) {
@@ -131,7 +204,8 @@
         socket.once("connect", () => {
           connected = true;
           const to = socket.remoteAddress;
-          if (to === undefined || !this.s.networks.allows(to)) end({ is: "failed", why: "blocked" });
+          if (to === undefined || !this.s.networks.allows(to))
+            end({ is: "failed", why: "blocked" });
         });
       });
       req.on("error", (e) => end(whyNot(e, connected)));
--- a/src/hooks/settings.ts
+++ b/src/hooks/settings.ts
@@ -12,24 +12,31 @@
   s.key.forEach((k, i) => {
     const field = `${file}: hooks.key[${i}]`;
     if (!k.id) throw new SettingsError(`${field}.id: missing`);
-    if (keys.has(k.id)) throw new SettingsError(`${field}.id: ${k.id} is named twice`);
-    if ((k.file === "") === (k.variable === "")) throw new SettingsError(`${field}: either file or variable expected`);
+    if (keys.has(k.id))
+      throw new SettingsError(`${field}.id: ${k.id} is named twice`);
+    if ((k.file === "") === (k.variable === ""))
+      throw new SettingsError(`${field}: either file or variable expected`);
     let text: string;
     if (k.file !== "") {
       try {
         text = readFileSync(k.file, "utf8");
       } catch (e) {
-        throw new SettingsError(`${field}.file: ${k.file}: ${(e as NodeJS.ErrnoException).code === "ENOENT" ? "no such file" : (e as Error).message}`);
+        throw new SettingsError(
+          `${field}.file: ${k.file}: ${(e as NodeJS.ErrnoException).code === "ENOENT" ? "no such file" : (e as Error).message}`,
+        );
       }
     } else {
       const value = process.env[k.variable];
-      if (value === undefined) throw new SettingsError(`${field}.variable: ${k.variable} is not set`);
+      if (value === undefined)
+        throw new SettingsError(`${field}.variable: ${k.variable} is not set`);
       text = value;
     }
     try {
       keys.set(k.id, parseSecret(text));
     } catch (e) {
-      throw new SettingsError(`${field}: the secret of ${k.id}: ${(e as Error).message}`);
+      throw new SettingsError(
+        `${field}: the secret of ${k.id}: ${(e as Error).message}`,
+      );
     }
   });
   return keys;
@@ -41,7 +48,9 @@
     try {
       parseNetwork(text);
     } catch (e) {
-      throw new SettingsError(`${file}: hooks.allow[${i}]: ${(e as Error).message}`);
+      throw new SettingsError(
+        `${file}: hooks.allow[${i}]: ${(e as Error).message}`,
+      );
     }
   });
   readKeys(s, file);
@@ -65,18 +74,27 @@
     changesBurst: Math.max(4, changesPerS),
     inFlight: s.inFlight,
     breakerAfter: s.breakerAfter,
-    breakerPause: { baseMs: s.breakerBaseS * 1000, mostMs: s.breakerMostS * 1000 },
+    breakerPause: {
+      baseMs: s.breakerBaseS * 1000,
+      mostMs: s.breakerMostS * 1000,
+    },
     subscriptions: s.subscriptions,
   };
 }
 
-export function senderSettings(s: HooksFile, file: string, agent: string): SenderSettings {
+export function senderSettings(
+  s: HooksFile,
+  file: string,
+  agent: string,
+): SenderSettings {
   let ca: string | null = null;
   if (s.caFile !== "") {
     try {
       ca = readFileSync(s.caFile, "utf8");
     } catch (e) {
-      throw new SettingsError(`${file}: hooks.ca_file: ${s.caFile}: ${(e as Error).message.split(",")[0]}`);
+      throw new SettingsError(
+        `${file}: hooks.ca_file: ${s.caFile}: ${(e as Error).message.split(",")[0]}`,
+      );
     }
   }
   return {
--- a/src/hooks/signing.ts
+++ b/src/hooks/signing.ts
@@ -11,24 +11,39 @@
   const body = text.trim().replace(/^whsec_/, "");
   if (!/^[A-Za-z0-9+/]+={0,2}$/.test(body)) throw new Error("not base64");
   const key = Buffer.from(body, "base64");
-  if (key.length < 24 || key.length > 64) throw new Error(`24 to 64 bytes expected, not ${key.length}`);
+  if (key.length < 24 || key.length > 64)
+    throw new Error(`24 to 64 bytes expected, not ${key.length}`);
   return key;
 }
 
 /** The signature of one key, as `webhook-signature` holds it. `timestampS`: seconds since the epoch. */
-export const signature = (key: Uint8Array, id: string, timestampS: number, body: string): string =>
+export const signature = (
+  key: Uint8Array,
+  id: string,
+  timestampS: number,
+  body: string,
+): string =>
   `v1,${Buffer.from(hmac(sha256, key, utf8ToBytes(`${id}.${timestampS}.${body}`))).toString("base64")}`;
 
 /** The same for all attempts, and for no other notification. */
-export const webhookId = (hook: string, end: Pick<Ending, "id">): string => `${hook}.${end.id}`;
+export const webhookId = (hook: string, end: Pick<Ending, "id">): string =>
+  `${hook}.${end.id}`;
 
 /** The body of a notification; the same for all attempts. */
 export function messageBody(end: Ending): string {
   const timestamp = new Date(end.at).toISOString();
-  if (end.outcome === "test") return JSON.stringify({ type: "hook.test", timestamp, data: {} });
+  if (end.outcome === "test")
+    return JSON.stringify({ type: "hook.test", timestamp, data: {} });
   return JSON.stringify({
     type: `job.${end.outcome}`,
     timestamp,
-    data: { id: end.id, status: end.outcome, crew: end.team, jobclass: end.class, shards: end.tasks, done: end.done },
+    data: {
+      id: end.id,
+      status: end.outcome,
+      crew: end.team,
+      jobclass: end.class,
+      shards: end.tasks,
+      done: end.done,
+    },
   });
 }
--- a/src/hooks/tail.ts
+++ b/src/hooks/tail.ts
@@ -8,14 +8,25 @@
 }
 
 /** What a final record says; null if it is none, or was written by a controller without hooks, which does not say whose job it was. */
-export function endingOf(item: Pick<Item, "key" | "value" | "version">): Ended | null {
+export function endingOf(
+  item: Pick<Item, "key" | "value" | "version">,
+): Ended | null {
   if (!item.key.startsWith(PAST)) return null;
   const p = readPast(item.value);
   if (!p?.end) return null;
   const id = item.key.slice(PAST.length);
   return {
     at: { version: item.version, id },
-    end: { id, outcome: p.status, tasks: p.tasks, done: p.done, team: p.end.team, class: p.end.class, at: p.end.at, since: p.end.at },
+    end: {
+      id,
+      outcome: p.status,
+      tasks: p.tasks,
+      done: p.done,
+      team: p.end.team,
+      class: p.end.class,
+      at: p.end.at,
+      since: p.end.at,
+    },
   };
 }
 /** The ends among changes, in their order. */
@@ -49,7 +60,14 @@
       this.start = from;
       this.end = from;
     }
-    for (const c of changes) if (c.version > this.end && c.op === "put" && c.key.startsWith(PAST) && !endingOf(c)) this.unnamed++;
+    for (const c of changes)
+      if (
+        c.version > this.end &&
+        c.op === "put" &&
+        c.key.startsWith(PAST) &&
+        !endingOf(c)
+      )
+        this.unnamed++;
     // Two reads may overlap.
     const fresh = endingsOf(changes).filter((e) => e.at.version > this.end);
     this.ends.push(...fresh);
--- a/src/lab/explore.ts
+++ b/src/lab/explore.ts
@@ -32,7 +32,10 @@
  * are known again by a 64-bit hash (xxHash); of some millions two are taken for one with a chance of one in a million,
  * which can hide a state but never invent a bad one.
  */
-export async function explore<S>(model: Model<S>, most = 2_000_000): Promise<Exploration> {
+export async function explore<S>(
+  model: Model<S>,
+  most = 2_000_000,
+): Promise<Exploration> {
   const { h64 } = await xxhash();
   const seen = new Map<bigint, number>();
   const from: number[] = [-1];
@@ -41,10 +44,19 @@
   seen.set(h64(model.key(model.initial)), 0);
   let steps = 0;
   let depth = 0;
-  const result = (complete: boolean, bad: { why: string; n: number } | null): Exploration => {
+  const result = (
+    complete: boolean,
+    bad: { why: string; n: number } | null,
+  ): Exploration => {
     const trace: string[] = [];
     for (let n = bad?.n ?? 0; n > 0; n = from[n]!) trace.unshift(labels[n]!);
-    return { states: seen.size, steps, depth, complete, broken: bad && { why: bad.why, trace } };
+    return {
+      states: seen.size,
+      steps,
+      depth,
+      complete,
+      broken: bad && { why: bad.why, trace },
+    };
   };
   const first = model.check(model.initial);
   if (first !== null) return result(false, { why: first, n: 0 });
--- a/src/lab/limits-model.ts
+++ b/src/lab/limits-model.ts
@@ -1,6 +1,16 @@
 import type { Team } from "../config/settings.js";
-import { type Demand, planShares, type Plan } from "../coordination/limits/plan.js";
-import { CAPS, entryOf, type LimitRecords, mayUse, type Pair } from "../coordination/limits/shares.js";
+import {
+  type Demand,
+  planShares,
+  type Plan,
+} from "../coordination/limits/plan.js";
+import {
+  CAPS,
+  entryOf,
+  type LimitRecords,
+  mayUse,
+  type Pair,
+} from "../coordination/limits/shares.js";
 import { QUOTA_KEY, type Shares } from "../storage/records.js";
 import type { Model, Step } from "./explore.js";
 
@@ -27,8 +37,23 @@
 }
 
 /** Guards that can be switched off, to see that the exploration finds out. */
-export type Guard = "keeps what it gives" | "record's revision" | "master's token" | "unanswered stays reserved" | "what is written holds" | "overdrawn stops starts" | "gone only after its leases";
-export const GUARDS: readonly Guard[] = ["keeps what it gives", "record's revision", "master's token", "unanswered stays reserved", "what is written holds", "overdrawn stops starts", "gone only after its leases"];
+export type Guard =
+  | "keeps what it gives"
+  | "record's revision"
+  | "master's token"
+  | "unanswered stays reserved"
+  | "what is written holds"
+  | "overdrawn stops starts"
+  | "gone only after its leases";
+export const GUARDS: readonly Guard[] = [
+  "keeps what it gives",
+  "record's revision",
+  "master's token",
+  "unanswered stays reserved",
+  "what is written holds",
+  "overdrawn stops starts",
+  "gone only after its leases",
+];
 
 interface Change {
   base: number;
@@ -70,32 +95,65 @@
   over: string | null;
 }
 
-export function limitsModel(scope: LimitsScope, off: ReadonlySet<Guard> = new Set()): Model<LimitsState> {
-  const teamOf = (name: string, later: boolean): Team => ({ name, cpus: 0, gpus: 0, cpusMax: later ? scope.later : scope.limit, gpusMax: Infinity });
-  const settings = (later: boolean): Map<string, Team> => new Map(scope.teams.map((t) => [t, teamOf(t, later)]));
+export function limitsModel(
+  scope: LimitsScope,
+  off: ReadonlySet<Guard> = new Set(),
+): Model<LimitsState> {
+  const teamOf = (name: string, later: boolean): Team => ({
+    name,
+    cpus: 0,
+    gpus: 0,
+    cpusMax: later ? scope.later : scope.limit,
+    gpusMax: Infinity,
+  });
+  const settings = (later: boolean): Map<string, Team> =>
+    new Map(scope.teams.map((t) => [t, teamOf(t, later)]));
   const all = { false: settings(false), true: settings(true) };
-  const names = (g: Group): string[] => (g.later ? scope.laterGroups : scope.groups);
-  const records = (g: Group): LimitRecords => (g.copy.version === 0 ? new Map() : new Map([[QUOTA_KEY, { shares: g.copy.shares, version: g.copy.version }]]));
+  const names = (g: Group): string[] =>
+    g.later ? scope.laterGroups : scope.groups;
+  const records = (g: Group): LimitRecords =>
+    g.copy.version === 0
+      ? new Map()
+      : new Map([
+          [QUOTA_KEY, { shares: g.copy.shares, version: g.copy.version }],
+        ]);
 
   /** Up to how many CPUs the group may use, by its copy. */
   const share = (g: Group, i: number, t: number): number => {
     const team = scope.teams[t]!;
     const own = all[g.later ? "true" : "false"].get(team)!;
     let entry = entryOf(records(g), team);
-    if (off.has("what is written holds") && !entry?.parts[scope.groups[i]!]) return own.cpusMax / names(g).length;
-    if (entry && off.has("overdrawn stops starts")) entry = { ...entry, sum: [0, 0] };
+    if (off.has("what is written holds") && !entry?.parts[scope.groups[i]!])
+      return own.cpusMax / names(g).length;
+    if (entry && off.has("overdrawn stops starts"))
+      entry = { ...entry, sum: [0, 0] };
     const [cpus] = mayUse(own, entry, scope.groups[i]!, () => [g.use[t]!, 0]);
     const c = g.change;
-    if (!c || c.base !== g.copy.version || off.has("keeps what it gives")) return cpus;
+    if (!c || c.base !== g.copy.version || off.has("keeps what it gives"))
+      return cpus;
     return cpus - (c.reserved[team]?.[0] ?? 0);
   };
 
   const plan = (s: LimitsState, i: number): Plan | null => {
     const g = s.groups[i]!;
-    const demand = (said: [number, number]): Demand => ({ now: [said[0], 0], nowSince: [1, Infinity], soon: [0, 0], soonSince: [Infinity, Infinity], beyond: [said[1], 0] });
+    const demand = (said: [number, number]): Demand => ({
+      now: [said[0], 0],
+      nowSince: [1, Infinity],
+      soon: [0, 0],
+      soonSince: [Infinity, Infinity],
+      beyond: [said[1], 0],
+    });
     const others = new Map<string, Map<string, Demand>>();
     s.groups.forEach((o, k) => {
-      if (k !== i) others.set(scope.groups[k]!, new Map(o.said.flatMap((said, t) => (said ? [[scope.teams[t]!, demand(said)] as const] : []))));
+      if (k !== i)
+        others.set(
+          scope.groups[k]!,
+          new Map(
+            o.said.flatMap((said, t) =>
+              said ? [[scope.teams[t]!, demand(said)] as const] : [],
+            ),
+          ),
+        );
     });
     const mine = new Map<string, Demand>();
     scope.teams.forEach((team, t) => {
@@ -103,7 +161,15 @@
       const lack = g.use[t]! + g.wait[t]! - part;
       if (lack > 0) mine.set(team, demand([lack, part]));
     });
-    const gone = new Set(scope.groups.filter((_, k) => !names(g).includes(scope.groups[k]!) && s.groups[k]!.gone && (off.has("gone only after its leases") || s.groups[k]!.use.every((n) => n === 0))));
+    const gone = new Set(
+      scope.groups.filter(
+        (_, k) =>
+          !names(g).includes(scope.groups[k]!) &&
+          s.groups[k]!.gone &&
+          (off.has("gone only after its leases") ||
+            s.groups[k]!.use.every((n) => n === 0)),
+      ),
+    );
     return planShares({
       group: scope.groups[i]!,
       groups: names(g),
@@ -128,16 +194,43 @@
   // What was written is never changed, only replaced.
   const clone = (s: LimitsState): LimitsState => ({
     ...s,
-    groups: s.groups.map((g) => ({ ...g, change: g.change && { ...g.change }, use: [...g.use], wait: [...g.wait], said: [...g.said] })),
+    groups: s.groups.map((g) => ({
+      ...g,
+      change: g.change && { ...g.change },
+      use: [...g.use],
+      wait: [...g.wait],
+      said: [...g.said],
+    })),
     flights: s.flights.map((f) => ({ ...f })),
   });
-  const inUse = (s: LimitsState, t: number): number => s.groups.reduce((n, g) => n + g.use[t]!, 0);
+  const inUse = (s: LimitsState, t: number): number =>
+    s.groups.reduce((n, g) => n + g.use[t]!, 0);
   /** The largest limit that anybody alive may still go by: who reads the record later goes by a smaller one then. */
   const most = (s: LimitsState, t: number): number =>
-    Math.max(...s.groups.filter((g) => !g.gone).map((g) => (g.copy.version === 0 ? scope.limit : Math.max(scope.later, entryOf(records(g), scope.teams[t]!)?.cap[0] ?? 0))));
+    Math.max(
+      ...s.groups
+        .filter((g) => !g.gone)
+        .map((g) =>
+          g.copy.version === 0
+            ? scope.limit
+            : Math.max(
+                scope.later,
+                entryOf(records(g), scope.teams[t]!)?.cap[0] ?? 0,
+              ),
+        ),
+    );
   const initial: LimitsState = {
     record: { version: 0, shares: {} },
-    groups: scope.groups.map((_, i) => ({ token: i + 1, later: false, copy: { version: 0, shares: {} }, change: null, use: scope.teams.map(() => 0), wait: scope.teams.map(() => scope.tasks[i] ?? 0), said: scope.teams.map(() => null), gone: false })),
+    groups: scope.groups.map((_, i) => ({
+      token: i + 1,
+      later: false,
+      copy: { version: 0, shares: {} },
+      change: null,
+      use: scope.teams.map(() => 0),
+      wait: scope.teams.map(() => scope.tasks[i] ?? 0),
+      said: scope.teams.map(() => null),
+      gone: false,
+    })),
     flights: [],
     tokens: scope.groups.length,
     takeovers: 0,
@@ -146,7 +239,10 @@
   };
 
   function* next(s: LimitsState): Generator<Step<LimitsState>> {
-    const step = (label: string, change: (to: LimitsState) => void): Step<LimitsState> => {
+    const step = (
+      label: string,
+      change: (to: LimitsState) => void,
+    ): Step<LimitsState> => {
       const to = clone(s);
       change(to);
       return { label, state: to };
@@ -154,18 +250,27 @@
     for (const [i, g] of s.groups.entries()) {
       const name = scope.groups[i]!;
       for (const [t, team] of scope.teams.entries()) {
-        if (g.use[t]! > 0) yield step(`${name}: a task of ${team} ends`, (to) => void to.groups[i]!.use[t]!--);
+        if (g.use[t]! > 0)
+          yield step(
+            `${name}: a task of ${team} ends`,
+            (to) => void to.groups[i]!.use[t]!--,
+          );
         if (g.gone) continue;
         if (g.wait[t]! > 0 && g.use[t]! + 1 <= share(g, i, t) + 1e-6)
           yield step(`${name} starts a task of ${team}`, (to) => {
-            if (inUse(to, t) + 1 > most(to, t) + 1e-6) to.over = `${team}: a task starts where ${inUse(to, t)} of ${most(to, t)} are in use`;
+            if (inUse(to, t) + 1 > most(to, t) + 1e-6)
+              to.over = `${team}: a task starts where ${inUse(to, t)} of ${most(to, t)} are in use`;
             to.groups[i]!.use[t]!++;
             to.groups[i]!.wait[t]!--;
           });
         const part = share(g, i, t);
         const lack = g.use[t]! + g.wait[t]! - part;
         const said: [number, number] | null = lack > 0 ? [lack, part] : null;
-        if (JSON.stringify(said) !== JSON.stringify(g.said[t])) yield step(`${name} says what it wants of ${team}`, (to) => void (to.groups[i]!.said[t] = said));
+        if (JSON.stringify(said) !== JSON.stringify(g.said[t]))
+          yield step(
+            `${name} says what it wants of ${team}`,
+            (to) => void (to.groups[i]!.said[t] = said),
+          );
       }
       if (g.gone) continue;
       if (g.copy.version !== s.record.version)
@@ -173,16 +278,31 @@
           const me = to.groups[i]!;
           me.copy = to.record;
           // The record at another revision says how the change ended.
-          if (me.change && me.change.base !== to.record.version) me.change = null;
+          if (me.change && me.change.base !== to.record.version)
+            me.change = null;
         });
       if (!g.change && s.flights.length < scope.flights) {
         const p = plan(s, i);
         if (p)
-          yield step(`${name} sends ${p.given.map((x) => `${x.give[0]} of ${x.team} to ${x.to}`).join(", ") || "a change"}`, (to) => {
-            const value = p.writes.get(QUOTA_KEY)!;
-            to.groups[i]!.change = { base: g.copy.version, value, reserved: Object.fromEntries(p.reserved), open: false };
-            to.flights.push({ group: i, token: g.token, base: g.copy.version, value, doubled: false });
-          });
+          yield step(
+            `${name} sends ${p.given.map((x) => `${x.give[0]} of ${x.team} to ${x.to}`).join(", ") || "a change"}`,
+            (to) => {
+              const value = p.writes.get(QUOTA_KEY)!;
+              to.groups[i]!.change = {
+                base: g.copy.version,
+                value,
+                reserved: Object.fromEntries(p.reserved),
+                open: false,
+              };
+              to.flights.push({
+                group: i,
+                token: g.token,
+                base: g.copy.version,
+                value,
+                doubled: false,
+              });
+            },
+          );
       }
       if (g.change && !g.change.open)
         yield step(`${name} gets no answer`, (to) => {
@@ -192,24 +312,50 @@
       if (s.takeovers < scope.takeovers)
         yield step(`${name} has a new master`, (to) => {
           to.takeovers++;
-          Object.assign(to.groups[i]!, { token: ++to.tokens, copy: to.record, change: null });
+          Object.assign(to.groups[i]!, {
+            token: ++to.tokens,
+            copy: to.record,
+            change: null,
+          });
         });
       if (s.restarts < scope.restarts && !g.later)
         yield step(`${name} restarts with the later settings`, (to) => {
           to.restarts++;
-          Object.assign(to.groups[i]!, { token: ++to.tokens, copy: to.record, change: null, later: true, gone: !scope.laterGroups.includes(name) });
+          Object.assign(to.groups[i]!, {
+            token: ++to.tokens,
+            copy: to.record,
+            change: null,
+            later: true,
+            gone: !scope.laterGroups.includes(name),
+          });
         });
     }
     for (const [k, f] of s.flights.entries()) {
-      yield step(`a commit of ${scope.groups[f.group]!} is lost`, (to) => void to.flights.splice(k, 1));
-      const holds = (off.has("record's revision") || f.base === s.record.version) && (off.has("master's token") || f.token === s.groups[f.group]!.token);
-      const arrive = (again: boolean) => (to: LimitsState): void => {
-        if (again) to.flights[k]!.doubled = true;
-        else to.flights.splice(k, 1);
-        if (holds) to.record = { version: to.record.version + 1, shares: f.value };
-      };
-      if (holds) yield step(`a commit of ${scope.groups[f.group]!} is carried out`, arrive(false));
-      if (holds && !f.doubled) yield step(`a commit of ${scope.groups[f.group]!} is carried out, and comes again`, arrive(true));
+      yield step(
+        `a commit of ${scope.groups[f.group]!} is lost`,
+        (to) => void to.flights.splice(k, 1),
+      );
+      const holds =
+        (off.has("record's revision") || f.base === s.record.version) &&
+        (off.has("master's token") || f.token === s.groups[f.group]!.token);
+      const arrive =
+        (again: boolean) =>
+        (to: LimitsState): void => {
+          if (again) to.flights[k]!.doubled = true;
+          else to.flights.splice(k, 1);
+          if (holds)
+            to.record = { version: to.record.version + 1, shares: f.value };
+        };
+      if (holds)
+        yield step(
+          `a commit of ${scope.groups[f.group]!} is carried out`,
+          arrive(false),
+        );
+      if (holds && !f.doubled)
+        yield step(
+          `a commit of ${scope.groups[f.group]!} is carried out, and comes again`,
+          arrive(true),
+        );
     }
   }
 
@@ -218,7 +364,11 @@
     for (const [t, team] of scope.teams.entries()) {
       // A lowered limit kills nothing: what runs beyond it may, and then nobody may start anything.
       const bound = Math.max(most(s, t), inUse(s, t));
-      const may = s.groups.reduce((n, g, i) => n + (g.gone ? g.use[t]! : Math.max(g.use[t]!, share(g, i, t))), 0);
+      const may = s.groups.reduce(
+        (n, g, i) =>
+          n + (g.gone ? g.use[t]! : Math.max(g.use[t]!, share(g, i, t))),
+        0,
+      );
       if (may > bound + 1e-6) return `${team}: ${may} of ${bound} may be used`;
     }
     return null;
@@ -226,13 +376,50 @@
 
   const key = (s: LimitsState): string => {
     // Revisions and tokens only tell what is older from what is newer, or the same.
-    const versions = [...new Set([s.record.version, ...s.groups.flatMap((g) => [g.copy.version, g.change?.base ?? s.record.version]), ...s.flights.map((f) => f.base)])].sort((a, b) => a - b);
+    const versions = [
+      ...new Set([
+        s.record.version,
+        ...s.groups.flatMap((g) => [
+          g.copy.version,
+          g.change?.base ?? s.record.version,
+        ]),
+        ...s.flights.map((f) => f.base),
+      ]),
+    ].sort((a, b) => a - b);
     const v = (n: number): number => (n === 0 ? -1 : versions.indexOf(n));
-    const shares = (x: Shares): unknown => scope.teams.map((t) => [x[CAPS]?.[t]?.[0], scope.groups.map((g) => x[t]?.[g]?.[0])]);
+    const shares = (x: Shares): unknown =>
+      scope.teams.map((t) => [
+        x[CAPS]?.[t]?.[0],
+        scope.groups.map((g) => x[t]?.[g]?.[0]),
+      ]);
     return JSON.stringify([
-      v(s.record.version), shares(s.record.shares), s.takeovers, s.restarts, s.over,
-      s.groups.map((g) => [g.later, g.gone, v(g.copy.version), shares(g.copy.shares), g.change && [v(g.change.base), g.change.open, shares(g.change.value), scope.teams.map((t) => g.change!.reserved[t]?.[0])], g.use, g.wait, g.said]),
-      s.flights.map((f) => [f.group, f.token === s.groups[f.group]!.token, v(f.base), shares(f.value), f.doubled]),
+      v(s.record.version),
+      shares(s.record.shares),
+      s.takeovers,
+      s.restarts,
+      s.over,
+      s.groups.map((g) => [
+        g.later,
+        g.gone,
+        v(g.copy.version),
+        shares(g.copy.shares),
+        g.change && [
+          v(g.change.base),
+          g.change.open,
+          shares(g.change.value),
+          scope.teams.map((t) => g.change!.reserved[t]?.[0]),
+        ],
+        g.use,
+        g.wait,
+        g.said,
+      ]),
+      s.flights.map((f) => [
+        f.group,
+        f.token === s.groups[f.group]!.token,
+        v(f.base),
+        shares(f.value),
+        f.doubled,
+      ]),
     ]);
   };
   return { initial, next, check, key };
--- a/src/main.ts
+++ b/src/main.ts
@@ -8,14 +8,20 @@
 import { parseSettings } from "./config/settings.js";
 
 const args = process.argv.slice(2);
-if (args.length === 2 && args[0] === "--config" && !process.env["LINENCOVE_OPERATOR"]) {
+if (
+  args.length === 2 &&
+  args[0] === "--config" &&
+  !process.env["LINENCOVE_OPERATOR"]
+) {
   try {
     const file = args[1]!;
     const settings = parseSettings(readFileSync(file, "utf8"), file);
     const { Daemon } = await import("./daemon.js");
     await new Daemon(settings, { ...DEFAULTS }).run();
   } catch (e) {
-    process.stderr.write(`linencove: ${e instanceof Error ? e.message.split("\n")[0] : String(e)}\n`);
+    process.stderr.write(
+      `linencove: ${e instanceof Error ? e.message.split("\n")[0] : String(e)}\n`,
+    );
     process.exitCode = 1;
   }
 } else {
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -4,20 +4,65 @@
 import type { Controller, TeamFigures } from "../coordination/controller.js";
 import type { HookCore } from "../hooks/core.js";
 
-const CALL_BUCKETS_S = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
-const DELAY_BUCKETS_S = [0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300, 1_800, 7_200, 86_400];
+const CALL_BUCKETS_S = [
+  0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5,
+];
+const DELAY_BUCKETS_S = [
+  0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300, 1_800, 7_200, 86_400,
+];
 
 /** Names begin with `linencove_`; docs/operations.md says what each is and what to alert on. Times are in seconds. */
 export class Metrics {
   private readonly registry = new Registry();
-  private readonly events = new Counter({ name: "linencove_events_total", help: "Lines of the log by their text, debug lines included", labelNames: ["event"], registers: [this.registry] });
-  private readonly calls = new Counter({ name: "linencove_calls_total", help: "Calls to the state service and the cloud by how they ended", labelNames: ["service", "op", "outcome"], registers: [this.registry] });
-  private readonly callTimes = new Histogram({ name: "linencove_call_seconds", help: "From sending a call to its end", labelNames: ["service"], buckets: CALL_BUCKETS_S, registers: [this.registry] });
-  private readonly waits = new Histogram({ name: "linencove_rate_limit_wait_seconds", help: "How long calls to the state service waited for this controller's part of its limits", buckets: CALL_BUCKETS_S, registers: [this.registry] });
-  private readonly attempts = new Counter({ name: "linencove_hook_attempts_total", help: "Attempts to deliver by how they ended: 2xx, 5xx, timeout, ...", labelNames: ["outcome"], registers: [this.registry] });
-  private readonly attemptTimes = new Histogram({ name: "linencove_hook_attempt_seconds", help: "How long attempts took", buckets: CALL_BUCKETS_S.concat([5, 10]), registers: [this.registry] });
-  private readonly settledHooks = new Counter({ name: "linencove_hook_notifications_total", help: "Notifications that were delivered, or given up", labelNames: ["outcome"], registers: [this.registry] });
-  private readonly delays = new Histogram({ name: "linencove_hook_delay_seconds", help: "From the end of a job to its delivery", buckets: DELAY_BUCKETS_S, registers: [this.registry] });
+  private readonly events = new Counter({
+    name: "linencove_events_total",
+    help: "Lines of the log by their text, debug lines included",
+    labelNames: ["event"],
+    registers: [this.registry],
+  });
+  private readonly calls = new Counter({
+    name: "linencove_calls_total",
+    help: "Calls to the state service and the cloud by how they ended",
+    labelNames: ["service", "op", "outcome"],
+    registers: [this.registry],
+  });
+  private readonly callTimes = new Histogram({
+    name: "linencove_call_seconds",
+    help: "From sending a call to its end",
+    labelNames: ["service"],
+    buckets: CALL_BUCKETS_S,
+    registers: [this.registry],
+  });
+  private readonly waits = new Histogram({
+    name: "linencove_rate_limit_wait_seconds",
+    help: "How long calls to the state service waited for this controller's part of its limits",
+    buckets: CALL_BUCKETS_S,
+    registers: [this.registry],
+  });
+  private readonly attempts = new Counter({
+    name: "linencove_hook_attempts_total",
+    help: "Attempts to deliver by how they ended: 2xx, 5xx, timeout, ...",
+    labelNames: ["outcome"],
+    registers: [this.registry],
+  });
+  private readonly attemptTimes = new Histogram({
+    name: "linencove_hook_attempt_seconds",
+    help: "How long attempts took",
+    buckets: CALL_BUCKETS_S.concat([5, 10]),
+    registers: [this.registry],
+  });
+  private readonly settledHooks = new Counter({
+    name: "linencove_hook_notifications_total",
+    help: "Notifications that were delivered, or given up",
+    labelNames: ["outcome"],
+    registers: [this.registry],
+  });
+  private readonly delays = new Histogram({
+    name: "linencove_hook_delay_seconds",
+    help: "From the end of a job to its delivery",
+    buckets: DELAY_BUCKETS_S,
+    registers: [this.registry],
+  });
 
   constructor(
     figures: () => Controller["figures"],
@@ -25,22 +70,72 @@
     permitMs: () => number,
   ) {
     const gauge = this.gauge.bind(this);
-    gauge("jobs_unfinished", "Jobs that are not over, on all controllers", () => figures().unfinished);
-    gauge("groups", "Groups whose master this controller is", () => figures().groups);
+    gauge(
+      "jobs_unfinished",
+      "Jobs that are not over, on all controllers",
+      () => figures().unfinished,
+    );
+    gauge(
+      "groups",
+      "Groups whose master this controller is",
+      () => figures().groups,
+    );
     gauge("machines", "Machines of these groups", () => figures().machines);
     gauge("machines_idle", "Those without a task", () => figures().idle);
     gauge("tasks_running", "Tasks on these machines", () => figures().running);
-    gauge("tasks_queued_plain", "Waiting tasks of these groups that need no accelerator", () => figures().queuedPlain);
-    gauge("tasks_queued_accelerated", "Those that need one", () => figures().queuedAccelerated);
-    gauge("machines_deaf", "Machines whose reports arrive, and which get neither answers nor commands", () => figures().deaf);
-    gauge("reports_late", "Reports that were no newer than what was known, since the groups were taken", () => figures().late);
-    gauge("jobs_suspect", "Jobs that fail wherever they run", () => figures().suspects);
-    gauge("gang_wait_longest_seconds", "Age of the oldest gang that has not begun", () => figures().longestGangS);
-    gauge("questions_refused", "Users' questions refused since the start", () => figures().refused);
-    gauge("question_refused_longest_seconds", "How long the job that was refused longest has been", () => figures().refusedForS);
-    gauge("permit_seconds", "How long this controller may go on without the state service", () => Math.max(0, permitMs() / 1000));
-    gauge("memory_heap_bytes", "Heap in use", () => process.memoryUsage().heapUsed);
-    gauge("memory_resident_bytes", "Resident memory", () => process.memoryUsage.rss());
+    gauge(
+      "tasks_queued_plain",
+      "Waiting tasks of these groups that need no accelerator",
+      () => figures().queuedPlain,
+    );
+    gauge(
+      "tasks_queued_accelerated",
+      "Those that need one",
+      () => figures().queuedAccelerated,
+    );
+    gauge(
+      "machines_deaf",
+      "Machines whose reports arrive, and which get neither answers nor commands",
+      () => figures().deaf,
+    );
+    gauge(
+      "reports_late",
+      "Reports that were no newer than what was known, since the groups were taken",
+      () => figures().late,
+    );
+    gauge(
+      "jobs_suspect",
+      "Jobs that fail wherever they run",
+      () => figures().suspects,
+    );
+    gauge(
+      "gang_wait_longest_seconds",
+      "Age of the oldest gang that has not begun",
+      () => figures().longestGangS,
+    );
+    gauge(
+      "questions_refused",
+      "Users' questions refused since the start",
+      () => figures().refused,
+    );
+    gauge(
+      "question_refused_longest_seconds",
+      "How long the job that was refused longest has been",
+      () => figures().refusedForS,
+    );
+    gauge(
+      "permit_seconds",
+      "How long this controller may go on without the state service",
+      () => Math.max(0, permitMs() / 1000),
+    );
+    gauge(
+      "memory_heap_bytes",
+      "Heap in use",
+      () => process.memoryUsage().heapUsed,
+    );
+    gauge("memory_resident_bytes", "Resident memory", () =>
+      process.memoryUsage.rss(),
+    );
     gauge("cpu_seconds", "Processor time since the start", () => {
       const u = process.cpuUsage();
       return (u.user + u.system) / 1e6;
@@ -62,15 +157,45 @@
   /** By team, group and kind of resource; read whenever it is asked for. */
   watchTeams(figures: () => TeamFigures[]): void {
     const labelNames = ["team", "group", "resource"];
-    const helps: [keyof TeamFigures & ("limit" | "guarantee" | "share" | "used" | "waiting" | "deficit" | "inFlight" | "reclaimed"), string, string][] = [
+    const helps: [
+      keyof TeamFigures &
+        (
+          | "limit"
+          | "guarantee"
+          | "share"
+          | "used"
+          | "waiting"
+          | "deficit"
+          | "inFlight"
+          | "reclaimed"
+        ),
+      string,
+      string,
+    ][] = [
       ["limit", "limit", "The team's limit over all groups; absent: none"],
       ["guarantee", "guarantee", "What the team is guaranteed over all groups"],
       ["share", "share", "Part of the limit that the group may use"],
       ["used", "used", "What its tasks have on machines of the group"],
-      ["waiting", "waiting", "What its waiting tasks ask for that have a place, now or to be rented"],
-      ["deficit", "deficit", "Of that, what it is guaranteed and does not have"],
-      ["inFlight", "share_in_flight", "Part of the limit on its way to other groups"],
-      ["reclaimed", "reclaimed", "Stopped of other teams for its guarantee since this controller took the group"],
+      [
+        "waiting",
+        "waiting",
+        "What its waiting tasks ask for that have a place, now or to be rented",
+      ],
+      [
+        "deficit",
+        "deficit",
+        "Of that, what it is guaranteed and does not have",
+      ],
+      [
+        "inFlight",
+        "share_in_flight",
+        "Part of the limit on its way to other groups",
+      ],
+      [
+        "reclaimed",
+        "reclaimed",
+        "Stopped of other teams for its guarantee since this controller took the group",
+      ],
     ];
     for (const [field, name, help] of helps)
       new Gauge({
@@ -80,26 +205,52 @@
         registers: [this.registry],
         collect() {
           this.reset();
-          for (const f of figures()) for (const [i, resource] of (["cpus", "accelerators"] as const).entries()) if (Number.isFinite(f[field][i]!)) this.set({ team: f.team, group: f.group, resource }, f[field][i]!);
+          for (const f of figures())
+            for (const [i, resource] of (
+              ["cpus", "accelerators"] as const
+            ).entries())
+              if (Number.isFinite(f[field][i]!))
+                this.set(
+                  { team: f.team, group: f.group, resource },
+                  f[field][i]!,
+                );
         },
       });
   }
 
   watchHooks(figures: () => HookCore["figures"]): void {
-    const gauge = (name: string, help: string, value: (f: HookCore["figures"]) => number): void => this.gauge(`hook_${name}`, help, () => value(figures()));
+    const gauge = (
+      name: string,
+      help: string,
+      value: (f: HookCore["figures"]) => number,
+    ): void => this.gauge(`hook_${name}`, help, () => value(figures()));
     gauge("owned", "Hooks that this controller sends for", (f) => f.owned);
     gauge("in_flight", "Attempts in flight", (f) => f.inFlight);
-    gauge("window", "Notifications that may have been sent and are not known to have arrived", (f) => f.window);
-    gauge("batches", "Batches of notifications that wait in the state service", (f) => f.batches);
+    gauge(
+      "window",
+      "Notifications that may have been sent and are not known to have arrived",
+      (f) => f.window,
+    );
+    gauge(
+      "batches",
+      "Batches of notifications that wait in the state service",
+      (f) => f.batches,
+    );
     gauge("dead_batches", "Batches of dead letters", (f) => f.deadBatches);
-    gauge("oldest_seconds", "Age of the oldest notification that is not delivered", (f) => (f.oldestAt === null ? 0 : Math.max(0, (Date.now() - f.oldestAt) / 1000)));
+    gauge(
+      "oldest_seconds",
+      "Age of the oldest notification that is not delivered",
+      (f) =>
+        f.oldestAt === null ? 0 : Math.max(0, (Date.now() - f.oldestAt) / 1000),
+    );
     const breakers = new Gauge({
       name: "linencove_hook_receivers",
       help: "Receivers by the state of their breaker",
       labelNames: ["state"],
       registers: [this.registry],
       collect() {
-        for (const [state, n] of Object.entries(figures().receivers)) breakers.set({ state }, n);
+        for (const [state, n] of Object.entries(figures().receivers))
+          breakers.set({ state }, n);
       },
     });
   }
@@ -107,7 +258,13 @@
   logged(msg: string): void {
     this.events.inc({ event: msg });
   }
-  called(service: "state" | "cloud", op: string, outcome: string, waitedMs: number, tookMs: number): void {
+  called(
+    service: "state" | "cloud",
+    op: string,
+    outcome: string,
+    waitedMs: number,
+    tookMs: number,
+  ): void {
     this.calls.inc({ service, op, outcome });
     // A watch is meant to take long.
     if (op !== "changes") this.callTimes.observe({ service }, tookMs / 1000);
@@ -124,7 +281,13 @@
 
   routes(): Hono {
     const app = new Hono();
-    app.get("/metrics", async () => new Response(await this.registry.metrics(), { headers: { "content-type": this.registry.contentType } }));
+    app.get(
+      "/metrics",
+      async () =>
+        new Response(await this.registry.metrics(), {
+          headers: { "content-type": this.registry.contentType },
+        }),
+    );
     return app;
   }
 }
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -4,7 +4,10 @@
 /** The cloud's interface. */
 
 const text = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
-const amount = v.optional(v.nullable(v.pipe(v.number(), v.finite(), v.minValue(0))), 0);
+const amount = v.optional(
+  v.nullable(v.pipe(v.number(), v.finite(), v.minValue(0))),
+  0,
+);
 
 const Catalog = v.object({
   hulls: v.array(
@@ -60,7 +63,9 @@
   return got.success ? got.output.berths : null;
 }
 
-export function parseList(raw: unknown): { machines: ListedMachine[]; more: boolean } | null {
+export function parseList(
+  raw: unknown,
+): { machines: ListedMachine[]; more: boolean } | null {
   const got = v.safeParse(Listed, raw);
   if (!got.success) return null;
   return {
@@ -77,12 +82,21 @@
   };
 }
 
-export const rentBody = (request: string, type: string, zone: string, spot: boolean, count: number): object => ({
+export const rentBody = (
+  request: string,
+  type: string,
+  zone: string,
+  spot: boolean,
+  count: number,
+): object => ({
   charter: request,
   hull: type,
   yard: zone,
   loaners: spot,
   number: count,
 });
-export const returnBody = (machines: readonly string[]): object => ({ berths: machines });
-export const listPath = (after: string): string => `/hosts?most=500${after ? `&since=${encodeURIComponent(after)}` : ""}`;
+export const returnBody = (machines: readonly string[]): object => ({
+  berths: machines,
+});
+export const listPath = (after: string): string =>
+  `/hosts?most=500${after ? `&since=${encodeURIComponent(after)}` : ""}`;
--- a/src/protocol/frames.ts
+++ b/src/protocol/frames.ts
@@ -40,8 +40,12 @@
   return encode(Frame.Reply, id, payload);
 }
 
-export function decodeReply(payload: Buffer): { status: number; body: string } | null {
-  return payload.length < 2 ? null : { status: payload.readUInt16BE(0), body: payload.toString("utf8", 2) };
+export function decodeReply(
+  payload: Buffer,
+): { status: number; body: string } | null {
+  return payload.length < 2
+    ? null
+    : { status: payload.readUInt16BE(0), body: payload.toString("utf8", 2) };
 }
 
 /** Cuts a byte stream into frames; holds at most one unfinished frame. */
@@ -55,9 +59,19 @@
     while (b.length >= 4) {
       const length = b.readUInt32BE(0);
       if (length < HEAD - 4 || length > MAX_FRAME) return null;
-      if (b.length >= 6 && (b.readUInt8(4) !== VERSION || b.readUInt8(5) < Frame.Ping || b.readUInt8(5) > Frame.Reply)) return null;
+      if (
+        b.length >= 6 &&
+        (b.readUInt8(4) !== VERSION ||
+          b.readUInt8(5) < Frame.Ping ||
+          b.readUInt8(5) > Frame.Reply)
+      )
+        return null;
       if (b.length < length + 4) break;
-      out.push({ type: b.readUInt8(5), id: b.readUInt32BE(6), payload: Buffer.from(b.subarray(HEAD, length + 4)) });
+      out.push({
+        type: b.readUInt8(5),
+        id: b.readUInt32BE(6),
+        payload: Buffer.from(b.subarray(HEAD, length + 4)),
+      });
       b = b.subarray(length + 4);
     }
     this.held = Buffer.from(b);
--- a/src/protocol/jobs.ts
+++ b/src/protocol/jobs.ts
@@ -24,7 +24,10 @@
   memoryGb: amount,
   bundle: v.optional(v.nullable(v.pipe(v.string(), v.maxLength(200))), ""),
   sizeGb: v.optional(v.nullable(amount), 0),
-  hulls: v.optional(v.nullable(v.pipe(v.array(text), v.minLength(1), v.maxLength(16))), null),
+  hulls: v.optional(
+    v.nullable(v.pipe(v.array(text), v.minLength(1), v.maxLength(16))),
+    null,
+  ),
   yard: v.optional(v.nullable(text), null),
   samePlace: flag,
   spread: flag,
@@ -36,7 +39,9 @@
   awaits: v.optional(
     v.nullable(
       v.pipe(
-        v.array(v.pipe(v.string(), v.regex(JOB_ID, "must look like req-000412"))),
+        v.array(
+          v.pipe(v.string(), v.regex(JOB_ID, "must look like req-000412")),
+        ),
         v.transform((ids) => [...new Set(ids)]),
         v.maxLength(MAX_AWAITS, `at most ${MAX_AWAITS} jobs`),
       ),
@@ -65,7 +70,9 @@
 }
 
 /** `awaits`: the jobs that have to be done before this one starts. */
-export function parseJob(body: string): Parsed<{ spec: JobSpec; awaits: string[] }> {
+export function parseJob(
+  body: string,
+): Parsed<{ spec: JobSpec; awaits: string[] }> {
   const raw = parseObject(body);
   if (!raw.ok) return raw;
   const got = v.safeParse(Job, raw.value);
@@ -103,6 +110,11 @@
 
 export type JobStatus = "queued" | "running" | "done" | "cancelled";
 
-export function jobBody(id: string, status: JobStatus, counts?: { done: number; running: number }, awaits: readonly string[] = []): object {
+export function jobBody(
+  id: string,
+  status: JobStatus,
+  counts?: { done: number; running: number },
+  awaits: readonly string[] = [],
+): object {
   return { id, status, ...counts, ...(awaits.length > 0 ? { awaits } : {}) };
 }
--- a/src/protocol/state.ts
+++ b/src/protocol/state.ts
@@ -7,13 +7,17 @@
   /** Revision of the key's last change; 0: must not exist. */
   version: number;
 }
-export type Write = { op: "put"; key: string; value: unknown; hold?: number } | { op: "delete"; key: string };
+export type Write =
+  | { op: "put"; key: string; value: unknown; hold?: number }
+  | { op: "delete"; key: string };
 export interface Item {
   key: string;
   value: unknown;
   version: number;
 }
-export type Change = { op: "put"; key: string; value: unknown; version: number } | { op: "delete"; key: string; version: number };
+export type Change =
+  | { op: "put"; key: string; value: unknown; version: number }
+  | { op: "delete"; key: string; version: number };
 
 export type StateCall =
   | { op: "get"; key: string }
@@ -65,7 +69,11 @@
 const Epoch = v.object({ epoch: Int });
 const Hold = v.object({ tenancy: Int });
 
-export function stateRequest(call: StateCall): { method: "GET" | "POST"; path: string; body?: string } {
+export function stateRequest(call: StateCall): {
+  method: "GET" | "POST";
+  path: string;
+  body?: string;
+} {
   switch (call.op) {
     case "get":
       return { method: "GET", path: `/keys/${call.key}` };
@@ -82,32 +90,57 @@
           if: call.conditions.map((c) => ({ k: c.key, stamp: c.version })),
           writes: call.writes.map((w) =>
             w.op === "put"
-              ? { put: w.key, value: w.value, ...(w.hold === undefined ? {} : { tenancy: w.hold }) }
+              ? {
+                  put: w.key,
+                  value: w.value,
+                  ...(w.hold === undefined ? {} : { tenancy: w.hold }),
+                }
               : { delete: w.key },
           ),
         }),
       };
     case "newHold":
-      return { method: "POST", path: "/holds", body: JSON.stringify({ ttlMs: call.ttlMs }) };
+      return {
+        method: "POST",
+        path: "/holds",
+        body: JSON.stringify({ ttlMs: call.ttlMs }),
+      };
     case "touch":
       return { method: "POST", path: `/holds/${call.hold}/touch`, body: "{}" };
     case "changes":
-      return { method: "GET", path: `/changes?under=${call.prefix}&since=${call.since}&holdMs=${call.waitMs}` };
+      return {
+        method: "GET",
+        path: `/changes?under=${call.prefix}&since=${call.since}&holdMs=${call.waitMs}`,
+      };
   }
 }
 
-function ok<S extends v.GenericSchema>(schema: S, raw: unknown, then: (o: v.InferOutput<S>) => StateReply): StateReply {
+function ok<S extends v.GenericSchema>(
+  schema: S,
+  raw: unknown,
+  then: (o: v.InferOutput<S>) => StateReply,
+): StateReply {
   const got = v.safeParse(schema, raw);
-  return got.success ? then(got.output) : { is: "unknown", why: "malformed answer" };
+  return got.success
+    ? then(got.output)
+    : { is: "unknown", why: "malformed answer" };
 }
 
-export function stateReply(call: StateCall, status: number, raw: unknown): StateReply {
-  if (status === 429 || status === 503) return { is: "refused", why: String(status) };
+export function stateReply(
+  call: StateCall,
+  status: number,
+  raw: unknown,
+): StateReply {
+  if (status === 429 || status === 503)
+    return { is: "refused", why: String(status) };
   switch (call.op) {
     case "get":
       if (status === 404) return { is: "item", item: null };
       if (status === 200)
-        return ok(Got, raw, (o) => ({ is: "item", item: { key: o.k, value: o.value, version: o.stamp } }));
+        return ok(Got, raw, (o) => ({
+          is: "item",
+          item: { key: o.k, value: o.value, version: o.stamp },
+        }));
       break;
     case "list":
       if (status === 200)
@@ -115,16 +148,23 @@
           is: "items",
           epoch: o.epoch,
           more: o.truncated ?? false,
-          items: o.items.map((i) => ({ key: i.k, value: i.value, version: i.stamp })),
+          items: o.items.map((i) => ({
+            key: i.k,
+            value: i.value,
+            version: i.stamp,
+          })),
         }));
       break;
     case "commit":
-      if (status === 200) return ok(Epoch, raw, (o) => ({ is: "committed", epoch: o.epoch }));
+      if (status === 200)
+        return ok(Epoch, raw, (o) => ({ is: "committed", epoch: o.epoch }));
       if (status === 409) return { is: "conflict" };
-      if (status === 400 && v.is(Refused, raw)) return { is: "refused", why: HOLD_ENDED };
+      if (status === 400 && v.is(Refused, raw))
+        return { is: "refused", why: HOLD_ENDED };
       break;
     case "newHold":
-      if (status === 200) return ok(Hold, raw, (o) => ({ is: "hold", hold: o.tenancy }));
+      if (status === 200)
+        return ok(Hold, raw, (o) => ({ is: "hold", hold: o.tenancy }));
       break;
     case "touch":
       if (status === 200) return { is: "touched" };
@@ -137,13 +177,19 @@
           is: "changes",
           epoch: o.epoch,
           changes: (o.log ?? []).flatMap((e): Change[] => {
-            if (e.put !== undefined) return [{ op: "put", key: e.put, value: e.value, version: e.stamp }];
-            if (e.delete !== undefined) return [{ op: "delete", key: e.delete, version: e.stamp }];
+            if (e.put !== undefined)
+              return [
+                { op: "put", key: e.put, value: e.value, version: e.stamp },
+              ];
+            if (e.delete !== undefined)
+              return [{ op: "delete", key: e.delete, version: e.stamp }];
             return [];
           }),
         }));
       break;
   }
   // A 400 and whatever else is no success: the service did nothing.
-  return status >= 400 && status < 500 ? { is: "refused", why: String(status) } : { is: "unknown", why: String(status) };
+  return status >= 400 && status < 500
+    ? { is: "refused", why: String(status) }
+    : { is: "unknown", why: String(status) };
 }
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -9,11 +9,25 @@
 const MAX_REPORTED = 5_000;
 
 const Task = v.object({
-  shard: v.pipe(v.string(), v.regex(/^req-[0-9]{1,40}\/[0-9]{1,6}$/, "must look like req-000412/3")),
+  shard: v.pipe(
+    v.string(),
+    v.regex(/^req-[0-9]{1,40}\/[0-9]{1,6}$/, "must look like req-000412/3"),
+  ),
   try: count,
   status: v.picklist(["fetching", "waiting", "running", "saving", "exited"]),
   cause: v.optional(
-    v.nullable(v.picklist(["done", "stopped", "peers", "incomplete", "error", "no_room", "busy", "no_such"])),
+    v.nullable(
+      v.picklist([
+        "done",
+        "stopped",
+        "peers",
+        "incomplete",
+        "error",
+        "no_room",
+        "busy",
+        "no_such",
+      ]),
+    ),
     null,
   ),
   kept: v.optional(v.nullable(v.boolean()), false),
@@ -21,7 +35,10 @@
 
 const Hello = v.object({
   berth: text,
-  address: v.pipe(v.string(), v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "IP:PORT expected")),
+  address: v.pipe(
+    v.string(),
+    v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "IP:PORT expected"),
+  ),
   hull: text,
   yard: text,
   loaners: v.optional(v.nullable(v.boolean()), false),
@@ -29,7 +46,10 @@
   tally: count,
   baton: v.optional(v.nullable(count), 0),
   recallS: v.optional(v.nullable(v.pipe(v.number(), v.finite())), null),
-  shards: v.optional(v.nullable(v.pipe(v.array(Task), v.maxLength(MAX_REPORTED))), []),
+  shards: v.optional(
+    v.nullable(v.pipe(v.array(Task), v.maxLength(MAX_REPORTED))),
+    [],
+  ),
 });
 
 /** Of a name that the schema has found well formed. */
@@ -40,7 +60,8 @@
 }
 
 /** The longest that a worker in touch is silent: a report comes every `report_s`, give or take a quarter, and is given up after 4 s. */
-export const reportGapMs = (reportS: number): number => (reportS * 1.25 + 4) * 1000;
+export const reportGapMs = (reportS: number): number =>
+  (reportS * 1.25 + 4) * 1000;
 
 export function parseReport(body: string): Parsed<Report> {
   const raw = parseObject(body);
@@ -52,12 +73,23 @@
   const states = new Map<string, string>();
   for (const t of r.shards ?? []) {
     const id = splitTask(t.shard);
-    if (!id) return { ok: false, error: `shards: ${t.shard}: no such task number` };
+    if (!id)
+      return { ok: false, error: `shards: ${t.shard}: no such task number` };
     const state = `${t.status}/${t.cause ?? ""}`;
     const before = states.get(`${t.shard}#${t.try}`);
-    if (before !== undefined && before !== state) return { ok: false, error: `shards: ${t.shard}: attempt ${t.try} is ${before.split("/")[0]} and ${t.status}` };
+    if (before !== undefined && before !== state)
+      return {
+        ok: false,
+        error: `shards: ${t.shard}: attempt ${t.try} is ${before.split("/")[0]} and ${t.status}`,
+      };
     states.set(`${t.shard}#${t.try}`, state);
-    tasks.push({ ...id, attempt: t.try, state: t.status, cause: t.cause, saved: t.kept ?? false });
+    tasks.push({
+      ...id,
+      attempt: t.try,
+      state: t.status,
+      cause: t.cause,
+      saved: t.kept ?? false,
+    });
   }
   return {
     ok: true,
@@ -91,15 +123,23 @@
 /** At most this many orders in one message: keeps every line far below 64 KiB; the rest follows with the next. */
 export const MAX_ORDERS = 200;
 
-export const answerBody = (token: number, orders: readonly Order[]): object => ({
+export const answerBody = (
+  token: number,
+  orders: readonly Order[],
+): object => ({
   baton: token,
   orders: orders.slice(0, MAX_ORDERS).map(wireOrder),
 });
 
-export const commandBody = (token: number, session: number, orders: readonly Order[]): object => ({
+export const commandBody = (
+  token: number,
+  session: number,
+  orders: readonly Order[],
+): object => ({
   baton: token,
   watch: session,
   orders: orders.slice(0, MAX_ORDERS).map(wireOrder),
 });
 
-export const redirectBody = (master: string | null): object => (master === null ? {} : { harbormaster: master });
+export const redirectBody = (master: string | null): object =>
+  master === null ? {} : { harbormaster: master };
--- a/src/storage/client.ts
+++ b/src/storage/client.ts
@@ -1,5 +1,10 @@
 import type { Settings } from "../config/settings.js";
-import { type StateCall, type StateReply, stateReply, stateRequest } from "../protocol/state.js";
+import {
+  type StateCall,
+  type StateReply,
+  stateReply,
+  stateRequest,
+} from "../protocol/state.js";
 import * as v from "valibot";
 import { Frame } from "../protocol/frames.js";
 import { Client, json } from "../transport/client.js";
@@ -14,10 +19,28 @@
 /** A way to the state service through another controller. */
 export interface Through {
   withState(): string | null;
-  call(label: string, type: Frame.State, body: string, timeoutMs: number): Promise<{ status: number; body: string } | null>;
+  call(
+    label: string,
+    type: Frame.State,
+    body: string,
+    timeoutMs: number,
+  ): Promise<{ status: number; body: string } | null>;
 }
 
-const Reply = v.looseObject({ is: v.picklist(["item", "items", "committed", "conflict", "hold", "touched", "gone", "changes", "refused", "unknown"]) });
+const Reply = v.looseObject({
+  is: v.picklist([
+    "item",
+    "items",
+    "committed",
+    "conflict",
+    "hold",
+    "touched",
+    "gone",
+    "changes",
+    "refused",
+    "unknown",
+  ]),
+});
 
 /**
  * Requests to the state service, within this controller's part of both limits. A controller that the service
@@ -35,7 +58,12 @@
   constructor(private readonly settings: Settings) {
     const nodes = settings.peers.length + 1;
     const rates = [settings.state.rps / nodes, settings.state.writeRps / nodes];
-    this.limiter = new Limiter(rates, rates.map((r) => Math.max(1, r)), 500, KEPT);
+    this.limiter = new Limiter(
+      rates,
+      rates.map((r) => Math.max(1, r)),
+      500,
+      KEPT,
+    );
   }
 
   get ok(): boolean {
@@ -52,18 +80,29 @@
     return this.limited(call, 1, () => this.direct(call)).then((r) => r.reply);
   }
 
-  call(call: StateCall, urgent: number): Promise<{ reply: StateReply; sentMs: number }> {
+  call(
+    call: StateCall,
+    urgent: number,
+  ): Promise<{ reply: StateReply; sentMs: number }> {
     return this.limited(call, urgent, () => this.route(call));
   }
 
-  private limited(call: StateCall, urgent: number, send: () => Promise<StateReply>): Promise<{ reply: StateReply; sentMs: number }> {
+  private limited(
+    call: StateCall,
+    urgent: number,
+    send: () => Promise<StateReply>,
+  ): Promise<{ reply: StateReply; sentMs: number }> {
     return new Promise((resolve) => {
       const writes = call.op === "commit" ? call.writes.length : 0;
       this.limiter.add({
         urgent,
         cost: [1, writes],
         deadlineMs: performance.now() + 1_500,
-        refuse: () => resolve({ reply: { is: "refused", why: "rate limit" }, sentMs: performance.now() }),
+        refuse: () =>
+          resolve({
+            reply: { is: "refused", why: "rate limit" },
+            sentMs: performance.now(),
+          }),
         run: () => {
           const sentMs = performance.now();
           void send().then((reply) => resolve({ reply, sentMs }));
@@ -74,25 +113,45 @@
 
   private route(call: StateCall): Promise<StateReply> {
     const now = performance.now();
-    const peer = this.failingMs !== null && now - this.failingMs > FAILING_MS ? (this.through?.withState() ?? null) : null;
+    const peer =
+      this.failingMs !== null && now - this.failingMs > FAILING_MS
+        ? (this.through?.withState() ?? null)
+        : null;
     if (peer === null) return this.direct(call);
     // One request in a while goes the straight way, to see whether it is open again.
     if (now > this.probeMs) {
       this.probeMs = now + 1_000;
       return this.direct(call);
     }
-    return this.through!.call(peer, Frame.State, JSON.stringify(call), StateClient.timeoutMs(call)).then((r) => {
+    return this.through!.call(
+      peer,
+      Frame.State,
+      JSON.stringify(call),
+      StateClient.timeoutMs(call),
+    ).then((r) => {
       const got = r?.status === 200 ? v.safeParse(Reply, json(r.body)) : null;
-      return got?.success ? (got.output as unknown as StateReply) : { is: "unknown", why: "peer did not answer" };
+      return got?.success
+        ? (got.output as unknown as StateReply)
+        : { is: "unknown", why: "peer did not answer" };
     });
   }
 
   private async direct(call: StateCall): Promise<StateReply> {
     const { method, path, body } = stateRequest(call);
     const { host, port } = this.settings.state;
-    const f = await this.client.fetch(host, port, method, path, body, StateClient.timeoutMs(call));
-    if (f.is !== "answered" || f.status === 503) this.failingMs ??= performance.now();
+    const f = await this.client.fetch(
+      host,
+      port,
+      method,
+      path,
+      body,
+      StateClient.timeoutMs(call),
+    );
+    if (f.is !== "answered" || f.status === 503)
+      this.failingMs ??= performance.now();
     else this.failingMs = null;
-    return f.is === "answered" ? stateReply(call, f.status, json(f.body)) : { is: f.is, why: f.why };
+    return f.is === "answered"
+      ? stateReply(call, f.status, json(f.body))
+      : { is: f.is, why: f.why };
   }
 }
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -19,11 +19,14 @@
 /** Final records: kept for ever. */
 export const PAST = "lc/past/";
 export const pastKey = (id: string): string => `${PAST}${id}`;
-export const finKey = (id: string, g: string, block: number): string => `lc/now/fin/${id}/${g}/${block}`;
+export const finKey = (id: string, g: string, block: number): string =>
+  `lc/now/fin/${id}/${g}/${block}`;
 /** The attempt under which the parts of a gang start, and which group is ready for the next one. */
 export const gangKey = (id: string): string => `lc/now/gang/${id}`;
-export const readyKey = (id: string, g: string): string => `lc/now/ready/${id}/${g}`;
-export const rosterKey = (g: string, chunk: number): string => `lc/now/roster/${g}/${chunk}`;
+export const readyKey = (id: string, g: string): string =>
+  `lc/now/ready/${id}/${g}`;
+export const rosterKey = (g: string, chunk: number): string =>
+  `lc/now/roster/${g}/${chunk}`;
 export const roomKey = (g: string): string => `lc/now/room/${g}`;
 /**
  * Parts of the teams' limits. The first record is the one that the version before knows; it reads any key below it as
@@ -59,9 +62,13 @@
     case "job":
       return p.length === 4 ? { kind: "job", id: p[3]! } : null;
     case "fin":
-      return p.length === 6 ? { kind: "fin", id: p[3]!, group: p[4]!, chunk: Number(p[5]) } : null;
+      return p.length === 6
+        ? { kind: "fin", id: p[3]!, group: p[4]!, chunk: Number(p[5]) }
+        : null;
     case "roster":
-      return p.length === 5 ? { kind: "roster", group: p[3]!, chunk: Number(p[4]) } : null;
+      return p.length === 5
+        ? { kind: "roster", group: p[3]!, chunk: Number(p[4]) }
+        : null;
     case "gang":
       return p.length === 4 ? { kind: "gang", id: p[3]! } : null;
     case "ready":
@@ -104,7 +111,11 @@
   tasks: number;
   done: number;
   /** What those who asked for it are told beside: only with hooks turned on. */
-  end?: { team: string; class: string; /** Time of day, ms since the epoch. */ at: number };
+  end?: {
+    team: string;
+    class: string;
+    /** Time of day, ms since the epoch. */ at: number;
+  };
 }
 /** One row of a group's written room: what is free on its machines of one type, zone and kind. */
 export interface RoomRow {
@@ -120,8 +131,20 @@
   yields?: YieldKind[];
 }
 /** `from`, `to`: the least and the highest urgency that it is meant for, as their places in `URGENCIES`. */
-export type YieldKind = [cpus: number, gpus: number, memGb: number, machines: number, from: number, to: number];
-export type FreeKind = [cpus: number, gpus: number, memGb: number, machines: number];
+export type YieldKind = [
+  cpus: number,
+  gpus: number,
+  memGb: number,
+  machines: number,
+  from: number,
+  to: number,
+];
+export type FreeKind = [
+  cpus: number,
+  gpus: number,
+  memGb: number,
+  machines: number,
+];
 export interface Want {
   cpus: number;
   gpus: number;
@@ -172,7 +195,8 @@
 }
 
 const pairs = v.array(v.tuple([v.number(), v.number()]));
-const many = (n: number): v.NumberSchema<undefined>[] => Array.from({ length: n }, () => v.number());
+const many = (n: number): v.NumberSchema<undefined>[] =>
+  Array.from({ length: n }, () => v.number());
 const Group = v.object({ owner: v.string(), hold: v.number() });
 const Claim = v.object({ by: v.string(), token: v.number() });
 const Spec = v.object({
@@ -212,7 +236,12 @@
   h: v.optional(v.tuple([v.string(), v.string(), v.number()])),
 });
 const Fin = v.object({ r: v.optional(pairs), b: v.optional(v.string()) });
-const frees = v.array(v.union([v.tuple([v.number(), v.number(), v.number(), v.number()]), v.tuple([v.number(), v.number(), v.number()])]));
+const frees = v.array(
+  v.union([
+    v.tuple([v.number(), v.number(), v.number(), v.number()]),
+    v.tuple([v.number(), v.number(), v.number()]),
+  ]),
+);
 const Room = v.object({
   rows: v.array(
     v.object({
@@ -223,7 +252,18 @@
       // Without counts and reserved machines: written by an earlier version.
       f: frees,
       r: v.optional(frees, []),
-      y: v.optional(v.array(v.tuple([v.number(), v.number(), v.number(), v.number(), v.number(), v.number()]))),
+      y: v.optional(
+        v.array(
+          v.tuple([
+            v.number(),
+            v.number(),
+            v.number(),
+            v.number(),
+            v.number(),
+            v.number(),
+          ]),
+        ),
+      ),
     }),
   ),
   q: v.tuple([v.number(), v.number()]),
@@ -234,44 +274,84 @@
   left: v.optional(v.array(v.tuple([v.string(), v.number()]))),
   want: v.array(v.tuple([v.string(), v.number(), v.number(), v.number()])),
   // Name, use, may, now, its time, soon, its time, beyond, waits; the version before leaves it out and does not mind it.
-  team: v.optional(v.array(v.tupleWithRest([v.string(), ...many(14)], v.number()))),
+  team: v.optional(
+    v.array(v.tupleWithRest([v.string(), ...many(14)], v.number())),
+  ),
   cut: v.optional(v.boolean(), false),
 });
 /** Types are written once, machines refer to them by place. */
-const Roster = v.object({ t: v.array(v.string()), m: v.array(v.tuple([v.string(), v.number(), v.number()])) });
-const Quota = v.record(v.string(), v.record(v.string(), v.tuple([v.number(), v.number()])));
+const Roster = v.object({
+  t: v.array(v.string()),
+  m: v.array(v.tuple([v.string(), v.number(), v.number()])),
+});
+const Quota = v.record(
+  v.string(),
+  v.record(v.string(), v.tuple([v.number(), v.number()])),
+);
 
 /** What a record says; null if it is not of that form. */
-export function read<S extends v.GenericSchema>(schema: S, value: unknown): v.InferOutput<S> | null {
+export function read<S extends v.GenericSchema>(
+  schema: S,
+  value: unknown,
+): v.InferOutput<S> | null {
   const got = v.safeParse(schema, value);
   return got.success ? got.output : null;
 }
 
-export const readGroup = (value: unknown): GroupRecord | null => read(Group, value);
-export const readClaim = (value: unknown): ClaimRecord | null => read(Claim, value);
+export const readGroup = (value: unknown): GroupRecord | null =>
+  read(Group, value);
+export const readClaim = (value: unknown): ClaimRecord | null =>
+  read(Claim, value);
 export function readJob(value: unknown): JobRecord | null {
   const o = read(Job, value);
-  return o && { spec: o.spec, acceptedAt: o.at, split: new Map(o.split.map(([g, r]) => [g, RangeSet.of(r)])), awaits: o.needs, releasedAt: o.rel };
+  return (
+    o && {
+      spec: o.spec,
+      acceptedAt: o.at,
+      split: new Map(o.split.map(([g, r]) => [g, RangeSet.of(r)])),
+      awaits: o.needs,
+      releasedAt: o.rel,
+    }
+  );
 }
 export const writeJob = (j: JobRecord): object => ({
   spec: j.spec,
   at: j.acceptedAt,
-  split: [...j.split].filter(([, r]) => !r.isEmpty).map(([g, r]) => [g, r.pairs()]),
+  split: [...j.split]
+    .filter(([, r]) => !r.isEmpty)
+    .map(([g, r]) => [g, r.pairs()]),
   ...(j.awaits.length > 0 ? { needs: j.awaits } : {}),
   ...(j.releasedAt === null ? {} : { rel: j.releasedAt }),
 });
 /** A job's end, in one transaction: its final record in place of the live one, and of records `beside` it as many as are named. */
-export const endWrites = (id: string, past: PastRecord, beside: readonly string[] = []): Write[] => [
+export const endWrites = (
+  id: string,
+  past: PastRecord,
+  beside: readonly string[] = [],
+): Write[] => [
   { op: "put", key: pastKey(id), value: writePast(past) },
   ...[jobKey(id), ...beside].map((key): Write => ({ op: "delete", key })),
 ];
 /** Bytes that a record takes at the state service. */
-export const bytesOf = (value: object): number => Buffer.byteLength(JSON.stringify(value));
+export const bytesOf = (value: object): number =>
+  Buffer.byteLength(JSON.stringify(value));
 export function readPast(value: unknown): PastRecord | null {
   const o = read(Past, value);
-  return o && { status: o.s, tasks: o.n, done: o.d, ...(o.h ? { end: { team: o.h[0], class: o.h[1], at: o.h[2] } } : {}) };
+  return (
+    o && {
+      status: o.s,
+      tasks: o.n,
+      done: o.d,
+      ...(o.h ? { end: { team: o.h[0], class: o.h[1], at: o.h[2] } } : {}),
+    }
+  );
 }
-export const writePast = (p: PastRecord): object => ({ s: p.status, n: p.tasks, d: p.done, ...(p.end ? { h: [p.end.team, p.end.class, p.end.at] } : {}) });
+export const writePast = (p: PastRecord): object => ({
+  s: p.status,
+  n: p.tasks,
+  d: p.done,
+  ...(p.end ? { h: [p.end.team, p.end.class, p.end.at] } : {}),
+});
 
 /**
  * Finished tasks of one job and group are kept as ranges in blocks of this many task numbers: however scattered, a block
@@ -282,9 +362,14 @@
 const FIN_FIRST = 1_000;
 const OLD_FIN_BLOCK = 16_384;
 
-export const finBlock = (task: number): number => FIN_FIRST + Math.floor(task / FIN_BLOCK);
+export const finBlock = (task: number): number =>
+  FIN_FIRST + Math.floor(task / FIN_BLOCK);
 /** The members of a set that belong into a block. */
-export const inBlock = (set: RangeSet, block: number): RangeSet => set.slice((block - FIN_FIRST) * FIN_BLOCK, (block - FIN_FIRST + 1) * FIN_BLOCK - 1);
+export const inBlock = (set: RangeSet, block: number): RangeSet =>
+  set.slice(
+    (block - FIN_FIRST) * FIN_BLOCK,
+    (block - FIN_FIRST + 1) * FIN_BLOCK - 1,
+  );
 export const writeFin = (set: RangeSet): object => ({ r: set.pairs() });
 export function readFin(value: unknown, block: number): RangeSet | null {
   const o = read(Fin, value);
@@ -298,26 +383,47 @@
 }
 
 const Attempt = v.object({ attempt: v.number() });
-export const readAttempt = (value: unknown): number | null => read(Attempt, value)?.attempt ?? null;
+export const readAttempt = (value: unknown): number | null =>
+  read(Attempt, value)?.attempt ?? null;
 
-const counted = (f: v.InferOutput<typeof frees>): FreeKind[] => f.map(([c, g, m, n]) => [c, g, m, n ?? 1]);
+const counted = (f: v.InferOutput<typeof frees>): FreeKind[] =>
+  f.map(([c, g, m, n]) => [c, g, m, n ?? 1]);
 export function readRoom(value: unknown): RoomRecord | null {
   const o = read(Room, value);
   return (
     o && {
-      rows: o.rows.map((r) => ({ type: r.t, zone: r.z, spot: r.s, machines: r.n, free: counted(r.f), reserved: counted(r.r), ...(r.y ? { yields: r.y } : {}) })),
+      rows: o.rows.map((r) => ({
+        type: r.t,
+        zone: r.z,
+        spot: r.s,
+        machines: r.n,
+        free: counted(r.f),
+        reserved: counted(r.r),
+        ...(r.y ? { yields: r.y } : {}),
+      })),
       queue: { plain: o.q[0], accelerated: o.q[1] },
       ...(o.qu ? { queueFrom: o.qu } : {}),
       running: new Map(o.run),
       soldOut: o.out,
       left: new Map(o.left),
-      wants: new Map(o.want.map(([t, cpus, gpus, since]) => [t, { cpus, gpus, since }])),
-      teams: o.team ? new Map(o.team.map(([t, ...x]) => [t, teamRow(x)])) : null,
+      wants: new Map(
+        o.want.map(([t, cpus, gpus, since]) => [t, { cpus, gpus, since }]),
+      ),
+      teams: o.team
+        ? new Map(o.team.map(([t, ...x]) => [t, teamRow(x)]))
+        : null,
       cut: o.cut,
     }
   );
 }
-const sinces = (want: readonly number[], first: number, gpus: number | undefined): [number, number] => [want[0]! > 0 ? first || Infinity : Infinity, want[1]! > 0 ? (gpus ?? first) || Infinity : Infinity];
+const sinces = (
+  want: readonly number[],
+  first: number,
+  gpus: number | undefined,
+): [number, number] => [
+  want[0]! > 0 ? first || Infinity : Infinity,
+  want[1]! > 0 ? (gpus ?? first) || Infinity : Infinity,
+];
 const teamRow = (x: number[]): TeamRow => ({
   use: [x[0]!, x[1]!],
   may: [x[2]!, x[3]!],
@@ -333,8 +439,22 @@
  * before takes the first for both.
  */
 export const teamValues = (r: TeamRow): number[] => {
-  const first = (want: readonly number[], since: readonly [number, number]): number => (want[0]! > 0 ? since[0] : since[1]);
-  return [...r.use, ...r.may, ...r.now, first(r.now, r.nowSince), ...r.soon, first(r.soon, r.soonSince), ...r.beyond, ...r.waits, r.nowSince[1], r.soonSince[1]].map((x) => (Number.isFinite(x) ? Math.round(x * 100) / 100 : 0));
+  const first = (
+    want: readonly number[],
+    since: readonly [number, number],
+  ): number => (want[0]! > 0 ? since[0] : since[1]);
+  return [
+    ...r.use,
+    ...r.may,
+    ...r.now,
+    first(r.now, r.nowSince),
+    ...r.soon,
+    first(r.soon, r.soonSince),
+    ...r.beyond,
+    ...r.waits,
+    r.nowSince[1],
+    r.soonSince[1],
+  ].map((x) => (Number.isFinite(x) ? Math.round(x * 100) / 100 : 0));
 };
 /** Room is written in tenths, rounded down. */
 export const tenth = (x: number): number => Math.floor(x * 10 + 1e-6) / 10;
@@ -349,22 +469,37 @@
     ...(x.yields?.length ? { y: x.yields } : {}),
   })),
   q: [r.queue.plain, r.queue.accelerated],
-  ...(r.queueFrom?.some(([plain, accelerated]) => plain + accelerated > 0) ? { qu: r.queueFrom } : {}),
+  ...(r.queueFrom?.some(([plain, accelerated]) => plain + accelerated > 0)
+    ? { qu: r.queueFrom }
+    : {}),
   run: [...r.running],
   out: r.soldOut,
   left: [...r.left],
   want: [...r.wants].map(([t, w]) => [t, w.cpus, w.gpus, w.since]),
-  ...(r.teams ? { team: [...r.teams].map(([t, x]) => [t, ...teamValues(x)]) } : {}),
+  ...(r.teams
+    ? { team: [...r.teams].map(([t, x]) => [t, ...teamValues(x)]) }
+    : {}),
   ...(r.cut ? { cut: true } : {}),
 });
 
 export function readRoster(value: unknown): Map<string, RosterEntry> | null {
   const o = read(Roster, value);
-  return o && new Map(o.m.map(([id, type, going]) => [id, { going: going === 1, type: o.t[type] ?? "" }]));
+  return (
+    o &&
+    new Map(
+      o.m.map(([id, type, going]) => [
+        id,
+        { going: going === 1, type: o.t[type] ?? "" },
+      ]),
+    )
+  );
 }
 export function writeRoster(m: ReadonlyMap<string, RosterEntry>): object {
   const t = [...new Set([...m.values()].map((e) => e.type))];
-  return { t, m: [...m].map(([id, e]) => [id, t.indexOf(e.type), e.going ? 1 : 0]) };
+  return {
+    t,
+    m: [...m].map(([id, e]) => [id, t.indexOf(e.type), e.going ? 1 : 0]),
+  };
 }
 
 /** Team -> group -> [CPUs, GPUs] of the team's limit that the group may use. */
@@ -372,7 +507,8 @@
 export const readQuota = (value: unknown): Shares | null => read(Quota, value);
 
 const Belief = v.object({ limits: v.string() });
-export const readBelief = (value: unknown): string | null => read(Belief, value)?.limits ?? null;
+export const readBelief = (value: unknown): string | null =>
+  read(Belief, value)?.limits ?? null;
 
 /** What one master has stopped, or is about to stop, so that a team gets its guarantee. */
 export interface Reclaim {
@@ -387,13 +523,51 @@
   until: number;
 }
 const Reclaims = v.object({
-  by: v.record(v.string(), v.array(v.object({ t: v.number(), team: v.string(), n: v.tuple([v.number(), v.number()]), from: v.array(v.tuple([v.string(), v.number(), v.number()])), u: v.number() }))),
+  by: v.record(
+    v.string(),
+    v.array(
+      v.object({
+        t: v.number(),
+        team: v.string(),
+        n: v.tuple([v.number(), v.number()]),
+        from: v.array(v.tuple([v.string(), v.number(), v.number()])),
+        u: v.number(),
+      }),
+    ),
+  ),
 });
 /** By group. */
 export function readReclaims(value: unknown): Map<string, Reclaim[]> | null {
   const o = read(Reclaims, value);
-  return o && new Map(Object.entries(o.by).map(([g, list]) => [g, list.map((c) => ({ token: c.t, team: c.team, need: c.n, from: c.from, until: c.u }))]));
+  return (
+    o &&
+    new Map(
+      Object.entries(o.by).map(([g, list]) => [
+        g,
+        list.map((c) => ({
+          token: c.t,
+          team: c.team,
+          need: c.n,
+          from: c.from,
+          until: c.u,
+        })),
+      ]),
+    )
+  );
 }
-export const writeReclaims = (by: ReadonlyMap<string, readonly Reclaim[]>): object => ({
-  by: Object.fromEntries([...by].map(([g, list]) => [g, list.map((c) => ({ t: c.token, team: c.team, n: c.need, from: c.from, u: c.until }))])),
+export const writeReclaims = (
+  by: ReadonlyMap<string, readonly Reclaim[]>,
+): object => ({
+  by: Object.fromEntries(
+    [...by].map(([g, list]) => [
+      g,
+      list.map((c) => ({
+        t: c.token,
+        team: c.team,
+        n: c.need,
+        from: c.from,
+        u: c.until,
+      })),
+    ]),
+  ),
 });
--- a/src/transport/cloud.ts
+++ b/src/transport/cloud.ts
@@ -1,25 +1,55 @@
 import type { Settings } from "../config/settings.js";
-import { type CloudCall, type CloudReply, OWN_LIMIT } from "../coordination/effects.js";
-import { listPath, parseCatalog, parseList, parseRented, rentBody, returnBody } from "../protocol/cloud.js";
+import {
+  type CloudCall,
+  type CloudReply,
+  OWN_LIMIT,
+} from "../coordination/effects.js";
+import {
+  listPath,
+  parseCatalog,
+  parseList,
+  parseRented,
+  rentBody,
+  returnBody,
+} from "../protocol/cloud.js";
 import { Client, json } from "./client.js";
 import { Limiter } from "./limiter.js";
 
-function toRequest(call: CloudCall): { method: "GET" | "POST"; path: string; body?: string } {
+function toRequest(call: CloudCall): {
+  method: "GET" | "POST";
+  path: string;
+  body?: string;
+} {
   switch (call.op) {
     case "catalog":
       return { method: "GET", path: "/catalog" };
     case "list":
       return { method: "GET", path: listPath(call.after) };
     case "rent":
-      return { method: "POST", path: "/hosts", body: JSON.stringify(rentBody(call.request, call.type, call.zone, call.spot, call.count)) };
+      return {
+        method: "POST",
+        path: "/hosts",
+        body: JSON.stringify(
+          rentBody(call.request, call.type, call.zone, call.spot, call.count),
+        ),
+      };
     case "return":
-      return { method: "POST", path: "/hosts/return", body: JSON.stringify(returnBody(call.machines)) };
+      return {
+        method: "POST",
+        path: "/hosts/return",
+        body: JSON.stringify(returnBody(call.machines)),
+      };
   }
 }
 
 function toReply(call: CloudCall, status: number, raw: unknown): CloudReply {
   const failed: CloudReply = { is: "failed", why: String(status) };
-  if (call.op === "rent" && status === 503 && (raw as { error?: unknown } | undefined)?.error === "no capacity") return { is: "noCapacity" };
+  if (
+    call.op === "rent" &&
+    status === 503 &&
+    (raw as { error?: unknown } | undefined)?.error === "no capacity"
+  )
+    return { is: "noCapacity" };
   if (call.op === "rent" && status === 400) return { is: "noCapacity" };
   if (status !== 200) return failed;
   switch (call.op) {
@@ -62,7 +92,13 @@
           const { host, port } = this.settings.cloud;
           void this.client
             .fetch(host, port, method, path, body, 4_000)
-            .then((f) => resolve(f.is === "answered" ? toReply(call, f.status, json(f.body)) : { is: "failed", why: f.why }));
+            .then((f) =>
+              resolve(
+                f.is === "answered"
+                  ? toReply(call, f.status, json(f.body))
+                  : { is: "failed", why: f.why },
+              ),
+            );
         },
       });
     });
--- a/src/transport/connections.ts
+++ b/src/transport/connections.ts
@@ -3,7 +3,12 @@
 export type Kind = (typeof KINDS)[number];
 
 /** Of all connections, what each kind may have while another kind wants more. */
-const SHARE: Record<Kind, number> = { fresh: 0.1, probe: 0.05, user: 0.25, worker: 0.6 };
+const SHARE: Record<Kind, number> = {
+  fresh: 0.1,
+  probe: 0.05,
+  user: 0.25,
+  worker: 0.6,
+};
 
 /**
  * The connections of users, workers and health checks, which come to one address: one number for all of them lets those of
@@ -16,8 +21,18 @@
 export class Connections<S> {
   private readonly all = new Map<S, { kind: Kind; busy: number }>();
   /** By kind: idle connections, those that have been so for longest first. */
-  private readonly idle: Record<Kind, Map<S, number>> = { fresh: new Map(), probe: new Map(), user: new Map(), worker: new Map() };
-  private readonly sizes: Record<Kind, number> = { fresh: 0, probe: 0, user: 0, worker: 0 };
+  private readonly idle: Record<Kind, Map<S, number>> = {
+    fresh: new Map(),
+    probe: new Map(),
+    user: new Map(),
+    worker: new Map(),
+  };
+  private readonly sizes: Record<Kind, number> = {
+    fresh: 0,
+    probe: 0,
+    user: 0,
+    worker: 0,
+  };
 
   constructor(
     private readonly most: number,
@@ -38,7 +53,12 @@
     let from: Kind | null = null;
     for (const kind of KINDS) {
       const others = this.idle[kind].size - (kind === "fresh" ? 1 : 0);
-      if (others > 0 && (from === null || this.sizes[kind] / SHARE[kind] > this.sizes[from] / SHARE[from])) from = kind;
+      if (
+        others > 0 &&
+        (from === null ||
+          this.sizes[kind] / SHARE[kind] > this.sizes[from] / SHARE[from])
+      )
+        from = kind;
     }
     const out = from === null ? s : this.idle[from].keys().next().value!;
     this.closed(out);
--- a/src/transport/limiter.ts
+++ b/src/transport/limiter.ts
@@ -43,14 +43,25 @@
    */
   private needs(j: Job, i: number): number {
     const cost = j.cost[i]!;
-    return cost === 0 ? 0 : Math.min(this.bursts[i]!, cost + this.bursts[i]! * (this.kept[j.urgent] ?? 0));
+    return cost === 0
+      ? 0
+      : Math.min(
+          this.bursts[i]!,
+          cost + this.bursts[i]! * (this.kept[j.urgent] ?? 0),
+        );
   }
 
   private drain(): void {
     const now = performance.now();
     const passed = (now - this.lastMs) / 1000;
     this.lastMs = now;
-    this.rates.forEach((r, i) => (this.level[i] = Math.min(this.bursts[i]!, this.level[i]! + r * passed)));
+    this.rates.forEach(
+      (r, i) =>
+        (this.level[i] = Math.min(
+          this.bursts[i]!,
+          this.level[i]! + r * passed,
+        )),
+    );
     const late = this.queue.filter((j) => now > j.deadlineMs);
     if (late.length > 0) {
       this.queue = this.queue.filter((j) => now <= j.deadlineMs);
@@ -65,11 +76,18 @@
     }
     if (this.queue.length > 0 && this.timer === null) {
       const first = this.queue[0]!;
-      const wait = Math.max(...first.cost.map((_, i) => (this.needs(first, i) - this.level[i]!) / this.rates[i]!));
-      this.timer = setTimeout(() => {
-        this.timer = null;
-        this.drain();
-      }, Math.min(250, Math.max(1, wait * 1000)));
+      const wait = Math.max(
+        ...first.cost.map(
+          (_, i) => (this.needs(first, i) - this.level[i]!) / this.rates[i]!,
+        ),
+      );
+      this.timer = setTimeout(
+        () => {
+          this.timer = null;
+          this.drain();
+        },
+        Math.min(250, Math.max(1, wait * 1000)),
+      );
     }
   }
 }
--- a/src/transport/mesh.ts
+++ b/src/transport/mesh.ts
@@ -1,6 +1,13 @@
 import net from "node:net";
 import type { Settings } from "../config/settings.js";
-import { decodeReply, encode, encodeReply, Frame, FrameReader, MAX_FRAME } from "../protocol/frames.js";
+import {
+  decodeReply,
+  encode,
+  encodeReply,
+  Frame,
+  FrameReader,
+  MAX_FRAME,
+} from "../protocol/frames.js";
 
 const PING_MS = 1_000;
 const SILENT_MS = 3_500;
@@ -10,7 +17,10 @@
 
 export interface MeshHandlers {
   /** Carries out what a peer asks for. */
-  serve(type: Frame.Report | Frame.State, body: string): Promise<{ status: number; body: string }>;
+  serve(
+    type: Frame.Report | Frame.State,
+    body: string,
+  ): Promise<{ status: number; body: string }>;
   /** Whether this controller's own calls to the state service are answered. */
   stateOk(): boolean;
 }
@@ -38,7 +48,17 @@
     private readonly settings: Settings,
     private readonly handlers: MeshHandlers,
   ) {
-    this.peers = settings.peers.map((p) => ({ label: p.label, host: p.host, port: p.port, socket: null, connected: false, heardMs: -Infinity, openedMs: -Infinity, stateOk: false, open: new Map() }));
+    this.peers = settings.peers.map((p) => ({
+      label: p.label,
+      host: p.host,
+      port: p.port,
+      socket: null,
+      connected: false,
+      heardMs: -Infinity,
+      openedMs: -Infinity,
+      stateOk: false,
+      open: new Map(),
+    }));
     this.server = net.createServer((s) => this.accept(s));
     this.server.maxConnections = settings.peers.length * 3 + 2;
   }
@@ -46,7 +66,9 @@
   listen(): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.on("error", reject);
-      this.server.listen(this.settings.mesh.port, this.settings.mesh.host, () => resolve());
+      this.server.listen(this.settings.mesh.port, this.settings.mesh.host, () =>
+        resolve(),
+      );
       this.beat();
       setInterval(() => this.beat(), PING_MS);
     });
@@ -55,19 +77,36 @@
   /** Peers that have answered lately. */
   up(): string[] {
     const now = performance.now();
-    return this.peers.filter((p) => now - p.heardMs < SILENT_MS).map((p) => p.label);
+    return this.peers
+      .filter((p) => now - p.heardMs < SILENT_MS)
+      .map((p) => p.label);
   }
   /** A peer whose own calls to the state service are answered. */
   withState(): string | null {
     const now = performance.now();
-    return this.peers.find((p) => p.stateOk && now - p.heardMs < SILENT_MS)?.label ?? null;
+    return (
+      this.peers.find((p) => p.stateOk && now - p.heardMs < SILENT_MS)?.label ??
+      null
+    );
   }
 
   /** null: no answer. The request may have arrived all the same. */
-  call(label: string, type: Frame.Report | Frame.State, body: string, timeoutMs: number): Promise<{ status: number; body: string } | null> {
+  call(
+    label: string,
+    type: Frame.Report | Frame.State,
+    body: string,
+    timeoutMs: number,
+  ): Promise<{ status: number; body: string } | null> {
     const p = this.peers.find((x) => x.label === label);
     const payload = Buffer.from(body);
-    if (!p?.socket || !p.connected || p.open.size >= MAX_OPEN || payload.length > MAX_FRAME - 64 || p.socket.writableLength > MAX_BACKLOG) return Promise.resolve(null);
+    if (
+      !p?.socket ||
+      !p.connected ||
+      p.open.size >= MAX_OPEN ||
+      payload.length > MAX_FRAME - 64 ||
+      p.socket.writableLength > MAX_BACKLOG
+    )
+      return Promise.resolve(null);
     const id = (this.ids = (this.ids + 1) >>> 0);
     const { socket } = p;
     return new Promise((resolve) => {
@@ -85,7 +124,12 @@
   private beat(): void {
     const now = performance.now();
     for (const p of this.peers) {
-      if (p.socket && p.connected && now - Math.max(p.heardMs, p.openedMs) > SILENT_MS) p.socket.destroy();
+      if (
+        p.socket &&
+        p.connected &&
+        now - Math.max(p.heardMs, p.openedMs) > SILENT_MS
+      )
+        p.socket.destroy();
       if (!p.socket) this.connect(p);
       else if (p.connected) p.socket.write(encode(Frame.Ping, 0, NOTHING));
     }
@@ -106,8 +150,10 @@
       if (!frames) return socket.destroy();
       for (const f of frames) {
         p.heardMs = performance.now();
-        if (f.type === Frame.Pong) p.stateOk = f.payload.length > 0 && f.payload.readUInt8(0) === 1;
-        else if (f.type === Frame.Reply) p.open.get(f.id)?.(decodeReply(f.payload));
+        if (f.type === Frame.Pong)
+          p.stateOk = f.payload.length > 0 && f.payload.readUInt8(0) === 1;
+        else if (f.type === Frame.Reply)
+          p.open.get(f.id)?.(decodeReply(f.payload));
         else return socket.destroy();
       }
     });
@@ -130,15 +176,27 @@
       const frames = reader.push(d);
       if (!frames) return socket.destroy();
       for (const f of frames) {
-        if (f.type === Frame.Ping) socket.write(encode(Frame.Pong, f.id, Buffer.from([this.handlers.stateOk() ? 1 : 0])));
+        if (f.type === Frame.Ping)
+          socket.write(
+            encode(
+              Frame.Pong,
+              f.id,
+              Buffer.from([this.handlers.stateOk() ? 1 : 0]),
+            ),
+          );
         else if (f.type === Frame.Report || f.type === Frame.State) {
-          if (serving >= MAX_OPEN || socket.writableLength > MAX_BACKLOG) return socket.destroy();
+          if (serving >= MAX_OPEN || socket.writableLength > MAX_BACKLOG)
+            return socket.destroy();
           serving++;
-          void this.handlers.serve(f.type, f.payload.toString("utf8")).then((r) => {
-            serving--;
-            if (Buffer.byteLength(r.body) > MAX_FRAME - 64) r = { status: 500, body: "" };
-            if (!socket.destroyed) socket.write(encodeReply(f.id, r.status, r.body));
-          });
+          void this.handlers
+            .serve(f.type, f.payload.toString("utf8"))
+            .then((r) => {
+              serving--;
+              if (Buffer.byteLength(r.body) > MAX_FRAME - 64)
+                r = { status: 500, body: "" };
+              if (!socket.destroyed)
+                socket.write(encodeReply(f.id, r.status, r.body));
+            });
         } else return socket.destroy();
       }
     });
--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -5,7 +5,12 @@
 import { bodyLimit } from "hono/body-limit";
 import type { Answer, Input } from "../coordination/effects.js";
 import { jobBody, JOB_ID, parseJob } from "../protocol/jobs.js";
-import { answerBody, parseReport, redirectBody, reportGapMs } from "../protocol/workers.js";
+import {
+  answerBody,
+  parseReport,
+  redirectBody,
+  reportGapMs,
+} from "../protocol/workers.js";
 import type { Settings } from "../config/settings.js";
 import { Connections, type Kind } from "./connections.js";
 
@@ -16,19 +21,34 @@
   ask(input: (req: number) => Input): Promise<Answer>;
   ready(): boolean;
   /** Passes a report on to its master; null: that can't be reached. */
-  relay(master: string, zone: string, body: string): Promise<{ status: number; body: string } | null>;
+  relay(
+    master: string,
+    zone: string,
+    body: string,
+  ): Promise<{ status: number; body: string } | null>;
   /** Somebody sent what can't be read. */
   malformed(what: string, error: string): void;
   /** A defect of the program met a request. */
   fault(error: Error): void;
 }
 
-const bad = (error: string): Response => Response.json({ error }, { status: 400 });
+const bad = (error: string): Response =>
+  Response.json({ error }, { status: 400 });
 
 export function toHttp(a: Answer): Response {
   switch (a.is) {
     case "job":
-      return Response.json(jobBody(a.id, a.state, a.done === undefined ? undefined : { done: a.done, running: a.running ?? 0 }, a.awaits), { status: a.status });
+      return Response.json(
+        jobBody(
+          a.id,
+          a.state,
+          a.done === undefined
+            ? undefined
+            : { done: a.done, running: a.running ?? 0 },
+          a.awaits,
+        ),
+        { status: a.status },
+      );
     case "tooLong":
       return bad(a.error);
     case "never":
@@ -36,7 +56,10 @@
     case "unknownJob":
       return Response.json({ error: "no such job" }, { status: 404 });
     case "later":
-      return Response.json({ error: a.why }, { status: 503, headers: { "retry-after": String(a.afterS) } });
+      return Response.json(
+        { error: a.why },
+        { status: 503, headers: { "retry-after": String(a.afterS) } },
+      );
     case "orders":
       return Response.json(answerBody(a.token, a.orders));
     case "elsewhere":
@@ -56,28 +79,43 @@
   const inChunks = bodyLimit({ maxSize: MAX_BODY, onError });
   return (c, next) => {
     const length = c.req.header("content-length");
-    if (length === undefined || c.req.header("transfer-encoding") !== undefined) return inChunks(c, next);
+    if (length === undefined || c.req.header("transfer-encoding") !== undefined)
+      return inChunks(c, next);
     return Number(length) > MAX_BODY ? Promise.resolve(onError()) : next();
   };
 }
 
 /** Users', workers' and health-check requests. */
-export function api(core: Asked, more: readonly ((limit: MiddlewareHandler) => Hono)[] = []): Hono {
+export function api(
+  core: Asked,
+  more: readonly ((limit: MiddlewareHandler) => Hono)[] = [],
+): Hono {
   const app = new Hono();
   const limit = bounded();
   for (const make of more) app.route("/", make(limit));
-  app.get("/ready", () => Response.json({ ready: core.ready() }, { status: core.ready() ? 200 : 503 }));
+  app.get("/ready", () =>
+    Response.json(
+      { ready: core.ready() },
+      { status: core.ready() ? 200 : 503 },
+    ),
+  );
   app.post("/v1/jobs", limit, async (c) => {
     const job = parseJob(await c.req.text());
-    return job.ok ? toHttp(await core.ask((req) => ({ is: "submit", req, ...job.value }))) : bad(job.error);
+    return job.ok
+      ? toHttp(await core.ask((req) => ({ is: "submit", req, ...job.value })))
+      : bad(job.error);
   });
   app.get("/v1/jobs/:id", async (c) => {
     const id = c.req.param("id");
-    return JOB_ID.test(id) ? toHttp(await core.ask((req) => ({ is: "status", req, id }))) : toHttp({ is: "unknownJob" });
+    return JOB_ID.test(id)
+      ? toHttp(await core.ask((req) => ({ is: "status", req, id })))
+      : toHttp({ is: "unknownJob" });
   });
   app.post("/v1/jobs/:id/withdraw", limit, async (c) => {
     const id = c.req.param("id");
-    return JOB_ID.test(id) ? toHttp(await core.ask((req) => ({ is: "withdraw", req, id }))) : toHttp({ is: "unknownJob" });
+    return JOB_ID.test(id)
+      ? toHttp(await core.ask((req) => ({ is: "withdraw", req, id })))
+      : toHttp({ is: "unknownJob" });
   });
   app.post("/hello", limit, async (c) => {
     const text = await c.req.text();
@@ -86,20 +124,40 @@
       core.malformed("report", r.error);
       return bad(r.error);
     }
-    const answer = await core.ask((req) => ({ is: "report", req, report: r.value, relayed: false }));
+    const answer = await core.ask((req) => ({
+      is: "report",
+      req,
+      report: r.value,
+      relayed: false,
+    }));
     if (answer.is !== "relay") return toHttp(answer);
     const relayed = await core.relay(answer.master, r.value.zone, text);
-    if (!relayed || relayed.status !== 200) return toHttp({ is: "elsewhere", master: null });
-    return new Response(relayed.body, { status: 200, headers: { "content-type": "application/json" } });
+    if (!relayed || relayed.status !== 200)
+      return toHttp({ is: "elsewhere", master: null });
+    return new Response(relayed.body, {
+      status: 200,
+      headers: { "content-type": "application/json" },
+    });
   });
-  for (const path of ["/ready", "/v1/jobs", "/v1/jobs/:id", "/v1/jobs/:id/withdraw", "/hello"])
-    app.all(path, () => Response.json({ error: "method not allowed" }, { status: 405 }));
+  for (const path of [
+    "/ready",
+    "/v1/jobs",
+    "/v1/jobs/:id",
+    "/v1/jobs/:id/withdraw",
+    "/hello",
+  ])
+    app.all(path, () =>
+      Response.json({ error: "method not allowed" }, { status: 405 }),
+    );
   app.notFound(() => Response.json({ error: "no such path" }, { status: 404 }));
   // Not known whether it was carried out: a 4xx would end a submission that is accepted already, or lose a cancellation.
   app.onError((e) => {
     // Who asked has gone in the middle of the body: nothing was asked, and no defect is to be looked for.
     if ((e as NodeJS.ErrnoException).code !== "ECONNRESET") core.fault(e);
-    return Response.json({ error: "unexpected fault" }, { status: 503, headers: { "retry-after": "1" } });
+    return Response.json(
+      { error: "unexpected fault" },
+      { status: 503, headers: { "retry-after": "1" } },
+    );
   });
   return app;
 }
@@ -109,27 +167,43 @@
 /** Between closing a connection and its socket being free again. */
 const CLOSING = 16;
 
-const kindOf = (path: string | undefined): Kind => (path === "/hello" ? "worker" : path === "/ready" ? "probe" : "user");
+const kindOf = (path: string | undefined): Kind =>
+  path === "/hello" ? "worker" : path === "/ready" ? "probe" : "user";
 
 export function listen(app: Hono, settings: Settings): Promise<Server> {
   return new Promise((resolve, reject) => {
-    const server = serve({ fetch: app.fetch, hostname: settings.clientListen.host, port: settings.clientListen.port }, () => resolve(server)) as Server;
+    const server = serve(
+      {
+        fetch: app.fetch,
+        hostname: settings.clientListen.host,
+        port: settings.clientListen.port,
+      },
+      () => resolve(server),
+    ) as Server;
     server.keepAliveTimeout = KEEP_ALIVE_MS;
     server.requestTimeout = 20_000;
     // Room is left for the state service, the cloud, the workers and the other controllers.
     const most = Math.max(8, Math.floor(settings.maxSockets * 0.65));
     server.maxConnections = most;
     const workerMs = reportGapMs(settings.reportS) + SWEEP_MS;
-    const open = new Connections<Socket>(Math.max(4, most - CLOSING), { fresh: 10_000, probe: 10_000, user: KEEP_ALIVE_MS, worker: workerMs });
+    const open = new Connections<Socket>(Math.max(4, most - CLOSING), {
+      fresh: 10_000,
+      probe: 10_000,
+      user: KEEP_ALIVE_MS,
+      worker: workerMs,
+    });
     server.on("connection", (socket: Socket) => {
       socket.once("close", () => open.closed(socket));
       open.opened(socket, performance.now())?.destroy();
     });
-    server.prependListener("request", (req: IncomingMessage, res: ServerResponse) => {
-      const { socket } = req;
-      open.asked(socket, kindOf(req.url));
-      res.once("close", () => open.answered(socket, performance.now()));
-    });
+    server.prependListener(
+      "request",
+      (req: IncomingMessage, res: ServerResponse) => {
+        const { socket } = req;
+        open.asked(socket, kindOf(req.url));
+        res.once("close", () => open.answered(socket, performance.now()));
+      },
+    );
     setInterval(() => {
       for (const socket of open.silent(performance.now())) socket.destroy();
     }, SWEEP_MS).unref();
--- a/src/transport/workers.ts
+++ b/src/transport/workers.ts
@@ -11,15 +11,37 @@
     this.client = new Client(Math.max(8, Math.floor(maxSockets / 4)), 64);
   }
 
-  async command(address: string, token: number, session: number, orders: readonly Order[]): Promise<CommandReply> {
-    const f = await this.fetch(address, "POST", "/commands", JSON.stringify(commandBody(token, session, orders)));
+  async command(
+    address: string,
+    token: number,
+    session: number,
+    orders: readonly Order[],
+  ): Promise<CommandReply> {
+    const f = await this.fetch(
+      address,
+      "POST",
+      "/commands",
+      JSON.stringify(commandBody(token, session, orders)),
+    );
     if (f.is === "answered") return { is: "answered", status: f.status };
     return { is: f.is };
   }
 
-  private fetch(address: string, method: Method, path: string, body?: string): Promise<Fetched> {
+  private fetch(
+    address: string,
+    method: Method,
+    path: string,
+    body?: string,
+  ): Promise<Fetched> {
     const at = address.lastIndexOf(":");
-    return this.client.fetch(address.slice(0, at), Number(address.slice(at + 1)), method, path, body, 3_000);
+    return this.client.fetch(
+      address.slice(0, at),
+      Number(address.slice(at + 1)),
+      method,
+      path,
+      body,
+      3_000,
+    );
   }
 
   /** The machine's report of a moment after this question; null: no answer, or none that can be read. */
--- a/test/awaiting.test.ts
+++ b/test/awaiting.test.ts
@@ -18,34 +18,73 @@
   for (const z of w.zones) w.cloud.add(w.types[0]!, z, false, 0);
   return w;
 }
-const job = (w: World, n: number, awaits: number[], over: Partial<JobSpec> = {}): JobSpec => {
-  const spec = { ...randomJob(w, n), team: "blue", shape: "batch" as const, tasks: 2, cpus: 1, gpus: 0, types: null, zone: null, samePlace: false, spread: false, ...over };
+const job = (
+  w: World,
+  n: number,
+  awaits: number[],
+  over: Partial<JobSpec> = {},
+): JobSpec => {
+  const spec = {
+    ...randomJob(w, n),
+    team: "blue",
+    shape: "batch" as const,
+    tasks: 2,
+    cpus: 1,
+    gpus: 0,
+    types: null,
+    zone: null,
+    samePlace: false,
+    spread: false,
+    ...over,
+  };
   w.specs.set(spec.id, spec);
-  w.awaits.set(spec.id, awaits.map((k) => randomJob(w, k).id));
+  w.awaits.set(
+    spec.id,
+    awaits.map((k) => randomJob(w, k).id),
+  );
   return spec;
 };
-function submit(w: World, spec: JobSpec, node = "node-b"): { answer: Answer | null } {
+function submit(
+  w: World,
+  spec: JobSpec,
+  node = "node-b",
+): { answer: Answer | null } {
   const got: { answer: Answer | null } = { answer: null };
   const askedMs = w.now;
-  w.ask(node, (req) => ({ is: "submit", req, spec, awaits: w.awaits.get(spec.id) }), (a) => {
-    got.answer = a;
-    if (a?.is === "job") w.checker.answered(spec.id, a.state, askedMs);
-  });
+  w.ask(
+    node,
+    (req) => ({ is: "submit", req, spec, awaits: w.awaits.get(spec.id) }),
+    (a) => {
+      got.answer = a;
+      if (a?.is === "job") w.checker.answered(spec.id, a.state, askedMs);
+    },
+  );
   return got;
 }
-function ask(w: World, is: "status" | "withdraw", id: string, node: string): { answer: Answer | null } {
+function ask(
+  w: World,
+  is: "status" | "withdraw",
+  id: string,
+  node: string,
+): { answer: Answer | null } {
   const got: { answer: Answer | null } = { answer: null };
   const askedMs = w.now;
   if (is === "withdraw") w.checker.asked.add(id);
-  w.ask(node, (req) => ({ is, req, id }), (a) => {
-    got.answer = a;
-    if (a?.is === "job") w.checker.answered(id, a.state, askedMs);
-  });
+  w.ask(
+    node,
+    (req) => ({ is, req, id }),
+    (a) => {
+      got.answer = a;
+      if (a?.is === "job") w.checker.answered(id, a.state, askedMs);
+    },
+  );
   return got;
 }
-const stateOf = (a: Answer | null): string => (a?.is === "job" ? a.state : String(a?.is));
+const stateOf = (a: Answer | null): string =>
+  a?.is === "job" ? a.state : String(a?.is);
 const after = (w: World, ms: number): void => w.run(w.now + ms);
-const kept = (w: World): void => assert.deepEqual(w.checker.broken, [], w.logs.slice(-20).join("\n"));
+const kept = (w: World): void =>
+  assert.deepEqual(w.checker.broken, [], w.logs.slice(-20).join("\n"));
 
 test("a job waits for all it names, is told so, and starts once they are done", () => {
   const w = world(1);
@@ -60,9 +99,14 @@
   const told = ask(w, "status", last.id, "node-c");
   after(w, 100);
   assert.ok(told.answer?.is === "job" && told.answer.state === "queued");
-  assert.deepEqual([...told.answer.awaits!].sort(), ["req-000001", "req-000002"]);
+  assert.deepEqual([...told.answer.awaits!].sort(), [
+    "req-000001",
+    "req-000002",
+  ]);
   // While it waits no master has anything of it: no queue, no share of a limit.
-  for (const n of w.nodes.values()) for (const m of n!.core.masters.values()) assert.ok(!m.own.jobs.has(last.id));
+  for (const n of w.nodes.values())
+    for (const m of n!.core.masters.values())
+      assert.ok(!m.own.jobs.has(last.id));
   after(w, 60_000);
   const end = ask(w, "status", last.id, "node-a");
   after(w, 100);
@@ -85,7 +129,14 @@
     w.boot(n);
   }
   after(w, 8_000);
-  const cases: [number[], string][] = [[[9], "never"], [[1, 9], "never"], [[2, 9], "never"], [[1], "queued"], [[1, 2], "cancelled"], [[2], "cancelled"]];
+  const cases: [number[], string][] = [
+    [[9], "never"],
+    [[1, 9], "never"],
+    [[2, 9], "never"],
+    [[1], "queued"],
+    [[1, 2], "cancelled"],
+    [[2], "cancelled"],
+  ];
   cases.forEach(([awaits, want], i) => {
     const got = submit(w, job(w, 10 + i, awaits), w.names[i % 3]);
     after(w, 300);
@@ -102,7 +153,10 @@
   w.awaits.set("req-000013", ["req-000099"]);
   const again = submit(w, w.specs.get("req-000013")!, "node-c");
   after(w, 100);
-  assert.ok(again.answer?.is === "job" && again.answer.status === 200, JSON.stringify(again.answer));
+  assert.ok(
+    again.answer?.is === "job" && again.answer.status === 200,
+    JSON.stringify(again.answer),
+  );
   w.awaits.set("req-000013", ["req-000001"]);
   after(w, 30_000);
   kept(w);
@@ -162,7 +216,12 @@
     assert.equal(stateOf(cancelled.answer), "cancelled");
     for (const n of [2, 41, 80, 119, 120])
       for (const node of w.names) {
-        const got = ask(w, "status", w.specs.get(`req-${String(n).padStart(6, "0")}`)!.id, node);
+        const got = ask(
+          w,
+          "status",
+          w.specs.get(`req-${String(n).padStart(6, "0")}`)!.id,
+          node,
+        );
         after(w, 60);
         assert.equal(stateOf(got.answer), "cancelled", `${n} at ${node}`);
       }
@@ -174,7 +233,10 @@
     after(w, w.settings.cancelS * 1000);
     for (let n = 1; n <= 120; n++) {
       const id = `req-${String(n).padStart(6, "0")}`;
-      assert.ok(!w.state.data.has(jobKey(id)) && w.state.data.has(pastKey(id)), `seed ${seed}: ${id} is written`);
+      assert.ok(
+        !w.state.data.has(jobKey(id)) && w.state.data.has(pastKey(id)),
+        `seed ${seed}: ${id} is written`,
+      );
     }
     kept(w);
   }
@@ -217,8 +279,13 @@
   // The present version's controller goes: production's takes its group and reads all its records.
   w.crash("node-c");
   after(w, 40_000);
-  const owners = [...w.nodes].flatMap(([name, n]) => (n ? [...n.core.masters.keys()].map((g) => `${g} by ${name}`) : []));
-  assert.ok(owners.some((o) => /^node-c by node-[ab]$/.test(o)), owners.join());
+  const owners = [...w.nodes].flatMap(([name, n]) =>
+    n ? [...n.core.masters.keys()].map((g) => `${g} by ${name}`) : [],
+  );
+  assert.ok(
+    owners.some((o) => /^node-c by node-[ab]$/.test(o)),
+    owners.join(),
+  );
   const gone = ask(w, "withdraw", cancelled.id, "node-a");
   const still = ask(w, "status", waiting.id, "node-b");
   after(w, 100);
@@ -233,10 +300,20 @@
   const name = "x".repeat(200);
   const long = { ...job(w, 1, []), class: name, image: name, types: null };
   const fits = submit(w, long);
-  const all = submit(w, { ...long, id: "req-000002", types: ["small", ...Array.from({ length: 15 }, (_, i) => `${i}${name.slice(3)}`)] });
+  const all = submit(w, {
+    ...long,
+    id: "req-000002",
+    types: [
+      "small",
+      ...Array.from({ length: 15 }, (_, i) => `${i}${name.slice(3)}`),
+    ],
+  });
   after(w, 200);
   assert.equal(stateOf(fits.answer), "queued");
-  assert.ok(all.answer?.is === "tooLong" && /at most 2048 fit/.test(all.answer.error), JSON.stringify(all.answer));
+  assert.ok(
+    all.answer?.is === "tooLong" && /at most 2048 fit/.test(all.answer.error),
+    JSON.stringify(all.answer),
+  );
   kept(w);
 });
 
@@ -248,15 +325,27 @@
     for (const view of jobs.values()) {
       if (core.awaiting.isDoomed(view.id)) continue;
       let { urgency } = view.spec;
-      let dueAt = view.spec.deadlineS === null ? Infinity : view.acceptedAt + view.spec.deadlineS * 1000;
+      let dueAt =
+        view.spec.deadlineS === null
+          ? Infinity
+          : view.acceptedAt + view.spec.deadlineS * 1000;
       for (const o of jobs.values()) {
-        if (!core.awaiting.waitsFor(o.id).includes(view.id) || core.awaiting.isDoomed(o.id)) continue;
+        if (
+          !core.awaiting.waitsFor(o.id).includes(view.id) ||
+          core.awaiting.isDoomed(o.id)
+        )
+          continue;
         looked++;
         const rank = ["best_effort", "normal", "high", "prod"] as const;
-        if (rank.indexOf(o.urgency) > rank.indexOf(urgency)) urgency = o.urgency;
+        if (rank.indexOf(o.urgency) > rank.indexOf(urgency))
+          urgency = o.urgency;
         dueAt = Math.min(dueAt, o.dueAt - o.spec.estimateS * 1000);
       }
-      assert.deepEqual([view.urgency, view.dueAt], [urgency, dueAt], `${view.id} at ${w.now}`);
+      assert.deepEqual(
+        [view.urgency, view.dueAt],
+        [urgency, dueAt],
+        `${view.id} at ${w.now}`,
+      );
     }
   };
   pipelines(w, 5_000, 60_000);
@@ -283,10 +372,17 @@
 
 test("the checker catches jobs that are released too early", () => {
   mustCatch(/too_early/, () => {
-    const proto = Awaiting.prototype as unknown as { seen: (view: { awaits: readonly string[] }) => void };
+    const proto = Awaiting.prototype as unknown as {
+      seen: (view: { awaits: readonly string[] }) => void;
+    };
     const { seen } = proto;
     proto.seen = function (view) {
-      seen.call(this, view.awaits.length > 1 ? { ...view, awaits: view.awaits.slice(0, 1) } : view);
+      seen.call(
+        this,
+        view.awaits.length > 1
+          ? { ...view, awaits: view.awaits.slice(0, 1) }
+          : view,
+      );
     };
     return () => (proto.seen = seen);
   });
@@ -294,7 +390,9 @@
 
 test("the checker catches jobs that go on being called queued after one that they need is cancelled", () => {
   mustCatch(/orphaned/, () => {
-    const proto = Awaiting.prototype as unknown as { doom: (e: object) => void };
+    const proto = Awaiting.prototype as unknown as {
+      doom: (e: object) => void;
+    };
     const { doom } = proto;
     proto.doom = () => {};
     return () => (proto.doom = doom);
@@ -310,12 +408,16 @@
     const spec = job(w, ++n, awaits, { tasks: 1 });
     const askedMs = w.now;
     const asking = (): void =>
-      w.ask(w.names[n % 3]!, (req) => ({ is: "submit", req, spec, awaits: w.awaits.get(spec.id) }), (a) => {
-        if (a?.is !== "job") return w.at(100, asking);
-        tookMs.push(w.now - askedMs);
-        // The next is submitted elsewhere as soon as this is accepted, over and over.
-        if (n < 60) line([n]);
-      });
+      w.ask(
+        w.names[n % 3]!,
+        (req) => ({ is: "submit", req, spec, awaits: w.awaits.get(spec.id) }),
+        (a) => {
+          if (a?.is !== "job") return w.at(100, asking);
+          tookMs.push(w.now - askedMs);
+          // The next is submitted elsewhere as soon as this is accepted, over and over.
+          if (n < 60) line([n]);
+        },
+      );
     asking();
   };
   line([]);
@@ -336,9 +438,19 @@
     after(w, 10);
   }
   let most = 0;
-  w.afterStep = (core) => (most = Math.max(most, (core as unknown as { stateOps: Map<number, unknown> }).stateOps.size));
+  w.afterStep = (core) =>
+    (most = Math.max(
+      most,
+      (core as unknown as { stateOps: Map<number, unknown> }).stateOps.size,
+    ));
   after(w, 150_000);
-  const open = [...w.specs.keys()].filter((id) => w.awaits.get(id)!.length > 0 && w.state.data.has(jobKey(id)) && (w.state.data.get(jobKey(id))!.value as { needs?: string[] }).needs !== undefined);
+  const open = [...w.specs.keys()].filter(
+    (id) =>
+      w.awaits.get(id)!.length > 0 &&
+      w.state.data.has(jobKey(id)) &&
+      (w.state.data.get(jobKey(id))!.value as { needs?: string[] }).needs !==
+        undefined,
+  );
   assert.deepEqual(open, []);
   assert.ok(most > 5 && most < 40, `${most} calls at once`);
   kept(w);
@@ -367,14 +479,24 @@
     };
     after(w, 60_000);
     if (!asked) continue;
-    assert.equal(stateOf((asked as { answer: Answer | null }).answer), "cancelled", `seed ${seed}`);
-    ends.add(w.logs.some((l) => l.includes("job released") && l.includes(spec.id)) ? "released first" : "cancelled first");
+    assert.equal(
+      stateOf((asked as { answer: Answer | null }).answer),
+      "cancelled",
+      `seed ${seed}`,
+    );
+    ends.add(
+      w.logs.some((l) => l.includes("job released") && l.includes(spec.id))
+        ? "released first"
+        : "cancelled first",
+    );
     for (const node of w.names) {
       const told = ask(w, "status", spec.id, node);
       after(w, 100);
       assert.equal(stateOf(told.answer), "cancelled");
     }
-    assert.ok(w.state.data.has(pastKey(spec.id)) && !w.state.data.has(jobKey(spec.id)));
+    assert.ok(
+      w.state.data.has(pastKey(spec.id)) && !w.state.data.has(jobKey(spec.id)),
+    );
     kept(w);
   }
   assert.equal(ends.size, 2, `both orders were met: ${[...ends].join()}`);
@@ -384,16 +506,45 @@
   // Once a controller's stack overflowed at 5,000, as would every controller's that reads such records.
   const n = 6_000;
   const mirror = new Mirror();
-  const core = new Awaiting({ nowMs: 0, wallMs: 0, mirror } as unknown as Context, () => null, () => {});
+  const core = new Awaiting(
+    { nowMs: 0, wallMs: 0, mirror } as unknown as Context,
+    () => null,
+    () => {},
+  );
   const id = (i: number): string => `req-${String(i).padStart(6, "0")}`;
   const w = new World(1);
   for (let i = 1; i <= n; i++) {
-    const spec = { ...randomJob(w, i), urgency: i === n ? ("high" as const) : ("normal" as const), deadlineS: i === n ? 60 : null, estimateS: 1 };
-    const value = writeJob({ spec, acceptedAt: 0, split: new Map(i === 1 ? [["g", RangeSet.upTo(1)]] : []), awaits: i === 1 ? [] : [id(i - 1)], releasedAt: null });
-    for (const s of mirror.apply([{ op: "put", key: jobKey(spec.id), value: JSON.parse(JSON.stringify(value)), version: i }], i)) if (s.kind === "job") core.seen(s.job);
+    const spec = {
+      ...randomJob(w, i),
+      urgency: i === n ? ("high" as const) : ("normal" as const),
+      deadlineS: i === n ? 60 : null,
+      estimateS: 1,
+    };
+    const value = writeJob({
+      spec,
+      acceptedAt: 0,
+      split: new Map(i === 1 ? [["g", RangeSet.upTo(1)]] : []),
+      awaits: i === 1 ? [] : [id(i - 1)],
+      releasedAt: null,
+    });
+    for (const s of mirror.apply(
+      [
+        {
+          op: "put",
+          key: jobKey(spec.id),
+          value: JSON.parse(JSON.stringify(value)),
+          version: i,
+        },
+      ],
+      i,
+    ))
+      if (s.kind === "job") core.seen(s.job);
   }
   const first = mirror.jobs.get(id(1))!;
-  assert.deepEqual([first.urgency, first.dueAt], ["high", 60_000 - (n - 1) * 1_000]);
+  assert.deepEqual(
+    [first.urgency, first.dueAt],
+    ["high", 60_000 - (n - 1) * 1_000],
+  );
   assert.equal(core.unsure(id(n)), null);
   core.settle(id(1), { status: "cancelled", tasks: 1, done: 0 });
   assert.ok(core.isDoomed(id(n)));
--- a/test/contradictions.test.ts
+++ b/test/contradictions.test.ts
@@ -6,7 +6,8 @@
 
 /** What contradicts itself or what is known changes nothing, and is told of in the log once a minute at most. */
 
-const lines = (w: World, what: string): string[] => w.logs.filter((l) => l.includes(what));
+const lines = (w: World, what: string): string[] =>
+  w.logs.filter((l) => l.includes(what));
 function quiet(seed: number): World {
   const w = new World(seed, undefined, [], 1);
   w.loss = 0;
@@ -22,26 +23,62 @@
     w.state.handle = (call, done) => {
       if (call.op !== "changes") return handle(call, done);
       const key = "lc/now/job/req-000007";
-      if (wrong === "epoch") done({ is: "changes", epoch: call.since - 1, changes: [] });
-      else done({ is: "changes", epoch: call.since, changes: [{ op: "put", key, value: { spec: 1 }, version: call.since + 5 }] });
+      if (wrong === "epoch")
+        done({ is: "changes", epoch: call.since - 1, changes: [] });
+      else
+        done({
+          is: "changes",
+          epoch: call.since,
+          changes: [
+            { op: "put", key, value: { spec: 1 }, version: call.since + 5 },
+          ],
+        });
     };
     const core = w.nodes.get("node-a")!.core;
     const had = core.mirror.epoch;
     w.run(30_000);
-    assert.ok(core.permit.untilMs <= w.clockOf("node-a"), `${wrong}: a permit without any read\n${told(w)}`);
+    assert.ok(
+      core.permit.untilMs <= w.clockOf("node-a"),
+      `${wrong}: a permit without any read\n${told(w)}`,
+    );
     assert.equal(core.mirror.epoch, had);
-    assert.equal(lines(w, "state service contradicts itself").length, 1, told(w));
+    assert.equal(
+      lines(w, "state service contradicts itself").length,
+      1,
+      told(w),
+    );
     w.run(75_000);
-    assert.equal(lines(w, "state service contradicts itself").length, 2, "once a minute");
+    assert.equal(
+      lines(w, "state service contradicts itself").length,
+      2,
+      "once a minute",
+    );
     w.state.handle = handle;
     w.run(80_000);
-    assert.ok(core.permit.untilMs > w.clockOf("node-a"), "and it goes on once replies make sense again");
+    assert.ok(
+      core.permit.untilMs > w.clockOf("node-a"),
+      "and it goes on once replies make sense again",
+    );
   }
 });
 
 test("a record that can't be read is told of with its key, once, and hides nothing else", () => {
   const w = quiet(2);
-  w.state.handle({ op: "commit", conditions: [], writes: [{ op: "put", key: "lc/now/room/node-z", value: { rows: 7 } }, { op: "put", key: "lc/now/claim/node-z", value: { by: "node-b", token: 3 } }] }, () => {});
+  w.state.handle(
+    {
+      op: "commit",
+      conditions: [],
+      writes: [
+        { op: "put", key: "lc/now/room/node-z", value: { rows: 7 } },
+        {
+          op: "put",
+          key: "lc/now/claim/node-z",
+          value: { by: "node-b", token: 3 },
+        },
+      ],
+    },
+    () => {},
+  );
   w.run(12_000);
   const { mirror } = w.nodes.get("node-a")!.core;
   assert.equal(mirror.rooms.has("node-z"), false);
@@ -53,23 +90,57 @@
 test("a report that says another type, zone or kind of a known machine is not taken, and told of once a minute", () => {
   const w = quiet(3);
   const m = w.workers[0]!;
-  const known = [...w.nodes.get("node-a")!.core.masters.values()][0]!.own.workers.get(m.id)!;
+  const known = [
+    ...w.nodes.get("node-a")!.core.masters.values(),
+  ][0]!.own.workers.get(m.id)!;
   const before = [known.tally, known.zone, known.typeName];
   for (let k = 0; k < 5; k++)
-    w.report("node-a", { ...m.snapshot(), tally: 90_000 + k, type: "big" }, (a) => assert.equal(a?.is, "later"));
+    w.report(
+      "node-a",
+      { ...m.snapshot(), tally: 90_000 + k, type: "big" },
+      (a) => assert.equal(a?.is, "later"),
+    );
   w.run(8_100);
-  assert.deepEqual([known.tally >= 90_000, known.zone, known.typeName], [false, before[1], before[2]]);
+  assert.deepEqual(
+    [known.tally >= 90_000, known.zone, known.typeName],
+    [false, before[1], before[2]],
+  );
   assert.equal(lines(w, "report contradicts").length, 1);
   w.run(20_000);
   assert.equal(known.lost, false, "its own reports count on");
 });
 
 test("a report that names an attempt of a task twice in different states is refused, whole", () => {
-  const hello = (shards: object[]): string => JSON.stringify({ berth: "n-1", address: "10.0.0.1:1", hull: "m", yard: "east", watch: 1, tally: 3, shards });
+  const hello = (shards: object[]): string =>
+    JSON.stringify({
+      berth: "n-1",
+      address: "10.0.0.1:1",
+      hull: "m",
+      yard: "east",
+      watch: 1,
+      tally: 3,
+      shards,
+    });
   const running = { shard: "req-000001/2", try: 4, status: "running" };
-  const done = { shard: "req-000001/2", try: 4, status: "exited", cause: "done" };
+  const done = {
+    shard: "req-000001/2",
+    try: 4,
+    status: "exited",
+    cause: "done",
+  };
   const r = parseReport(hello([running, done]));
-  assert.deepEqual(r, { ok: false, error: "shards: req-000001/2: attempt 4 is running and exited" });
-  assert.equal(parseReport(hello([running, { ...done, try: 5 }])).ok, true, "another attempt is another task");
-  assert.equal(parseReport(hello([running, running])).ok, true, "the same twice contradicts nothing");
+  assert.deepEqual(r, {
+    ok: false,
+    error: "shards: req-000001/2: attempt 4 is running and exited",
+  });
+  assert.equal(
+    parseReport(hello([running, { ...done, try: 5 }])).ok,
+    true,
+    "another attempt is another task",
+  );
+  assert.equal(
+    parseReport(hello([running, running])).ok,
+    true,
+    "the same twice contradicts nothing",
+  );
 });
--- a/test/daemon.test.ts
+++ b/test/daemon.test.ts
@@ -10,7 +10,12 @@
 
 /** The real program over loopback, against stand-ins for the state service, the cloud and one worker. */
 
-type Handler = (method: string, path: string, query: URLSearchParams, body: Record<string, unknown>) => Promise<[number, unknown]> | [number, unknown];
+type Handler = (
+  method: string,
+  path: string,
+  query: URLSearchParams,
+  body: Record<string, unknown>,
+) => Promise<[number, unknown]> | [number, unknown];
 
 function serve(handler: Handler): Promise<http.Server> {
   const server = http.createServer((req, res) => {
@@ -18,13 +23,23 @@
     req.on("data", (d: Buffer) => (text += d.toString()));
     req.on("end", async () => {
       const url = new URL(req.url!, "http://x");
-      const [status, body] = await handler(req.method!, url.pathname, url.searchParams, text ? (JSON.parse(text) as Record<string, unknown>) : {});
-      res.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body));
+      const [status, body] = await handler(
+        req.method!,
+        url.pathname,
+        url.searchParams,
+        text ? (JSON.parse(text) as Record<string, unknown>) : {},
+      );
+      res
+        .writeHead(status, { "content-type": "application/json" })
+        .end(JSON.stringify(body));
     });
   });
-  return new Promise((resolve) => server.listen(0, "127.0.0.1", () => resolve(server)));
+  return new Promise((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve(server)),
+  );
 }
-const portOf = (s: net.Server | http.Server): number => (s.address() as AddressInfo).port;
+const portOf = (s: net.Server | http.Server): number =>
+  (s.address() as AddressInfo).port;
 
 interface Log {
   put?: string;
@@ -42,11 +57,18 @@
     if (path.endsWith("/touch")) return [200, { tenancy: 1 }];
     if (path === "/commit") {
       const conditions = body["if"] as { k: string; stamp: number }[];
-      const failed = conditions.filter((c) => (data.get(c.k)?.stamp ?? 0) !== c.stamp).map((c) => c.k);
+      const failed = conditions
+        .filter((c) => (data.get(c.k)?.stamp ?? 0) !== c.stamp)
+        .map((c) => c.k);
       if (failed.length > 0) return [409, { failed, epoch }];
       epoch++;
-      for (const w of body["writes"] as { put?: string; delete?: string; value?: unknown }[]) {
-        if (w.put !== undefined) data.set(w.put, { value: w.value, stamp: epoch });
+      for (const w of body["writes"] as {
+        put?: string;
+        delete?: string;
+        value?: unknown;
+      }[]) {
+        if (w.put !== undefined)
+          data.set(w.put, { value: w.value, stamp: epoch });
         if (w.delete !== undefined) data.delete(w.delete);
         log.push({ ...w, stamp: epoch });
       }
@@ -57,7 +79,10 @@
     const under = query.get("under") ?? "";
     if (path === "/changes") {
       const since = Number(query.get("since"));
-      const news = (): Log[] => log.filter((l) => l.stamp > since && (l.put ?? l.delete)!.startsWith(under));
+      const news = (): Log[] =>
+        log.filter(
+          (l) => l.stamp > since && (l.put ?? l.delete)!.startsWith(under),
+        );
       if (news().length === 0 && Number(query.get("holdMs")) > 0)
         await new Promise<void>((r) => {
           wake.push(r);
@@ -66,7 +91,17 @@
       return [200, { epoch, log: news() }];
     }
     if (path === "/keys")
-      return [200, { items: [...data].filter(([k]) => k.startsWith(under)).sort().map(([k, d]) => ({ k, ...d })), truncated: false, epoch }];
+      return [
+        200,
+        {
+          items: [...data]
+            .filter(([k]) => k.startsWith(under))
+            .sort()
+            .map(([k, d]) => ({ k, ...d })),
+          truncated: false,
+          epoch,
+        },
+      ];
     const key = path.slice("/keys/".length);
     const d = data.get(key);
     return method === "GET" && d ? [200, { k: key, ...d }] : [404, { epoch }];
@@ -80,9 +115,21 @@
 let mesh = 0;
 let config = "";
 
-async function call(method: string, path: string, body?: string): Promise<{ status: number; body: Record<string, unknown>; headers: Headers }> {
+async function call(
+  method: string,
+  path: string,
+  body?: string,
+): Promise<{
+  status: number;
+  body: Record<string, unknown>;
+  headers: Headers;
+}> {
   const r = await fetch(`http://127.0.0.1:${client}${path}`, { method, body });
-  return { status: r.status, body: (await r.json()) as Record<string, unknown>, headers: r.headers };
+  return {
+    status: r.status,
+    body: (await r.json()) as Record<string, unknown>,
+    headers: r.headers,
+  };
 }
 async function until<T>(what: string, f: () => Promise<T | null>): Promise<T> {
   for (let k = 0; k < 4_800; k++) {
@@ -93,9 +140,15 @@
   return assert.fail(`never: ${what}`);
 }
 function start(): void {
-  child = spawn(process.execPath, ["target/main.js", "--config", config], { stdio: ["ignore", "ignore", "inherit"], env: { ...process.env, LOG_LEVEL: "error" } });
+  child = spawn(process.execPath, ["target/main.js", "--config", config], {
+    stdio: ["ignore", "ignore", "inherit"],
+    env: { ...process.env, LOG_LEVEL: "error" },
+  });
 }
-function run(args: string[], input = ""): Promise<{ code: number | null; out: string; err: string }> {
+function run(
+  args: string[],
+  input = "",
+): Promise<{ code: number | null; out: string; err: string }> {
   return new Promise((resolve) => {
     const p = spawn(process.execPath, ["target/main.js", ...args]);
     let out = "";
@@ -110,7 +163,26 @@
 before(async () => {
   state = await serve(stateService());
   cloud = await serve((method, path) => {
-    if (path === "/catalog") return [200, { hulls: [{ name: "m", cores: 8, accelerators: 0, memoryGb: 32, localGb: 50, pullGbPerS: 1, price: 1, marketPrice: 0.5, startupS: 5, yards: ["east"] }] }];
+    if (path === "/catalog")
+      return [
+        200,
+        {
+          hulls: [
+            {
+              name: "m",
+              cores: 8,
+              accelerators: 0,
+              memoryGb: 32,
+              localGb: 50,
+              pullGbPerS: 1,
+              price: 1,
+              marketPrice: 0.5,
+              startupS: 5,
+              yards: ["east"],
+            },
+          ],
+        },
+      ];
     if (method === "GET") return [200, { berths: [], truncated: false }];
     return path === "/hosts" ? [503, { error: "no capacity" }] : [200, {}];
   });
@@ -131,33 +203,80 @@
   cloud.closeAllConnections();
 });
 
-const JOB = { id: "req-000001", jobclass: "demo", crew: "red", shape: "batch", urgency: "normal", shards: 2, cores: 2, memoryGb: 4, bundle: "i", sizeGb: 1, reckonS: 5 };
+const JOB = {
+  id: "req-000001",
+  jobclass: "demo",
+  crew: "red",
+  shape: "batch",
+  urgency: "normal",
+  shards: 2,
+  cores: 2,
+  memoryGb: 4,
+  bundle: "i",
+  sizeGb: 1,
+  reckonS: 5,
+};
 
 /** One report of the stand-in worker; the orders it got. */
-async function hello(tally: number, baton: number, shards: object[]): Promise<{ baton: number; orders: { verb: string; shard: string; try: number }[] }> {
-  const body = JSON.stringify({ berth: "n-000001", address: "127.0.0.1:1", hull: "m", yard: "east", loaners: false, watch: 1, tally, baton, recallS: null, shards });
+async function hello(
+  tally: number,
+  baton: number,
+  shards: object[],
+): Promise<{
+  baton: number;
+  orders: { verb: string; shard: string; try: number }[];
+}> {
+  const body = JSON.stringify({
+    berth: "n-000001",
+    address: "127.0.0.1:1",
+    hull: "m",
+    yard: "east",
+    loaners: false,
+    watch: 1,
+    tally,
+    baton,
+    recallS: null,
+    shards,
+  });
   const r = await call("POST", "/hello", body);
   assert.equal(r.status, 200, JSON.stringify(r.body));
   return r.body as never;
 }
 
 test("a job goes from submission to done, and stays done over a kill and a restart", async () => {
-  await until("ready", async () => ((await call("GET", "/ready")).status === 200 ? true : null));
+  await until("ready", async () =>
+    (await call("GET", "/ready")).status === 200 ? true : null,
+  );
   const accepted = await until("accepted", async () => {
     const r = await call("POST", "/v1/jobs", JSON.stringify(JOB));
     if (r.status === 503) assert.ok(r.headers.get("retry-after"));
     return r.status === 503 ? null : r;
   });
-  assert.deepEqual([accepted.status, accepted.body], [201, { id: "req-000001", status: "queued" }]);
-  assert.equal((await call("POST", "/v1/jobs", JSON.stringify(JOB))).status, 200);
+  assert.deepEqual(
+    [accepted.status, accepted.body],
+    [201, { id: "req-000001", status: "queued" }],
+  );
+  assert.equal(
+    (await call("POST", "/v1/jobs", JSON.stringify(JOB))).status,
+    200,
+  );
   let tally = 0;
   let baton = 0;
-  const held = new Map<string, { shard: string; try: number; status: string; cause?: string }>();
+  const held = new Map<
+    string,
+    { shard: string; try: number; status: string; cause?: string }
+  >();
   await until("both tasks started and cleared", async () => {
     const a = await hello(++tally, baton, [...held.values()]);
     baton = a.baton;
     for (const o of a.orders) {
-      if (o.verb === "start") held.set(o.shard, { shard: o.shard, try: o.try, status: "exited", cause: "done" });
+      if (o.verb === "start")
+        held.set(o.shard, {
+          shard: o.shard,
+          try: o.try,
+          status: "exited",
+          cause: "done",
+        });
       else if (o.verb === "clear") held.delete(o.shard);
     }
     const s = await call("GET", "/v1/jobs/req-000001");
@@ -172,17 +291,43 @@
     return r.status === 200 ? r.body : null;
   });
   assert.deepEqual([again["status"], again["done"]], ["done", 2]);
-  assert.equal((await call("POST", "/v1/jobs/req-000001/withdraw")).body["status"], "done");
+  assert.equal(
+    (await call("POST", "/v1/jobs/req-000001/withdraw")).body["status"],
+    "done",
+  );
 });
 
 test("bad input gets what the users were promised, and ends nothing", async () => {
-  await until("ready", async () => ((await call("GET", "/ready")).status === 200 ? true : null));
-  const status = async (method: string, path: string, body?: string): Promise<number> => (await call(method, path, body)).status;
+  await until("ready", async () =>
+    (await call("GET", "/ready")).status === 200 ? true : null,
+  );
+  const status = async (
+    method: string,
+    path: string,
+    body?: string,
+  ): Promise<number> => (await call(method, path, body)).status;
   assert.equal(await status("POST", "/v1/jobs", "{"), 400);
   assert.equal(await status("POST", "/v1/jobs", "[]"), 400);
-  assert.equal(await status("POST", "/v1/jobs", JSON.stringify({ ...JOB, id: "job-1" })), 400);
-  assert.equal(await status("POST", "/v1/jobs", JSON.stringify({ ...JOB, pad: "x".repeat(70_000) })), 400);
-  const never = async (over: object): Promise<number> => until("decided", async () => status("POST", "/v1/jobs", JSON.stringify({ ...JOB, id: "req-000002", ...over })).then((s) => (s === 503 ? null : s)));
+  assert.equal(
+    await status("POST", "/v1/jobs", JSON.stringify({ ...JOB, id: "job-1" })),
+    400,
+  );
+  assert.equal(
+    await status(
+      "POST",
+      "/v1/jobs",
+      JSON.stringify({ ...JOB, pad: "x".repeat(70_000) }),
+    ),
+    400,
+  );
+  const never = async (over: object): Promise<number> =>
+    until("decided", async () =>
+      status(
+        "POST",
+        "/v1/jobs",
+        JSON.stringify({ ...JOB, id: "req-000002", ...over }),
+      ).then((s) => (s === 503 ? null : s)),
+    );
   assert.equal(await never({ crew: "nobody" }), 422);
   assert.equal(await never({ cores: 9 }), 422);
   assert.equal(await never({ shape: "daemon", shards: 9 }), 422);
@@ -194,7 +339,9 @@
   assert.equal(await status("GET", "/hello"), 405);
   assert.equal(await status("POST", "/hello", '{"berth":3}'), 400);
   const closed = new Promise<void>((resolve, reject) => {
-    const s = net.connect(mesh, "127.0.0.1", () => s.write("GET / HTTP/1.1\r\n\r\n"));
+    const s = net.connect(mesh, "127.0.0.1", () =>
+      s.write("GET / HTTP/1.1\r\n\r\n"),
+    );
     s.on("close", () => resolve());
     s.on("error", reject);
   });
@@ -205,28 +352,65 @@
 test("the subcommands: answers, one line for an error, exit codes", async () => {
   const at = ["--server", `127.0.0.1:${client}`];
   const sent = await until("accepted", async () => {
-    const r = await run(["submit", ...at, "-"], JSON.stringify({ ...JOB, id: "req-000003" }));
+    const r = await run(
+      ["submit", ...at, "-"],
+      JSON.stringify({ ...JOB, id: "req-000003" }),
+    );
     return r.code === 0 ? r : null;
   });
   assert.equal(sent.out, "req-000003: queued\n");
-  assert.equal(JSON.parse((await run(["withdraw", ...at, "req-000003", "--json"])).out).status, "cancelled");
-  assert.match((await run(["show", ...at, "req-000003"])).out, /^req-000003: cancelled/);
+  assert.equal(
+    JSON.parse((await run(["withdraw", ...at, "req-000003", "--json"])).out)
+      .status,
+    "cancelled",
+  );
+  assert.match(
+    (await run(["show", ...at, "req-000003"])).out,
+    /^req-000003: cancelled/,
+  );
   // A line of two: the second waits, is told so, and goes with the first.
-  const submit = (id: string, awaits: string[]): Promise<{ code: number | null; out: string; err: string }> => run(["submit", ...at, "-"], JSON.stringify({ ...JOB, id, awaits }));
+  const submit = (
+    id: string,
+    awaits: string[],
+  ): Promise<{ code: number | null; out: string; err: string }> =>
+    run(["submit", ...at, "-"], JSON.stringify({ ...JOB, id, awaits }));
   assert.equal((await submit("req-000004", [])).out, "req-000004: queued\n");
-  assert.equal((await submit("req-000005", ["req-000004"])).out, "req-000005: queued\n");
-  assert.match((await run(["show", ...at, "req-000005"])).out, /^req-000005: queued, 0 done, 0 running, waits for req-000004\n$/);
+  assert.equal(
+    (await submit("req-000005", ["req-000004"])).out,
+    "req-000005: queued\n",
+  );
+  assert.match(
+    (await run(["show", ...at, "req-000005"])).out,
+    /^req-000005: queued, 0 done, 0 running, waits for req-000004\n$/,
+  );
   const never = await submit("req-000006", ["req-000099"]);
-  assert.deepEqual([never.code, never.err], [1, "linencove: 422: awaits: req-000099 was never accepted\n"]);
+  assert.deepEqual(
+    [never.code, never.err],
+    [1, "linencove: 422: awaits: req-000099 was never accepted\n"],
+  );
   const wrong = await submit("req-000006", ["4"]);
-  assert.deepEqual([wrong.code, wrong.err], [1, "linencove: -: awaits.0: must look like req-000412\n"]);
+  assert.deepEqual(
+    [wrong.code, wrong.err],
+    [1, "linencove: -: awaits.0: must look like req-000412\n"],
+  );
   assert.equal((await run(["withdraw", ...at, "req-000004"])).code, 0);
-  assert.match((await run(["show", ...at, "req-000005"])).out, /^req-000005: cancelled/);
+  assert.match(
+    (await run(["show", ...at, "req-000005"])).out,
+    /^req-000005: cancelled/,
+  );
   const cases: [string[], number, RegExp][] = [
     [["show", ...at, "req-77"], 1, /^linencove: 404: no such job\n$/],
-    [["show", "--server", "127.0.0.1:1", "req-77"], 1, /^linencove: 127\.0\.0\.1:1: .*ECONNREFUSED/],
+    [
+      ["show", "--server", "127.0.0.1:1", "req-77"],
+      1,
+      /^linencove: 127\.0\.0\.1:1: .*ECONNREFUSED/,
+    ],
     [["show", ...at, "77"], 2, /must look like req-000412/],
-    [["submit", ...at, "/nonexistent.json"], 1, /^linencove: \/nonexistent\.json: no such file\n$/],
+    [
+      ["submit", ...at, "/nonexistent.json"],
+      1,
+      /^linencove: \/nonexistent\.json: no such file\n$/,
+    ],
     [["frob"], 2, /^linencove: /],
     [["check", config], 0, /^$/],
   ];
--- a/test/hooks-sending.test.ts
+++ b/test/hooks-sending.test.ts
@@ -23,8 +23,15 @@
   assert.deepEqual(d.logErrors, []);
   // As a receiver would, with a library that is not ours.
   for (const c of d.calls.slice(0, 20)) {
-    const told = new Webhook(d.secret).verify(c.body, { "webhook-id": c.id, "webhook-timestamp": c.timestamp, "webhook-signature": c.signature }) as { type: string; data: { id: string } };
-    assert.deepEqual([told.type, `alerts.${told.data.id}`], ["job.cancelled", c.id]);
+    const told = new Webhook(d.secret).verify(c.body, {
+      "webhook-id": c.id,
+      "webhook-timestamp": c.timestamp,
+      "webhook-signature": c.signature,
+    }) as { type: string; data: { id: string } };
+    assert.deepEqual(
+      [told.type, `alerts.${told.data.id}`],
+      ["job.cancelled", c.id],
+    );
   }
 });
 
@@ -33,36 +40,91 @@
   await d.start(1, "parallel: 2 subscriptions: 3 horizon_s: 12");
   try {
     await d.ask("GET", "/v1/hooks");
-    const node = (d as unknown as { nodes: { client: number }[] }).nodes[0]!.client;
+    const node = (d as unknown as { nodes: { client: number }[] }).nodes[0]!
+      .client;
     // The stand-ins live in this process: it must not stand still while the command runs.
-    const cli = (...args: string[]): Promise<{ code: number | null; out: string; err: string }> =>
+    const cli = (
+      ...args: string[]
+    ): Promise<{ code: number | null; out: string; err: string }> =>
       new Promise((resolve) => {
-        const p = spawn(process.execPath, ["target/main.js", "hook", ...args, "--server", `127.0.0.1:${node}`]);
+        const p = spawn(process.execPath, [
+          "target/main.js",
+          "hook",
+          ...args,
+          "--server",
+          `127.0.0.1:${node}`,
+        ]);
         let out = "";
         let err = "";
         p.stdout.on("data", (x: Buffer) => (out += x.toString()));
         p.stderr.on("data", (x: Buffer) => (err += x.toString()));
         p.on("close", (code) => resolve({ code, out, err }));
       });
-    const bad = async (body: object, status: number, text: RegExp): Promise<void> => {
+    const bad = async (
+      body: object,
+      status: number,
+      text: RegExp,
+    ): Promise<void> => {
       const r = await d.ask("POST", "/v1/hooks", body);
       assert.equal(r.status, status, JSON.stringify(r.body));
       assert.match(String(r.body["error"]), text);
     };
     await bad({ url: d.url, keys: ["k1"] }, 400, /^name: /);
-    await bad({ name: "No", url: d.url, keys: ["k1"] }, 400, /^name: small letters/);
+    await bad(
+      { name: "No", url: d.url, keys: ["k1"] },
+      400,
+      /^name: small letters/,
+    );
     await bad({ name: "a", url: d.url }, 400, /^keys: /);
-    await bad({ name: "a", url: d.url, keys: ["k1"], outcomes: ["lost"] }, 400, /^outcomes\.0: /);
+    await bad(
+      { name: "a", url: d.url, keys: ["k1"], outcomes: ["lost"] },
+      400,
+      /^outcomes\.0: /,
+    );
     await bad({ name: "a", url: d.url, keys: ["k1"], crew: "x" }, 400, /crew/);
     await bad({ name: "a", url: d.url, keys: ["k9"] }, 422, /^keys: no key k9/);
-    await bad({ name: "a", url: "ftp://example.org/", keys: ["k1"] }, 422, /^url: https or http/);
-    await bad({ name: "a", url: "http://10.0.0.1/", keys: ["k1"] }, 422, /^url: address 10\.0\.0\.1/);
-    await bad({ name: "a", url: "http://[::ffff:10.0.0.1]/", keys: ["k1"] }, 422, /^url: address/);
+    await bad(
+      { name: "a", url: "ftp://example.org/", keys: ["k1"] },
+      422,
+      /^url: https or http/,
+    );
+    await bad(
+      { name: "a", url: "http://10.0.0.1/", keys: ["k1"] },
+      422,
+      /^url: address 10\.0\.0\.1/,
+    );
+    await bad(
+      { name: "a", url: "http://[::ffff:10.0.0.1]/", keys: ["k1"] },
+      422,
+      /^url: address/,
+    );
     assert.deepEqual((await d.ask("GET", "/v1/hooks")).body, { hooks: [] });
-    assert.match((await cli("add", "a", d.url, "--key", "k1", "--team", "blue")).out, /^a: active, .*teams blue, classes all, done,cancelled/);
-    assert.match((await cli("add", "a", d.url, "--key", "k1")).err, /409: name: there is such a hook/);
-    assert.match((await cli("change", "a", "--team", "red", "--class", "demo", "--ordered")).out, /teams red, classes demo.*ordered/);
-    assert.match((await cli("change", "b", "--team", "red")).err, /404: no such hook/);
+    assert.match(
+      (await cli("add", "a", d.url, "--key", "k1", "--team", "blue")).out,
+      /^a: active, .*teams blue, classes all, done,cancelled/,
+    );
+    assert.match(
+      (await cli("add", "a", d.url, "--key", "k1")).err,
+      /409: name: there is such a hook/,
+    );
+    assert.match(
+      (
+        await cli(
+          "change",
+          "a",
+          "--team",
+          "red",
+          "--class",
+          "demo",
+          "--ordered",
+        )
+      ).out,
+      /teams red, classes demo.*ordered/,
+    );
+    assert.match(
+      (await cli("change", "b", "--team", "red")).err,
+      /404: no such hook/,
+    );
     assert.match((await cli("pause", "a")).out, /^a: paused/);
     assert.match((await cli("test", "a")).err, /409: hook is paused/);
     const first = await d.end(1);
@@ -74,39 +136,107 @@
     // Given up after the horizon, listed, sent again.
     d.mood = "500";
     const second = await d.end(2);
-    for (let k = 0; k < 200 && !(await cli("dead", "a")).out.includes(second); k++) await new Promise((r) => setTimeout(r, 50));
-    assert.match((await cli("dead", "a")).out, /^req-000002: cancelled at .*attempts/);
+    for (
+      let k = 0;
+      k < 200 && !(await cli("dead", "a")).out.includes(second);
+      k++
+    )
+      await new Promise((r) => setTimeout(r, 50));
+    assert.match(
+      (await cli("dead", "a")).out,
+      /^req-000002: cancelled at .*attempts/,
+    );
     d.mood = "well";
     assert.equal((await cli("redrive", "a")).code, 0);
     await d.until("redriven", () => d.has.has(`a.${second}`));
     assert.equal(d.calls.at(-1)!.repeat, "redriven");
     const metrics = await d.text("/metrics");
-    assert.match(metrics, /linencove_hook_notifications_total\{outcome="delivered"\} 3/);
-    assert.match(metrics, /linencove_hook_notifications_total\{outcome="dead"\} 1/);
-    for (const name of ["limit", "guarantee", "share", "used", "waiting", "deficit", "share_in_flight", "reclaimed"]) assert.match(metrics, new RegExp(`linencove_team_${name}\\{team="red",group="[^"]+",resource="cpus"\\} \\d`));
+    assert.match(
+      metrics,
+      /linencove_hook_notifications_total\{outcome="delivered"\} 3/,
+    );
+    assert.match(
+      metrics,
+      /linencove_hook_notifications_total\{outcome="dead"\} 1/,
+    );
+    for (const name of [
+      "limit",
+      "guarantee",
+      "share",
+      "used",
+      "waiting",
+      "deficit",
+      "share_in_flight",
+      "reclaimed",
+    ])
+      assert.match(
+        metrics,
+        new RegExp(
+          `linencove_team_${name}\\{team="red",group="[^"]+",resource="cpus"\\} \\d`,
+        ),
+      );
     assert.match(metrics, /linencove_events_total\{event="job accepted"\} 2/);
-    assert.match(metrics, /linencove_calls_total\{service="state",op="commit",outcome="committed"\} \d+/);
+    assert.match(
+      metrics,
+      /linencove_calls_total\{service="state",op="commit",outcome="committed"\} \d+/,
+    );
     assert.equal((await cli("remove", "a")).code, 0);
-    await d.until("nothing left", () => ![...d.store.data.keys()].some((k) => /^lc\/hook\/(now\/(sub|at)|spool|dead)\//.test(k)));
+    await d.until(
+      "nothing left",
+      () =>
+        ![...d.store.data.keys()].some((k) =>
+          /^lc\/hook\/(now\/(sub|at)|spool|dead)\//.test(k),
+        ),
+    );
     assert.match((await cli("show", "a")).err, /404/);
   } finally {
     await d.stop();
   }
 });
 
-const END = { id: "req-000001", outcome: "done" as const, tasks: 2, done: 2, team: "red", class: "c", at: 0, since: 0 };
+const END = {
+  id: "req-000001",
+  outcome: "done" as const,
+  tasks: 2,
+  done: 2,
+  team: "red",
+  class: "c",
+  at: 0,
+  since: 0,
+};
 const launch = (url: string, more: Partial<Launch> = {}): Launch => ({
   end: END,
   attempt: 1,
   reason: null,
   ask: false,
-  sub: { url, teams: null, classes: null, outcomes: ["done"], keys: ["k"], ordered: false, ask: false, state: "active", redrives: 0, tests: 0 },
+  sub: {
+    url,
+    teams: null,
+    classes: null,
+    outcomes: ["done"],
+    keys: ["k"],
+    ordered: false,
+    ask: false,
+    state: "active",
+    redrives: 0,
+    tests: 0,
+  },
   ...more,
 });
 /** Far more than any answer takes here, also while other tests take all processors: who waits for a deadline sets a short one. */
 const DEADLINE_MS = 60_000;
 const sender = (more: object = {}): Sender =>
-  new Sender({ networks: new Networks(["127.0.0.0/8"], false), keys: new Map([["k", new Uint8Array(32)]]), allowHttp: true, deadlineMs: DEADLINE_MS, maxSockets: 4, maxAnswerBytes: 1_000, ca: null, agent: "test", ...more });
+  new Sender({
+    networks: new Networks(["127.0.0.0/8"], false),
+    keys: new Map([["k", new Uint8Array(32)]]),
+    allowHttp: true,
+    deadlineMs: DEADLINE_MS,
+    maxSockets: 4,
+    maxAnswerBytes: 1_000,
+    ca: null,
+    agent: "test",
+    ...more,
+  });
 /** It is closed with its test however that ends: one that stays open keeps the process from ending, and so the whole run. */
 const serve = async (t: TestContext, s: http.Server): Promise<string> => {
   t.after(() => {
@@ -119,16 +249,64 @@
 
 test("where hooks may connect: the address that is connected to counts, however it is written or resolved", async () => {
   const open = new Networks([], false);
-  for (const no of ["127.0.0.1", "10.1.2.3", "192.168.0.1", "172.16.0.1", "169.254.169.254", "100.64.0.1", "0.0.0.0", "224.0.0.1", "::1", "fe80::1", "fc00::1", "::ffff:127.0.0.1", "::ffff:a00:1", "64:ff9b::a00:1", "2002:a00:1::", "nonsense"]) assert.equal(open.allows(no), false, no);
-  for (const yes of ["93.184.216.34", "2606:2800:220:1::1"]) assert.equal(open.allows(yes), true, yes);
+  for (const no of [
+    "127.0.0.1",
+    "10.1.2.3",
+    "192.168.0.1",
+    "172.16.0.1",
+    "169.254.169.254",
+    "100.64.0.1",
+    "0.0.0.0",
+    "224.0.0.1",
+    "::1",
+    "fe80::1",
+    "fc00::1",
+    "::ffff:127.0.0.1",
+    "::ffff:a00:1",
+    "64:ff9b::a00:1",
+    "2002:a00:1::",
+    "nonsense",
+  ])
+    assert.equal(open.allows(no), false, no);
+  for (const yes of ["93.184.216.34", "2606:2800:220:1::1"])
+    assert.equal(open.allows(yes), true, yes);
   const listed = new Networks(["10.1.0.0/16", "2001:db8::/32"], true);
-  assert.deepEqual(["10.1.2.3", "::ffff:10.1.2.3", "10.2.0.1", "93.184.216.34", "2001:db8::1"].map((a) => listed.allows(a)), [true, true, false, false, true]);
-  assert.throws(() => parseNetwork("10.0.0.0/33"), /10\.0\.0\.0\/33: not a network/);
+  assert.deepEqual(
+    [
+      "10.1.2.3",
+      "::ffff:10.1.2.3",
+      "10.2.0.1",
+      "93.184.216.34",
+      "2001:db8::1",
+    ].map((a) => listed.allows(a)),
+    [true, true, false, false, true],
+  );
+  assert.throws(
+    () => parseNetwork("10.0.0.0/33"),
+    /10\.0\.0\.0\/33: not a network/,
+  );
   // A name that resolves differently the second time: each connection is to an address that was checked for it.
-  const answers = [["93.184.216.34"], ["127.0.0.1"], ["127.0.0.1", "93.184.216.35"]];
-  const lookup = open.lookup((_, done) => done(null, answers.shift()!.map((address) => ({ address, family: 4 }))));
-  const resolve = (): Promise<string> => new Promise((r) => lookup("rebind.example.org", {}, (e, a) => r(e ? "blocked" : (a as string))));
-  assert.deepEqual([await resolve(), await resolve(), await resolve()], ["93.184.216.34", "blocked", "93.184.216.35"]);
+  const answers = [
+    ["93.184.216.34"],
+    ["127.0.0.1"],
+    ["127.0.0.1", "93.184.216.35"],
+  ];
+  const lookup = open.lookup((_, done) =>
+    done(
+      null,
+      answers.shift()!.map((address) => ({ address, family: 4 })),
+    ),
+  );
+  const resolve = (): Promise<string> =>
+    new Promise((r) =>
+      lookup("rebind.example.org", {}, (e, a) =>
+        r(e ? "blocked" : (a as string)),
+      ),
+    );
+  assert.deepEqual(
+    [await resolve(), await resolve(), await resolve()],
+    ["93.184.216.34", "blocked", "93.184.216.35"],
+  );
 });
 
 test("an attempt is bounded: address, time, answer, redirects, certificates", async (t) => {
@@ -137,8 +315,10 @@
     seen.push(req);
     const p = req.url!;
     if (p.endsWith("/silent")) return;
-    if (p.endsWith("/moved")) return void res.writeHead(302, { location: "/elsewhere" }).end();
-    if (p.endsWith("/later")) return void res.writeHead(429, { "retry-after": "7" }).end();
+    if (p.endsWith("/moved"))
+      return void res.writeHead(302, { location: "/elsewhere" }).end();
+    if (p.endsWith("/later"))
+      return void res.writeHead(429, { "retry-after": "7" }).end();
     if (p.endsWith("/big")) {
       res.writeHead(200);
       const more = (): void => {
@@ -147,25 +327,77 @@
       };
       return more();
     }
-    if (req.method === "GET") return void res.writeHead(p.endsWith("/has") ? 200 : 404).end();
+    if (req.method === "GET")
+      return void res.writeHead(p.endsWith("/has") ? 200 : 404).end();
     res.writeHead(204).end();
   });
   const url = `http${await serve(t, s)}`;
-  const to = (path: string, more: Partial<Launch> = {}, settings: object = {}): Promise<unknown> => sender(settings).attempt(1, "h", launch(url + path, more));
-  assert.deepEqual(await to(""), { is: "answered", status: 204, retryAfterMs: null });
-  assert.deepEqual(await to("/silent", {}, { deadlineMs: 400 }), { is: "failed", why: "timeout" });
-  assert.deepEqual(await to("/moved"), { is: "answered", status: 302, retryAfterMs: null });
-  assert.deepEqual(await to("/later"), { is: "answered", status: 429, retryAfterMs: 7_000 });
-  assert.deepEqual(await to("/big"), { is: "answered", status: 200, retryAfterMs: null });
+  const to = (
+    path: string,
+    more: Partial<Launch> = {},
+    settings: object = {},
+  ): Promise<unknown> =>
+    sender(settings).attempt(1, "h", launch(url + path, more));
+  assert.deepEqual(await to(""), {
+    is: "answered",
+    status: 204,
+    retryAfterMs: null,
+  });
+  assert.deepEqual(await to("/silent", {}, { deadlineMs: 400 }), {
+    is: "failed",
+    why: "timeout",
+  });
+  assert.deepEqual(await to("/moved"), {
+    is: "answered",
+    status: 302,
+    retryAfterMs: null,
+  });
+  assert.deepEqual(await to("/later"), {
+    is: "answered",
+    status: 429,
+    retryAfterMs: 7_000,
+  });
+  assert.deepEqual(await to("/big"), {
+    is: "answered",
+    status: 200,
+    retryAfterMs: null,
+  });
   assert.ok(!seen.some((r) => r.url === "/elsewhere"));
   seen = [];
-  assert.deepEqual(await to("/has", { ask: true, attempt: 2, reason: "timeout" }), { is: "had" });
-  assert.deepEqual(await to("/not", { ask: true, attempt: 2, reason: "timeout" }), { is: "answered", status: 204, retryAfterMs: null });
-  assert.deepEqual(seen.map((r) => [r.method, r.headers["linencove-attempt"], r.headers["linencove-repeat"]]), [["GET", "2", "timeout"], ["GET", "2", "timeout"], ["POST", "2", "timeout"]]);
+  assert.deepEqual(
+    await to("/has", { ask: true, attempt: 2, reason: "timeout" }),
+    { is: "had" },
+  );
+  assert.deepEqual(
+    await to("/not", { ask: true, attempt: 2, reason: "timeout" }),
+    { is: "answered", status: 204, retryAfterMs: null },
+  );
+  assert.deepEqual(
+    seen.map((r) => [
+      r.method,
+      r.headers["linencove-attempt"],
+      r.headers["linencove-repeat"],
+    ]),
+    [
+      ["GET", "2", "timeout"],
+      ["GET", "2", "timeout"],
+      ["POST", "2", "timeout"],
+    ],
+  );
   seen = [];
-  assert.deepEqual(await to("", {}, { networks: new Networks([], false) }), { is: "failed", why: "blocked" });
-  assert.equal(seen.length, 0, "nothing may reach an address that is not allowed");
-  assert.deepEqual(await sender().attempt(1, "h", launch("http://nowhere.invalid/")), { is: "failed", why: "name" });
+  assert.deepEqual(await to("", {}, { networks: new Networks([], false) }), {
+    is: "failed",
+    why: "blocked",
+  });
+  assert.equal(
+    seen.length,
+    0,
+    "nothing may reach an address that is not allowed",
+  );
+  assert.deepEqual(
+    await sender().attempt(1, "h", launch("http://nowhere.invalid/")),
+    { is: "failed", why: "name" },
+  );
   s.close();
   s.closeAllConnections();
   assert.deepEqual(await to(""), { is: "failed", why: "refused" });
@@ -178,8 +410,15 @@
     const c = await certificate(from, until);
     const tls = https.createServer(c, (_, res) => res.writeHead(204).end());
     const at = `https${await serve(t, tls)}`;
-    assert.deepEqual(await sender({ ca: c.cert }).attempt(1, "h", launch(at)), wanted);
-    assert.deepEqual(await sender().attempt(1, "h", launch(at)), { is: "failed", why: "tls" }, "not trusted without the operators' certificate");
+    assert.deepEqual(
+      await sender({ ca: c.cert }).attempt(1, "h", launch(at)),
+      wanted,
+    );
+    assert.deepEqual(
+      await sender().attempt(1, "h", launch(at)),
+      { is: "failed", why: "tls" },
+      "not trusted without the operators' certificate",
+    );
   }
 });
 
@@ -187,31 +426,60 @@
   const day = 86_400_000;
   const valid = await certificate(-day, day);
   const expired = await certificate(-2 * day, -day);
-  const tls = https.createServer(valid, (_, res) => res.writeHead(204, { connection: "close" }).end());
+  const tls = https.createServer(valid, (_, res) =>
+    res.writeHead(204, { connection: "close" }).end(),
+  );
   const at = `https${await serve(t, tls)}`;
   const s = sender({ ca: `${valid.cert}\n${expired.cert}` });
   assert.equal((await s.attempt(1, "h", launch(at))).is, "answered");
   tls.setSecureContext(expired);
-  assert.deepEqual(await s.attempt(2, "h", launch(at)), { is: "failed", why: "tls" });
+  assert.deepEqual(await s.attempt(2, "h", launch(at)), {
+    is: "failed",
+    why: "tls",
+  });
 });
 
 test("signatures: the published example, several keys; secrets are never shown", () => {
   const secret = "whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw";
   const body = '{"test": 2432232314}';
-  assert.equal(signature(parseSecret(secret), "msg_p5jXN8AQM9LWM0D4loKWxJek", 1_614_265_330, body), "v1,g0hM9SsE+OTPJTGt/tmIKtSyZlE3uFJELVlNIOLJ1OE=");
+  assert.equal(
+    signature(
+      parseSecret(secret),
+      "msg_p5jXN8AQM9LWM0D4loKWxJek",
+      1_614_265_330,
+      body,
+    ),
+    "v1,g0hM9SsE+OTPJTGt/tmIKtSyZlE3uFJELVlNIOLJ1OE=",
+  );
   const now = new Date();
   const other = "whsec_" + Buffer.alloc(32, 7).toString("base64");
   const at = Math.floor(now.getTime() / 1000);
-  const both = [secret, other].map((k) => signature(parseSecret(k), "h.req-1", at, messageBody(END))).join(" ");
-  for (const k of [secret, other]) new Webhook(k).verify(messageBody(END), { "webhook-id": "h.req-1", "webhook-timestamp": String(at), "webhook-signature": both });
-  for (const bad of ["whsec_", "whsec_AAAA", "päss"]) assert.throws(() => parseSecret(bad), (e: Error) => !e.message.includes(bad));
+  const both = [secret, other]
+    .map((k) => signature(parseSecret(k), "h.req-1", at, messageBody(END)))
+    .join(" ");
+  for (const k of [secret, other])
+    new Webhook(k).verify(messageBody(END), {
+      "webhook-id": "h.req-1",
+      "webhook-timestamp": String(at),
+      "webhook-signature": both,
+    });
+  for (const bad of ["whsec_", "whsec_AAAA", "päss"])
+    assert.throws(
+      () => parseSecret(bad),
+      (e: Error) => !e.message.includes(bad),
+    );
 });
 
 test("lanes move only with their owner, and are spread", () => {
   const labels = ["n0", "n1", "n2", "n3", "n4"];
   const before = Array.from({ length: LANES }, (_, l) => chosen(l, labels));
   assert.ok(new Set(before).size >= 4);
-  const after = Array.from({ length: LANES }, (_, l) => chosen(l, labels.filter((x) => x !== "n2")));
+  const after = Array.from({ length: LANES }, (_, l) =>
+    chosen(
+      l,
+      labels.filter((x) => x !== "n2"),
+    ),
+  );
   before.forEach((b, l) => b !== "n2" && assert.equal(after[l], b));
 });
 
@@ -222,22 +490,37 @@
     const p = new Packer(most);
     const owed = [];
     for (;;) {
-      const o = { end: { ...END, id: `req-${rng.int(1, 1e9)}`, team: "t".repeat(rng.int(1, 40)), class: "ä".repeat(rng.int(1, 200)) }, attempts: rng.int(0, 3) };
+      const o = {
+        end: {
+          ...END,
+          id: `req-${rng.int(1, 1e9)}`,
+          team: "t".repeat(rng.int(1, 40)),
+          class: "ä".repeat(rng.int(1, 200)),
+        },
+        attempts: rng.int(0, 3),
+      };
       if (!p.add(o)) break;
       owed.push(o);
     }
     assert.ok(owed.length > 0);
     const size = Buffer.byteLength(JSON.stringify([p.names, p.entries]));
-    assert.ok(p.entries.length === 1 || size <= most + 10, `${size} of ${most}`);
+    assert.ok(
+      p.entries.length === 1 || size <= most + 10,
+      `${size} of ${most}`,
+    );
     const again = new Packer(most);
-    for (const o of owed.reverse()) assert.ok(again.add({ ...o, attempts: 999_999 }));
+    for (const o of owed.reverse())
+      assert.ok(again.add({ ...o, attempts: 999_999 }));
   }
 });
 
 test("a breaker lets one attempt through after each pause, and a pause that was asked for counts", () => {
   const b = new Breaker(3, { baseMs: 1_000, mostMs: 8_000 }, () => 1);
   for (let k = 0; k < 3; k++) b.failed(0);
-  assert.deepEqual([b.state(0), b.allows(0), b.allows(999), b.allows(1_001)], ["open", false, false, true]);
+  assert.deepEqual(
+    [b.state(0), b.allows(0), b.allows(999), b.allows(1_001)],
+    ["open", false, false, true],
+  );
   b.begin(1_001);
   assert.equal(b.allows(1_001), false, "one at a time");
   b.failed(1_100);
@@ -255,13 +538,17 @@
   const dead = w.add("dead");
   const well = w.add("well");
   dead.mood = "refused";
-  for (let i = 0; i < 1_000; i++) w.at(i * 100, () => w.end(`req-${String(i).padStart(6, "0")}`));
+  for (let i = 0; i < 1_000; i++)
+    w.at(i * 100, () => w.end(`req-${String(i).padStart(6, "0")}`));
   w.run(110_000);
   assert.deepEqual(w.missing(well), []);
   assert.equal(dead.has.size, 0);
   const before = w.store.changes;
   w.run(3_600_000);
-  assert.ok(w.store.changes - before < 60, `${w.store.changes - before} changes in an hour of waiting`);
+  assert.ok(
+    w.store.changes - before < 60,
+    `${w.store.changes - before} changes in an hour of waiting`,
+  );
   assert.ok(dead.calls.length < 150, `${dead.calls.length} attempts`);
   dead.mood = "well";
   w.run(300_000);
--- a/test/hooks.test.ts
+++ b/test/hooks.test.ts
@@ -12,7 +12,11 @@
   const w = new HookWorld(seed, LIMITS, 3, 15, seed % 4 === 3 ? 120 : 10_000);
   w.run(3_000);
   const all = w.add("all");
-  const red = w.add("red-only", { crews: ["red"], outcomes: ["done"], ordered: true });
+  const red = w.add("red-only", {
+    crews: ["red"],
+    outcomes: ["done"],
+    ordered: true,
+  });
   const asked = w.add("asked", { ask: true });
   const forMs = 180_000;
   w.lossy = 0.02;
@@ -21,15 +25,31 @@
   for (let t = 0; t < forMs; t += w.rng.real(50, 1_200)) {
     const n = w.rng.chance(0.05) ? w.rng.int(5, 40) : 1;
     w.at(t, () => {
-      for (let k = 0; k < n; k++) w.end(`req-${String(++id).padStart(6, "0")}`, w.rng.pick(["red", "blue"]), w.rng.chance(0.8) ? "done" : "cancelled", broken);
+      for (let k = 0; k < n; k++)
+        w.end(
+          `req-${String(++id).padStart(6, "0")}`,
+          w.rng.pick(["red", "blue"]),
+          w.rng.chance(0.8) ? "done" : "cancelled",
+          broken,
+        );
     });
   }
   w.run(forMs);
   calm(w);
-  for (let k = 0; k < 60 && w.missing(all).length + w.missing(asked).length > 0; k++) w.run(20_000);
+  for (
+    let k = 0;
+    k < 60 && w.missing(all).length + w.missing(asked).length > 0;
+    k++
+  )
+    w.run(20_000);
   w.run(60_000);
-  const wantsRed = (e: { team: string; outcome: string }): boolean => e.team === "red" && e.outcome === "done";
-  const left = [...w.missing(all), ...w.missing(red, wantsRed), ...w.missing(asked)];
+  const wantsRed = (e: { team: string; outcome: string }): boolean =>
+    e.team === "red" && e.outcome === "done";
+  const left = [
+    ...w.missing(all),
+    ...w.missing(red, wantsRed),
+    ...w.missing(asked),
+  ];
   return { w, left };
 }
 
@@ -39,7 +59,11 @@
   for (let seed = 1; seed <= Number(process.env["HOOK_DAYS"] ?? 12); seed++) {
     const { w, left } = day(seed);
     assert.deepEqual(w.broken, [], `seed ${seed}`);
-    assert.deepEqual(left, [], `seed ${seed}: lost, or sent without being asked for`);
+    assert.deepEqual(
+      left,
+      [],
+      `seed ${seed}: lost, or sent without being asked for`,
+    );
     for (const r of w.receivers.values()) {
       sent += r.has.size;
       repeats += r.calls.filter((c) => c.reason !== null).length;
@@ -47,10 +71,18 @@
     // In order where that was asked for: the first arrival of each.
     const red = w.receivers.get("http://r-red-only.example.org/in")!;
     const arrived = [...red.has.keys()].map((id) => w.order.indexOf(id));
-    if (seed % 4 !== 3) assert.deepEqual(arrived, [...arrived].sort((a, b) => a - b), `seed ${seed}: out of order`);
+    if (seed % 4 !== 3)
+      assert.deepEqual(
+        arrived,
+        [...arrived].sort((a, b) => a - b),
+        `seed ${seed}: out of order`,
+      );
     assert.equal(w.hookRecords(), 0, `seed ${seed}: batches left behind`);
   }
-  assert.ok(sent > 3_000 && repeats > 100, `${sent} sent, ${repeats} repeats: too quiet a test`);
+  assert.ok(
+    sent > 3_000 && repeats > 100,
+    `${sent} sent, ${repeats} repeats: too quiet a test`,
+  );
 });
 
 test("an outbox that is written after the end, instead of with it, is caught", () => {
@@ -74,12 +106,27 @@
       const id = key.slice(PAST.length);
       const spec = w.specs.get(id)!;
       const past = readPast(d.value)!;
-      assert.deepEqual([past.end?.team, past.end?.class], [spec.team, spec.class], id);
-      const way = past.status === "done" ? "done" : w.checker.asked.has(id) ? "withdrawn" : (w.awaits.get(id)?.length ?? 0) > 0 ? "with one that it needs" : "other";
+      assert.deepEqual(
+        [past.end?.team, past.end?.class],
+        [spec.team, spec.class],
+        id,
+      );
+      const way =
+        past.status === "done"
+          ? "done"
+          : w.checker.asked.has(id)
+            ? "withdrawn"
+            : (w.awaits.get(id)?.length ?? 0) > 0
+              ? "with one that it needs"
+              : "other";
       ways.set(way, (ways.get(way) ?? 0) + 1);
     }
   }
   assert.deepEqual(w.checker.broken, []);
-  assert.deepEqual([...ways.keys()].sort(), ["done", "with one that it needs", "withdrawn"]);
+  assert.deepEqual([...ways.keys()].sort(), [
+    "done",
+    "with one that it needs",
+    "withdrawn",
+  ]);
   assert.ok(seen.size > 60, `${seen.size} ends`);
 });
--- a/test/known-red.ts
+++ b/test/known-red.ts
@@ -16,34 +16,59 @@
 }
 
 /** What is listed, and what is wrong with the list itself. */
-export function readKnownRed(text: string): { listed: KnownRed[]; wrong: string[] } {
+export function readKnownRed(text: string): {
+  listed: KnownRed[];
+  wrong: string[];
+} {
   const listed: KnownRed[] = [];
   const wrong: string[] = [];
-  const lines = text.split("\n").map((l) => l.trim()).filter((l) => l !== "");
+  const lines = text
+    .split("\n")
+    .map((l) => l.trim())
+    .filter((l) => l !== "");
   for (const [i, line] of lines.entries()) {
-    const [test, cause, issue, ...more] = line.split(" | ").map((x) => x.trim());
-    if (!test || !cause || !issue || more.length > 0) wrong.push(`KNOWN-RED.txt: line ${i + 1}: TEST | CAUSE | ISSUE expected`);
-    else if (listed.some((l) => l.test === test)) wrong.push(`KNOWN-RED.txt: line ${i + 1}: ${test}: listed twice`);
+    const [test, cause, issue, ...more] = line
+      .split(" | ")
+      .map((x) => x.trim());
+    if (!test || !cause || !issue || more.length > 0)
+      wrong.push(`KNOWN-RED.txt: line ${i + 1}: TEST | CAUSE | ISSUE expected`);
+    else if (listed.some((l) => l.test === test))
+      wrong.push(`KNOWN-RED.txt: line ${i + 1}: ${test}: listed twice`);
     else listed.push({ test, cause, issue });
   }
-  if (lines.length > MOST) wrong.push(`KNOWN-RED.txt: ${lines.length} lines, at most ${MOST} allowed`);
+  if (lines.length > MOST)
+    wrong.push(`KNOWN-RED.txt: ${lines.length} lines, at most ${MOST} allowed`);
   return { listed, wrong };
 }
 
 /** Whether a run of all tests passes; what is to be printed of it. */
-export function judge(text: string, ended: readonly Ended[]): { ok: boolean; lines: string[] } {
+export function judge(
+  text: string,
+  ended: readonly Ended[],
+): { ok: boolean; lines: string[] } {
   const { listed, wrong } = readKnownRed(text);
   const lines = [...wrong];
   if (ended.length === 0) lines.push("no test was run");
   for (const l of listed) {
     const of = ended.filter((e) => e.name === l.test);
-    if (of.length === 0) lines.push(`KNOWN-RED.txt: ${l.test}: there is no such test`);
-    else if (of.length > 1) lines.push(`KNOWN-RED.txt: ${l.test}: ${of.length} tests have this name`);
-    else if (of[0]!.passed) lines.push(`KNOWN-RED.txt: ${l.test}: passes, and is to be taken off the list`);
+    if (of.length === 0)
+      lines.push(`KNOWN-RED.txt: ${l.test}: there is no such test`);
+    else if (of.length > 1)
+      lines.push(`KNOWN-RED.txt: ${l.test}: ${of.length} tests have this name`);
+    else if (of[0]!.passed)
+      lines.push(
+        `KNOWN-RED.txt: ${l.test}: passes, and is to be taken off the list`,
+      );
   }
-  const red = ended.filter((e) => !e.passed && !listed.some((l) => l.test === e.name));
+  const red = ended.filter(
+    (e) => !e.passed && !listed.some((l) => l.test === e.name),
+  );
   for (const e of red) lines.push(`failed: ${e.name}`);
   const ok = lines.length === 0;
-  for (const l of listed) if (ended.some((e) => e.name === l.test && !e.passed)) lines.push(`known red, passed over: ${l.test}: ${l.cause} (issue ${l.issue})`);
+  for (const l of listed)
+    if (ended.some((e) => e.name === l.test && !e.passed))
+      lines.push(
+        `known red, passed over: ${l.test}: ${l.cause} (issue ${l.issue})`,
+      );
   return { ok, lines };
 }
