--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -3,13 +3,29 @@
 import fc from "fast-check";
 import { DEFAULTS } from "../src/config/operator.js";
 import type { Team } from "../src/config/settings.js";
-import { type Demand, planShares, type Situation } from "../src/coordination/limits/plan.js";
+import {
+  type Demand,
+  planShares,
+  type Situation,
+} from "../src/coordination/limits/plan.js";
 import { Reclaims, Sharing } from "../src/coordination/limits/index.js";
-import { entryIn, entryOf, type LimitRecord, mayUse, overdrawn, type Pair } from "../src/coordination/limits/shares.js";
+import {
+  entryIn,
+  entryOf,
+  type LimitRecord,
+  mayUse,
+  overdrawn,
+  type Pair,
+} from "../src/coordination/limits/shares.js";
 import type { JobSpec } from "../src/coordination/model.js";
 import { Round } from "../src/coordination/queues.js";
 import { explore } from "../src/lab/explore.js";
-import { type Guard, GUARDS, limitsModel, type LimitsScope } from "../src/lab/limits-model.js";
+import {
+  type Guard,
+  GUARDS,
+  limitsModel,
+  type LimitsScope,
+} from "../src/lab/limits-model.js";
 import { bytesOf, QUOTA_KEY, type Shares } from "../src/storage/records.js";
 import { farm } from "./limits/farm.js";
 import { randomJob, troubles, largeTroubles, users } from "./sim/days.js";
@@ -17,7 +33,11 @@
 
 /** Teams' limits and guarantees over all controllers. */
 
-const team = (name: string, cpusMax: number, over: Partial<Team> = {}): Team => ({ name, cpus: 0, gpus: 0, cpusMax, gpusMax: Infinity, ...over });
+const team = (
+  name: string,
+  cpusMax: number,
+  over: Partial<Team> = {},
+): Team => ({ name, cpus: 0, gpus: 0, cpusMax, gpusMax: Infinity, ...over });
 
 /** Masters of some groups with one record, each going by its own settings; everything that is sent arrives at once. */
 class Small {
@@ -32,12 +52,29 @@
   usedBy(group: string, t: string): number {
     return this.use.get(group)?.get(t) ?? 0;
   }
-  situation(group: string, groups: string[], teams: Team[], over: Partial<Situation> = {}): Situation {
+  situation(
+    group: string,
+    groups: string[],
+    teams: Team[],
+    over: Partial<Situation> = {},
+  ): Situation {
     const use = (t: string): Pair => [this.usedBy(group, t), 0];
     return {
-      group, groups, teams: new Map(teams.map((t) => [t.name, t])), records: this.records, valueBytes: this.valueBytes, writes: 3,
-      use, known: use, mine: this.wants.get(group) ?? new Map(), others: new Map([...this.wants].filter(([g]) => g !== group)),
-      keep: () => [0, 0], agreed: true, gone: new Set(), movable: () => true, ...over,
+      group,
+      groups,
+      teams: new Map(teams.map((t) => [t.name, t])),
+      records: this.records,
+      valueBytes: this.valueBytes,
+      writes: 3,
+      use,
+      known: use,
+      mine: this.wants.get(group) ?? new Map(),
+      others: new Map([...this.wants].filter(([g]) => g !== group)),
+      keep: () => [0, 0],
+      agreed: true,
+      gone: new Set(),
+      movable: () => true,
+      ...over,
     };
   }
   /** One master's turn; whether it wrote anything. */
@@ -48,16 +85,37 @@
     this.version++;
     for (const [key, shares] of plan.writes) {
       assert.ok(bytesOf(shares) <= this.valueBytes);
-      this.records.set(key, { shares: JSON.parse(JSON.stringify(shares)), version: this.version });
+      this.records.set(key, {
+        shares: JSON.parse(JSON.stringify(shares)),
+        version: this.version,
+      });
     }
     return true;
   }
   share(group: string, t: Team): number {
-    return mayUse(t, entryOf(this.records, t.name), group, () => [this.usedBy(group, t.name), 0])[0];
+    return mayUse(t, entryOf(this.records, t.name), group, () => [
+      this.usedBy(group, t.name),
+      0,
+    ])[0];
   }
-  want(group: string, t: string, cpus: number, since: number, beyond: number): void {
+  want(
+    group: string,
+    t: string,
+    cpus: number,
+    since: number,
+    beyond: number,
+  ): void {
     const of = this.wants.get(group) ?? new Map<string, Demand>();
-    this.wants.set(group, of.set(t, { now: [cpus, 0], nowSince: [since, Infinity], soon: [0, 0], soonSince: [Infinity, Infinity], beyond: [beyond, 0] }));
+    this.wants.set(
+      group,
+      of.set(t, {
+        now: [cpus, 0],
+        nowSince: [since, Infinity],
+        soon: [0, 0],
+        soonSince: [Infinity, Infinity],
+        beyond: [beyond, 0],
+      }),
+    );
   }
 }
 
@@ -66,24 +124,46 @@
   const three = ["a", "b", "c"];
   const t900 = team("t", 900);
   for (const g of three) s.turn(s.situation(g, three, [t900]));
-  assert.deepEqual(three.map((g) => s.share(g, t900)), [300, 300, 300]);
+  assert.deepEqual(
+    three.map((g) => s.share(g, t900)),
+    [300, 300, 300],
+  );
   // A fourth controller: what is written holds. It was given limit / n beside the parts of the others, 1,125 in all.
   const four = [...three, "d"];
   for (const g of four) s.turn(s.situation(g, four, [t900]));
-  assert.deepEqual(four.map((g) => s.share(g, t900)), [300, 300, 300, 0]);
+  assert.deepEqual(
+    four.map((g) => s.share(g, t900)),
+    [300, 300, 300, 0],
+  );
   s.want("d", "t", 200, 1, 0);
   for (const g of four) s.turn(s.situation(g, four, [t900]));
   assert.equal(s.share("d", t900), 200);
-  assert.equal(four.reduce((n, g) => n + s.share(g, t900), 0), 900);
+  assert.equal(
+    four.reduce((n, g) => n + s.share(g, t900), 0),
+    900,
+  );
   s.wants.clear();
   // Lowered to 300 while 400 are in use: nothing starts, whoever has seen it and whoever has not been restarted yet.
   s.use.set("b", new Map([["t", 250]])).set("c", new Map([["t", 150]]));
   const t300 = team("t", 300);
-  assert.equal(s.share("a", t300), 0, "before it is written, by its own settings");
-  for (let k = 0; k < 3; k++) for (const g of four) s.turn(s.situation(g, four, [g === "a" ? t300 : t900], { agreed: false }));
-  assert.deepEqual(four.map((g) => s.share(g, t900)), [0, 250, 150, 0], "use and nothing more");
+  assert.equal(
+    s.share("a", t300),
+    0,
+    "before it is written, by its own settings",
+  );
+  for (let k = 0; k < 3; k++)
+    for (const g of four)
+      s.turn(
+        s.situation(g, four, [g === "a" ? t300 : t900], { agreed: false }),
+      );
+  assert.deepEqual(
+    four.map((g) => s.share(g, t900)),
+    [0, 250, 150, 0],
+    "use and nothing more",
+  );
   s.use.get("b")!.set("t", 100);
-  for (let k = 0; k < 3; k++) for (const g of four) s.turn(s.situation(g, four, [t300]));
+  for (let k = 0; k < 3; k++)
+    for (const g of four) s.turn(s.situation(g, four, [t300]));
   assert.ok(four.reduce((n, g) => n + s.share(g, t300), 0) <= 300.01);
   assert.ok(s.share("b", t300) >= 100 && s.share("c", t300) >= 150);
   // One fewer: what it had is out of reach until it is sure that nothing of it runs, then it is there for others.
@@ -93,7 +173,9 @@
   const had = s.share("c", t300);
   for (const g of two) s.turn(s.situation(g, two, [t300]));
   assert.equal(entryOf(s.records, "t")!.parts["c"]![0], had);
-  for (let k = 0; k < 2; k++) for (const g of two) s.turn(s.situation(g, two, [t300], { gone: new Set(["c"]) }));
+  for (let k = 0; k < 2; k++)
+    for (const g of two)
+      s.turn(s.situation(g, two, [t300], { gone: new Set(["c"]) }));
   assert.equal(entryOf(s.records, "t")!.parts["c"]![0], 0);
   assert.ok(s.share("a", t300) >= 200, `${s.share("a", t300)}`);
   // Raised only when all agree.
@@ -107,7 +189,21 @@
 test("drawn changes of settings, use and wants: parts never add up to more than the limit, nothing starts while more is out", () => {
   fc.assert(
     fc.property(
-      fc.array(fc.record({ who: fc.nat(4), what: fc.constantFrom("turn", "start", "end", "want", "limit", "gone"), n: fc.integer({ min: 1, max: 60 }) }), { minLength: 20, maxLength: 120 }),
+      fc.array(
+        fc.record({
+          who: fc.nat(4),
+          what: fc.constantFrom(
+            "turn",
+            "start",
+            "end",
+            "want",
+            "limit",
+            "gone",
+          ),
+          n: fc.integer({ min: 1, max: 60 }),
+        }),
+        { minLength: 20, maxLength: 120 },
+      ),
       (steps) => {
         const s = new Small();
         const all = ["a", "b", "c", "d", "e"];
@@ -122,19 +218,43 @@
           const used = all.reduce((sum, x) => sum + s.usedBy(x, "t"), 0);
           if (what === "limit") limit = [30, 60, 90, 120][n % 4]!;
           else if (goneBy.has(g)) continue;
-          else if (what === "gone" && groups.length > 2 && s.usedBy(g, "t") === 0) goneBy.add(g);
-          else if (what === "turn") s.turn(s.situation(g, groups, [t], { gone: goneBy }));
+          else if (
+            what === "gone" &&
+            groups.length > 2 &&
+            s.usedBy(g, "t") === 0
+          )
+            goneBy.add(g);
+          else if (what === "turn")
+            s.turn(s.situation(g, groups, [t], { gone: goneBy }));
           else if (what === "want") s.want(g, "t", n, n, s.share(g, t));
-          else if (what === "end") s.use.set(g, new Map([["t", Math.max(0, s.usedBy(g, "t") - n)]]));
-          else if (what === "start" && s.usedBy(g, "t") + n <= s.share(g, t) + 1e-6) {
+          else if (what === "end")
+            s.use.set(g, new Map([["t", Math.max(0, s.usedBy(g, "t") - n)]]));
+          else if (
+            what === "start" &&
+            s.usedBy(g, "t") + n <= s.share(g, t) + 1e-6
+          ) {
             s.use.set(g, new Map([["t", s.usedBy(g, "t") + n]]));
-            assert.ok(used + n <= before!.cap[0] + 0.05 && !overdrawn(before!, 0), `${used} + ${n} of ${before!.cap[0]}`);
+            assert.ok(
+              used + n <= before!.cap[0] + 0.05 && !overdrawn(before!, 0),
+              `${used} + ${n} of ${before!.cap[0]}`,
+            );
           }
           smallest = limit;
           const after = entryOf(s.records, "t");
           if (after && after.cap[0] <= smallest) {
-            const may = groups.reduce((sum, x) => sum + Math.max(s.usedBy(x, "t"), s.share(x, team("t", limit))), 0);
-            assert.ok(may <= Math.max(after.cap[0], all.reduce((sum, x) => sum + s.usedBy(x, "t"), 0)) + 0.05);
+            const may = groups.reduce(
+              (sum, x) =>
+                sum + Math.max(s.usedBy(x, "t"), s.share(x, team("t", limit))),
+              0,
+            );
+            assert.ok(
+              may <=
+                Math.max(
+                  after.cap[0],
+                  all.reduce((sum, x) => sum + s.usedBy(x, "t"), 0),
+                ) +
+                  0.05,
+            );
           }
         }
       },
@@ -144,39 +264,102 @@
 });
 
 test("200 teams in 7 groups: records of 8 KiB and of 2 KiB hold all, nothing is written when nothing moves", () => {
-  for (const [valueBytes, writes] of [[7_782, 3], [2_048, 3]] as const) {
+  for (const [valueBytes, writes] of [
+    [7_782, 3],
+    [2_048, 3],
+  ] as const) {
     const s = new Small(valueBytes);
     const groups = Array.from({ length: 7 }, (_, i) => `controller-${i}`);
-    const teams = Array.from({ length: 200 }, (_, i) => team(`team-${i}`, 100 + i));
+    const teams = Array.from({ length: 200 }, (_, i) =>
+      team(`team-${i}`, 100 + i),
+    );
     let turns = 0;
-    while (s.turn(s.situation(groups[turns % 7]!, groups, teams, { writes }))) assert.ok(++turns < 200, "it comes to an end");
+    while (s.turn(s.situation(groups[turns % 7]!, groups, teams, { writes })))
+      assert.ok(++turns < 200, "it comes to an end");
     for (const t of teams) {
       const sum = groups.reduce((n, g) => n + s.share(g, t), 0);
-      assert.ok(sum > t.cpusMax - 0.1 && sum <= t.cpusMax + 1e-6, `${t.name}: ${sum}`);
+      assert.ok(
+        sum > t.cpusMax - 0.1 && sum <= t.cpusMax + 1e-6,
+        `${t.name}: ${sum}`,
+      );
     }
     assert.ok(s.records.size > 1 && s.records.has(QUOTA_KEY));
     const commits = s.commits;
-    for (const g of groups) assert.equal(s.turn(s.situation(g, groups, teams)), false);
+    for (const g of groups)
+      assert.equal(s.turn(s.situation(g, groups, teams)), false);
     assert.equal(s.commits, commits);
     // Several teams in one commit.
-    for (let i = 0; i < 40; i++) s.want("controller-1", `team-${i}`, 5, 1, s.share("controller-1", teams[i]!));
+    for (let i = 0; i < 40; i++)
+      s.want(
+        "controller-1",
+        `team-${i}`,
+        5,
+        1,
+        s.share("controller-1", teams[i]!),
+      );
     assert.ok(s.turn(s.situation("controller-0", groups, teams)));
-    const got = teams.slice(0, 40).filter((t) => s.share("controller-1", t) > t.cpusMax / 7 + 4).length;
+    const got = teams
+      .slice(0, 40)
+      .filter((t) => s.share("controller-1", t) > t.cpusMax / 7 + 4).length;
     assert.ok(got >= 20, `${got} teams at once`);
   }
 });
 
 const SCOPES: Record<string, LimitsScope> = {
-  give: { groups: ["a", "b", "c"], teams: ["x"], limit: 3, later: 3, laterGroups: ["a", "b", "c"], tasks: [2, 0, 0], flights: 2, takeovers: 0, restarts: 0 },
-  take: { groups: ["a", "b"], teams: ["x"], limit: 2, later: 2, laterGroups: ["a", "b"], tasks: [2, 0], flights: 1, takeovers: 1, restarts: 0 },
-  lower: { groups: ["a", "b"], teams: ["x"], limit: 4, later: 2, laterGroups: ["a", "b"], tasks: [2, 1], flights: 1, takeovers: 0, restarts: 1 },
-  fewer: { groups: ["a", "b"], teams: ["x"], limit: 2, later: 2, laterGroups: ["a"], tasks: [2, 1], flights: 1, takeovers: 0, restarts: 2 },
+  give: {
+    groups: ["a", "b", "c"],
+    teams: ["x"],
+    limit: 3,
+    later: 3,
+    laterGroups: ["a", "b", "c"],
+    tasks: [2, 0, 0],
+    flights: 2,
+    takeovers: 0,
+    restarts: 0,
+  },
+  take: {
+    groups: ["a", "b"],
+    teams: ["x"],
+    limit: 2,
+    later: 2,
+    laterGroups: ["a", "b"],
+    tasks: [2, 0],
+    flights: 1,
+    takeovers: 1,
+    restarts: 0,
+  },
+  lower: {
+    groups: ["a", "b"],
+    teams: ["x"],
+    limit: 4,
+    later: 2,
+    laterGroups: ["a", "b"],
+    tasks: [2, 1],
+    flights: 1,
+    takeovers: 0,
+    restarts: 1,
+  },
+  fewer: {
+    groups: ["a", "b"],
+    teams: ["x"],
+    limit: 2,
+    later: 2,
+    laterGroups: ["a"],
+    tasks: [2, 1],
+    flights: 1,
+    takeovers: 0,
+    restarts: 2,
+  },
 };
 
 test("every state of the protocol on small scopes keeps the limits", async () => {
   for (const [name, scope] of Object.entries(SCOPES)) {
     const r = await explore(limitsModel(scope), 12_000);
-    assert.equal(r.broken, null, `${name}: ${r.broken?.why}\n${r.broken?.trace.join("\n")}`);
+    assert.equal(
+      r.broken,
+      null,
+      `${name}: ${r.broken?.why}\n${r.broken?.trace.join("\n")}`,
+    );
     assert.ok(r.states > 500, `${name}: ${r.states} states`);
   }
 });
@@ -194,7 +377,10 @@
 
 test("each guard that is switched off is found out", async () => {
   for (const guard of GUARDS) {
-    const r = await explore(limitsModel(SCOPES[FOUND_IN[guard]]!, new Set<Guard>([guard])), 80_000);
+    const r = await explore(
+      limitsModel(SCOPES[FOUND_IN[guard]]!, new Set<Guard>([guard])),
+      80_000,
+    );
     assert.ok(r.broken !== null, `${guard}: ${r.states} states`);
   }
 });
@@ -209,11 +395,15 @@
       for (const t of limits.values()) {
         if (t.cpusMax === Infinity) continue;
         const record = entryOf(core.mirror.limits, t.name);
-        if (record) seen.worst = Math.max(seen.worst, record.sum[0] / record.cap[0]);
+        if (record)
+          seen.worst = Math.max(seen.worst, record.sum[0] / record.cap[0]);
         const share = m.sharing.share(t.name)[0];
         const part = record?.parts[m.group]?.[0] ?? 0;
         const used = m.own.usage().get(t.name)?.cpus ?? 0;
-        assert.ok(share <= Math.max(part, used) + 1e-6, `${m.group}: ${share} of ${t.name}, written ${part}, used ${used}`);
+        assert.ok(
+          share <= Math.max(part, used) + 1e-6,
+          `${m.group}: ${share} of ${t.name}, written ${part}, used ${used}`,
+        );
       }
   };
   return seen;
@@ -224,19 +414,36 @@
   for (let seed = 800; seed < 815; seed++) {
     const w = new World(seed, undefined, [], [1, 2, 3, 5, 7][seed % 5]!);
     w.capacity = 6;
-    w.settings.teams.set("red", team("red", 30, { cpus: 20, gpusMax: 3 })).set("blue", team("blue", 40, { cpus: 20 }));
+    w.settings.teams
+      .set("red", team("red", 30, { cpus: 20, gpusMax: 3 }))
+      .set("blue", team("blue", 40, { cpus: 20 }));
     w.bootAll();
-    for (const z of w.zones) for (let i = 0; i < 4; i++) w.cloud.add(w.types[0]!, z, false, 0);
+    for (const z of w.zones)
+      for (let i = 0; i < 4; i++) w.cloud.add(w.types[0]!, z, false, 0);
     const seen = watchParts(w);
-    users(w, 110_000, (x, n) => ({ ...randomJob(x, n), team: x.rng.chance(0.8) ? "red" : "blue" }));
+    users(w, 110_000, (x, n) => ({
+      ...randomJob(x, n),
+      team: x.rng.chance(0.8) ? "red" : "blue",
+    }));
     troubles(w, 110_000);
     largeTroubles(w, 110_000);
     w.run(150_000);
-    assert.deepEqual(w.checker.broken, [], `seed ${seed}: ${w.checker.broken.join()}\n${w.logs.slice(-20).join("\n")}`);
+    assert.deepEqual(
+      w.checker.broken,
+      [],
+      `seed ${seed}: ${w.checker.broken.join()}\n${w.logs.slice(-20).join("\n")}`,
+    );
     assert.ok(seen.worst <= 1 + 1e-6, `${seen.worst}`);
     for (const t of ["red", "blue"]) {
-      const sum = entryIn(QUOTA_KEY, w.state.data.get(QUOTA_KEY)!.value as Shares, t)!.sum[0];
-      assert.ok(sum > w.settings.teams.get(t)!.cpusMax - 1, `${t}: only ${sum} handed out`);
+      const sum = entryIn(
+        QUOTA_KEY,
+        w.state.data.get(QUOTA_KEY)!.value as Shares,
+        t,
+      )!.sum[0];
+      assert.ok(
+        sum > w.settings.teams.get(t)!.cpusMax - 1,
+        `${t}: only ${sum} handed out`,
+      );
     }
     starts += w.starts;
   }
@@ -247,11 +454,28 @@
   for (let seed = 830; seed < 838; seed++) {
     const w = new World(seed);
     w.capacity = 8;
-    const teams = (red: number): Map<string, Team> => new Map([["red", team("red", red)], ["blue", team("blue", 90)]]);
+    const teams = (red: number): Map<string, Team> =>
+      new Map([
+        ["red", team("red", red)],
+        ["blue", team("blue", 90)],
+      ]);
     w.settings.teams = teams(60);
     w.bootAll();
-    for (const z of w.zones) for (let i = 0; i < 6; i++) w.cloud.add(w.types[0]!, z, false, 0);
-    users(w, 190_000, (x, n) => ({ ...randomJob(x, n), team: "red", shape: "batch", tasks: 12, cpus: 2, gpus: 0, types: null, zone: null, spread: false, samePlace: false, urgency: "normal" }));
+    for (const z of w.zones)
+      for (let i = 0; i < 6; i++) w.cloud.add(w.types[0]!, z, false, 0);
+    users(w, 190_000, (x, n) => ({
+      ...randomJob(x, n),
+      team: "red",
+      shape: "batch",
+      tasks: 12,
+      cpus: 2,
+      gpus: 0,
+      types: null,
+      zone: null,
+      spread: false,
+      samePlace: false,
+      urgency: "normal",
+    }));
     const restart = (atMs: number, name: string): void => {
       w.at(atMs, () => w.crash(name));
       w.at(atMs + w.rng.real(500, 3_000), () => w.boot(name));
@@ -264,33 +488,63 @@
     // A fourth controller, then the limit is raised.
     w.at(90_000, () => w.reconfigure([...w.names, "node-d"], teams(20)));
     w.at(90_500, () => w.boot("node-d"));
-    ["node-a", "node-b", "node-c"].forEach((n, i) => restart(91_000 + i * 5_000, n));
+    ["node-a", "node-b", "node-c"].forEach((n, i) =>
+      restart(91_000 + i * 5_000, n),
+    );
     w.at(125_000, () => {
       w.teamLimits = teams(50);
       w.reconfigure(w.names, teams(50));
     });
-    ["node-a", "node-b", "node-c", "node-d"].forEach((n, i) => restart(126_000 + i * 5_000, n));
+    ["node-a", "node-b", "node-c", "node-d"].forEach((n, i) =>
+      restart(126_000 + i * 5_000, n),
+    );
     let most = 0;
     const count = (): void => {
-      const used = w.workers.reduce((n, x) => n + (x.gone ? 0 : [...x.tasks.values()].filter((t) => x.onMachine(t)).length * 2), 0);
+      const used = w.workers.reduce(
+        (n, x) =>
+          n +
+          (x.gone
+            ? 0
+            : [...x.tasks.values()].filter((t) => x.onMachine(t)).length * 2),
+        0,
+      );
       most = Math.max(most, used);
       if (w.now < 199_000) w.at(200, count);
     };
     w.at(165_000, count);
     w.run(200_000);
-    assert.deepEqual(w.checker.broken, [], `seed ${seed}: ${w.checker.broken.join()}\n${w.logs.filter((l) => /limit|group/.test(l)).slice(-25).join("\n")}`);
-    assert.ok(most > 45, `seed ${seed}: only ${most} of 50 used after it was raised\n${w.logs.filter((l) => /limit|group/.test(l)).slice(-25).join("\n")}`);
+    assert.deepEqual(
+      w.checker.broken,
+      [],
+      `seed ${seed}: ${w.checker.broken.join()}\n${w.logs
+        .filter((l) => /limit|group/.test(l))
+        .slice(-25)
+        .join("\n")}`,
+    );
+    assert.ok(
+      most > 45,
+      `seed ${seed}: only ${most} of 50 used after it was raised\n${w.logs
+        .filter((l) => /limit|group/.test(l))
+        .slice(-25)
+        .join("\n")}`,
+    );
   }
 });
 
 test("a removed controller's part comes back once nothing of it can run", () => {
   const w = new World(841);
   w.loss = 0;
-  const teams = new Map([["red", team("red", 30)], ["blue", team("blue", 90)]]);
+  const teams = new Map([
+    ["red", team("red", 30)],
+    ["blue", team("blue", 90)],
+  ]);
   w.settings.teams = teams;
   w.bootAll();
   w.run(10_000);
-  const part = (g: string): number => ((w.state.data.get(QUOTA_KEY)!.value as Record<string, Record<string, Pair>>)["red"]![g]?.[0] ?? -1);
+  const part = (g: string): number =>
+    (
+      w.state.data.get(QUOTA_KEY)!.value as Record<string, Record<string, Pair>>
+    )["red"]![g]?.[0] ?? -1;
   assert.equal(part("node-c"), 10);
   w.crash("node-c");
   w.reconfigure(["node-a", "node-b"], teams);
@@ -305,24 +559,54 @@
     if (!w.state.data.has("lc/now/group/node-c")) goneMs ||= w.now;
     if (part("node-c") === 0) return;
     // Its record ends with its hold, and its machines' leases after that.
-    assert.ok(goneMs === 0 || w.now < goneMs + 20_000, "within a lease and what clocks and turns take");
+    assert.ok(
+      goneMs === 0 || w.now < goneMs + 20_000,
+      "within a lease and what clocks and turns take",
+    );
     w.at(200, look);
   };
   look();
   w.run(60_000);
   assert.equal(part("node-c"), 0);
   const at = w.logs.find((l) => l.includes("gone come back"))!;
-  assert.ok(Number(at.split(" ")[0]) * 1000 > goneMs + w.settings.leaseS * 1000, `${at}, gone ${goneMs}`);
+  assert.ok(
+    Number(at.split(" ")[0]) * 1000 > goneMs + w.settings.leaseS * 1000,
+    `${at}, gone ${goneMs}`,
+  );
 });
 
 // ---- guarantees --------------------------------------------------------------------------------------------
 
 /** One job on the plain machines, tasks of 4 CPUs that can't save. */
-function submitAt(w: World, atMs: number, n: number, over: Partial<JobSpec>, node = (): string => "node-a"): void {
+function submitAt(
+  w: World,
+  atMs: number,
+  n: number,
+  over: Partial<JobSpec>,
+  node = (): string => "node-a",
+): void {
   w.at(atMs, () => {
-    const spec: JobSpec = { ...randomJob(w, n), shape: "batch", tasks: 1, urgency: "normal", cpus: 4, gpus: 0, types: ["small"], zone: null, samePlace: false, spread: false, spot: false, checkpointS: 0, ...over };
+    const spec: JobSpec = {
+      ...randomJob(w, n),
+      shape: "batch",
+      tasks: 1,
+      urgency: "normal",
+      cpus: 4,
+      gpus: 0,
+      types: ["small"],
+      zone: null,
+      samePlace: false,
+      spread: false,
+      spot: false,
+      checkpointS: 0,
+      ...over,
+    };
     w.specs.set(spec.id, spec);
-    w.ask(node(), (req) => ({ is: "submit", req, spec }), () => {});
+    w.ask(
+      node(),
+      (req) => ({ is: "submit", req, spec }),
+      () => {},
+    );
   });
 }
 
@@ -331,16 +615,38 @@
   const w = new World(seed);
   w.loss = 0;
   w.capacity = 3;
-  w.settings.teams.set("red", team("red", 60, { cpus: 20 })).set("blue", team("blue", 200, { cpus: 30 }));
+  w.settings.teams
+    .set("red", team("red", 60, { cpus: 20 }))
+    .set("blue", team("blue", 200, { cpus: 30 }));
   w.bootAll();
-  for (const z of w.zones) for (let i = 0; i < 3; i++) w.cloud.add(w.types[0]!, z, false, 0);
-  const ask = (atMs: number, n: number, over: Partial<JobSpec>): void => submitAt(w, atMs, n, over, () => w.rng.pick(w.names));
+  for (const z of w.zones)
+    for (let i = 0; i < 3; i++) w.cloud.add(w.types[0]!, z, false, 0);
+  const ask = (atMs: number, n: number, over: Partial<JobSpec>): void =>
+    submitAt(w, atMs, n, over, () => w.rng.pick(w.names));
   ask(4_000, 1, { team: "blue", shape: "daemon", tasks: 24 });
-  for (let k = 0; k < 12; k++) ask(25_000 + w.rng.int(0, 300), 10 + k, { team: "red", zone, shape: "daemon" });
+  for (let k = 0; k < 12; k++)
+    ask(25_000 + w.rng.int(0, 300), 10 + k, {
+      team: "red",
+      zone,
+      shape: "daemon",
+    });
   return w;
 }
-const stopped = (w: World): number => w.logs.filter((l) => l.includes("stopping tasks for a job")).reduce((n, l) => n + 4 * Number(/"tasks":(\d+)/.exec(l)![1]), 0);
-const running = (w: World, t: string): number => w.workers.reduce((n, x) => n + (x.gone ? 0 : [...x.tasks.values()].filter((y) => x.onMachine(y) && w.specs.get(y.job)!.team === t).length * 4), 0);
+const stopped = (w: World): number =>
+  w.logs
+    .filter((l) => l.includes("stopping tasks for a job"))
+    .reduce((n, l) => n + 4 * Number(/"tasks":(\d+)/.exec(l)![1]), 0);
+const running = (w: World, t: string): number =>
+  w.workers.reduce(
+    (n, x) =>
+      n +
+      (x.gone
+        ? 0
+        : [...x.tasks.values()].filter(
+            (y) => x.onMachine(y) && w.specs.get(y.job)!.team === t,
+          ).length * 4),
+    0,
+  );
 
 test("a team gets its guarantee of the whole fleet, also in one zone, and all masters together stop no more than its deficit", () => {
   for (let seed = 860; seed < 868; seed++) {
@@ -351,8 +657,15 @@
     w.run(75_000);
     assert.deepEqual(w.checker.broken, []);
     assert.ok(running(w, "blue") >= full - 24);
-    assert.equal(running(w, "red"), 20, `seed ${seed}\n${w.logs.slice(-20).join("\n")}`);
-    assert.ok(stopped(w) <= 24, `seed ${seed}: ${stopped(w)} CPUs stopped for 20`);
+    assert.equal(
+      running(w, "red"),
+      20,
+      `seed ${seed}\n${w.logs.slice(-20).join("\n")}`,
+    );
+    assert.ok(
+      stopped(w) <= 24,
+      `seed ${seed}: ${stopped(w)} CPUs stopped for 20`,
+    );
   }
 });
 
@@ -363,7 +676,15 @@
   };
   Reclaims.prototype.mayClaim = () => true;
   try {
-    assert.ok(stopped((() => { const w = swarm(860, null); w.run(75_000); return w; })()) > 24);
+    assert.ok(
+      stopped(
+        (() => {
+          const w = swarm(860, null);
+          w.run(75_000);
+          return w;
+        })(),
+      ) > 24,
+    );
   } finally {
     Object.assign(Reclaims.prototype, { claim, mayClaim });
   }
@@ -375,10 +696,18 @@
     const w = new World(seed);
     w.loss = 0;
     w.capacity = 3;
-    w.settings.teams.set("red", team("red", 90, { cpus: 4 })).set("blue", team("blue", 90, { cpus: 30 }));
+    w.settings.teams
+      .set("red", team("red", 90, { cpus: 4 }))
+      .set("blue", team("blue", 90, { cpus: 30 }));
     w.bootAll();
     for (let i = 0; i < 3; i++) w.cloud.add(w.types[0]!, "west", false, 0);
-    const ask = (atMs: number, n: number, over: Partial<JobSpec>): void => submitAt(w, atMs, n, { shape: "daemon", tasks: 6, zone: "west", ...over });
+    const ask = (atMs: number, n: number, over: Partial<JobSpec>): void =>
+      submitAt(w, atMs, n, {
+        shape: "daemon",
+        tasks: 6,
+        zone: "west",
+        ...over,
+      });
     ask(4_000, 1, { team: "blue" });
     ask(20_000, 2, { team: "red", tasks: 3 });
     w.run(60_000);
@@ -396,20 +725,59 @@
   w.bootAll();
   for (let i = 0; i < 6; i++) w.cloud.add(w.types[0]!, "west", false, 0);
   w.at(10_000, () => w.crash("node-a"));
-  submitAt(w, 11_000, 1, { team: "red", shape: "daemon", tasks: 7, zone: "west" }, () => "node-b");
+  submitAt(
+    w,
+    11_000,
+    1,
+    { team: "red", shape: "daemon", tasks: 7, zone: "west" },
+    () => "node-b",
+  );
   w.run(45_000);
   assert.deepEqual(w.checker.broken, []);
-  assert.equal(running(w, "red"), 28, w.logs.filter((l) => /limit|group/.test(l)).join("\n"));
+  assert.equal(
+    running(w, "red"),
+    28,
+    w.logs.filter((l) => /limit|group/.test(l)).join("\n"),
+  );
 });
 
 test("queues by team: within its guarantee first at equal urgency, then the smaller share of it; urgency before both", () => {
-  const q = (id: string, t: string, readyAt: number, over: Partial<JobSpec> = {}) => {
-    const spec = { ...randomJob(new World(1), 1), id, team: t, urgency: "normal" as const, shape: "batch" as const, estimateS: 10, ...over };
-    return { spec, standing: { urgency: spec.urgency, readyAt }, tasks: 1, late: false, due: "no" as const };
+  const q = (
+    id: string,
+    t: string,
+    readyAt: number,
+    over: Partial<JobSpec> = {},
+  ) => {
+    const spec = {
+      ...randomJob(new World(1), 1),
+      id,
+      team: t,
+      urgency: "normal" as const,
+      shape: "batch" as const,
+      estimateS: 10,
+      ...over,
+    };
+    return {
+      spec,
+      standing: { urgency: spec.urgency, readyAt },
+      tasks: 1,
+      late: false,
+      due: "no" as const,
+    };
+  };
+  const shares: Record<string, number> = {
+    in: 0.5,
+    alsoIn: 0.9,
+    out: 1.5,
+    far: 3,
   };
-  const shares: Record<string, number> = { in: 0.5, alsoIn: 0.9, out: 1.5, far: 3 };
   const order = (jobs: ReturnType<typeof q>[], ranked: boolean): string[] => {
-    const round = new Round(jobs, { ...DEFAULTS }, { sinceLong: 0 }, ranked ? (t) => ({ within: shares[t]! < 1, share: shares[t]! }) : null);
+    const round = new Round(
+      jobs,
+      { ...DEFAULTS },
+      { sinceLong: 0 },
+      ranked ? (t) => ({ within: shares[t]! < 1, share: shares[t]! }) : null,
+    );
     const out: string[] = [];
     for (let head = round.head(); head; head = round.head()) {
       out.push(head.spec.id);
@@ -418,12 +786,27 @@
     }
     return out;
   };
-  const jobs = [q("1", "far", 0), q("2", "out", 1), q("3", "in", 3), q("4", "alsoIn", 2), q("5", "far", 9, { urgency: "high" }), q("6", "far", -5)];
+  const jobs = [
+    q("1", "far", 0),
+    q("2", "out", 1),
+    q("3", "in", 3),
+    q("4", "alsoIn", 2),
+    q("5", "far", 9, { urgency: "high" }),
+    q("6", "far", -5),
+  ];
   assert.deepEqual(order(jobs, true), ["5", "4", "3", "2", "6", "1"]);
   assert.deepEqual(order(jobs, false), ["5", "6", "1", "2", "4", "3"]);
   // The order follows what is served: a team that gets beyond its guarantee stands back at once.
   let used = 0;
-  const round = new Round([q("a", "in", 0), q("b", "in", 1), q("c", "alsoIn", 5)], { ...DEFAULTS }, { sinceLong: 0 }, (t) => (t === "in" ? { within: used < 1, share: used } : { within: true, share: 0.9 }));
+  const round = new Round(
+    [q("a", "in", 0), q("b", "in", 1), q("c", "alsoIn", 5)],
+    { ...DEFAULTS },
+    { sinceLong: 0 },
+    (t) =>
+      t === "in"
+        ? { within: used < 1, share: used }
+        : { within: true, share: 0.9 },
+  );
   assert.equal(round.head()!.spec.id, "a");
   used = 1;
   round.served(1);
@@ -445,7 +828,8 @@
     for (let seed = 200; seed < 230 && broken.length === 0; seed++) {
       const w = new World(seed);
       w.capacity = 6;
-      for (const z of w.zones) for (let i = 0; i < 4; i++) w.cloud.add(w.types[0]!, z, false, 0);
+      for (const z of w.zones)
+        for (let i = 0; i < 4; i++) w.cloud.add(w.types[0]!, z, false, 0);
       users(w, 80_000, (x, n) => ({ ...randomJob(x, n), team: "red" }));
       w.run(100_000);
       broken.push(...w.checker.broken);
@@ -457,28 +841,66 @@
 });
 
 test("real controllers, killed and stopped at drawn moments: the machines' own count never passes a limit, no task runs twice, all end", async () => {
-  const r = await farm(3, { controllers: 5, machines: 20, jobs: 40, tasks: 25, limit: 8, runMs: [400, 1_200], calmMs: 4_000, roughMs: 9_000, endMs: 180_000 });
+  const r = await farm(3, {
+    controllers: 5,
+    machines: 20,
+    jobs: 40,
+    tasks: 25,
+    limit: 8,
+    runMs: [400, 1_200],
+    calmMs: 4_000,
+    roughMs: 9_000,
+    endMs: 180_000,
+  });
   assert.deepEqual(r.wrong, []);
-  assert.equal(r.done, r.tasks, `${r.done} of ${r.tasks} done, ${r.starts} starts`);
+  assert.equal(
+    r.done,
+    r.tasks,
+    `${r.done} of ${r.tasks} done, ${r.starts} starts`,
+  );
   assert.deepEqual(r.logErrors, []);
 });
 
 /** Two controllers, machines with accelerators in both zones, and a team whose limit is short. */
-function short(cpusMax: number, gpusMax: number): { w: World; submit: (atMs: number, over: Partial<JobSpec>) => string } {
+function short(
+  cpusMax: number,
+  gpusMax: number,
+): { w: World; submit: (atMs: number, over: Partial<JobSpec>) => string } {
   const w = new World(5, undefined, [], 2);
   w.loss = 0;
   w.capacity = 4;
   w.runFactor = 20;
   w.settings.teams = new Map([["red", team("red", cpusMax, { gpusMax })]]);
   w.bootAll();
-  for (const z of ["east", "mid"]) for (let i = 0; i < 3; i++) w.cloud.add(w.types[1]!, z, false, 0);
+  for (const z of ["east", "mid"])
+    for (let i = 0; i < 3; i++) w.cloud.add(w.types[1]!, z, false, 0);
   let n = 0;
   return {
     w,
     submit: (atMs, over) => {
-      const spec: JobSpec = { ...randomJob(w, ++n), team: "red", shape: "batch", urgency: "normal", gpus: 0, types: ["big"], samePlace: false, spread: false, spot: false, estimateS: 60, checkpointS: 0, deadlineS: null, ...over };
+      const spec: JobSpec = {
+        ...randomJob(w, ++n),
+        team: "red",
+        shape: "batch",
+        urgency: "normal",
+        gpus: 0,
+        types: ["big"],
+        samePlace: false,
+        spread: false,
+        spot: false,
+        estimateS: 60,
+        checkpointS: 0,
+        deadlineS: null,
+        ...over,
+      };
       w.specs.set(spec.id, spec);
-      w.at(atMs, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job", JSON.stringify(a))));
+      w.at(atMs, () =>
+        w.ask(
+          "node-a",
+          (req) => ({ is: "submit", req, spec }),
+          (a) => assert.equal(a?.is, "job", JSON.stringify(a)),
+        ),
+      );
       return spec.id;
     },
   };
@@ -494,25 +916,52 @@
   submit(17_000, { zone: "east", tasks: 4, cpus: 5, gpus: 1 });
   w.run(60_000);
   assert.deepEqual(w.checker.broken, []);
-  const given = w.logs.filter((l) => l.includes("giving part") && Number(l.split(" ")[0]) > 25);
-  assert.ok(given.length < 8, `${given.length} in 35 s\n${given.slice(-6).join("\n")}`);
+  const given = w.logs.filter(
+    (l) => l.includes("giving part") && Number(l.split(" ")[0]) > 25,
+  );
+  assert.ok(
+    given.length < 8,
+    `${given.length} in 35 s\n${given.slice(-6).join("\n")}`,
+  );
 });
 
 test("a gang that was accepted under a larger limit keeps no part of the present one from others", () => {
   const { w, submit } = short(20, 6);
-  const never = submit(10_000, { zone: "east", shape: "ensemble", tasks: 3, cpus: 5, estimateS: 5 });
+  const never = submit(10_000, {
+    zone: "east",
+    shape: "ensemble",
+    tasks: 3,
+    cpus: 5,
+    estimateS: 5,
+  });
   w.at(10_300, () => {
     // It was accepted and nothing of it runs yet: its image is on its way. Lowered for all at once.
     w.reconfigure(w.names, new Map([["red", team("red", 10, { gpusMax: 6 })]]));
     w.bootAll();
     for (const m of w.workers) m.restart(300);
   });
-  const other = submit(30_000, { zone: "mid", tasks: 4, cpus: 2, estimateS: 90 });
+  const other = submit(30_000, {
+    zone: "mid",
+    tasks: 4,
+    cpus: 2,
+    estimateS: 90,
+  });
   w.run(90_000);
   assert.deepEqual(w.checker.broken, []);
   assert.ok(w.state.data.has(`lc/now/job/${never}`));
-  const begun = new Set(w.logs.flatMap((l) => /task phase .*"task":"([^"]*)".*"to":"running"/.exec(l)?.[1] ?? []).filter((t) => t.startsWith(`${other}/`)));
-  assert.equal(begun.size, 4, `the limit has room for all of them\n${w.logs.slice(-12).join("\n")}`);
+  const begun = new Set(
+    w.logs
+      .flatMap(
+        (l) =>
+          /task phase .*"task":"([^"]*)".*"to":"running"/.exec(l)?.[1] ?? [],
+      )
+      .filter((t) => t.startsWith(`${other}/`)),
+  );
+  assert.equal(
+    begun.size,
+    4,
+    `the limit has room for all of them\n${w.logs.slice(-12).join("\n")}`,
+  );
 });
 
 test("an array in one zone that is larger than its team's limit runs in turns, also where the limit is elsewhere", () => {
@@ -520,10 +969,25 @@
   w.runFactor = 1;
   // All of the limit goes there and stays there.
   submit(9_000, { zone: "mid", tasks: 12, cpus: 5 });
-  const array = submit(60_000, { zone: "east", tasks: 10, cpus: 5, samePlace: true });
+  const array = submit(60_000, {
+    zone: "east",
+    tasks: 10,
+    cpus: 5,
+    samePlace: true,
+  });
   w.run(59_000);
-  assert.equal((w.state.data.get("lc/now/quota")!.value as { red: Record<string, number[]> }).red["node-a"]![0], 0);
+  assert.equal(
+    (
+      w.state.data.get("lc/now/quota")!.value as {
+        red: Record<string, number[]>;
+      }
+    ).red["node-a"]![0],
+    0,
+  );
   w.run(140_000);
   assert.deepEqual(w.checker.broken, []);
-  assert.ok(w.logs.some((l) => l.includes("task phase") && l.includes(`"${array}/`)), "it begins");
+  assert.ok(
+    w.logs.some((l) => l.includes("task phase") && l.includes(`"${array}/`)),
+    "it begins",
+  );
 });
--- a/test/limits/farm.ts
+++ b/test/limits/farm.ts
@@ -38,8 +38,12 @@
     const now = (this.on.get(team) ?? 0) + cores;
     this.on.set(team, now);
     this.starts++;
-    if (now > this.limits.get(team)! + 1e-6) this.wrong.push(`quota: ${team} uses ${now}`);
-    if (this.where.has(shard)) this.wrong.push(`ran_twice: ${shard} on ${worker} and ${this.where.get(shard)}`);
+    if (now > this.limits.get(team)! + 1e-6)
+      this.wrong.push(`quota: ${team} uses ${now}`);
+    if (this.where.has(shard))
+      this.wrong.push(
+        `ran_twice: ${shard} on ${worker} and ${this.where.get(shard)}`,
+      );
     this.where.set(shard, worker);
   }
   ends(shard: string): void {
@@ -78,10 +82,16 @@
         req.on("data", (x) => (text += String(x)));
         req.on("end", () => {
           this.expire();
-          const body = text ? (JSON.parse(text) as Orders & { watch?: number }) : {};
-          const ok = req.method === "GET" || (body.baton! >= this.token && body.watch === this.session);
+          const body = text
+            ? (JSON.parse(text) as Orders & { watch?: number })
+            : {};
+          const ok =
+            req.method === "GET" ||
+            (body.baton! >= this.token && body.watch === this.session);
           if (ok && req.method === "POST") this.obey(body);
-          res.writeHead(ok ? 200 : 409, { "content-type": "application/json" }).end(JSON.stringify(this.report()));
+          res
+            .writeHead(ok ? 200 : 409, { "content-type": "application/json" })
+            .end(JSON.stringify(this.report()));
         });
       }),
     );
@@ -96,13 +106,27 @@
 
   private report(): object {
     return {
-      berth: this.name, address: `127.0.0.1:${(this.server!.address() as AddressInfo).port}`, hull: "m", yard: this.zone, loaners: false, watch: this.session, tally: ++this.tally, baton: this.token, recallS: null,
-      shards: [...this.tasks.values()].map((t) => ({ shard: t.shard, try: t.attempt, status: t.status, ...(t.cause ? { cause: t.cause } : {}) })),
+      berth: this.name,
+      address: `127.0.0.1:${(this.server!.address() as AddressInfo).port}`,
+      hull: "m",
+      yard: this.zone,
+      loaners: false,
+      watch: this.session,
+      tally: ++this.tally,
+      baton: this.token,
+      recallS: null,
+      shards: [...this.tasks.values()].map((t) => ({
+        shard: t.shard,
+        try: t.attempt,
+        status: t.status,
+        ...(t.cause ? { cause: t.cause } : {}),
+      })),
     };
   }
   private expire(): void {
     if (performance.now() - this.sentMs <= LEASE_MS) return;
-    for (const t of this.tasks.values()) if (t.status === "running") this.count.ends(t.shard);
+    for (const t of this.tasks.values())
+      if (t.status === "running") this.count.ends(t.shard);
     this.tasks.clear();
     this.session++;
     this.sentMs = performance.now();
@@ -111,19 +135,27 @@
     if (this.over) return;
     this.expire();
     void this.send();
-    this.timer = setTimeout(() => this.loop(), REPORT_MS * this.rng.real(0.75, 1.25));
+    this.timer = setTimeout(
+      () => this.loop(),
+      REPORT_MS * this.rng.real(0.75, 1.25),
+    );
   }
   /** A change: a report comes soon, no more often than every half second. */
   private changed(): void {
     if (this.timer) clearTimeout(this.timer);
-    this.timer = setTimeout(() => this.loop(), Math.max(1, this.lastMs + REPORT_MS - performance.now()));
+    this.timer = setTimeout(
+      () => this.loop(),
+      Math.max(1, this.lastMs + REPORT_MS - performance.now()),
+    );
   }
   private async send(): Promise<void> {
     if (this.flying) return;
     this.flying = true;
     const sent = (this.lastMs = performance.now());
     const session = this.session;
-    const r = await this.d.reach(this.target, "POST", "/hello", this.report()).catch(() => null);
+    const r = await this.d
+      .reach(this.target, "POST", "/hello", this.report())
+      .catch(() => null);
     this.flying = false;
     if (this.over) return;
     if (r?.status === 200) {
@@ -134,7 +166,8 @@
       this.obey(body);
       return;
     }
-    const master = r?.status === 421 ? String(r.body["harbormaster"] ?? "") : "";
+    const master =
+      r?.status === 421 ? String(r.body["harbormaster"] ?? "") : "";
     const to = this.d.indexOf(master);
     if (to >= 0 && to !== this.target) {
       this.target = to;
@@ -148,11 +181,19 @@
       const key = `${shard}#${attempt}`;
       const t = this.tasks.get(key);
       if (verb === "start" && !t) {
-        const fresh: Task = { job: shard.split("/")[0]!, shard, attempt, status: "fetching", cause: null };
+        const fresh: Task = {
+          job: shard.split("/")[0]!,
+          shard,
+          attempt,
+          status: "fetching",
+          cause: null,
+        };
         this.tasks.set(key, fresh);
         setTimeout(() => this.begin(fresh, key), this.rng.real(2, 30));
-      } else if (verb === "kill" && t && t.status !== "exited") this.exit(t, "stopped");
-      else if (verb === "clear" && t?.status === "exited") this.tasks.delete(key);
+      } else if (verb === "kill" && t && t.status !== "exited")
+        this.exit(t, "stopped");
+      else if (verb === "clear" && t?.status === "exited")
+        this.tasks.delete(key);
     }
   }
   private begin(t: Task, key: string): void {
@@ -191,13 +232,46 @@
 }
 
 /** Controllers, machines, four teams; after `calmMs` controllers are killed and stopped at drawn moments for `roughMs`. */
-export async function farm(seed: number, o: { controllers: number; machines: number; jobs: number; tasks: number; limit: number; runMs: [number, number]; calmMs: number; roughMs: number; endMs: number }): Promise<FarmResult> {
+export async function farm(
+  seed: number,
+  o: {
+    controllers: number;
+    machines: number;
+    jobs: number;
+    tasks: number;
+    limit: number;
+    runMs: [number, number];
+    calmMs: number;
+    roughMs: number;
+    endMs: number;
+  },
+): Promise<FarmResult> {
   const d = new Deployment(seed);
   const teams = ["red", "blue", "green", "grey"];
   const count = new Count(new Map(), new Map(teams.map((t) => [t, o.limit])));
   const zones = Array.from({ length: o.controllers }, (_, i) => `z${i}`);
-  await d.start(o.controllers, "", teams.map((t) => `[[cluster.teams]]\nname = "${t}"\ncpus = ${o.limit / 2}.0\ncpus_max = ${o.limit}.0\n`).join(""));
-  const machines = Array.from({ length: o.machines }, (_, i) => new Machine(`n-${String(i + 1).padStart(6, "0")}`, zones[i % zones.length]!, d, count, d.rng, o.runMs));
+  await d.start(
+    o.controllers,
+    "",
+    teams
+      .map(
+        (t) =>
+          `[[cluster.teams]]\nname = "${t}"\ncpus = ${o.limit / 2}.0\ncpus_max = ${o.limit}.0\n`,
+      )
+      .join(""),
+  );
+  const machines = Array.from(
+    { length: o.machines },
+    (_, i) =>
+      new Machine(
+        `n-${String(i + 1).padStart(6, "0")}`,
+        zones[i % zones.length]!,
+        d,
+        count,
+        d.rng,
+        o.runMs,
+      ),
+  );
   const samples: { atMs: number; part: number }[] = [];
   let timer: NodeJS.Timeout | null = null;
   // A controller that came up after all were ended kept the test from ending.
@@ -208,11 +282,35 @@
       const id = `req-${String(n).padStart(6, "0")}`;
       const team = teams[n % teams.length]!;
       count.jobs.set(id, { team, cores: 0.25, tasks: o.tasks });
-      const job = { id, jobclass: "demo", crew: team, shape: "batch", urgency: "normal", shards: o.tasks, cores: 0.25, accelerators: 0, memoryGb: 0.1, bundle: "img-01", sizeGb: 0.1, hulls: null, yard: null, samePlace: false, spread: false, loaners: false, reckonS: 3, stashEveryS: 0, stashS: 0, dueS: null };
+      const job = {
+        id,
+        jobclass: "demo",
+        crew: team,
+        shape: "batch",
+        urgency: "normal",
+        shards: o.tasks,
+        cores: 0.25,
+        accelerators: 0,
+        memoryGb: 0.1,
+        bundle: "img-01",
+        sizeGb: 0.1,
+        hulls: null,
+        yard: null,
+        samePlace: false,
+        spread: false,
+        loaners: false,
+        reckonS: 3,
+        stashEveryS: 0,
+        stashS: 0,
+        dueS: null,
+      };
       for (;;) {
-        const r = await d.reach(d.rng.int(0, o.controllers - 1), "POST", "/v1/jobs", job).catch(() => null);
+        const r = await d
+          .reach(d.rng.int(0, o.controllers - 1), "POST", "/v1/jobs", job)
+          .catch(() => null);
         if (r?.status === 200 || r?.status === 201) return;
-        if (r && r.status < 429) throw new Error(`${r.status} ${JSON.stringify(r.body)}`);
+        if (r && r.status < 429)
+          throw new Error(`${r.status} ${JSON.stringify(r.body)}`);
         await sleep(200);
       }
     };
@@ -220,8 +318,19 @@
     const startMs = performance.now();
     timer = setInterval(() => {
       for (const t of teams) {
-        const left = [...count.jobs].filter(([, j]) => j.team === t).reduce((n, [, j]) => n + j.tasks * j.cores, 0) - [...count.done].filter((s) => count.jobs.get(s.split("/")[0]!)!.team === t).length * 0.25;
-        if (left > 2 * o.limit) samples.push({ atMs: performance.now() - startMs, part: (count.on.get(t) ?? 0) / o.limit });
+        const left =
+          [...count.jobs]
+            .filter(([, j]) => j.team === t)
+            .reduce((n, [, j]) => n + j.tasks * j.cores, 0) -
+          [...count.done].filter(
+            (s) => count.jobs.get(s.split("/")[0]!)!.team === t,
+          ).length *
+            0.25;
+        if (left > 2 * o.limit)
+          samples.push({
+            atMs: performance.now() - startMs,
+            part: (count.on.get(t) ?? 0) / o.limit,
+          });
       }
     }, 50);
     await sleep(Math.max(0, o.calmMs - (performance.now() - startMs)));
@@ -238,16 +347,29 @@
       }
     }
     const total = o.jobs * o.tasks;
-    for (const end = performance.now() + o.endMs; performance.now() < end && count.done.size < total; ) await sleep(100);
-    const mean = (x: number[]): number => (x.length === 0 ? 1 : x.reduce((a, b) => a + b, 0) / x.length);
+    for (
+      const end = performance.now() + o.endMs;
+      performance.now() < end && count.done.size < total;
+    )
+      await sleep(100);
+    const mean = (x: number[]): number =>
+      x.length === 0 ? 1 : x.reduce((a, b) => a + b, 0) / x.length;
     const settled = Math.min(6_000, o.calmMs / 2);
     return {
       wrong: count.wrong,
       starts: count.starts,
       done: count.done.size,
       tasks: total,
-      calm: mean(samples.filter((s) => s.atMs > settled && s.atMs < o.calmMs).map((s) => s.part)),
-      rough: mean(samples.filter((s) => s.atMs >= o.calmMs && s.atMs < o.calmMs + o.roughMs).map((s) => s.part)),
+      calm: mean(
+        samples
+          .filter((s) => s.atMs > settled && s.atMs < o.calmMs)
+          .map((s) => s.part),
+      ),
+      rough: mean(
+        samples
+          .filter((s) => s.atMs >= o.calmMs && s.atMs < o.calmMs + o.roughMs)
+          .map((s) => s.part),
+      ),
       logErrors: d.logErrors,
     };
   } finally {
@@ -259,6 +381,16 @@
 }
 
 if (process.argv[1]?.endsWith("farm.js")) {
-  const r = await farm(Number(process.argv[2] ?? 1), { controllers: 5, machines: 40, jobs: 80, tasks: 50, limit: 20, runMs: [3_000, 6_000], calmMs: 20_000, roughMs: 30_000, endMs: 60_000 });
+  const r = await farm(Number(process.argv[2] ?? 1), {
+    controllers: 5,
+    machines: 40,
+    jobs: 80,
+    tasks: 50,
+    limit: 20,
+    runMs: [3_000, 6_000],
+    calmMs: 20_000,
+    roughMs: 30_000,
+    endMs: 60_000,
+  });
   console.log({ ...r, logErrors: r.logErrors.slice(0, 5) });
 }
--- a/test/meetings-more.test.ts
+++ b/test/meetings-more.test.ts
@@ -13,10 +13,15 @@
   const met = noneMet();
   for (const seed of [0, 1, 2, 15, 19, 32, 33, 51]) {
     const { world: w, met: m } = playMore(seed, drawMore(seed));
-    assert.deepEqual(w.checker.broken, [], `seed ${seed}, ${JSON.stringify(drawMore(seed))}: ${told(w)}`);
+    assert.deepEqual(
+      w.checker.broken,
+      [],
+      `seed ${seed}, ${JSON.stringify(drawMore(seed))}: ${told(w)}`,
+    );
     for (const k of Object.keys(met) as (keyof MetMore)[]) met[k] += m[k];
   }
-  for (const [k, n] of Object.entries(met)) assert.ok(n > 0, `${k} never occurred: ${JSON.stringify(met)}`);
+  for (const [k, n] of Object.entries(met))
+    assert.ok(n > 0, `${k} never occurred: ${JSON.stringify(met)}`);
 });
 
 const drawn = (seed: number): World => playMore(seed, drawMore(seed)).world;
@@ -32,7 +37,12 @@
   caught(drawn, [2], "went_back", () => {
     const before = Controller.prototype.commit;
     Controller.prototype.commit = function (conditions, writes, urgent, done) {
-      const cancels = writes.some((x) => x.op === "put" && x.key.startsWith(PAST) && readPast(x.value)?.status === "cancelled");
+      const cancels = writes.some(
+        (x) =>
+          x.op === "put" &&
+          x.key.startsWith(PAST) &&
+          readPast(x.value)?.status === "cancelled",
+      );
       before.call(this, cancels ? [] : conditions, writes, urgent, done);
     };
     return () => (Controller.prototype.commit = before);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -8,7 +8,13 @@
 import { holdMs, Ownership } from "../src/coordination/ownership.js";
 import { Reading } from "../src/coordination/reading.js";
 import type { StateCall } from "../src/protocol/state.js";
-import { beliefKey, gangKey, inBlock, readFin, roomKey } from "../src/storage/records.js";
+import {
+  beliefKey,
+  gangKey,
+  inBlock,
+  readFin,
+  roomKey,
+} from "../src/storage/records.js";
 import { randomJob } from "./sim/days.js";
 import { caught, told } from "./sim/guards.js";
 import { draw, gap, type Met, NOT_MET, play } from "./sim/meetings.js";
@@ -33,10 +39,17 @@
     longestMs = Math.max(longestMs, w.checker.longestAfterMs);
     carried += w.carried;
   }
-  assert.ok(met.gapCancels > 150 && met.cutCancels > 50 && carried > 50, `${JSON.stringify(met)}, ${carried} calls carried by peers`);
+  assert.ok(
+    met.gapCancels > 150 && met.cutCancels > 50 && carried > 50,
+    `${JSON.stringify(met)}, ${carried} calls carried by peers`,
+  );
   // It is the permit and the lease that end them, not luck: some last for nearly as long as both, and none longer.
   const s = new World(0).settings;
-  assert.ok(longestMs > 1000 * s.leaseS + 0.5 * holdMs(s) && longestMs <= 1000 * s.leaseS * 1.0005 + holdMs(s) + 250, `${longestMs} ms`);
+  assert.ok(
+    longestMs > 1000 * s.leaseS + 0.5 * holdMs(s) &&
+      longestMs <= 1000 * s.leaseS * 1.0005 + holdMs(s) + 250,
+    `${longestMs} ms`,
+  );
 });
 
 const drawn = (seed: number): World => play(seed, draw(seed)).world;
@@ -44,9 +57,16 @@
 test("whatever settings are accepted leave time for permit and lease within cancel_s", () => {
   for (let leaseS = 2; leaseS <= 60; leaseS += 0.25)
     for (const more of [4, 4.5, 6, 10, 20, 60]) {
-      const s = { leaseS, cancelS: leaseS + more, reportS: Math.min(5, leaseS / 3) };
+      const s = {
+        leaseS,
+        cancelS: leaseS + more,
+        reportS: Math.min(5, leaseS / 3),
+      };
       const lastMs = holdMs(s) * 1.0005 + leaseS * 1000 * 1.0005;
-      assert.ok(lastMs <= s.cancelS * 1000 - 1_900, `${JSON.stringify(s)}: ${lastMs} ms`);
+      assert.ok(
+        lastMs <= s.cancelS * 1000 - 1_900,
+        `${JSON.stringify(s)}: ${lastMs} ms`,
+      );
     }
 });
 
@@ -60,14 +80,20 @@
 /** A permit worked out otherwise. */
 function permitBy(ms: (o: Ages) => number): () => () => void {
   return () => {
-    const before = Object.getOwnPropertyDescriptor(Ownership.prototype, "permitUntilMs")!;
+    const before = Object.getOwnPropertyDescriptor(
+      Ownership.prototype,
+      "permitUntilMs",
+    )!;
     Object.defineProperty(Ownership.prototype, "permitUntilMs", {
       configurable: true,
       get(this: Ages) {
-        return this.hold === null ? -Infinity : ms(this) + this.ttlMs * 0.998 - 100;
+        return this.hold === null
+          ? -Infinity
+          : ms(this) + this.ttlMs * 0.998 - 100;
       },
     });
-    return () => Object.defineProperty(Ownership.prototype, "permitUntilMs", before);
+    return () =>
+      Object.defineProperty(Ownership.prototype, "permitUntilMs", before);
   };
 }
 
@@ -75,13 +101,23 @@
   caught(gapDay, [9, 17], "ran_cancelled", () => {
     const before = Controller.prototype.step;
     Controller.prototype.step = function (input: Input, nowMs, wallMs) {
-      return before.call(this, input.is === "state" ? { ...input, sentMs: nowMs } : input, nowMs, wallMs);
+      return before.call(
+        this,
+        input.is === "state" ? { ...input, sentMs: nowMs } : input,
+        nowMs,
+        wallMs,
+      );
     };
     return () => (Controller.prototype.step = before);
   });
 });
 test("guard: the permit counts from the last read of cancellations as well as from the last touch", () => {
-  caught(gapDay, [1, 11], "ran_cancelled", permitBy((o) => o.touchedMs));
+  caught(
+    gapDay,
+    [1, 11],
+    "ran_cancelled",
+    permitBy((o) => o.touchedMs),
+  );
 });
 /** A controller whose touches are held for nearly as long as its hold lasts, while it reads on; then it hears nothing more. */
 function touchesHeld(): World {
@@ -94,7 +130,11 @@
     w.meshCuts.add("node-a");
   });
   w.run(10_000 + 3 * ttlMs);
-  assert.ok(w.logs.some((l) => /node-[bc] group taken .*"group":"node-a"/.test(l)) || w.checker.broken.length > 0, "a peer takes the group");
+  assert.ok(
+    w.logs.some((l) => /node-[bc] group taken .*"group":"node-a"/.test(l)) ||
+      w.checker.broken.length > 0,
+    "a peer takes the group",
+  );
   return w;
 }
 test("guard: the permit counts from the last touch as well as from the last read: no group has two masters", () => {
@@ -102,7 +142,9 @@
   assert.deepEqual(w.checker.broken, []);
   const ended = w.logs.filter((l) => l.includes("node-a permit ended"));
   assert.equal(ended.length, 1, "said once, with the age of each term");
-  const { touchAgeMs, readAgeMs, ttlMs } = JSON.parse(ended[0]!.slice(ended[0]!.indexOf("{"))) as Record<string, number>;
+  const { touchAgeMs, readAgeMs, ttlMs } = JSON.parse(
+    ended[0]!.slice(ended[0]!.indexOf("{")),
+  ) as Record<string, number>;
   assert.ok(touchAgeMs! > ttlMs! - 500 && readAgeMs! < 6_000, ended[0]);
   const on = permitBy((o) => o.readMs)();
   try {
@@ -122,11 +164,19 @@
 // ---- transactions that are carried out late --------------------------------------------------------------------
 
 /** Holds back, without an answer, the next transaction that writes such a key; `release`: it is carried out now. */
-function holdBack(w: World, key: (key: string) => boolean): { held: () => boolean; release: () => string } {
+function holdBack(
+  w: World,
+  key: (key: string) => boolean,
+): { held: () => boolean; release: () => string } {
   const handle = w.state.handle.bind(w.state);
   let held: StateCall | null = null;
   w.state.handle = (call, done) => {
-    if (held === null && call.op === "commit" && call.writes.some((x) => x.op === "put" && key(x.key))) held = structuredClone(call);
+    if (
+      held === null &&
+      call.op === "commit" &&
+      call.writes.some((x) => x.op === "put" && key(x.key))
+    )
+      held = structuredClone(call);
     else handle(call, done);
   };
   return {
@@ -139,7 +189,12 @@
   };
 }
 /** Runs until something holds. */
-function until(w: World, what: string, holds: () => boolean, mostMs = 60_000): void {
+function until(
+  w: World,
+  what: string,
+  holds: () => boolean,
+  mostMs = 60_000,
+): void {
   const end = w.now + mostMs;
   while (!holds()) {
     assert.ok(w.now < end, `never: ${what}\n${told(w)}`);
@@ -147,7 +202,24 @@
   }
 }
 const job = (w: World, over: Partial<JobSpec>): JobSpec => {
-  const spec = { ...randomJob(w, 1), team: "blue", shape: "batch" as const, tasks: 3, cpus: 2, gpus: 0, types: ["small"], zone: "east", samePlace: false, spread: false, spot: false, urgency: "normal" as const, estimateS: 6, checkpointS: 0, deadlineS: null, ...over };
+  const spec = {
+    ...randomJob(w, 1),
+    team: "blue",
+    shape: "batch" as const,
+    tasks: 3,
+    cpus: 2,
+    gpus: 0,
+    types: ["small"],
+    zone: "east",
+    samePlace: false,
+    spread: false,
+    spot: false,
+    urgency: "normal" as const,
+    estimateS: 6,
+    checkpointS: 0,
+    deadlineS: null,
+    ...over,
+  };
   w.specs.set(spec.id, spec);
   return spec;
 };
@@ -163,11 +235,27 @@
   const w = quiet(2);
   w.runFactor = 3;
   const spec = job(w, { tasks: 4 });
-  w.at(4_000, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
+  w.at(4_000, () =>
+    w.ask(
+      "node-a",
+      (req) => ({ is: "submit", req, spec }),
+      (a) => assert.equal(a?.is, "job"),
+    ),
+  );
   const late = holdBack(w, (k) => k.startsWith("lc/now/fin/"));
   const written = (): number => {
-    const fin = [...w.state.data].filter(([k]) => k.startsWith(`lc/now/fin/${spec.id}/`));
-    return fin.reduce((n, [k, d]) => n + inBlock(readFin(d.value, Number(k.split("/").at(-1)))!, Number(k.split("/").at(-1))).size, 0);
+    const fin = [...w.state.data].filter(([k]) =>
+      k.startsWith(`lc/now/fin/${spec.id}/`),
+    );
+    return fin.reduce(
+      (n, [k, d]) =>
+        n +
+        inBlock(
+          readFin(d.value, Number(k.split("/").at(-1)))!,
+          Number(k.split("/").at(-1)),
+        ).size,
+      0,
+    );
   };
   until(w, "the first ranges are sent", () => late.held());
   until(w, "newer ranges are written", () => written() >= 2);
@@ -177,8 +265,12 @@
   w.crash("node-a");
   w.boot("node-a");
   w.run(w.now + 3_000);
-  assert.ok(w.nodes.get("node-a")!.core.mirror.allFinished(spec.id).size >= before);
-  until(w, "done", () => [0, 1, 2, 3].every((i) => w.results.has(`${spec.id}/${i}`)));
+  assert.ok(
+    w.nodes.get("node-a")!.core.mirror.allFinished(spec.id).size >= before,
+  );
+  until(w, "done", () =>
+    [0, 1, 2, 3].every((i) => w.results.has(`${spec.id}/${i}`)),
+  );
 });
 
 test("late transaction: what a controller's former life believed of limits does not come after what its present one does", () => {
@@ -186,10 +278,22 @@
   const late = holdBack(w, (k) => k === beliefKey("node-a"));
   until(w, "the first life tells its limits", () => late.held());
   // Back at once with lower limits, while the hold of its former life is still there.
-  w.reconfigure(w.names, new Map([...w.settings.teams].map(([n, t]) => [n, { ...t, cpusMax: t.cpusMax / 2 }])));
+  w.reconfigure(
+    w.names,
+    new Map(
+      [...w.settings.teams].map(([n, t]) => [
+        n,
+        { ...t, cpusMax: t.cpusMax / 2 },
+      ]),
+    ),
+  );
   w.crash("node-a");
   w.boot("node-a");
-  const belief = (): unknown => (w.state.data.get(beliefKey("node-a"))?.value as { limits: string } | undefined)?.limits;
+  const belief = (): unknown =>
+    (
+      w.state.data.get(beliefKey("node-a"))?.value as
+        { limits: string } | undefined
+    )?.limits;
   until(w, "the second life tells its own", () => belief() !== undefined);
   const present = belief();
   const end = late.release();
@@ -201,9 +305,16 @@
 test("late transaction: a group's room as it was does not come after what it is", () => {
   const w = quiet(4);
   const late = holdBack(w, (k) => k === roomKey("node-a"));
-  const room = (): string => JSON.stringify(w.state.data.get(roomKey("node-a"))?.value ?? null);
+  const room = (): string =>
+    JSON.stringify(w.state.data.get(roomKey("node-a"))?.value ?? null);
   const spec = job(w, { tasks: 4 });
-  w.at(4_000, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
+  w.at(4_000, () =>
+    w.ask(
+      "node-a",
+      (req) => ({ is: "submit", req, spec }),
+      (a) => assert.equal(a?.is, "job"),
+    ),
+  );
   until(w, "the first room is sent", () => late.held());
   until(w, "a newer one is written", () => room() !== "null");
   const before = room();
@@ -215,14 +326,34 @@
   const w = new World(6);
   w.loss = 0;
   w.capacity = 4;
-  for (const z of ["east", "mid"]) for (let i = 0; i < 3; i++) w.cloud.add(w.types[1]!, z, false, 0);
+  for (const z of ["east", "mid"])
+    for (let i = 0; i < 3; i++) w.cloud.add(w.types[1]!, z, false, 0);
   // Such machines are in two zones, which two controllers have.
-  const spec = job(w, { shape: "ensemble", tasks: 4, cpus: 6, gpus: 1, types: ["big"], spread: true, zone: null });
+  const spec = job(w, {
+    shape: "ensemble",
+    tasks: 4,
+    cpus: 6,
+    gpus: 1,
+    types: ["big"],
+    spread: true,
+    zone: null,
+  });
   const late = holdBack(w, (k) => k.startsWith(`lc/now/ready/${spec.id}/`));
-  w.at(9_000, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job", JSON.stringify(a))));
+  w.at(9_000, () =>
+    w.ask(
+      "node-a",
+      (req) => ({ is: "submit", req, spec }),
+      (a) => assert.equal(a?.is, "job", JSON.stringify(a)),
+    ),
+  );
   until(w, "a part says that it is ready", () => late.held());
   until(w, "an attempt is called", () => w.state.data.has(gangKey(spec.id)));
-  const ready = (): string => JSON.stringify([...w.state.data].filter(([k]) => k.startsWith(`lc/now/ready/${spec.id}/`)).map(([k, d]) => [k, d.value, d.version]));
+  const ready = (): string =>
+    JSON.stringify(
+      [...w.state.data]
+        .filter(([k]) => k.startsWith(`lc/now/ready/${spec.id}/`))
+        .map(([k, d]) => [k, d.value, d.version]),
+    );
   const before = ready();
   assert.equal(late.release(), "conflict");
   assert.equal(ready(), before);
@@ -233,8 +364,18 @@
   w.loss = 0;
   w.capacity = 0;
   const spec = job(w, { zone: "west", tasks: 3 });
-  w.at(4_000, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
-  until(w, "it is split to the group that will be gone", () => JSON.stringify(w.state.data.get(`lc/now/job/${spec.id}`)?.value ?? null).includes("node-c"));
+  w.at(4_000, () =>
+    w.ask(
+      "node-a",
+      (req) => ({ is: "submit", req, spec }),
+      (a) => assert.equal(a?.is, "job"),
+    ),
+  );
+  until(w, "it is split to the group that will be gone", () =>
+    JSON.stringify(
+      w.state.data.get(`lc/now/job/${spec.id}`)?.value ?? null,
+    ).includes("node-c"),
+  );
   w.crash("node-c");
   w.reconfigure(["node-a", "node-b"], w.settings.teams);
   w.crash("node-b");
@@ -243,15 +384,28 @@
   const late = holdBack(w, (k) => k === `lc/now/job/${spec.id}`);
   until(w, "its tasks are to go to another group", () => late.held());
   // A controller that goes by the former settings takes the group, starts something, and loses it again.
-  const write = (x: StateCall): void => w.state.handle(x, (r) => assert.equal(r.is, "committed"));
+  const write = (x: StateCall): void =>
+    w.state.handle(x, (r) => assert.equal(r.is, "committed"));
   const key = "lc/now/group/node-c";
-  if (w.state.data.has(key)) write({ op: "commit", conditions: [], writes: [{ op: "delete", key }] });
-  write({ op: "commit", conditions: [{ key, version: 0 }], writes: [{ op: "put", key, value: { owner: "node-c", hold: 99 } }] });
+  if (w.state.data.has(key))
+    write({ op: "commit", conditions: [], writes: [{ op: "delete", key }] });
+  write({
+    op: "commit",
+    conditions: [{ key, version: 0 }],
+    writes: [{ op: "put", key, value: { owner: "node-c", hold: 99 } }],
+  });
   write({ op: "commit", conditions: [], writes: [{ op: "delete", key }] });
   assert.equal(late.release(), "conflict");
   // Then it is as nobody's as before, and the tasks go where there is a master, once leases have ended.
   const from = w.now;
-  until(w, "its tasks go to another group", () => !JSON.stringify(w.state.data.get(`lc/now/job/${spec.id}`)!.value).includes("node-c"));
+  until(
+    w,
+    "its tasks go to another group",
+    () =>
+      !JSON.stringify(
+        w.state.data.get(`lc/now/job/${spec.id}`)!.value,
+      ).includes("node-c"),
+  );
   assert.ok(w.now - from > 1000 * w.settings.leaseS, "a lease counts anew");
   until(w, "the group is nobody's again", () => !w.state.data.has(key));
 });
@@ -260,16 +414,27 @@
   const w = quiet(5);
   const spec = job(w, {});
   const late = holdBack(w, (k) => k.startsWith("lc/now/fin/"));
-  w.at(4_000, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
+  w.at(4_000, () =>
+    w.ask(
+      "node-a",
+      (req) => ({ is: "submit", req, spec }),
+      (a) => assert.equal(a?.is, "job"),
+    ),
+  );
   until(w, "ranges are sent", () => late.held());
   // Its answer is given up after 1.5 s, and what is sent again is not there yet.
   w.run(w.now + 1_400);
   const handle = w.state.handle.bind(w.state);
-  w.state.handle = (call, done) => (call.op === "commit" ? done({ is: "refused", why: "503" }) : handle(call, done));
+  w.state.handle = (call, done) =>
+    call.op === "commit"
+      ? done({ is: "refused", why: "503" })
+      : handle(call, done);
   w.run(w.now + 1_000);
   assert.equal(late.release(), "committed");
   w.run(w.now + 2_000);
-  const lines = w.logs.filter((l) => l.includes("transaction without an answer was carried out"));
+  const lines = w.logs.filter((l) =>
+    l.includes("transaction without an answer was carried out"),
+  );
   assert.equal(lines.length, 1, lines.join("\n"));
   assert.match(lines[0]!, /lc\/now\/fin\/.*"afterMs":\d+/);
 });
@@ -280,10 +445,15 @@
   const met = { ...NOT_MET };
   for (let seed = 0; seed < 14; seed++) {
     const { world: w, met: m } = play(seed, draw(seed));
-    assert.deepEqual(w.checker.broken, [], `seed ${seed}, ${JSON.stringify(draw(seed))}: ${told(w)}`);
+    assert.deepEqual(
+      w.checker.broken,
+      [],
+      `seed ${seed}, ${JSON.stringify(draw(seed))}: ${told(w)}`,
+    );
     total(met, m);
   }
-  for (const [k, n] of Object.entries(met)) assert.ok(n > 0, `${k} never occurred: ${JSON.stringify(met)}`);
+  for (const [k, n] of Object.entries(met))
+    assert.ok(n > 0, `${k} never occurred: ${JSON.stringify(met)}`);
 });
 
 test("guard: what a former master may have started counts until its machines have spoken or their leases are over", () => {
@@ -298,7 +468,9 @@
     const before = World.prototype.run;
     World.prototype.run = function (untilMs) {
       this.afterStep = (core) => {
-        for (const m of core.masters.values()) for (const x of m.own.workers.values()) if (!x.direct) x.openStarts.clear();
+        for (const m of core.masters.values())
+          for (const x of m.own.workers.values())
+            if (!x.direct) x.openStarts.clear();
       };
       before.call(this, untilMs);
     };
@@ -319,7 +491,9 @@
     Ownership.prototype.tokenOf = function (group) {
       const { ctx } = this as unknown as { ctx: Context };
       const r = ctx.mirror.groups.get(group);
-      return r?.owner === ctx.settings.label && r.hold === this.holdId ? r.version : null;
+      return r?.owner === ctx.settings.label && r.hold === this.holdId
+        ? r.version
+        : null;
     };
     return () => (Ownership.prototype.tokenOf = before);
   });
--- a/test/nights.test.ts
+++ b/test/nights.test.ts
@@ -26,13 +26,18 @@
     anew += w.logs.filter((l) => l.includes("machine has begun anew")).length;
     deaf += w.logs.filter((l) => l.includes("machine does not receive")).length;
   }
-  assert.ok(starts > 2_500 && anew > 20 && deaf > 20, `${starts} starts, ${anew} began anew, ${deaf} received nothing`);
+  assert.ok(
+    starts > 2_500 && anew > 20 && deaf > 20,
+    `${starts} starts, ${anew} began anew, ${deaf} received nothing`,
+  );
 });
 
 test("guard: a report with a lower token than its machine has shown, or of a life before, is late", () => {
   caught(night, [85, 176, 29], "ran_twice", () => {
     const before = Receipts.prototype.isLate;
-    Receipts.prototype.isLate = (w, r) => r.session < w.session || (r.session === w.session && (r.tally <= w.tally || w.lost));
+    Receipts.prototype.isLate = (w, r) =>
+      r.session < w.session ||
+      (r.session === w.session && (r.tally <= w.tally || w.lost));
     return () => (Receipts.prototype.isLate = before);
   });
 });
@@ -41,7 +46,11 @@
   caught(night, [77, 69], "ran_twice", () => {
     const before = Receipts.prototype.note;
     Receipts.prototype.note = function (w, r, rose) {
-      Object.defineProperty(w.receipt, "commandMs", { get: () => -Infinity, set: () => {}, configurable: true });
+      Object.defineProperty(w.receipt, "commandMs", {
+        get: () => -Infinity,
+        set: () => {},
+        configurable: true,
+      });
       // Asked at once it would be known to have begun anew: here nobody asks it.
       w.receipt.askedMs = Infinity;
       return before.call(this, w, r, rose);
@@ -56,26 +65,74 @@
   w.run(5_000);
   const until = core.permit.untilMs;
   assert.ok(until > 5_000 && Number.isFinite(until));
-  const orders: Effect = { do: "answer", req: 1, answer: { is: "orders", token: 1, orders: [] } };
-  const command: Effect = { do: "command", op: 1, address: "", token: 1, session: 1, orders: [] };
-  for (const e of [orders, command]) assert.deepEqual([core.mayLeave(e, until - 1), core.mayLeave(e, until)], [true, false]);
-  assert.ok(core.mayLeave({ do: "answer", req: 1, answer: { is: "later", afterS: 1, why: "" } }, until + 1e6));
+  const orders: Effect = {
+    do: "answer",
+    req: 1,
+    answer: { is: "orders", token: 1, orders: [] },
+  };
+  const command: Effect = {
+    do: "command",
+    op: 1,
+    address: "",
+    token: 1,
+    session: 1,
+    orders: [],
+  };
+  for (const e of [orders, command])
+    assert.deepEqual(
+      [core.mayLeave(e, until - 1), core.mayLeave(e, until)],
+      [true, false],
+    );
+  assert.ok(
+    core.mayLeave(
+      { do: "answer", req: 1, answer: { is: "later", afterS: 1, why: "" } },
+      until + 1e6,
+    ),
+  );
 });
 
 const plain = (w: World, n: number, over: Partial<JobSpec>): JobSpec => {
-  const spec = { ...randomJob(w, n), team: "blue", shape: "batch" as const, tasks: 1, cpus: 4, gpus: 0, types: ["small"], zone: null, samePlace: false, spread: false, spot: false, urgency: "normal" as const, estimateS: 6, checkpointS: 0, ...over };
+  const spec = {
+    ...randomJob(w, n),
+    team: "blue",
+    shape: "batch" as const,
+    tasks: 1,
+    cpus: 4,
+    gpus: 0,
+    types: ["small"],
+    zone: null,
+    samePlace: false,
+    spread: false,
+    spot: false,
+    urgency: "normal" as const,
+    estimateS: 6,
+    checkpointS: 0,
+    ...over,
+  };
   w.specs.set(spec.id, spec);
   return spec;
 };
-const submit = (w: World, atMs: number, spec: JobSpec): void => w.at(atMs, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
-const isDone = (w: World, s: JobSpec): boolean => Array.from({ length: s.tasks }, (_, i) => w.results.has(`${s.id}/${i}`)).every((x) => x);
+const submit = (w: World, atMs: number, spec: JobSpec): void =>
+  w.at(atMs, () =>
+    w.ask(
+      "node-a",
+      (req) => ({ is: "submit", req, spec }),
+      (a) => assert.equal(a?.is, "job"),
+    ),
+  );
+const isDone = (w: World, s: JobSpec): boolean =>
+  Array.from({ length: s.tasks }, (_, i) =>
+    w.results.has(`${s.id}/${i}`),
+  ).every((x) => x);
 
 test("half of all machines receive nothing: their work goes elsewhere, they draw none, and no second fleet is rented", () => {
   const w = new World(4, { ...DEFAULTS, idleReturnS: 1_000 }, [], 1);
   w.loss = 0;
   w.capacity = 40;
   for (let i = 0; i < 12; i++) w.cloud.add(w.types[0]!, "east", false, 0);
-  const jobs = Array.from({ length: 100 }, (_, n) => plain(w, n + 1, { types: ["small"], zone: "east" }));
+  const jobs = Array.from({ length: 100 }, (_, n) =>
+    plain(w, n + 1, { types: ["small"], zone: "east" }),
+  );
   jobs.forEach((s, n) => submit(w, 4_000 + n * 900, s));
   const deaf = w.workers.slice(0, 6);
   w.at(20_000, () => deaf.forEach((m) => (m.oneWay = true)));
@@ -85,13 +142,29 @@
   w.run(80_000);
   assert.deepEqual(w.checker.broken, [], told(w));
   const starts = (from: number, to: number): number =>
-    w.logs.filter((l) => l.includes("starting task") && Number(l.split(" ")[0]) > from && Number(l.split(" ")[0]) < to && deaf.some((m) => l.includes(`"${m.id}"`))).length;
+    w.logs.filter(
+      (l) =>
+        l.includes("starting task") &&
+        Number(l.split(" ")[0]) > from &&
+        Number(l.split(" ")[0]) < to &&
+        deaf.some((m) => l.includes(`"${m.id}"`)),
+    ).length;
   assert.ok(starts(10, 20) > 3, "they worked before");
-  assert.equal(starts(45, 80), 0, "a lease and a few reports after they fell deaf they draw nothing");
-  assert.ok(w.workers.length - before <= 6, `${w.workers.length - before} machines rented meanwhile`);
+  assert.equal(
+    starts(45, 80),
+    0,
+    "a lease and a few reports after they fell deaf they draw nothing",
+  );
+  assert.ok(
+    w.workers.length - before <= 6,
+    `${w.workers.length - before} machines rented meanwhile`,
+  );
   w.run(130_000);
   for (const s of jobs) assert.ok(isDone(w, s), `${s.id}\n${told(w)}`);
-  assert.ok(w.logs.some((l) => l.includes("machine receives again")), "they come back by the same evidence");
+  assert.ok(
+    w.logs.some((l) => l.includes("machine receives again")),
+    "they come back by the same evidence",
+  );
 });
 
 test("a job submitted with a mistake accuses no machine, rents nothing and hurts no other job", () => {
@@ -99,33 +172,72 @@
   w.loss = 0;
   w.capacity = 4;
   for (let i = 0; i < 4; i++) w.cloud.add(w.types[0]!, "east", false, 0);
-  const bad = Array.from({ length: 3 }, (_, n) => plain(w, n + 1, { tasks: 4, zone: "east" }));
+  const bad = Array.from({ length: 3 }, (_, n) =>
+    plain(w, n + 1, { tasks: 4, zone: "east" }),
+  );
   for (const s of bad) w.broken.add(s.id);
-  const good = Array.from({ length: 20 }, (_, n) => plain(w, n + 10, { zone: "east" }));
+  const good = Array.from({ length: 20 }, (_, n) =>
+    plain(w, n + 10, { zone: "east" }),
+  );
   bad.forEach((s, n) => submit(w, 4_000 + n * 50, s));
   good.forEach((s, n) => submit(w, 6_000 + n * 1_500, s));
   w.run(90_000);
   assert.deepEqual(w.checker.broken, [], told(w));
   for (const s of good) assert.ok(isDone(w, s), `${s.id}\n${told(w)}`);
-  assert.equal(w.logs.filter((l) => l.includes("tasks of several jobs failed on it")).length, 0);
-  assert.equal(w.logs.filter((l) => l.includes("job fails wherever it runs")).length, 3, "each told of once");
-  const tries = w.logs.filter((l) => l.includes("starting task") && bad.some((s) => l.includes(s.id)) && Number(l.split(" ")[0]) > 60).length;
+  assert.equal(
+    w.logs.filter((l) => l.includes("tasks of several jobs failed on it"))
+      .length,
+    0,
+  );
+  assert.equal(
+    w.logs.filter((l) => l.includes("job fails wherever it runs")).length,
+    3,
+    "each told of once",
+  );
+  const tries = w.logs.filter(
+    (l) =>
+      l.includes("starting task") &&
+      bad.some((s) => l.includes(s.id)) &&
+      Number(l.split(" ")[0]) > 60,
+  ).length;
   assert.ok(tries < 30, `${tries} tries in the last 30 s`);
 });
 
 /** A zone that small gangs keep full, and one of six machines among them; how long that waits, in seconds. */
 function largestWait(beginWithinS: number): number {
-  const w = new World(12, { ...DEFAULTS, silentReturnS: 20, beginWithinS, holdAfterS: 1e9 }, [], 1);
+  const w = new World(
+    12,
+    { ...DEFAULTS, silentReturnS: 20, beginWithinS, holdAfterS: 1e9 },
+    [],
+    1,
+  );
   w.loss = 0;
   w.capacity = 8;
   for (let i = 0; i < 8; i++) w.cloud.add(w.types[0]!, "east", false, 0);
-  const gang = (n: number, tasks: number): JobSpec => plain(w, n, { class: "merge", shape: "ensemble", tasks, cpus: 8, zone: "east", samePlace: true, estimateS: 10 });
+  const gang = (n: number, tasks: number): JobSpec =>
+    plain(w, n, {
+      class: "merge",
+      shape: "ensemble",
+      tasks,
+      cpus: 8,
+      zone: "east",
+      samePlace: true,
+      estimateS: 10,
+    });
   for (let n = 1; n < 400; n++) submit(w, 4_000 + n * 700, gang(n, 1));
   const large = gang(900, 6);
   submit(w, 20_000, large);
   let beganMs = Infinity;
   w.afterStep = () => {
-    if (beganMs === Infinity && w.workers.some((m) => [...m.tasks.values()].some((t) => t.job === large.id && t.state === "running"))) beganMs = w.now;
+    if (
+      beganMs === Infinity &&
+      w.workers.some((m) =>
+        [...m.tasks.values()].some(
+          (t) => t.job === large.id && t.state === "running",
+        ),
+      )
+    )
+      beganMs = w.now;
   };
   w.run(320_000);
   assert.deepEqual(w.checker.broken, [], told(w));
@@ -141,35 +253,58 @@
 
 test("of a storm of questions each job is answered after as many rounds as all jobs fill", () => {
   fc.assert(
-    fc.property(fc.integer({ min: 1, max: 20 }), fc.integer({ min: 1, max: 60 }), fc.array(fc.nat(), { minLength: 50, maxLength: 50 }), (most, jobs, order) => {
-      const q = new FairQueue<{ id: string }>(most);
-      const since = new Map<string, number>();
-      const bound = Math.ceil(jobs / most) + 1;
-      for (let round = 0; round < 40; round++) {
-        // All ask, each time in another order, some of them often.
-        const ask = Array.from({ length: jobs }, (_, i) => (i * 7 + order[round]!) % jobs);
-        for (const j of [...ask, ...ask.slice(0, order[round + 1]! % jobs)]) {
-          const id = `req-${j}`;
-          if (!since.has(id)) since.set(id, round);
-          q.add({ id }, round);
+    fc.property(
+      fc.integer({ min: 1, max: 20 }),
+      fc.integer({ min: 1, max: 60 }),
+      fc.array(fc.nat(), { minLength: 50, maxLength: 50 }),
+      (most, jobs, order) => {
+        const q = new FairQueue<{ id: string }>(most);
+        const since = new Map<string, number>();
+        const bound = Math.ceil(jobs / most) + 1;
+        for (let round = 0; round < 40; round++) {
+          // All ask, each time in another order, some of them often.
+          const ask = Array.from(
+            { length: jobs },
+            (_, i) => (i * 7 + order[round]!) % jobs,
+          );
+          for (const j of [...ask, ...ask.slice(0, order[round + 1]! % jobs)]) {
+            const id = `req-${j}`;
+            if (!since.has(id)) since.set(id, round);
+            q.add({ id }, round);
+          }
+          for (const { id } of q.take()) {
+            q.answered(id);
+            since.delete(id);
+          }
+          for (const [id, from] of since)
+            assert.ok(
+              round - from < bound,
+              `${id} of ${jobs} unanswered for ${round - from} rounds of ${most}`,
+            );
         }
-        for (const { id } of q.take()) {
-          q.answered(id);
-          since.delete(id);
-        }
-        for (const [id, from] of since) assert.ok(round - from < bound, `${id} of ${jobs} unanswered for ${round - from} rounds of ${most}`);
-      }
-    }),
+      },
+    ),
     { seed: 25, numRuns: 60 },
   );
 });
 
 test("that a job is unknown is told only by a read that was sent after the question; one read serves all before it", () => {
   const ctx = { nowMs: 100 };
-  const reads: { key: string; done: (r: { is: "item"; item: null }, sentMs: number) => void }[] = [];
+  const reads: {
+    key: string;
+    done: (r: { is: "item"; item: null }, sentMs: number) => void;
+  }[] = [];
   const told: string[] = [];
-  const l = new Lookups(ctx as never, ((call: { key: string }, _: number, done: never) => reads.push({ key: call.key, done })) as never, () => {});
-  const ask = (who: string, id = "req-1"): void => l.ask(id, (p, failed) => told.push(`${who} ${failed ?? p?.status ?? "unknown"}`));
+  const l = new Lookups(
+    ctx as never,
+    ((call: { key: string }, _: number, done: never) =>
+      reads.push({ key: call.key, done })) as never,
+    () => {},
+  );
+  const ask = (who: string, id = "req-1"): void =>
+    l.ask(id, (p, failed) =>
+      told.push(`${who} ${failed ?? p?.status ?? "unknown"}`),
+    );
   ask("a");
   ctx.nowMs = 110;
   ask("b");
@@ -183,8 +318,12 @@
   assert.deepEqual(told.slice(2), ["c unknown"]);
   for (let n = 0; n < 1_000; n++) ask(`n${n}`, `req-${n}`);
   assert.ok(reads.length <= 12, `${reads.length} reads at once`);
-  assert.equal(told.filter((t) => t.includes("too many")).length, 1_000 - 12 - 300);
-  while (reads.length > 0) reads.shift()!.done({ is: "item", item: null }, ctx.nowMs);
+  assert.equal(
+    told.filter((t) => t.includes("too many")).length,
+    1_000 - 12 - 300,
+  );
+  while (reads.length > 0)
+    reads.shift()!.done({ is: "item", item: null }, ctx.nowMs);
   assert.equal(told.length, 3 + 1_000);
 });
 
@@ -197,7 +336,13 @@
   w.meshCuts.add("node-b");
   w.run(25_000);
   assert.deepEqual(ready(), [true, false, true]);
-  assert.ok([...w.nodes.get("node-a")!.core.masters.keys(), ...w.nodes.get("node-c")!.core.masters.keys()].includes("node-b"), "a peer has its group");
+  assert.ok(
+    [
+      ...w.nodes.get("node-a")!.core.masters.keys(),
+      ...w.nodes.get("node-c")!.core.masters.keys(),
+    ].includes("node-b"),
+    "a peer has its group",
+  );
   w.stateCut.delete("node-b");
   w.meshCuts.delete("node-b");
   w.run(32_000);
@@ -211,8 +356,18 @@
   for (const seed of [3, 4, 5]) {
     const w = new World(seed);
     w.loss = 0;
-    for (const z of w.zones) for (let i = 0; i < 3; i++) w.cloud.add(w.types[0]!, z, false, 0);
-    const jobs = Array.from({ length: 12 }, (_, n) => plain(w, n + 1, { tasks: 6, cpus: 2, shape: n % 3 === 0 ? "ensemble" : "batch", samePlace: n % 3 === 0, spread: n % 3 === 1, types: ["small"] }));
+    for (const z of w.zones)
+      for (let i = 0; i < 3; i++) w.cloud.add(w.types[0]!, z, false, 0);
+    const jobs = Array.from({ length: 12 }, (_, n) =>
+      plain(w, n + 1, {
+        tasks: 6,
+        cpus: 2,
+        shape: n % 3 === 0 ? "ensemble" : "batch",
+        samePlace: n % 3 === 0,
+        spread: n % 3 === 1,
+        types: ["small"],
+      }),
+    );
     jobs.forEach((s, n) => submit(w, 3_000 + n * 200, s));
     w.run(8_000);
     w.reconfigure(["node-a", "node-b"], w.settings.teams);
@@ -220,7 +375,11 @@
     w.bootAll();
     w.run(120_000);
     assert.deepEqual(w.checker.broken, [], told(w));
-    assert.ok(w.logs.some((l) => l.includes("tasks of a group that is gone")), "something was split to it");
-    for (const s of jobs) assert.ok(isDone(w, s), `seed ${seed}: ${s.id}\n${told(w)}`);
+    assert.ok(
+      w.logs.some((l) => l.includes("tasks of a group that is gone")),
+      "something was split to it",
+    );
+    for (const s of jobs)
+      assert.ok(isDone(w, s), `seed ${seed}: ${s.id}\n${told(w)}`);
   }
 });
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -8,16 +8,49 @@
 import { Round } from "../src/coordination/queues.js";
 import { RangeSet } from "../src/coordination/ranges.js";
 import { capableGroups, splitJob } from "../src/coordination/splitter.js";
-import { encode, encodeReply, decodeReply, Frame, FrameReader, MAX_FRAME } from "../src/protocol/frames.js";
+import {
+  encode,
+  encodeReply,
+  decodeReply,
+  Frame,
+  FrameReader,
+  MAX_FRAME,
+} from "../src/protocol/frames.js";
 import { parseJob } from "../src/protocol/jobs.js";
 import { parseReport } from "../src/protocol/workers.js";
-import { FIN_BLOCK, finBlock, inBlock, readFin, readJob, writeFin, writeJob } from "../src/storage/records.js";
+import {
+  FIN_BLOCK,
+  finBlock,
+  inBlock,
+  readFin,
+  readJob,
+  writeFin,
+  writeJob,
+} from "../src/storage/records.js";
 import { Limiter } from "../src/transport/limiter.js";
 import { Rng } from "./sim/world.js";
 
 const JOB = {
-  id: "req-000412", jobclass: "train", crew: "vision", shape: "ensemble", urgency: "high", shards: 16, cores: 8, accelerators: 1, memoryGb: 64,
-  bundle: "img-07", sizeGb: 6.2, hulls: ["g8"], yard: null, samePlace: true, spread: false, loaners: true, reckonS: 240, stashEveryS: 30, stashS: 4, dueS: 900,
+  id: "req-000412",
+  jobclass: "train",
+  crew: "vision",
+  shape: "ensemble",
+  urgency: "high",
+  shards: 16,
+  cores: 8,
+  accelerators: 1,
+  memoryGb: 64,
+  bundle: "img-07",
+  sizeGb: 6.2,
+  hulls: ["g8"],
+  yard: null,
+  samePlace: true,
+  spread: false,
+  loaners: true,
+  reckonS: 240,
+  stashEveryS: 30,
+  stashS: 4,
+  dueS: 900,
 };
 const SPEC = (over: Partial<JobSpec> = {}): JobSpec => {
   const p = parseJob(JSON.stringify(JOB));
@@ -40,12 +73,18 @@
         if (add) b.add(i);
         else b.delete(i);
       }
-      assert.deepEqual([...a], [...b].sort((x, y) => x - y));
+      assert.deepEqual(
+        [...a],
+        [...b].sort((x, y) => x - y),
+      );
       assert.equal(a.size, b.size);
       assert.equal(a.has(lo), b.has(lo));
     }
     assert.deepEqual([...a.take(5)], [...a].slice(0, 5));
-    assert.deepEqual([...a.slice(10, 20)], [...a].filter((i) => i >= 10 && i <= 20));
+    assert.deepEqual(
+      [...a.slice(10, 20)],
+      [...a].filter((i) => i >= 10 && i <= 20),
+    );
   }
 });
 
@@ -63,51 +102,124 @@
 });
 
 test("a job's record comes back as it was", () => {
-  const job = { spec: SPEC(), acceptedAt: 17, split: new Map([["a", RangeSet.upTo(16)]]), awaits: [], releasedAt: 40 };
-  const waiting = { ...job, split: new Map(), awaits: ["req-1", "req-2"], releasedAt: null };
-  for (const j of [job, waiting]) assert.deepEqual(readJob(JSON.parse(JSON.stringify(writeJob(j)))), j);
+  const job = {
+    spec: SPEC(),
+    acceptedAt: 17,
+    split: new Map([["a", RangeSet.upTo(16)]]),
+    awaits: [],
+    releasedAt: 40,
+  };
+  const waiting = {
+    ...job,
+    split: new Map(),
+    awaits: ["req-1", "req-2"],
+    releasedAt: null,
+  };
+  for (const j of [job, waiting])
+    assert.deepEqual(readJob(JSON.parse(JSON.stringify(writeJob(j)))), j);
 });
 
 test("jobs: what is missing, ill-typed or out of range is refused, unknown fields are not", () => {
   assert.ok(parseJob(JSON.stringify({ ...JOB, novel: 1 })).ok);
   const bad: [string, unknown][] = [
-    ["id", "req-"], ["id", "job-1"], ["id", 5], ["shards", 0], ["shards", 100_001], ["shards", 1.5], ["cores", -1], ["cores", "2"], ["memoryGb", null],
-    ["shape", "heap"], ["urgency", "low"], ["crew", undefined], ["hulls", []], ["hulls", "g8"], ["samePlace", 1], ["dueS", -3],
-    ["awaits", "req-1"], ["awaits", {}], ["awaits", [5]], ["awaits", ["job-1"]], ["awaits", Array.from({ length: 65 }, (_, i) => `req-${i}`)],
+    ["id", "req-"],
+    ["id", "job-1"],
+    ["id", 5],
+    ["shards", 0],
+    ["shards", 100_001],
+    ["shards", 1.5],
+    ["cores", -1],
+    ["cores", "2"],
+    ["memoryGb", null],
+    ["shape", "heap"],
+    ["urgency", "low"],
+    ["crew", undefined],
+    ["hulls", []],
+    ["hulls", "g8"],
+    ["samePlace", 1],
+    ["dueS", -3],
+    ["awaits", "req-1"],
+    ["awaits", {}],
+    ["awaits", [5]],
+    ["awaits", ["job-1"]],
+    ["awaits", Array.from({ length: 65 }, (_, i) => `req-${i}`)],
   ];
   for (const [field, value] of bad) {
     const got = parseJob(JSON.stringify({ ...JOB, [field]: value }));
-    assert.ok(!got.ok && got.error.startsWith(field), `${field}=${String(value)}: ${JSON.stringify(got)}`);
+    assert.ok(
+      !got.ok && got.error.startsWith(field),
+      `${field}=${String(value)}: ${JSON.stringify(got)}`,
+    );
   }
   const awaits = (list: unknown): unknown => {
     const got = parseJob(JSON.stringify({ ...JOB, awaits: list }));
     return got.ok ? got.value.awaits : got.error;
   };
-  assert.deepEqual([awaits(null), awaits(undefined), awaits([]), awaits(["req-2", "req-1", "req-2"])], [[], [], [], ["req-2", "req-1"]]);
-  for (const text of ["", "[]", "null", "3", "{", '{"id":1e999}']) assert.ok(!parseJob(text).ok, text);
+  assert.deepEqual(
+    [
+      awaits(null),
+      awaits(undefined),
+      awaits([]),
+      awaits(["req-2", "req-1", "req-2"]),
+    ],
+    [[], [], [], ["req-2", "req-1"]],
+  );
+  for (const text of ["", "[]", "null", "3", "{", '{"id":1e999}'])
+    assert.ok(!parseJob(text).ok, text);
 });
 
 test("reports: malformed ones are refused", () => {
-  const good = { berth: "n-1", address: "10.1.0.2:9000", hull: "g8", yard: "a", loaners: true, watch: 1, tally: 1, baton: 4, recallS: null, shards: [{ shard: "req-1/3", try: 2, status: "exited", cause: "done" }] };
+  const good = {
+    berth: "n-1",
+    address: "10.1.0.2:9000",
+    hull: "g8",
+    yard: "a",
+    loaners: true,
+    watch: 1,
+    tally: 1,
+    baton: 4,
+    recallS: null,
+    shards: [{ shard: "req-1/3", try: 2, status: "exited", cause: "done" }],
+  };
   const r = parseReport(JSON.stringify(good));
   assert.ok(r.ok && r.value.tasks[0]!.index === 3 && r.value.token === 4);
   // A start without a task number once came back in a report and had every node refuse it: see queues.ts.
-  for (const over of [{ berth: "" }, { watch: -1 }, { address: "host" }, { shards: [{ shard: "req-1/undefined", try: 1, status: "running" }] }, { shards: [{ shard: "req-1/3", try: 1, status: "odd" }] }])
-    assert.ok(!parseReport(JSON.stringify({ ...good, ...over })).ok, JSON.stringify(over));
+  for (const over of [
+    { berth: "" },
+    { watch: -1 },
+    { address: "host" },
+    { shards: [{ shard: "req-1/undefined", try: 1, status: "running" }] },
+    { shards: [{ shard: "req-1/3", try: 1, status: "odd" }] },
+  ])
+    assert.ok(
+      !parseReport(JSON.stringify({ ...good, ...over })).ok,
+      JSON.stringify(over),
+    );
 });
 
 test("frames survive any cutting, and what is no frame is refused", () => {
   const rng = new Rng(3);
-  const all = Buffer.concat([encode(Frame.Ping, 0, Buffer.alloc(0)), encode(Frame.Report, 7, Buffer.from("x".repeat(3_000))), encodeReply(7, 421, "{}")]);
+  const all = Buffer.concat([
+    encode(Frame.Ping, 0, Buffer.alloc(0)),
+    encode(Frame.Report, 7, Buffer.from("x".repeat(3_000))),
+    encodeReply(7, 421, "{}"),
+  ]);
   for (let round = 0; round < 50; round++) {
     const reader = new FrameReader();
     const got = [];
-    for (let at = 0; at < all.length; ) {
+    for (let at = 0; at < all.length;) {
       const n = rng.int(1, 700);
       got.push(...reader.push(all.subarray(at, at + n))!);
       at += n;
     }
-    assert.deepEqual(got.map((f) => [f.type, f.id, f.payload.length]), [[Frame.Ping, 0, 0], [Frame.Report, 7, 3_000], [Frame.Reply, 7, 4]]);
+    assert.deepEqual(
+      got.map((f) => [f.type, f.id, f.payload.length]),
+      [
+        [Frame.Ping, 0, 0],
+        [Frame.Report, 7, 3_000],
+        [Frame.Reply, 7, 4],
+      ],
+    );
     assert.deepEqual(decodeReply(got[2]!.payload), { status: 421, body: "{}" });
   }
   const other = Buffer.from(all);
@@ -116,21 +228,49 @@
   const huge = Buffer.alloc(16);
   huge.writeUInt32BE(MAX_FRAME + 1, 0);
   assert.equal(new FrameReader().push(huge), null, "too large");
-  assert.equal(new FrameReader().push(Buffer.from("GET / HTTP/1.1\r\n")), null, "not ours");
+  assert.equal(
+    new FrameReader().push(Buffer.from("GET / HTTP/1.1\r\n")),
+    null,
+    "not ours",
+  );
 });
 
-const queued = (id: string, estimateS: number, acceptedAt: number) => ({ spec: SPEC({ id, estimateS }), standing: { urgency: "normal" as const, readyAt: acceptedAt }, tasks: 1, late: false, due: "no" as const });
+const queued = (id: string, estimateS: number, acceptedAt: number) => ({
+  spec: SPEC({ id, estimateS }),
+  standing: { urgency: "normal" as const, readyAt: acceptedAt },
+  tasks: 1,
+  late: false,
+  due: "no" as const,
+});
 
 test("of every W tasks one comes from a waiting long queue, and only the head that was served is skipped", () => {
-  const round = new Round([queued("req-1", 10, 1), queued("req-2", 10, 2), queued("req-3", 900, 0)], { ...DEFAULTS, longEvery: 3 }, { sinceLong: 0 });
+  const round = new Round(
+    [queued("req-1", 10, 1), queued("req-2", 10, 2), queued("req-3", 900, 0)],
+    { ...DEFAULTS, longEvery: 3 },
+    { sinceLong: 0 },
+  );
   const order: string[] = [];
   for (let k = 0; k < 9; k++) {
     order.push(round.head()!.spec.id);
     round.served(1);
   }
-  assert.deepEqual(order, ["req-1", "req-1", "req-3", "req-1", "req-1", "req-3", "req-1", "req-1", "req-3"]);
+  assert.deepEqual(order, [
+    "req-1",
+    "req-1",
+    "req-3",
+    "req-1",
+    "req-1",
+    "req-3",
+    "req-1",
+    "req-1",
+    "req-3",
+  ]);
   // Serving may change whose turn it is; the head that can't go on is still the one that was asked for.
-  const two = new Round([queued("req-1", 10, 1), queued("req-2", 10, 2), queued("req-3", 900, 0)], { ...DEFAULTS, longEvery: 2 }, { sinceLong: 0 });
+  const two = new Round(
+    [queued("req-1", 10, 1), queued("req-2", 10, 2), queued("req-3", 900, 0)],
+    { ...DEFAULTS, longEvery: 2 },
+    { sinceLong: 0 },
+  );
   assert.equal(two.head()!.spec.id, "req-1");
   two.served(1);
   two.skip();
@@ -140,44 +280,168 @@
 });
 
 test("zones without a controller are dealt out alike on every node", () => {
-  const nodes = [["n1", "a"], ["n2", "b"], ["n3", "c"]] as const;
-  const views = nodes.map(([label, area]) => new Groups({ label, area, peers: nodes.filter((n) => n[0] !== label).map(([l, z]) => ({ label: l, area: z, host: "", port: 1 })), zones: ["z", "a", "y", "b", "c"] }));
-  for (const g of views) assert.deepEqual(["a", "b", "c", "y", "z", "unheard-of"].map((z) => g.of(z)), ["n1", "n2", "n3", "n1", "n2", views[0]!.of("unheard-of")]);
+  const nodes = [
+    ["n1", "a"],
+    ["n2", "b"],
+    ["n3", "c"],
+  ] as const;
+  const views = nodes.map(
+    ([label, area]) =>
+      new Groups({
+        label,
+        area,
+        peers: nodes
+          .filter((n) => n[0] !== label)
+          .map(([l, z]) => ({ label: l, area: z, host: "", port: 1 })),
+        zones: ["z", "a", "y", "b", "c"],
+      }),
+  );
+  for (const g of views)
+    assert.deepEqual(
+      ["a", "b", "c", "y", "z", "unheard-of"].map((z) => g.of(z)),
+      ["n1", "n2", "n3", "n1", "n2", views[0]!.of("unheard-of")],
+    );
 });
 
-const TYPES: MachineType[] = [{ name: "m", cpus: 16, gpus: 4, memGb: 256, cacheGb: 50, fetchGbPerS: 1, price: 1, spotPrice: 0.5, bootS: 20, zones: ["a", "b", "c"] }];
+const TYPES: MachineType[] = [
+  {
+    name: "m",
+    cpus: 16,
+    gpus: 4,
+    memGb: 256,
+    cacheGb: 50,
+    fetchGbPerS: 1,
+    price: 1,
+    spotPrice: 0.5,
+    bootS: 20,
+    zones: ["a", "b", "c"],
+  },
+];
 
 test("splits: every task once, gangs whole, spread capped, weighted by written room", () => {
-  const groups = new Groups({ label: "a", area: "a", peers: [{ label: "b", area: "b", host: "", port: 1 }, { label: "c", area: "c", host: "", port: 1 }], zones: ["a", "b", "c"] });
+  const groups = new Groups({
+    label: "a",
+    area: "a",
+    peers: [
+      { label: "b", area: "b", host: "", port: 1 },
+      { label: "c", area: "c", host: "", port: 1 },
+    ],
+    zones: ["a", "b", "c"],
+  });
   const rng = new Rng(5);
   for (let round = 0; round < 300; round++) {
-    const spec = SPEC({ id: `req-${round}`, shape: rng.pick(["batch", "ensemble", "daemon"]), tasks: rng.int(1, 60), cpus: 2, gpus: 0, memGb: 1, types: null, samePlace: rng.chance(0.2), spread: false });
-    if (spec.shape !== "ensemble" && !spec.samePlace) spec.spread = rng.chance(0.4);
+    const spec = SPEC({
+      id: `req-${round}`,
+      shape: rng.pick(["batch", "ensemble", "daemon"]),
+      tasks: rng.int(1, 60),
+      cpus: 2,
+      gpus: 0,
+      memGb: 1,
+      types: null,
+      samePlace: rng.chance(0.2),
+      spread: false,
+    });
+    if (spec.shape !== "ensemble" && !spec.samePlace)
+      spec.spread = rng.chance(0.4);
     const rooms = new Map(
-      groups.names.map((g) => [g, { rows: [{ type: "m", zone: g, spot: false, machines: 4, free: Array.from({ length: rng.int(0, 4) }, (): [number, number, number, number] => [rng.int(0, 16), 4, 256, 1]), reserved: [] }], queue: { plain: rng.int(0, 9), accelerated: 50 }, running: new Map<string, number>(), soldOut: [], left: new Map<string, number>(), wants: new Map(), teams: null, cut: false }]),
+      groups.names.map((g) => [
+        g,
+        {
+          rows: [
+            {
+              type: "m",
+              zone: g,
+              spot: false,
+              machines: 4,
+              free: Array.from(
+                { length: rng.int(0, 4) },
+                (): [number, number, number, number] => [
+                  rng.int(0, 16),
+                  4,
+                  256,
+                  1,
+                ],
+              ),
+              reserved: [],
+            },
+          ],
+          queue: { plain: rng.int(0, 9), accelerated: 50 },
+          running: new Map<string, number>(),
+          soldOut: [],
+          left: new Map<string, number>(),
+          wants: new Map(),
+          teams: null,
+          cut: false,
+        },
+      ]),
+    );
+    const split = splitJob(
+      spec,
+      capableGroups(spec, TYPES, groups),
+      rooms,
+      TYPES,
+      true,
+      new Map(),
     );
-    const split = splitJob(spec, capableGroups(spec, TYPES, groups), rooms, TYPES, true, new Map());
     const all = RangeSet.empty();
     let n = 0;
     for (const r of split.values()) {
       all.addAll(r);
       n += r.size;
-      if (spec.spread) assert.ok(r.size <= Math.ceil(spec.tasks / 2), `${r.size} of ${spec.tasks}`);
+      if (spec.spread)
+        assert.ok(
+          r.size <= Math.ceil(spec.tasks / 2),
+          `${r.size} of ${spec.tasks}`,
+        );
     }
     assert.deepEqual(all.pairs(), [[0, spec.tasks - 1]]);
     assert.equal(n, spec.tasks);
-    if (spec.shape === "ensemble" || spec.samePlace) assert.equal(split.size, 1);
+    if (spec.shape === "ensemble" || spec.samePlace)
+      assert.equal(split.size, 1);
   }
   // Waiting accelerator tasks say nothing about room for plain ones: once they sent every job to one group.
-  const room = (free: number) => ({ rows: [{ type: "m", zone: "a", spot: false, machines: 1, free: [[free, 0, 256, 1] as [number, number, number, number]], reserved: [] }], queue: { plain: 0, accelerated: 90 }, running: new Map<string, number>(), soldOut: [], left: new Map<string, number>(), wants: new Map(), teams: null, cut: false });
-  const one = splitJob(SPEC({ tasks: 1, cpus: 8, gpus: 0, types: null, spot: false }), capableGroups(SPEC({ cpus: 8, gpus: 0, types: null }), TYPES, groups), new Map([["a", room(4)], ["b", room(16)], ["c", room(4)]]), TYPES, true, new Map());
+  const room = (free: number) => ({
+    rows: [
+      {
+        type: "m",
+        zone: "a",
+        spot: false,
+        machines: 1,
+        free: [[free, 0, 256, 1] as [number, number, number, number]],
+        reserved: [],
+      },
+    ],
+    queue: { plain: 0, accelerated: 90 },
+    running: new Map<string, number>(),
+    soldOut: [],
+    left: new Map<string, number>(),
+    wants: new Map(),
+    teams: null,
+    cut: false,
+  });
+  const one = splitJob(
+    SPEC({ tasks: 1, cpus: 8, gpus: 0, types: null, spot: false }),
+    capableGroups(SPEC({ cpus: 8, gpus: 0, types: null }), TYPES, groups),
+    new Map([
+      ["a", room(4)],
+      ["b", room(16)],
+      ["c", room(4)],
+    ]),
+    TYPES,
+    true,
+    new Map(),
+  );
   assert.deepEqual([...one.keys()], ["b"]);
 });
 
 test("the hold ends before the leases where these are long enough, and always in time for cancellations", () => {
   // A controller hung for 30 s: with a hold as long as cancel_s allows, its peers took over only after its workers'
   // leases had ended (docs/incidents/tremorline-hung-controller.md).
-  for (const [cancelS, leaseS, reportS, want] of [[57, 27, 3, 18_250], [40, 10, 1, 28_000], [20, 12, 1, 6_000]] as const) {
+  for (const [cancelS, leaseS, reportS, want] of [
+    [57, 27, 3, 18_250],
+    [40, 10, 1, 28_000],
+    [20, 12, 1, 6_000],
+  ] as const) {
     assert.equal(holdMs({ cancelS, leaseS, reportS }), want);
     assert.ok(want + leaseS * 1000 < cancelS * 1000);
   }
@@ -187,7 +451,14 @@
   // Masters' writes had used up the limit, and each user's submission waited for its next part.
   const limiter = new Limiter([200], [5], 500, [0, 0, 0.25, 0.5]);
   const ran: number[] = [];
-  const add = (urgent: number, cost: number): void => limiter.add({ urgent, cost: [cost], deadlineMs: performance.now() + 60_000, run: () => ran.push(urgent), refuse: () => assert.fail("refused") });
+  const add = (urgent: number, cost: number): void =>
+    limiter.add({
+      urgent,
+      cost: [cost],
+      deadlineMs: performance.now() + 60_000,
+      run: () => ran.push(urgent),
+      refuse: () => assert.fail("refused"),
+    });
   for (let i = 0; i < 20; i++) add(3, 4);
   const before = ran.length;
   assert.ok(before < 3, `${before} went at once`);
@@ -224,25 +495,76 @@
 
 test("settings: limits that are to come hold from the start, where they are lower", () => {
   const limits = (next: string): number[] => {
-    const { state } = parseSettings(TOML.replace("[cluster.cloud]", `${next}\n[cluster.cloud]`), "f");
+    const { state } = parseSettings(
+      TOML.replace("[cluster.cloud]", `${next}\n[cluster.cloud]`),
+      "f",
+    );
     return [state.rps, state.writeRps, state.valueBytes, state.txnOps];
   };
   assert.deepEqual(limits(""), [100, 20, 7782, 12]);
-  assert.deepEqual(limits("[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 15.0"), [100, 15, 1945, 4]);
-  assert.deepEqual(limits("[cluster.state.next]\nvalue_kb = 64.0\nnovel = 1"), [100, 20, 7782, 12]);
-  assert.throws(() => limits("[cluster.state.next]\ntxn_ops = 2"), /f: cluster\.state\.next\.txn_ops: /);
-  assert.throws(() => limits("[cluster.state.next]\nvalue_kb = 0.5"), /f: cluster\.state\.next\.value_kb: /);
+  assert.deepEqual(
+    limits(
+      "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 15.0",
+    ),
+    [100, 15, 1945, 4],
+  );
+  assert.deepEqual(
+    limits("[cluster.state.next]\nvalue_kb = 64.0\nnovel = 1"),
+    [100, 20, 7782, 12],
+  );
+  assert.throws(
+    () => limits("[cluster.state.next]\ntxn_ops = 2"),
+    /f: cluster\.state\.next\.txn_ops: /,
+  );
+  assert.throws(
+    () => limits("[cluster.state.next]\nvalue_kb = 0.5"),
+    /f: cluster\.state\.next\.value_kb: /,
+  );
 });
 
 test("settings: one clear line for a mistake, in either file", async () => {
   assert.equal(parseSettings(TOML, "f").leaseS, 10);
-  assert.throws(() => parseSettings(TOML.replace("lease_s = 10.0", 'lease_s = "x"'), "f.toml"), /^Error: f\.toml: cluster\.workers\.lease_s: /);
-  assert.throws(() => parseSettings(TOML.replace("8081", "port"), "f.toml"), /mesh_addr: IP:PORT expected/);
-  assert.throws(() => parseSettings("label = ", "f.toml"), /f\.toml: not TOML: line 1/);
-  assert.throws(() => parseSettings(TOML.replace("cancel_s = 40.0", "cancel_s = 12.0"), "f.toml"), /cancel_s/);
-  assert.deepEqual(await parseOperator("", "o"), { tuning: DEFAULTS, hooks: null, metrics: false });
-  assert.equal((await parseOperator("long_every: 9 # often\nreserved_share: 0.25", "o")).tuning.longEvery, 9);
-  await assert.rejects(parseOperator("long_evry: 9", "o.txtpb"), /o\.txtpb: .*long_evry/);
-  await assert.rejects(parseOperator("reserved_share: 1.5", "o.txtpb"), /o\.txtpb: reserved_share: must lie within 0 and 0\.9/);
-  await assert.rejects(parseOperator("reserved_share: x y", "o.txtpb"), /o\.txtpb: /);
+  assert.throws(
+    () =>
+      parseSettings(TOML.replace("lease_s = 10.0", 'lease_s = "x"'), "f.toml"),
+    /^Error: f\.toml: cluster\.workers\.lease_s: /,
+  );
+  assert.throws(
+    () => parseSettings(TOML.replace("8081", "port"), "f.toml"),
+    /mesh_addr: IP:PORT expected/,
+  );
+  assert.throws(
+    () => parseSettings("label = ", "f.toml"),
+    /f\.toml: not TOML: line 1/,
+  );
+  assert.throws(
+    () =>
+      parseSettings(
+        TOML.replace("cancel_s = 40.0", "cancel_s = 12.0"),
+        "f.toml",
+      ),
+    /cancel_s/,
+  );
+  assert.deepEqual(await parseOperator("", "o"), {
+    tuning: DEFAULTS,
+    hooks: null,
+    metrics: false,
+  });
+  assert.equal(
+    (await parseOperator("long_every: 9 # often\nreserved_share: 0.25", "o"))
+      .tuning.longEvery,
+    9,
+  );
+  await assert.rejects(
+    parseOperator("long_evry: 9", "o.txtpb"),
+    /o\.txtpb: .*long_evry/,
+  );
+  await assert.rejects(
+    parseOperator("reserved_share: 1.5", "o.txtpb"),
+    /o\.txtpb: reserved_share: must lie within 0 and 0\.9/,
+  );
+  await assert.rejects(
+    parseOperator("reserved_share: x y", "o.txtpb"),
+    /o\.txtpb: /,
+  );
 });
--- a/test/receipts.test.ts
+++ b/test/receipts.test.ts
@@ -9,7 +9,10 @@
 /** What a late copy of a report may establish: the rows of the table in docs/design.md. */
 
 /** A world whose reports are kept as they were sent. */
-function recorded(seed: number, controllers = 1): { w: World; sent: Report[]; master: () => Master } {
+function recorded(
+  seed: number,
+  controllers = 1,
+): { w: World; sent: Report[]; master: () => Master } {
   const w = new World(seed, undefined, [], controllers);
   w.loss = 0;
   w.capacity = 6;
@@ -20,11 +23,24 @@
     pass(name, r, done);
   };
   for (let i = 0; i < 4; i++) w.cloud.add(w.types[0]!, "east", false, 0);
-  return { w, sent, master: () => w.nodes.get("node-a")!.core.masters.get("node-a")! };
+  return {
+    w,
+    sent,
+    master: () => w.nodes.get("node-a")!.core.masters.get("node-a")!,
+  };
 }
 function feed(w: World, r: Report): Answer | null {
   let got: Answer | null = null;
-  w.ask("node-a", (req) => ({ is: "report", req, report: structuredClone(r), relayed: false }), (a) => (got = a));
+  w.ask(
+    "node-a",
+    (req) => ({
+      is: "report",
+      req,
+      report: structuredClone(r),
+      relayed: false,
+    }),
+    (a) => (got = a),
+  );
   return got;
 }
 /** All that a master concludes from reports. */
@@ -32,7 +48,20 @@
   [...m.own.workers.values()].map((x) => ({
     id: x.id,
     // Rows "alive", "session", "renewed", "notice", "idle", "image", "receives".
-    at: [x.session, x.tally, x.token, x.answeredMs, x.heardMs, x.lost, x.takenAtMs, x.idleSinceMs, x.going, [...x.images.keys()], x.receipt.deafMs, x.receipt.proven],
+    at: [
+      x.session,
+      x.tally,
+      x.token,
+      x.answeredMs,
+      x.heardMs,
+      x.lost,
+      x.takenAtMs,
+      x.idleSinceMs,
+      x.going,
+      [...x.images.keys()],
+      x.receipt.deafMs,
+      x.receipt.proven,
+    ],
     // Rows "there", "absent", "ended".
     tasks: [...x.tasks].map(([k, t]) => [k, t.phase, t.told]),
     strays: [...x.strays.keys()],
@@ -41,15 +70,39 @@
 
 test("a copy no newer than what is known changes nothing, uses up no order and is not answered", () => {
   const { w, sent, master } = recorded(31);
-  users(w, 40_000, (x, n) => ({ ...randomJob(x, n), team: "blue", zone: "east", types: ["small"], gpus: 0, samePlace: false, spread: false }));
+  users(w, 40_000, (x, n) => ({
+    ...randomJob(x, n),
+    team: "blue",
+    zone: "east",
+    types: ["small"],
+    gpus: 0,
+    samePlace: false,
+    spread: false,
+  }));
   let fed = 0;
   for (let atMs = 10_000; atMs <= 45_000; atMs += 500) {
     w.run(atMs);
     const m = master();
-    for (const r of sent.filter((x) => (m.own.workers.get(x.worker)?.tally ?? -1) >= x.tally)) {
-      const before = [knows(m), [...m.own.untold].map((x) => x.id), m.own.roster.machines().size, m.own.usage()];
+    for (const r of sent.filter(
+      (x) => (m.own.workers.get(x.worker)?.tally ?? -1) >= x.tally,
+    )) {
+      const before = [
+        knows(m),
+        [...m.own.untold].map((x) => x.id),
+        m.own.roster.machines().size,
+        m.own.usage(),
+      ];
       assert.equal(feed(w, r)?.is, "later");
-      assert.deepEqual([knows(m), [...m.own.untold].map((x) => x.id), m.own.roster.machines().size, m.own.usage()], before, `${r.worker} ${r.tally}`);
+      assert.deepEqual(
+        [
+          knows(m),
+          [...m.own.untold].map((x) => x.id),
+          m.own.roster.machines().size,
+          m.own.usage(),
+        ],
+        before,
+        `${r.worker} ${r.tally}`,
+      );
       fed++;
     }
   }
@@ -69,9 +122,22 @@
 
 test("to a master that has just begun, a copy from before accounts for no machine, hides no use and proves no receipt of strangers", () => {
   const { w, sent, master } = recorded(33);
-  users(w, 20_000, (x, n) => ({ ...randomJob(x, n), team: "blue", zone: "east", types: ["small"], gpus: 0, samePlace: false, spread: false, shape: "daemon" }));
+  users(w, 20_000, (x, n) => ({
+    ...randomJob(x, n),
+    team: "blue",
+    zone: "east",
+    types: ["small"],
+    gpus: 0,
+    samePlace: false,
+    spread: false,
+    shape: "daemon",
+  }));
   w.run(20_000);
-  const copies = [...new Map(sent.filter((r) => r.tasks.length === 0).map((r) => [r.worker, r])).values()];
+  const copies = [
+    ...new Map(
+      sent.filter((r) => r.tasks.length === 0).map((r) => [r.worker, r]),
+    ).values(),
+  ];
   assert.ok(copies.length >= 2);
   for (const x of w.workers) for (const n of w.names) x.cut.add(n);
   w.crash("node-a");
@@ -81,8 +147,15 @@
   assert.ok(m.own.fenced, "machines of the former master are waited for");
   const free = m.own.usage().get("red")!.cpus;
   for (const r of copies) feed(w, r);
-  assert.ok(m.own.fenced, "an empty list under an older token accounts for nothing");
-  assert.equal(m.own.usage().get("red")!.cpus, free, "and what may run there still counts, for every team");
+  assert.ok(
+    m.own.fenced,
+    "an empty list under an older token accounts for nothing",
+  );
+  assert.equal(
+    m.own.usage().get("red")!.cpus,
+    free,
+    "and what may run there still counts, for every team",
+  );
   // A machine that this group's roster does not name: it has to show that it receives.
   const stranger = { ...copies[0]!, worker: "n-009999" };
   feed(w, stranger);
@@ -96,7 +169,18 @@
   const { w, master } = recorded(34);
   w.run(8_000);
   const [a, b] = [...master().own.workers.values()];
-  const report = (x: typeof a, tally: number, token: number): Report => ({ worker: x!.id, address: x!.address, type: x!.typeName, zone: "east", spot: false, session: x!.session, tally, token, noticeS: null, tasks: [] });
+  const report = (x: typeof a, tally: number, token: number): Report => ({
+    worker: x!.id,
+    address: x!.address,
+    type: x!.typeName,
+    zone: "east",
+    spot: false,
+    session: x!.session,
+    tally,
+    token,
+    noticeS: null,
+    tasks: [],
+  });
   for (const x of w.workers) for (const n of w.names) x.cut.add(n);
   // The master's token is not seen although two reports were answered under it.
   a!.token = 0;
@@ -109,7 +193,10 @@
   assert.equal(a!.receipt.deafMs, null, "it comes back by the same evidence");
   // A lease that ends although its reports are answered.
   feed(w, report(b, b!.tally + 1, master().token));
-  feed(w, { ...report(b, b!.tally + 1, master().token), session: b!.session + 1 });
+  feed(w, {
+    ...report(b, b!.tally + 1, master().token),
+    session: b!.session + 1,
+  });
   assert.notEqual(b!.receipt.deafMs, null);
 });
 
@@ -127,17 +214,37 @@
   m.restart(100);
   while (asked === 0) w.run(w.now + 20);
   // One task for each machine, sent to it directly.
-  const spec = { ...randomJob(w, 1), team: "blue", shape: "batch" as const, tasks: w.workers.filter((x) => x.up).length, cpus: 8, gpus: 0, types: null, zone: "east", samePlace: false, spread: false, spot: false };
+  const spec = {
+    ...randomJob(w, 1),
+    team: "blue",
+    shape: "batch" as const,
+    tasks: w.workers.filter((x) => x.up).length,
+    cpus: 8,
+    gpus: 0,
+    types: null,
+    zone: "east",
+    samePlace: false,
+    spread: false,
+    spot: false,
+  };
   w.specs.set(spec.id, spec);
-  w.ask("node-a", (req) => ({ is: "submit", req, spec }), () => {});
+  w.ask(
+    "node-a",
+    (req) => ({ is: "submit", req, spec }),
+    () => {},
+  );
   w.run(asked + 1_400);
   const carriedOut = [...m.tasks.keys()];
   assert.equal(carriedOut.length, 1, "its new life has carried out a start");
-  assert.equal(w.logs.some((l) => l.includes("begun anew")), false);
+  assert.equal(
+    w.logs.some((l) => l.includes("begun anew")),
+    false,
+  );
   w.run(asked + 1_700);
   const x = master().own.workers.get(m.id)!;
   assert.deepEqual([...x.tasks.keys()], carriedOut, "the start counts on");
   w.run(110_000);
   assert.deepEqual(w.checker.broken, []);
-  for (let i = 0; i < spec.tasks; i++) assert.ok(w.results.has(`${spec.id}/${i}`), `${i} is done`);
+  for (let i = 0; i < spec.tasks; i++)
+    assert.ok(w.results.has(`${spec.id}/${i}`), `${i} is done`);
 });
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -6,7 +6,13 @@
 import { Sharing } from "../src/coordination/limits/index.js";
 import { freeOn } from "../src/coordination/tasks.js";
 import type { JobSpec } from "../src/coordination/model.js";
-import { largeJob, largeTroubles, randomJob, troubles, users } from "./sim/days.js";
+import {
+  largeJob,
+  largeTroubles,
+  randomJob,
+  troubles,
+  users,
+} from "./sim/days.js";
 import { type SimWorker, World } from "./sim/world.js";
 
 const DAY_MS = 240_000;
@@ -20,7 +26,8 @@
   return w;
 }
 
-const report = (w: World, seed: number): string => `seed ${seed}: ${w.checker.broken.join("; ")}\n${w.logs.slice(-30).join("\n")}`;
+const report = (w: World, seed: number): string =>
+  `seed ${seed}: ${w.checker.broken.join("; ")}\n${w.logs.slice(-30).join("\n")}`;
 
 test("a quiet day keeps the rules and finishes its work", () => {
   for (let seed = 1; seed <= 4; seed++) {
@@ -28,7 +35,11 @@
     assert.deepEqual(w.checker.broken, [], report(w, seed));
     const open = w.checker.unfinished();
     assert.ok(w.starts > 100, `only ${w.starts} starts`);
-    assert.deepEqual(open, [], `unfinished: ${open.map((id) => JSON.stringify(w.specs.get(id))).join("\n")}\n${w.logs.slice(-20).join("\n")}`);
+    assert.deepEqual(
+      open,
+      [],
+      `unfinished: ${open.map((id) => JSON.stringify(w.specs.get(id))).join("\n")}\n${w.logs.slice(-20).join("\n")}`,
+    );
   }
 });
 
@@ -46,10 +57,23 @@
 function largeWorld(seed: number, machines: number, controllers = 3): World {
   const w = new World(seed, undefined, [], controllers);
   w.capacity = machines;
-  w.settings.teams.set("red", { name: "red", cpus: machines * 8, gpus: 0, cpusMax: machines * 16, gpusMax: 6 });
-  w.settings.teams.set("blue", { name: "blue", cpus: machines * 8, gpus: 0, cpusMax: machines * 20, gpusMax: Infinity });
+  w.settings.teams.set("red", {
+    name: "red",
+    cpus: machines * 8,
+    gpus: 0,
+    cpusMax: machines * 16,
+    gpusMax: 6,
+  });
+  w.settings.teams.set("blue", {
+    name: "blue",
+    cpus: machines * 8,
+    gpus: 0,
+    cpusMax: machines * 20,
+    gpusMax: Infinity,
+  });
   w.bootAll();
-  for (const z of w.zones) for (let i = 0; i < machines; i++) w.cloud.add(w.types[0]!, z, false, 0);
+  for (const z of w.zones)
+    for (let i = 0; i < machines; i++) w.cloud.add(w.types[0]!, z, false, 0);
   return w;
 }
 
@@ -66,8 +90,18 @@
       for (const m of n!.core.masters.values()) {
         const room = m.room.now();
         for (const row of room.rows) {
-          const free = [...m.own.workers.values()].filter((x) => m.own.usable(x) && x.typeName === row.type && x.zone === row.zone && x.spot === row.spot && freeOn(x).cpus > 0);
-          assert.equal([...row.free, ...row.reserved].reduce((a, f) => a + f[3], 0), free.length);
+          const free = [...m.own.workers.values()].filter(
+            (x) =>
+              m.own.usable(x) &&
+              x.typeName === row.type &&
+              x.zone === row.zone &&
+              x.spot === row.spot &&
+              freeOn(x).cpus > 0,
+          );
+          assert.equal(
+            [...row.free, ...row.reserved].reduce((a, f) => a + f[3], 0),
+            free.length,
+          );
         }
       }
   }
@@ -96,12 +130,19 @@
     ended += w.logs.filter((l) => l.includes("hold ended")).length;
   }
   assert.ok(starts > 1_500, `only ${starts} starts`);
-  assert.ok(ended > 20, `only ${ended} holds ended: nobody stood still for long enough`);
+  assert.ok(
+    ended > 20,
+    `only ${ended} holds ended: nobody stood still for long enough`,
+  );
 });
 
 test("the same with hundreds of machines and 1, 2 and 5 controllers", () => {
   let starts = 0;
-  for (const [seed, controllers] of [[530, 1], [531, 2], [532, 5]] as const) {
+  for (const [seed, controllers] of [
+    [530, 1],
+    [531, 2],
+    [532, 5],
+  ] as const) {
     const w = largeWorld(seed, 75, controllers);
     users(w, 60_000, largeJob);
     troubles(w, 70_000);
@@ -121,20 +162,38 @@
         const teams = new Map<string, number>();
         const strays = new Map<string, number>();
         for (const x of m.own.workers.values()) {
-          for (const t of x.tasks.values()) teams.set(t.job.view.spec.team, (teams.get(t.job.view.spec.team) ?? 0) + t.job.view.spec.cpus);
+          for (const t of x.tasks.values())
+            teams.set(
+              t.job.view.spec.team,
+              (teams.get(t.job.view.spec.team) ?? 0) + t.job.view.spec.cpus,
+            );
           for (const s of x.strays.values()) {
             strays.set(s.job, (strays.get(s.job) ?? 0) + 1);
-            if (s.need) teams.set(s.need.team, (teams.get(s.need.team) ?? 0) + s.need.cpus);
+            if (s.need)
+              teams.set(
+                s.need.team,
+                (teams.get(s.need.team) ?? 0) + s.need.cpus,
+              );
           }
           assert.ok(freeOn(x).cpus <= (x.type?.cpus ?? 0));
           const kept = freeOn(x);
           x.free = null;
           assert.deepEqual(freeOn(x), kept);
         }
-        for (const [team, u] of m.own.ledger.used()) assert.ok(Math.abs(u.cpus - (teams.get(team) ?? 0)) < 1e-6, `${team}: ${u.cpus}`);
-        for (const [team, cpus] of teams) assert.ok(Math.abs((m.own.ledger.used().get(team)?.cpus ?? 0) - cpus) < 1e-6, `${team}: ${cpus}`);
-        for (const [job, n] of strays) assert.equal(m.own.ledger.straysOf(job).size, n);
-        for (const id of core.mirror.jobs.keys()) assert.equal(m.own.ledger.straysOf(id).size, strays.get(id) ?? 0);
+        for (const [team, u] of m.own.ledger.used())
+          assert.ok(
+            Math.abs(u.cpus - (teams.get(team) ?? 0)) < 1e-6,
+            `${team}: ${u.cpus}`,
+          );
+        for (const [team, cpus] of teams)
+          assert.ok(
+            Math.abs((m.own.ledger.used().get(team)?.cpus ?? 0) - cpus) < 1e-6,
+            `${team}: ${cpus}`,
+          );
+        for (const [job, n] of strays)
+          assert.equal(m.own.ledger.straysOf(job).size, n);
+        for (const id of core.mirror.jobs.keys())
+          assert.equal(m.own.ledger.straysOf(id).size, strays.get(id) ?? 0);
       }
     };
     for (const z of w.zones) w.cloud.add(w.types[0]!, z, false, 0);
@@ -151,14 +210,31 @@
     w.loss = 0;
     for (let n = 1; n <= jobs; n++) {
       // More than any team may ever use here at once, so that they wait all the time.
-      const spec = { ...largeJob(w, n), shape: "daemon" as const, tasks: 90, cpus: 6, samePlace: false, spot: false };
+      const spec = {
+        ...largeJob(w, n),
+        shape: "daemon" as const,
+        tasks: 90,
+        cpus: 6,
+        samePlace: false,
+        spot: false,
+      };
       w.specs.set(spec.id, spec);
-      w.at(2_000 + n * 20, () => w.ask("node-a", (req) => ({ is: "submit", req, spec }), () => {}));
+      w.at(2_000 + n * 20, () =>
+        w.ask(
+          "node-a",
+          (req) => ({ is: "submit", req, spec }),
+          () => {},
+        ),
+      );
     }
     w.run(60_000);
-    const before = [...w.nodes.values()].map((n) => [...n!.core.masters.values()].reduce((a, m) => a + m.passes, 0));
+    const before = [...w.nodes.values()].map((n) =>
+      [...n!.core.masters.values()].reduce((a, m) => a + m.passes, 0),
+    );
     w.run(80_000);
-    const after = [...w.nodes.values()].map((n) => [...n!.core.masters.values()].reduce((a, m) => a + m.passes, 0));
+    const after = [...w.nodes.values()].map((n) =>
+      [...n!.core.masters.values()].reduce((a, m) => a + m.passes, 0),
+    );
     return Math.max(...after.map((a, i) => a - before[i]!));
   };
   const small = passes(4, 10);
@@ -172,38 +248,84 @@
   w.loss = 0;
   w.capacity = 4;
   for (const z of w.zones) w.cloud.add(w.types[0]!, z, false, 0);
-  const spec = { ...randomJob(w, 1), shape: "batch" as const, tasks: 200, cpus: 1, gpus: 0, types: null, zone: null, samePlace: false, spread: false, team: "blue" };
+  const spec = {
+    ...randomJob(w, 1),
+    shape: "batch" as const,
+    tasks: 200,
+    cpus: 1,
+    gpus: 0,
+    types: null,
+    zone: null,
+    samePlace: false,
+    spread: false,
+    team: "blue",
+  };
   w.specs.set(spec.id, spec);
   let toldMs = 0;
   const poll = (): void => {
     const askedMs = w.now;
-    w.ask("node-c", (req) => ({ is: "status", req, id: spec.id }), (a) => {
-      if (a?.is === "job") w.checker.answered(spec.id, a.state, askedMs);
-      if (a?.is === "job" && a.state === "done") toldMs ||= w.now;
-    });
+    w.ask(
+      "node-c",
+      (req) => ({ is: "status", req, id: spec.id }),
+      (a) => {
+        if (a?.is === "job") w.checker.answered(spec.id, a.state, askedMs);
+        if (a?.is === "job" && a.state === "done") toldMs ||= w.now;
+      },
+    );
     if (toldMs === 0) w.at(200, poll);
   };
   let endedMs = 0;
-  w.afterStep = () => void (endedMs ||= w.results.size === spec.tasks ? w.now : 0);
-  w.at(3_000, () => w.ask("node-b", (req) => ({ is: "submit", req, spec }), () => poll()));
+  w.afterStep = () =>
+    void (endedMs ||= w.results.size === spec.tasks ? w.now : 0);
+  w.at(3_000, () =>
+    w.ask(
+      "node-b",
+      (req) => ({ is: "submit", req, spec }),
+      () => poll(),
+    ),
+  );
   w.run(200_000);
   assert.deepEqual(w.checker.broken, [], report(w, 13));
-  assert.ok(endedMs > 20_000 && toldMs > 0 && toldMs < endedMs + 3_000, `ended ${endedMs}, told ${toldMs}`);
+  assert.ok(
+    endedMs > 20_000 && toldMs > 0 && toldMs < endedMs + 3_000,
+    `ended ${endedMs}, told ${toldMs}`,
+  );
   const fins = w.checker.writes.get("fin") ?? 0;
   // Three groups, two blocks each, once in 1.5 s; a write a report made some 150.
-  assert.ok(fins < 3 * (endedMs / 1_500 + 2) && fins < 100, `${fins} writes of finished ranges`);
+  assert.ok(
+    fins < 3 * (endedMs / 1_500 + 2) && fins < 100,
+    `${fins} writes of finished ranges`,
+  );
 });
 
 test("a gang with spread whose groups have one zone each runs in parts, also over crashes", () => {
   for (let seed = 500; seed < 506; seed++) {
     const w = new World(seed);
     w.capacity = 4;
-    for (const z of ["east", "mid"]) for (let i = 0; i < 2; i++) w.cloud.add(w.types[1]!, z, false, 0);
+    for (const z of ["east", "mid"])
+      for (let i = 0; i < 2; i++) w.cloud.add(w.types[1]!, z, false, 0);
     for (let n = 1; n <= 5; n++) {
       // Only the big type has accelerators, in one zone of node-a and one of node-b.
-      const spec = { ...randomJob(w, n), shape: "ensemble" as const, tasks: 2 + (n % 3), cpus: 2, gpus: 1, types: null, zone: null, samePlace: false, spread: true, team: "blue" };
+      const spec = {
+        ...randomJob(w, n),
+        shape: "ensemble" as const,
+        tasks: 2 + (n % 3),
+        cpus: 2,
+        gpus: 1,
+        types: null,
+        zone: null,
+        samePlace: false,
+        spread: true,
+        team: "blue",
+      };
       w.specs.set(spec.id, spec);
-      w.at(3_000 + n * 500, () => w.ask("node-c", (req) => ({ is: "submit", req, spec }), (a) => a?.is === "job" && w.checker.answered(spec.id, a.state, w.now)));
+      w.at(3_000 + n * 500, () =>
+        w.ask(
+          "node-c",
+          (req) => ({ is: "submit", req, spec }),
+          (a) => a?.is === "job" && w.checker.answered(spec.id, a.state, w.now),
+        ),
+      );
     }
     if (seed >= 502) {
       const at = w.rng.real(4_000, 12_000);
@@ -213,7 +335,12 @@
     }
     w.run(150_000);
     assert.deepEqual(w.checker.broken, [], report(w, seed));
-    for (const [id, spec] of w.specs) for (let i = 0; i < spec.tasks; i++) assert.ok(w.results.has(`${id}/${i}`), `seed ${seed}: ${id}/${i} of ${spec.tasks} never ran\n${w.logs.slice(-20).join("\n")}`);
+    for (const [id, spec] of w.specs)
+      for (let i = 0; i < spec.tasks; i++)
+        assert.ok(
+          w.results.has(`${id}/${i}`),
+          `seed ${seed}: ${id}/${i} of ${spec.tasks} never ran\n${w.logs.slice(-20).join("\n")}`,
+        );
   }
 });
 
@@ -223,28 +350,52 @@
   w.bootAll();
   const got: string[] = [];
   for (let n = 1; n <= 9; n++) {
-    const spec = { ...randomJob(w, n), shape: "daemon" as const, tasks: 1, cpus: 1, gpus: 0, types: null };
+    const spec = {
+      ...randomJob(w, n),
+      shape: "daemon" as const,
+      tasks: 1,
+      cpus: 1,
+      gpus: 0,
+      types: null,
+    };
     w.specs.set(spec.id, spec);
     const ask = (): void => {
       const askedMs = w.now;
-      w.ask("node-a", (req) => ({ is: "submit", req, spec }), (a) => {
-        got.push(`${n}: ${a?.is === "job" ? a.status : a?.is}`);
-        assert.ok(w.now - askedMs < 1_000, "at once");
-        if (a?.is === "later") assert.ok(a.afterS >= 1);
-      });
+      w.ask(
+        "node-a",
+        (req) => ({ is: "submit", req, spec }),
+        (a) => {
+          got.push(`${n}: ${a?.is === "job" ? a.status : a?.is}`);
+          assert.ok(w.now - askedMs < 1_000, "at once");
+          if (a?.is === "later") assert.ok(a.afterS >= 1);
+        },
+      );
     };
     w.at(5_000 + n * 500, ask);
     if (n === 1) w.at(12_000, ask);
   }
   w.run(15_000);
-  assert.deepEqual(got, ["1: 201", "2: 201", "3: 201", "4: 201", "5: 201", "6: later", "7: later", "8: later", "9: later", "1: 200"]);
+  assert.deepEqual(got, [
+    "1: 201",
+    "2: 201",
+    "3: 201",
+    "4: 201",
+    "5: 201",
+    "6: later",
+    "7: later",
+    "8: later",
+    "9: later",
+    "1: 200",
+  ]);
 });
 
 /** Breaks something on purpose and expects the checker to notice within some seeds. */
 function mustCatch(rule: string, breakIt: () => () => void): void {
   const mend = breakIt();
   try {
-    for (let seed = 200; seed < 240; seed++) if (day(seed, true).checker.broken.some((b) => b.startsWith(rule))) return;
+    for (let seed = 200; seed < 240; seed++)
+      if (day(seed, true).checker.broken.some((b) => b.startsWith(rule)))
+        return;
   } finally {
     mend();
   }
@@ -255,22 +406,57 @@
   const w = new World(21);
   w.loss = 0;
   w.capacity = 0;
-  w.settings.teams.set("red", { name: "red", cpus: 0, gpus: 0, cpusMax: 40, gpusMax: Infinity });
+  w.settings.teams.set("red", {
+    name: "red",
+    cpus: 0,
+    gpus: 0,
+    cpusMax: 40,
+    gpusMax: Infinity,
+  });
   w.bootAll();
   // Each fits into the whole limit, and both together don't.
-  const gang = (n: number, zone: string): JobSpec => ({ ...randomJob(w, n), team: "red", shape: "ensemble", tasks: 3, cpus: 8, gpus: 0, types: ["small"], zone, samePlace: true, spread: false, spot: false, estimateS: 10, checkpointS: 0 });
-  for (const [n, zone] of [[1, "east"], [2, "mid"]] as const) {
+  const gang = (n: number, zone: string): JobSpec => ({
+    ...randomJob(w, n),
+    team: "red",
+    shape: "ensemble",
+    tasks: 3,
+    cpus: 8,
+    gpus: 0,
+    types: ["small"],
+    zone,
+    samePlace: true,
+    spread: false,
+    spot: false,
+    estimateS: 10,
+    checkpointS: 0,
+  });
+  for (const [n, zone] of [
+    [1, "east"],
+    [2, "mid"],
+  ] as const) {
     const spec = gang(n, zone);
     w.specs.set(spec.id, spec);
-    w.at(5_000 + n * 1_000, () => w.ask("node-c", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
+    w.at(5_000 + n * 1_000, () =>
+      w.ask(
+        "node-c",
+        (req) => ({ is: "submit", req, spec }),
+        (a) => assert.equal(a?.is, "job"),
+      ),
+    );
   }
   w.run(65_000);
-  const given = (): number => w.logs.filter((l) => l.includes("giving part")).length;
+  const given = (): number =>
+    w.logs.filter((l) => l.includes("giving part")).length;
   assert.ok(given() <= 40, `handed over ${given()} times`);
   w.capacity = 3;
   w.run(140_000);
   assert.deepEqual(w.checker.broken, [], report(w, 21));
-  for (const id of ["req-000001", "req-000002"]) for (let i = 0; i < 3; i++) assert.ok(w.results.has(`${id}/${i}`), `${id}\n${w.logs.slice(-20).join("\n")}`);
+  for (const id of ["req-000001", "req-000002"])
+    for (let i = 0; i < 3; i++)
+      assert.ok(
+        w.results.has(`${id}/${i}`),
+        `${id}\n${w.logs.slice(-20).join("\n")}`,
+      );
 });
 
 test("while memory is short new jobs are refused, known ones answered, cancelled and finished", () => {
@@ -278,14 +464,36 @@
   w.loss = 0;
   for (const z of w.zones) w.cloud.add(w.types[0]!, z, false, 0);
   const got: string[] = [];
-  const spec = (n: number): JobSpec => ({ ...randomJob(w, n), shape: "batch", tasks: 1, cpus: 1, gpus: 0, types: null, zone: null, spread: false });
+  const spec = (n: number): JobSpec => ({
+    ...randomJob(w, n),
+    shape: "batch",
+    tasks: 1,
+    cpus: 1,
+    gpus: 0,
+    types: null,
+    zone: null,
+    spread: false,
+  });
   const ask = (atMs: number, n: number, what: "submit" | "withdraw"): void =>
     w.at(atMs, () => {
       const s = spec(n);
       w.specs.set(s.id, w.specs.get(s.id) ?? s);
-      w.ask("node-a", (req) => (what === "submit" ? { is: "submit", req, spec: w.specs.get(s.id)! } : { is: "withdraw", req, id: s.id }), (a) => got.push(`${n}: ${a?.is === "job" ? `${a.status} ${a.state}` : a?.is}`));
+      w.ask(
+        "node-a",
+        (req) =>
+          what === "submit"
+            ? { is: "submit", req, spec: w.specs.get(s.id)! }
+            : { is: "withdraw", req, id: s.id },
+        (a) =>
+          got.push(
+            `${n}: ${a?.is === "job" ? `${a.status} ${a.state}` : a?.is}`,
+          ),
+      );
     });
-  const memory = (atMs: number, short: boolean): void => w.at(atMs, () => w.feed("node-a", w.nodes.get("node-a")!.life, { is: "memory", short }));
+  const memory = (atMs: number, short: boolean): void =>
+    w.at(atMs, () =>
+      w.feed("node-a", w.nodes.get("node-a")!.life, { is: "memory", short }),
+    );
   ask(5_000, 1, "submit");
   ask(5_100, 2, "submit");
   memory(6_000, true);
@@ -296,12 +504,28 @@
   memory(31_000, false);
   ask(31_500, 3, "submit");
   w.run(33_000);
-  assert.deepEqual(got.map((x) => x.replace("running", "queued")), ["1: 201 queued", "2: 201 queued", "3: later", "2: 200 queued", "2: 200 cancelled", "1: 200 done", "3: 201 queued"]);
+  assert.deepEqual(
+    got.map((x) => x.replace("running", "queued")),
+    [
+      "1: 201 queued",
+      "2: 201 queued",
+      "3: later",
+      "2: 200 queued",
+      "2: 200 cancelled",
+      "1: 200 done",
+      "3: 201 queued",
+    ],
+  );
 });
 
 test("the checker catches a master without a fence", () => {
   mustCatch("ran_twice", () => {
-    const proto = Holdings.prototype as unknown as { mayStart: (j: { gone: boolean; waiting: { isEmpty: boolean } }) => boolean };
+    const proto = Holdings.prototype as unknown as {
+      mayStart: (j: {
+        gone: boolean;
+        waiting: { isEmpty: boolean };
+      }) => boolean;
+    };
     const before = proto.mayStart;
     proto.mayStart = (j) => !j.gone && !j.waiting.isEmpty;
     return () => (proto.mayStart = before);
@@ -325,14 +549,34 @@
   w.checker.invariants = invariants;
   w.loss = 0;
   for (const z of w.zones) w.cloud.add(w.types[0]!, z, false, 0);
-  const spec = { ...randomJob(w, 1), shape: "daemon" as const, tasks: 1, cpus: 2, gpus: 0, types: null, zone: "east", samePlace: false, spread: false };
+  const spec = {
+    ...randomJob(w, 1),
+    shape: "daemon" as const,
+    tasks: 1,
+    cpus: 2,
+    gpus: 0,
+    types: null,
+    zone: "east",
+    samePlace: false,
+    spread: false,
+  };
   w.specs.set(spec.id, spec);
-  w.at(3_000, () => w.ask("node-b", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
+  w.at(3_000, () =>
+    w.ask(
+      "node-b",
+      (req) => ({ is: "submit", req, spec }),
+      (a) => assert.equal(a?.is, "job"),
+    ),
+  );
   w.at(15_000, () => w.stateCut.set("node-a", "refused"));
   w.at(16_000, () => {
     assert.ok(w.starts > 0, "the job runs");
     w.checker.asked.add(spec.id);
-    w.ask("node-b", (req) => ({ is: "withdraw", req, id: spec.id }), (a) => a?.is === "job" && w.checker.answered(spec.id, a.state, w.now));
+    w.ask(
+      "node-b",
+      (req) => ({ is: "withdraw", req, id: spec.id }),
+      (a) => a?.is === "job" && w.checker.answered(spec.id, a.state, w.now),
+    );
   });
   w.at(75_000, () => w.stateCut.delete("node-a"));
   w.run(90_000);
@@ -351,7 +595,10 @@
   Ownership.prototype.permitted = () => true;
   Controller.prototype.mayLeave = () => true;
   try {
-    assert.match(cancelBehindBack(false).checker.broken.join(), /ran_cancelled/);
+    assert.match(
+      cancelBehindBack(false).checker.broken.join(),
+      /ran_cancelled/,
+    );
   } finally {
     Ownership.prototype.permitted = before;
     Controller.prototype.mayLeave = leave;
@@ -366,8 +613,12 @@
   users(w, 150_000);
   for (let at = 15_000; at < 150_000; at += 45_000) {
     const node = w.rng.pick(w.names);
-    w.at(at, () => w.stateCut.set(node, w.rng.pick(["refused", "held"] as const)));
-    w.at(at + w.rng.real(0, 20_000), () => w.freeze(node, w.rng.real(1_000, 15_000)));
+    w.at(at, () =>
+      w.stateCut.set(node, w.rng.pick(["refused", "held"] as const)),
+    );
+    w.at(at + w.rng.real(0, 20_000), () =>
+      w.freeze(node, w.rng.real(1_000, 15_000)),
+    );
     w.at(at + 40_000, () => w.stateCut.delete(node));
   }
   w.run(180_000);
@@ -375,8 +626,14 @@
 }
 
 test("the checker sees a permit whose age nobody looks at", () => {
-  const age = Object.getOwnPropertyDescriptor(Ownership.prototype, "permitUntilMs")!;
-  const broken = (invariants: boolean): string[] => Array.from({ length: 12 }, (_, k) => outOfTouch(600 + k, invariants).checker.broken.join()).filter((x) => x !== "");
+  const age = Object.getOwnPropertyDescriptor(
+    Ownership.prototype,
+    "permitUntilMs",
+  )!;
+  const broken = (invariants: boolean): string[] =>
+    Array.from({ length: 12 }, (_, k) =>
+      outOfTouch(600 + k, invariants).checker.broken.join(),
+    ).filter((x) => x !== "");
   assert.deepEqual(broken(true), []);
   Object.defineProperty(Ownership.prototype, "permitUntilMs", {
     configurable: true,
@@ -386,7 +643,10 @@
   });
   try {
     const without = broken(false);
-    assert.ok(without.length >= 3 && /ran_cancelled/.test(without.join()), without.join("\n"));
+    assert.ok(
+      without.length >= 3 && /ran_cancelled/.test(without.join()),
+      without.join("\n"),
+    );
   } finally {
     Object.defineProperty(Ownership.prototype, "permitUntilMs", age);
   }
@@ -402,10 +662,33 @@
   const { hold } = ownership as unknown as { hold: number };
   w.state.holds.get(hold)!.endsMs = w.now;
   w.state.tick();
-  w.at(0, () => node.core.commit([], [{ op: "put", key: "lc/now/group/node-a", value: { owner: "node-a", hold }, hold }], 0, () => {}));
-  w.at(1, () => w.ask("node-a", (req) => ({ is: "status", req, id: "req-1" }), () => {}));
+  w.at(0, () =>
+    node.core.commit(
+      [],
+      [
+        {
+          op: "put",
+          key: "lc/now/group/node-a",
+          value: { owner: "node-a", hold },
+          hold,
+        },
+      ],
+      0,
+      () => {},
+    ),
+  );
+  w.at(1, () =>
+    w.ask(
+      "node-a",
+      (req) => ({ is: "status", req, id: "req-1" }),
+      () => {},
+    ),
+  );
   w.run(5_200);
-  assert.ok(w.logs.some((l) => l.includes("hold ended")), w.logs.join("\n"));
+  assert.ok(
+    w.logs.some((l) => l.includes("hold ended")),
+    w.logs.join("\n"),
+  );
   assert.ok(!w.logs.some((l) => l.includes("refuses a transaction")));
   w.run(7_000);
   assert.notEqual((ownership as unknown as { hold: number | null }).hold, hold);
@@ -417,27 +700,71 @@
   w.loss = 0;
   w.capacity = 2;
   for (let i = 0; i < 2; i++) w.cloud.add(w.types[0]!, "west", false, 0);
-  const spec = (n: number, over: object) => ({ ...randomJob(w, n), cpus: 6, gpus: 0, types: ["small"], zone: "west", samePlace: true, spread: false, spot: false, team: "blue", checkpointS: 0, ...over });
+  const spec = (n: number, over: object) => ({
+    ...randomJob(w, n),
+    cpus: 6,
+    gpus: 0,
+    types: ["small"],
+    zone: "west",
+    samePlace: true,
+    spread: false,
+    spot: false,
+    team: "blue",
+    checkpointS: 0,
+    ...over,
+  });
   const low = spec(1, { shape: "daemon", tasks: 2, urgency: "best_effort" });
   const gang = spec(2, { shape: "ensemble", tasks: 2, urgency: "high" });
-  for (const [s, at] of [[low, 3_000], [gang, 20_000]] as const) {
+  for (const [s, at] of [
+    [low, 3_000],
+    [gang, 20_000],
+  ] as const) {
     w.specs.set(s.id, s);
-    w.at(at, () => w.ask("node-b", (req) => ({ is: "submit", req, spec: s }), (a) => assert.equal(a?.is, "job")));
+    w.at(at, () =>
+      w.ask(
+        "node-b",
+        (req) => ({ is: "submit", req, spec: s }),
+        (a) => assert.equal(a?.is, "job"),
+      ),
+    );
   }
   w.run(19_000);
   assert.equal(w.starts, 2, "both replicas run");
   w.run(70_000);
   assert.deepEqual(w.checker.broken, [], report(w, 9));
-  assert.ok(w.results.has(`${gang.id}/0`) && w.results.has(`${gang.id}/1`), w.logs.slice(-15).join("\n"));
+  assert.ok(
+    w.results.has(`${gang.id}/0`) && w.results.has(`${gang.id}/1`),
+    w.logs.slice(-15).join("\n"),
+  );
 });
 
 test("a takeover does not wait for machines that were gone before it", () => {
   const w = new World(11);
   w.loss = 0;
-  const [dead] = [0, 1, 2].map(() => w.cloud.add(w.types[0]!, "east", false, 0));
-  const spec = { ...randomJob(w, 1), shape: "daemon" as const, tasks: 3, cpus: 5, gpus: 0, types: ["small"], zone: "east", samePlace: false, spread: false, spot: false, team: "blue" };
+  const [dead] = [0, 1, 2].map(() =>
+    w.cloud.add(w.types[0]!, "east", false, 0),
+  );
+  const spec = {
+    ...randomJob(w, 1),
+    shape: "daemon" as const,
+    tasks: 3,
+    cpus: 5,
+    gpus: 0,
+    types: ["small"],
+    zone: "east",
+    samePlace: false,
+    spread: false,
+    spot: false,
+    team: "blue",
+  };
   w.specs.set(spec.id, spec);
-  w.at(3_000, () => w.ask("node-b", (req) => ({ is: "submit", req, spec }), () => {}));
+  w.at(3_000, () =>
+    w.ask(
+      "node-b",
+      (req) => ({ is: "submit", req, spec }),
+      () => {},
+    ),
+  );
   w.at(8_000, () => dead!.vanish());
   for (const at of [30_000, 50_000]) {
     w.at(at, () => w.crash("node-a"));
@@ -445,19 +772,42 @@
   }
   w.run(70_000);
   assert.deepEqual(w.checker.broken, [], report(w, 11));
-  const taken = w.logs.filter((l) => l.includes("takeover complete") && l.includes("node-a"));
+  const taken = w.logs.filter(
+    (l) => l.includes("takeover complete") && l.includes("node-a"),
+  );
   assert.equal(taken.length, 2, taken.join("\n"));
   for (const l of taken) assert.match(l, /every machine has reported/);
 });
 
 /** Three machines at work; node-a ends at 25 s, when one of them is gone or can't be reached, and is back at 26 s. */
-function takeover(seed: number, third: "taken" | "cut off, up for a second", list: boolean): { w: World; afterMs: number } | null {
+function takeover(
+  seed: number,
+  third: "taken" | "cut off, up for a second",
+  list: boolean,
+): { w: World; afterMs: number } | null {
   const w = new World(seed);
   w.loss = 0;
   w.capacity = 0;
-  const spec = { ...randomJob(w, 1), shape: "daemon" as const, tasks: 3, cpus: 6, gpus: 0, types: null, zone: "east", samePlace: false, spread: false, spot: false };
+  const spec = {
+    ...randomJob(w, 1),
+    shape: "daemon" as const,
+    tasks: 3,
+    cpus: 6,
+    gpus: 0,
+    types: null,
+    zone: "east",
+    samePlace: false,
+    spread: false,
+    spot: false,
+  };
   w.specs.set(spec.id, spec);
-  w.at(2_000, () => w.ask("node-b", (req) => ({ is: "submit", req, spec }), (a) => assert.equal(a?.is, "job")));
+  w.at(2_000, () =>
+    w.ask(
+      "node-b",
+      (req) => ({ is: "submit", req, spec }),
+      (a) => assert.equal(a?.is, "job"),
+    ),
+  );
   const add = (): SimWorker => w.cloud.add(w.types[0]!, "east", false, 0);
   add();
   add();
@@ -475,14 +825,22 @@
   add();
   w.at(1_000, () => w.boot("node-a"));
   w.run(60_000);
-  const line = w.logs.find((l) => l.includes("takeover complete") && Number(l.split(" ")[0]) > 26) ?? assert.fail("no takeover");
+  const line =
+    w.logs.find(
+      (l) => l.includes("takeover complete") && Number(l.split(" ")[0]) > 26,
+    ) ?? assert.fail("no takeover");
   return { w, afterMs: Number(/"afterMs":(\d+)/.exec(line)![1]) };
 }
 
 test("a takeover waits no lease for a machine that was taken, but for one that the list can't name yet", () => {
   const seeds = Array.from({ length: 30 }, (_, k) => 31 + k);
-  const all = (third: "taken" | "cut off, up for a second", list: boolean): { w: World; afterMs: number }[] => seeds.flatMap((seed) => takeover(seed, third, list) ?? []);
-  for (const { afterMs } of all("taken", false)) assert.ok(afterMs > 10_000, "without the list, the lease");
+  const all = (
+    third: "taken" | "cut off, up for a second",
+    list: boolean,
+  ): { w: World; afterMs: number }[] =>
+    seeds.flatMap((seed) => takeover(seed, third, list) ?? []);
+  for (const { afterMs } of all("taken", false))
+    assert.ok(afterMs > 10_000, "without the list, the lease");
   const quick = all("taken", true);
   assert.ok(quick.length > 15);
   for (const { w, afterMs } of quick) {
@@ -493,13 +851,20 @@
   assert.ok(late.length > 5);
   for (const { w } of late) assert.deepEqual(w.checker.broken, []);
   // A list that does not know the machine yet, taken for the truth, starts its task twice.
-  const proto = Holdings.prototype as unknown as { listed: (m: Map<string, unknown>, asOfMs: number) => void };
+  const proto = Holdings.prototype as unknown as {
+    listed: (m: Map<string, unknown>, asOfMs: number) => void;
+  };
   const before = proto.listed;
   proto.listed = function (m) {
     before.call(this, m, Infinity);
   };
   try {
-    assert.match(all("cut off, up for a second", true).map((x) => x.w.checker.broken.join()).join(), /ran_twice/);
+    assert.match(
+      all("cut off, up for a second", true)
+        .map((x) => x.w.checker.broken.join())
+        .join(),
+      /ran_twice/,
+    );
   } finally {
     proto.listed = before;
   }
@@ -517,7 +882,16 @@
   w.at(11_000, () => w.boot("node-a"));
   // It comes back shortly before its lease would be over, and is not told of the new token.
   const report = (): void => {
-    w.ask("node-a", (req) => ({ is: "report", req, report: { ...m.snapshot(), token: 0 }, relayed: false }), () => {});
+    w.ask(
+      "node-a",
+      (req) => ({
+        is: "report",
+        req,
+        report: { ...m.snapshot(), token: 0 },
+        relayed: false,
+      }),
+      () => {},
+    );
     if (w.now < 28_000) w.at(700, report);
   };
   w.at(20_000, report);
@@ -529,5 +903,8 @@
   };
   w.run(28_000);
   assert.ok(checked > 20);
-  assert.ok(w.logs.some((l) => l.includes("leases of silent machines have ended")), "the fence was lifted by time");
+  assert.ok(
+    w.logs.some((l) => l.includes("leases of silent machines have ended")),
+    "the fence was lifted by time",
+  );
 });
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -15,12 +15,27 @@
   constructor(private readonly world: World) {}
 
   fail(rule: string, what: string): void {
-    this.broken.push(`${rule} at ${(this.world.now / 1000).toFixed(3)} s: ${what}`);
+    this.broken.push(
+      `${rule} at ${(this.world.now / 1000).toFixed(3)} s: ${what}`,
+    );
   }
 
-  private *on(): Generator<{ w: SimWorker; job: string; index: number; spec: JobSpec }> {
+  private *on(): Generator<{
+    w: SimWorker;
+    job: string;
+    index: number;
+    spec: JobSpec;
+  }> {
     for (const w of this.world.workers)
-      if (!w.gone) for (const t of w.tasks.values()) if (w.onMachine(t)) yield { w, job: t.job, index: t.index, spec: this.world.specs.get(t.job)! };
+      if (!w.gone)
+        for (const t of w.tasks.values())
+          if (w.onMachine(t))
+            yield {
+              w,
+              job: t.job,
+              index: t.index,
+              spec: this.world.specs.get(t.job)!,
+            };
   }
 
   /** A task gets on its machine: it has its image. */
@@ -30,7 +45,8 @@
     const used = { cpus: spec.cpus, gpus: spec.gpus };
     const zones = new Map<string, number>([[w.zone, 1]]);
     for (const o of this.on()) {
-      if (o.job === job && o.index === index && o.w !== w) this.fail("ran_twice", `${job}/${index} on ${w.id} and ${o.w.id}`);
+      if (o.job === job && o.index === index && o.w !== w)
+        this.fail("ran_twice", `${job}/${index} on ${w.id} and ${o.w.id}`);
       if (o.job === job && o.index === index) continue;
       if (o.spec.team === spec.team) {
         used.cpus += o.spec.cpus;
@@ -38,33 +54,63 @@
       }
       if (o.job === job) zones.set(o.w.zone, (zones.get(o.w.zone) ?? 0) + 1);
     }
-    const team = (this.world.teamLimits ?? this.world.settings.teams).get(spec.team)!;
-    if (used.cpus > team.cpusMax + 1e-6 || used.gpus > team.gpusMax + 1e-6) this.fail("quota", `${spec.team} uses ${used.cpus} CPUs, ${used.gpus} GPUs`);
-    if ((spec.types && !spec.types.includes(w.type.name)) || (spec.zone && spec.zone !== w.zone) || (w.spot && !spec.spot)) this.fail("wrong_place", `${job}/${index} on ${w.id}`);
-    if (spec.samePlace && zones.size > 1) this.fail("wrong_place", `samePlace: ${job} in ${[...zones.keys()].join()}`);
-    if (spec.spread) for (const [z, n] of zones) if (n > Math.ceil(spec.tasks / 2)) this.fail("wrong_place", `spread: ${n} of ${job} in ${z}`);
+    const team = (this.world.teamLimits ?? this.world.settings.teams).get(
+      spec.team,
+    )!;
+    if (used.cpus > team.cpusMax + 1e-6 || used.gpus > team.gpusMax + 1e-6)
+      this.fail(
+        "quota",
+        `${spec.team} uses ${used.cpus} CPUs, ${used.gpus} GPUs`,
+      );
+    if (
+      (spec.types && !spec.types.includes(w.type.name)) ||
+      (spec.zone && spec.zone !== w.zone) ||
+      (w.spot && !spec.spot)
+    )
+      this.fail("wrong_place", `${job}/${index} on ${w.id}`);
+    if (spec.samePlace && zones.size > 1)
+      this.fail(
+        "wrong_place",
+        `samePlace: ${job} in ${[...zones.keys()].join()}`,
+      );
+    if (spec.spread)
+      for (const [z, n] of zones)
+        if (n > Math.ceil(spec.tasks / 2))
+          this.fail("wrong_place", `spread: ${n} of ${job} in ${z}`);
     this.checkCancelled(job);
-    for (const name of this.world.awaits.get(job) ?? []) if (!this.isDone(name)) this.fail("too_early", `${job}/${index} before ${name}`);
+    for (const name of this.world.awaits.get(job) ?? [])
+      if (!this.isDone(name))
+        this.fail("too_early", `${job}/${index} before ${name}`);
   }
   isDone(job: string): boolean {
     const n = this.world.specs.get(job)!.tasks;
-    for (let i = 0; i < n; i++) if (!this.world.results.has(`${job}/${i}`)) return false;
+    for (let i = 0; i < n; i++)
+      if (!this.world.results.has(`${job}/${i}`)) return false;
     return true;
   }
   /** A job and all that it needs, through any others. */
   private needed(job: string, met = new Set<string>()): Set<string> {
     met.add(job);
-    for (const name of this.world.awaits.get(job) ?? []) if (!met.has(name)) this.needed(name, met);
+    for (const name of this.world.awaits.get(job) ?? [])
+      if (!met.has(name)) this.needed(name, met);
     return met;
   }
   /** What the present version writes fits the limits that are to come, at all times. */
   committed(node: string, writes: readonly Write[]): void {
     const { valueBytes, txnOps } = this.world.nextLimits;
-    if (writes.length > txnOps) this.fail("limits", `${node}: ${writes.length} changes`);
+    if (writes.length > txnOps)
+      this.fail("limits", `${node}: ${writes.length} changes`);
     for (const w of writes) {
       const kind = w.key.split("/")[2]!;
       this.writes.set(kind, (this.writes.get(kind) ?? 0) + 1);
-      if (w.op === "put" && Buffer.byteLength(JSON.stringify(w.value)) > valueBytes) this.fail("limits", `${node}: ${w.key} takes ${JSON.stringify(w.value).length} bytes`);
+      if (
+        w.op === "put" &&
+        Buffer.byteLength(JSON.stringify(w.value)) > valueBytes
+      )
+        this.fail(
+          "limits",
+          `${node}: ${w.key} takes ${JSON.stringify(w.value).length} bytes`,
+        );
     }
   }
   /** Changes sent by the present version, by kind of record. */
@@ -74,24 +120,40 @@
   longestAfterMs = 0;
   private checkCancelled(job: string): void {
     const at = this.cancelledMs.get(job);
-    if (at !== undefined) this.longestAfterMs = Math.max(this.longestAfterMs, this.world.now - at);
-    if (at !== undefined && this.world.now > at + this.world.settings.cancelS * 1000) this.fail("ran_cancelled", `${job}, ${(this.world.now - at) / 1000} s after`);
+    if (at !== undefined)
+      this.longestAfterMs = Math.max(this.longestAfterMs, this.world.now - at);
+    if (
+      at !== undefined &&
+      this.world.now > at + this.world.settings.cancelS * 1000
+    )
+      this.fail(
+        "ran_cancelled",
+        `${job}, ${(this.world.now - at) / 1000} s after`,
+      );
   }
   /** What only a permit allows is being sent. */
   leaves(name: string, core: Controller, e: Effect): void {
     if (!this.invariants) return;
-    const needsPermit = e.do === "command" || (e.do === "answer" && e.answer.is === "orders");
-    if (needsPermit && core.permit.untilMs <= this.world.clockOf(name)) this.fail("no_permit", `${name}: ${e.do}`);
+    const needsPermit =
+      e.do === "command" || (e.do === "answer" && e.answer.is === "orders");
+    if (needsPermit && core.permit.untilMs <= this.world.clockOf(name))
+      this.fail("no_permit", `${name}: ${e.do}`);
   }
   /** The invariant that most rules rest on: a group has one master at a time that may act. */
   private oneMaster(): void {
     if (!this.invariants) return;
     const acting = new Map<string, string>();
     for (const name of this.world.names) {
-      const core = this.world.old.has(name) ? null : this.world.nodes.get(name)?.core;
+      const core = this.world.old.has(name)
+        ? null
+        : this.world.nodes.get(name)?.core;
       if (!core || core.permit.untilMs <= this.world.clockOf(name)) continue;
       for (const group of core.masters.keys()) {
-        if (acting.has(group)) this.fail("two_masters", `${group}: ${acting.get(group)} and ${name}`);
+        if (acting.has(group))
+          this.fail(
+            "two_masters",
+            `${group}: ${acting.get(group)} and ${name}`,
+          );
         acting.set(group, name);
       }
     }
@@ -102,24 +164,40 @@
   }
 
   /** `askedMs`: an answer may be older than one given meanwhile, but not than one given before the question. */
-  answered(id: string, status: "queued" | "running" | "done" | "cancelled", askedMs: number): void {
+  answered(
+    id: string,
+    status: "queued" | "running" | "done" | "cancelled",
+    askedMs: number,
+  ): void {
     const final = this.told.get(id);
-    const before = final !== undefined && (this.toldMs.get(id) ?? 0) < askedMs ? final : undefined;
+    const before =
+      final !== undefined && (this.toldMs.get(id) ?? 0) < askedMs
+        ? final
+        : undefined;
     if (!this.world.specs.has(id)) this.fail("invented", id);
-    const now = status === "done" || status === "cancelled" ? status : "accepted";
-    if ((before === "done" || before === "cancelled") && now !== before) this.fail("went_back", `${id}: ${before}, then ${status}`);
+    const now =
+      status === "done" || status === "cancelled" ? status : "accepted";
+    if ((before === "done" || before === "cancelled") && now !== before)
+      this.fail("went_back", `${id}: ${before}, then ${status}`);
     if (status === "done" && !this.isDone(id)) return this.fail("not_done", id);
     const needed = [...this.needed(id)];
-    if (status === "cancelled" && !needed.some((x) => this.asked.has(x))) this.fail("went_back", `${id} was never cancelled`);
+    if (status === "cancelled" && !needed.some((x) => this.asked.has(x)))
+      this.fail("went_back", `${id} was never cancelled`);
     if (now === "accepted")
       for (const x of needed)
-        if (askedMs > (this.cancelledMs.get(x) ?? Infinity) + this.world.settings.cancelS * 1000) this.fail("orphaned", `${id} is ${status}, it needs ${x}`);
+        if (
+          askedMs >
+          (this.cancelledMs.get(x) ?? Infinity) +
+            this.world.settings.cancelS * 1000
+        )
+          this.fail("orphaned", `${id} is ${status}, it needs ${x}`);
     if (status === "cancelled" && !this.cancelledMs.has(id)) {
       this.cancelledMs.set(id, this.world.now);
       for (const o of this.on()) if (o.job === id) this.cancelledOn++;
     }
     if (final === "done" || final === "cancelled") {
-      if (now !== "accepted" && now !== final) this.fail("went_back", `${id}: ${final} and ${now}`);
+      if (now !== "accepted" && now !== final)
+        this.fail("went_back", `${id}: ${final} and ${now}`);
       return;
     }
     if (final !== now) this.toldMs.set(id, this.world.now);
@@ -127,13 +205,23 @@
     if (final !== now) this.onTold?.(id, now);
   }
   /** Called when users learn for the first time that a job is accepted, done or cancelled. */
-  onTold: ((id: string, now: "accepted" | "done" | "cancelled") => void) | null = null;
+  onTold:
+    ((id: string, now: "accepted" | "done" | "cancelled") => void) | null =
+    null;
   /** When a question about a job was last answered. */
   readonly heardOf = new Map<string, number>();
   /** Called 75 s after the last trouble ended, at `sinceMs`: a job about which nothing was answered since counts as forgotten. */
   remembers(sinceMs: number): void {
     for (const [id, told] of this.told)
-      if (told !== "cancelled" && (this.heardOf.get(id) ?? -1) < sinceMs && (told === "accepted" || this.isPolled(id))) this.fail("forgotten", `${id}: no question answered since ${sinceMs / 1000} s`);
+      if (
+        told !== "cancelled" &&
+        (this.heardOf.get(id) ?? -1) < sinceMs &&
+        (told === "accepted" || this.isPolled(id))
+      )
+        this.fail(
+          "forgotten",
+          `${id}: no question answered since ${sinceMs / 1000} s`,
+        );
   }
   private readonly waitsSince = new Map<string, number>();
   /**
@@ -152,7 +240,10 @@
         const spec = this.world.specs.get(t.job)!;
         on.set(t.job, (on.get(t.job) ?? 0) + 1);
         const u = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
-        used.set(spec.team, { cpus: u.cpus + spec.cpus, gpus: u.gpus + spec.gpus });
+        used.set(spec.team, {
+          cpus: u.cpus + spec.cpus,
+          gpus: u.gpus + spec.gpus,
+        });
         f.cpus -= spec.cpus;
         f.gpus -= spec.gpus;
       }
@@ -160,33 +251,68 @@
     }
     for (const [id, told] of this.told) {
       const spec = this.world.specs.get(id)!;
-      const waits = told === "accepted" && !this.asked.has(id) && !on.has(id) && !this.isDone(id) && (this.world.awaits.get(id) ?? []).every((x) => this.isDone(x));
+      const waits =
+        told === "accepted" &&
+        !this.asked.has(id) &&
+        !on.has(id) &&
+        !this.isDone(id) &&
+        (this.world.awaits.get(id) ?? []).every((x) => this.isDone(x));
       if (!waits || !this.fits(spec, free, used.get(spec.team))) {
         this.waitsSince.delete(id);
         continue;
       }
       const since = this.waitsSince.get(id) ?? this.world.now;
       this.waitsSince.set(id, since);
-      if (this.world.now - since > 90_000) this.fail("left_waiting", `${id} (${spec.shape} of ${spec.tasks}) for ${(this.world.now - since) / 1000} s`);
+      if (this.world.now - since > 90_000)
+        this.fail(
+          "left_waiting",
+          `${id} (${spec.shape} of ${spec.tasks}) for ${(this.world.now - since) / 1000} s`,
+        );
     }
   }
-  private fits(spec: JobSpec, free: ReadonlyMap<SimWorker, { cpus: number; gpus: number }>, used = { cpus: 0, gpus: 0 }): boolean {
-    const team = (this.world.teamLimits ?? this.world.settings.teams).get(spec.team)!;
+  private fits(
+    spec: JobSpec,
+    free: ReadonlyMap<SimWorker, { cpus: number; gpus: number }>,
+    used = { cpus: 0, gpus: 0 },
+  ): boolean {
+    const team = (this.world.teamLimits ?? this.world.settings.teams).get(
+      spec.team,
+    )!;
     const n = spec.shape === "batch" ? 1 : spec.tasks;
-    if (used.cpus + n * spec.cpus > team.cpusMax || used.gpus + n * spec.gpus > team.gpusMax) return false;
+    if (
+      used.cpus + n * spec.cpus > team.cpusMax ||
+      used.gpus + n * spec.gpus > team.gpusMax
+    )
+      return false;
     const places = new Map<string, number>();
     for (const [w, f] of free) {
-      if ((spec.types && !spec.types.includes(w.type.name)) || (spec.zone && spec.zone !== w.zone) || (w.spot && !spec.spot)) continue;
-      const k = Math.min(Math.floor((f.cpus + 1e-6) / spec.cpus), spec.gpus > 0 ? Math.floor(f.gpus / spec.gpus) : Infinity);
+      if (
+        (spec.types && !spec.types.includes(w.type.name)) ||
+        (spec.zone && spec.zone !== w.zone) ||
+        (w.spot && !spec.spot)
+      )
+        continue;
+      const k = Math.min(
+        Math.floor((f.cpus + 1e-6) / spec.cpus),
+        spec.gpus > 0 ? Math.floor(f.gpus / spec.gpus) : Infinity,
+      );
       places.set(w.zone, (places.get(w.zone) ?? 0) + Math.max(0, k));
     }
     const most = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
     const all = [...places.values()].map((x) => Math.min(x, most));
-    return (spec.samePlace ? Math.max(0, ...all) : all.reduce((a, b) => a + b, 0)) >= n;
+    return (
+      (spec.samePlace ? Math.max(0, ...all) : all.reduce((a, b) => a + b, 0)) >=
+      n
+    );
   }
   /** Jobs that were accepted and are not known to be over, services aside. */
   unfinished(): string[] {
-    return [...this.told].filter(([id, s]) => s === "accepted" && this.world.specs.get(id)!.shape !== "daemon").map(([id]) => id);
+    return [...this.told]
+      .filter(
+        ([id, s]) =>
+          s === "accepted" && this.world.specs.get(id)!.shape !== "daemon",
+      )
+      .map(([id]) => id);
   }
   private isPolled(id: string): boolean {
     return this.world.polled.has(id) && !this.heardOf.has(id);
@@ -194,6 +320,7 @@
   private readonly toldMs = new Map<string, number>();
   readonly asked = new Set<string>();
   refused(id: string, status: number, askedMs: number): void {
-    if ((this.toldMs.get(id) ?? Infinity) < askedMs) this.fail("forgotten", `${id} got ${status}`);
+    if ((this.toldMs.get(id) ?? Infinity) < askedMs)
+      this.fail("forgotten", `${id} got ${status}`);
   }
 }
--- a/test/sim/days.ts
+++ b/test/sim/days.ts
@@ -6,7 +6,13 @@
 
 export function randomJob(w: World, n: number): JobSpec {
   const r = w.rng;
-  const shape = r.pick(["batch", "batch", "ensemble", "ensemble", "daemon"] as const);
+  const shape = r.pick([
+    "batch",
+    "batch",
+    "ensemble",
+    "ensemble",
+    "daemon",
+  ] as const);
   const gpu = r.chance(0.25);
   const tasks = shape === "batch" ? r.int(1, 14) : r.int(1, 3);
   const samePlace = r.chance(0.3);
@@ -66,14 +72,24 @@
   };
   w.at(500, submitOne);
   const askUnknown = (): void => {
-    w.ask(w.rng.pick(w.names), (req) => ({ is: "status", req, id: "req-999999" }), (a) => a?.is === "job" && w.checker.answered("req-999999", a.state, w.now));
+    w.ask(
+      w.rng.pick(w.names),
+      (req) => ({ is: "status", req, id: "req-999999" }),
+      (a) =>
+        a?.is === "job" && w.checker.answered("req-999999", a.state, w.now),
+    );
     w.at(5_000, askUnknown);
   };
   askUnknown();
 }
 
 /** A user's request at some controller; what comes later than it waits for is not heard. */
-function request(w: World, waitMs: number, input: (req: number) => Input, done: (a: Answer | null) => void): void {
+function request(
+  w: World,
+  waitMs: number,
+  input: (req: number) => Input,
+  done: (a: Answer | null) => void,
+): void {
   const name = w.rng.pick(w.names);
   let over = false;
   const end = (a: Answer | null): void => {
@@ -100,12 +116,30 @@
   const r = w.rng;
   let n = 500_000;
   const ended: string[] = [];
-  const stage = (awaits: string[], over: Partial<JobSpec>, delayMs = 0): JobSpec => {
-    const spec = { ...randomJob(w, ++n), team: "blue", shape: "batch" as const, tasks: r.int(1, 4), cpus: 1, gpus: 0, types: null, zone: null, samePlace: false, spread: false, urgency: "best_effort" as const, ...over };
+  const stage = (
+    awaits: string[],
+    over: Partial<JobSpec>,
+    delayMs = 0,
+  ): JobSpec => {
+    const spec = {
+      ...randomJob(w, ++n),
+      team: "blue",
+      shape: "batch" as const,
+      tasks: r.int(1, 4),
+      cpus: 1,
+      gpus: 0,
+      types: null,
+      zone: null,
+      samePlace: false,
+      spread: false,
+      urgency: "best_effort" as const,
+      ...over,
+    };
     w.specs.set(spec.id, spec);
     w.awaits.set(spec.id, awaits);
     const whenAccepted = (): void => {
-      if (awaits.some((x) => !w.checker.told.has(x))) return w.at(300, whenAccepted);
+      if (awaits.some((x) => !w.checker.told.has(x)))
+        return w.at(300, whenAccepted);
       submit(w, spec, w.now);
     };
     w.at(delayMs, whenAccepted);
@@ -113,13 +147,34 @@
   };
   const one = (): void => {
     if (w.now > untilMs) return;
-    const first = stage(ended.length > 0 && r.chance(0.3) ? [r.pick(ended)] : [], {});
-    const middle = Array.from({ length: r.int(1, 4) }, () => stage([first.id], {}).id);
-    const third = stage(middle, { shape: "ensemble", tasks: r.int(2, 4), samePlace: true, urgency: "normal" });
-    const last = stage([first.id, third.id], { urgency: "high", deadlineS: 60 }, r.chance(0.15) ? r.real(10_000, 60_000) : 0);
+    const first = stage(
+      ended.length > 0 && r.chance(0.3) ? [r.pick(ended)] : [],
+      {},
+    );
+    const middle = Array.from(
+      { length: r.int(1, 4) },
+      () => stage([first.id], {}).id,
+    );
+    const third = stage(middle, {
+      shape: "ensemble",
+      tasks: r.int(2, 4),
+      samePlace: true,
+      urgency: "normal",
+    });
+    const last = stage(
+      [first.id, third.id],
+      { urgency: "high", deadlineS: 60 },
+      r.chance(0.15) ? r.real(10_000, 60_000) : 0,
+    );
     const all = [first.id, ...middle, third.id, last.id];
     ended.push(...all);
-    if (r.chance(0.3)) w.at(r.real(100, 40_000), () => cancel(w, r.pick(all.filter((x) => w.checker.told.has(x)).concat(first.id))));
+    if (r.chance(0.3))
+      w.at(r.real(100, 40_000), () =>
+        cancel(
+          w,
+          r.pick(all.filter((x) => w.checker.told.has(x)).concat(first.id)),
+        ),
+      );
     w.at(r.real(1_000, 8_000), one);
   };
   w.at(fromMs, one);
@@ -127,20 +182,27 @@
 
 export function submit(w: World, spec: JobSpec, sinceMs: number): void {
   const askedMs = w.now;
-  request(w, 5_000, (req) => ({ is: "submit", req, spec, awaits: w.awaits.get(spec.id) }), (a) => {
-    if (a) hear(w, spec.id, a, askedMs);
-    if (a?.is === "job") {
-      if (!w.polled.has(spec.id)) {
-        w.polled.add(spec.id);
-        poll(w, spec.id);
-        if (spec.shape === "daemon" || w.rng.chance(0.2)) w.at(w.rng.real(500, 25_000), () => cancel(w, spec.id));
+  request(
+    w,
+    5_000,
+    (req) => ({ is: "submit", req, spec, awaits: w.awaits.get(spec.id) }),
+    (a) => {
+      if (a) hear(w, spec.id, a, askedMs);
+      if (a?.is === "job") {
+        if (!w.polled.has(spec.id)) {
+          w.polled.add(spec.id);
+          poll(w, spec.id);
+          if (spec.shape === "daemon" || w.rng.chance(0.2))
+            w.at(w.rng.real(500, 25_000), () => cancel(w, spec.id));
+        }
+        // A repeated submission, at any later time.
+        if (w.rng.chance(0.15))
+          w.at(w.rng.real(100, 60_000), () => submit(w, spec, -1e9));
+        return;
       }
-      // A repeated submission, at any later time.
-      if (w.rng.chance(0.15)) w.at(w.rng.real(100, 60_000), () => submit(w, spec, -1e9));
-      return;
-    }
-    if (w.now - sinceMs < 60_000) w.at(1_000, () => submit(w, spec, sinceMs));
-  });
+      if (w.now - sinceMs < 60_000) w.at(1_000, () => submit(w, spec, sinceMs));
+    },
+  );
 }
 /** Questions at all controllers within milliseconds, and the submission once more. */
 export function lookClosely(w: World, id: string): void {
@@ -150,7 +212,14 @@
       w.at(w.rng.real(0, 20), () => {
         const askedMs = w.now;
         if (w.apart(w.zoneOf(name), null)) return;
-        w.ask(name, (req) => (again ? { is: "submit", req, spec, awaits: w.awaits.get(id) } : { is: "status", req, id }), (a) => a && w.now - askedMs < 2_000 && hear(w, id, a, askedMs));
+        w.ask(
+          name,
+          (req) =>
+            again
+              ? { is: "submit", req, spec, awaits: w.awaits.get(id) }
+              : { is: "status", req, id },
+          (a) => a && w.now - askedMs < 2_000 && hear(w, id, a, askedMs),
+        );
       });
 }
 /** Submissions that are never accepted, and cancellations of what is done. */
@@ -160,25 +229,54 @@
   if (done.length > 0 && r.chance(0.5)) cancel(w, r.pick(done)[0]);
   const accepted = [...w.checker.told].filter(([, s]) => s === "accepted");
   if (accepted.length > 0) submit(w, w.specs.get(r.pick(accepted)[0])!, -1e9);
-  const spec = { ...randomJob(w, 900_000 + n), ...r.pick<Partial<JobSpec>>([{ cpus: 500 }, { team: "nobody" }, { shape: "ensemble", tasks: 90, cpus: 8 }, { types: ["none"] }, { zone: "mars" }]) };
-  request(w, 5_000, (req) => ({ is: "submit", req, spec }), (a) => a?.is === "job" && w.checker.fail("accepted_unfit", spec.id));
+  const spec = {
+    ...randomJob(w, 900_000 + n),
+    ...r.pick<Partial<JobSpec>>([
+      { cpus: 500 },
+      { team: "nobody" },
+      { shape: "ensemble", tasks: 90, cpus: 8 },
+      { types: ["none"] },
+      { zone: "mars" },
+    ]),
+  };
+  request(
+    w,
+    5_000,
+    (req) => ({ is: "submit", req, spec }),
+    (a) => a?.is === "job" && w.checker.fail("accepted_unfit", spec.id),
+  );
 }
 export function cancel(w: World, id: string): void {
   w.checker.asked.add(id);
   const askedMs = w.now;
-  request(w, 5_000, (req) => ({ is: "withdraw", req, id }), (a) => {
-    if (a) hear(w, id, a, askedMs);
-    if (a?.is !== "job") w.at(1_000, () => cancel(w, id));
-  });
+  request(
+    w,
+    5_000,
+    (req) => ({ is: "withdraw", req, id }),
+    (a) => {
+      if (a) hear(w, id, a, askedMs);
+      if (a?.is !== "job") w.at(1_000, () => cancel(w, id));
+    },
+  );
 }
 function poll(w: World, id: string): void {
   w.at(w.rng.real(1_000, 5_000) / w.stormOf, () => {
     const askedMs = w.now;
-    request(w, 2_000, (req) => ({ is: "status", req, id }), (a) => {
-      if (a) hear(w, id, a, askedMs);
-      if (a?.is === "job") w.checker.heardOf.set(id, w.now);
-      if (a?.is !== "job" || (a.state !== "done" && a.state !== "cancelled") || w.rng.chance(0.3)) poll(w, id);
-    });
+    request(
+      w,
+      2_000,
+      (req) => ({ is: "status", req, id }),
+      (a) => {
+        if (a) hear(w, id, a, askedMs);
+        if (a?.is === "job") w.checker.heardOf.set(id, w.now);
+        if (
+          a?.is !== "job" ||
+          (a.state !== "done" && a.state !== "cancelled") ||
+          w.rng.chance(0.3)
+        )
+          poll(w, id);
+      },
+    );
   });
 }
 
@@ -199,14 +297,17 @@
         // The one that is to take over stands still when it does.
         w.crash(node);
         w.at(r.real(1_000, 8_000), () => w.nodes.get(node) ?? w.boot(node));
-        w.at(r.real(0, 16_000), () => w.freeze(r.pick(w.names), r.real(1_000, 20_000)));
+        w.at(r.real(0, 16_000), () =>
+          w.freeze(r.pick(w.names), r.real(1_000, 20_000)),
+        );
         break;
       case 2:
         w.cutZone(r.pick(w.zones), r.real(2_000, 25_000));
         break;
       case 3:
         // Some die, some are taken without notice, and now and then just before their master ends.
-        for (const m of w.workers) if (m.up && !m.gone && r.chance(0.15)) {
+        for (const m of w.workers)
+          if (m.up && !m.gone && r.chance(0.15)) {
             if (r.chance(0.5)) m.taken();
             else m.vanish();
           }
@@ -216,7 +317,8 @@
         }
         break;
       case 4:
-        for (const n of w.names) w.at(r.real(0, 6_000), () => w.freeze(n, r.real(1_000, 12_000)));
+        for (const n of w.names)
+          w.at(r.real(0, 6_000), () => w.freeze(n, r.real(1_000, 12_000)));
         break;
     }
     w.at(r.real(2_000, 15_000), one);
@@ -238,7 +340,8 @@
         break;
       case 1:
         for (const n of w.names) w.crash(n);
-        for (const n of w.names) w.at(r.real(1_000, 6_000), () => w.nodes.get(n) ?? w.boot(n));
+        for (const n of w.names)
+          w.at(r.real(1_000, 6_000), () => w.nodes.get(n) ?? w.boot(n));
         break;
       case 2:
         if (w.stateDown) break;
@@ -353,7 +456,9 @@
       case 4: {
         const part = r.pick([0.1, 0.5]);
         const zone = r.chance(0.3) ? r.pick(w.zones) : null;
-        const some = w.workers.filter((m) => !m.gone && (zone === null ? r.chance(part) : m.zone === zone));
+        const some = w.workers.filter(
+          (m) => !m.gone && (zone === null ? r.chance(part) : m.zone === zone),
+        );
         for (const m of some) m.oneWay = true;
         w.at(forMs, () => some.forEach((m) => (m.oneWay = false)));
         break;
@@ -371,7 +476,8 @@
         w.at(forMs, () => (w.stormOf = 1));
         break;
       case 7:
-        for (const m of w.workers) if (m.up && !m.gone && r.chance(0.2)) m.restart(r.real(50, 800));
+        for (const m of w.workers)
+          if (m.up && !m.gone && r.chance(0.2)) m.restart(r.real(50, 800));
         break;
       case 8:
         w.bootFactor = r.pick([0.05, 4]);
--- a/test/sim/hunt.ts
+++ b/test/sim/hunt.ts
@@ -1,5 +1,14 @@
 import { night, pipelines, troubles, users } from "./days.js";
-import { draw, drawMore, gap, type MetMore, noneMet, play, playMore, shrink } from "./meetings.js";
+import {
+  draw,
+  drawMore,
+  gap,
+  type MetMore,
+  noneMet,
+  play,
+  playMore,
+  shrink,
+} from "./meetings.js";
 import { World } from "./world.js";
 
 // Looks for seeds that break a rule: node target/test-build/test/sim/hunt.js KIND FROM TO, KIND: upgrade (days that begin with one),
@@ -30,7 +39,12 @@
 function played(seed: number): World {
   if (kind === "nights") return night(seed);
   if (kind === "upgrade") return upgrade(seed);
-  const p = kind === "gap" ? gap(seed) : kind === "more" ? playMore(seed, drawMore(seed)) : play(seed, draw(seed));
+  const p =
+    kind === "gap"
+      ? gap(seed)
+      : kind === "more"
+        ? playMore(seed, drawMore(seed))
+        : play(seed, draw(seed));
   for (const k of Object.keys(met) as (keyof MetMore)[]) {
     met[k] += p.met[k];
     if (p.met[k] > 0) days[k]++;
@@ -44,10 +58,33 @@
   longestMs = Math.max(longestMs, w.checker.longestAfterMs);
   confirmed += w.checker.cancelledOn;
   // Meetings end before what was submitted last has had its time.
-  const rests = kind === "nights" || kind === "upgrade" ? open.length > 2 : false;
-  if (w.checker.broken.length > 0 || rests) console.log(seed, w.checker.broken, "open", open.length, open.slice(0, 4), "starts", w.starts);
-  if (w.checker.broken.length > 0 && kind === "meetings") console.log(seed, "fewest troubles:", JSON.stringify(shrink(seed, draw(seed))));
-  if (w.checker.broken.length > 0 && kind === "more") console.log(seed, "fewest troubles:", JSON.stringify(shrink(seed, drawMore(seed), playMore)));
+  const rests =
+    kind === "nights" || kind === "upgrade" ? open.length > 2 : false;
+  if (w.checker.broken.length > 0 || rests)
+    console.log(
+      seed,
+      w.checker.broken,
+      "open",
+      open.length,
+      open.slice(0, 4),
+      "starts",
+      w.starts,
+    );
+  if (w.checker.broken.length > 0 && kind === "meetings")
+    console.log(
+      seed,
+      "fewest troubles:",
+      JSON.stringify(shrink(seed, draw(seed))),
+    );
+  if (w.checker.broken.length > 0 && kind === "more")
+    console.log(
+      seed,
+      "fewest troubles:",
+      JSON.stringify(shrink(seed, drawMore(seed), playMore)),
+    );
 }
-console.log(`${to! - from!} days of ${kind}; ${confirmed} tasks on machines when their cancellation was confirmed, the longest for ${longestMs / 1000} s`);
-if (kind === "gap" || kind === "meetings" || kind === "more") console.log("occurred", met, "on days", days);
+console.log(
+  `${to! - from!} days of ${kind}; ${confirmed} tasks on machines when their cancellation was confirmed, the longest for ${longestMs / 1000} s`,
+);
+if (kind === "gap" || kind === "meetings" || kind === "more")
+  console.log("occurred", met, "on days", days);
--- a/test/sim/meetings.ts
+++ b/test/sim/meetings.ts
@@ -1,5 +1,13 @@
 import { holdMs } from "../../src/coordination/ownership.js";
-import { cancel, lookClosely, odd, pipelines, randomJob, submit, users } from "./days.js";
+import {
+  cancel,
+  lookClosely,
+  odd,
+  pipelines,
+  randomJob,
+  submit,
+  users,
+} from "./days.js";
 import { type Rng, type SimWorker, World } from "./world.js";
 
 /**
@@ -30,7 +38,18 @@
   "cancel",
 ] as const;
 /** The rest of what the operators name. */
-export const REST = ["mute", "lostAnswers", "forNext", "atEnd", "looks", "odd", "roll", "quickBoots", "burst", "settings"] as const;
+export const REST = [
+  "mute",
+  "lostAnswers",
+  "forNext",
+  "atEnd",
+  "looks",
+  "odd",
+  "roll",
+  "quickBoots",
+  "burst",
+  "settings",
+] as const;
 export type Kind = (typeof KINDS)[number] | (typeof REST)[number];
 
 export interface Trouble {
@@ -62,7 +81,16 @@
   /** The same while the state service refused a controller or was down shortly after. */
   gapCancels: number;
 }
-export const NOT_MET: Met = { unreached: 0, lateCommands: 0, lateWrites: 0, lateReports: 0, back: 0, apart: 0, cutCancels: 0, gapCancels: 0 };
+export const NOT_MET: Met = {
+  unreached: 0,
+  lateCommands: 0,
+  lateWrites: 0,
+  lateReports: 0,
+  back: 0,
+  apart: 0,
+  cutCancels: 0,
+  gapCancels: 0,
+};
 
 /** The same of the rest. */
 export interface MetMore extends Met {
@@ -93,24 +121,50 @@
   /** Times that no controller was up, or none stood, for longer than a lease. */
   allAway: number;
 }
-const NOT_MET_MORE: MetMore = { ...NOT_MET, mute: 0, lostAnswers: 0, forNext: 0, atEnd: 0, looks: 0, odd: 0, tenTimes: 0, quick: 0, burst: 0, atLimit: 0, settings: 0, removed: 0, allAway: 0 };
+const NOT_MET_MORE: MetMore = {
+  ...NOT_MET,
+  mute: 0,
+  lostAnswers: 0,
+  forNext: 0,
+  atEnd: 0,
+  looks: 0,
+  odd: 0,
+  tenTimes: 0,
+  quick: 0,
+  burst: 0,
+  atLimit: 0,
+  settings: 0,
+  removed: 0,
+  allAway: 0,
+};
 export const noneMet = (): MetMore => ({ ...NOT_MET_MORE });
 
 export const controllersOf = (seed: number): number => (seed % 7) + 1;
 
 /** The controller on whose groups most machines with tasks are. */
 function leader(w: World): string {
-  const n = (name: string): number => [...(w.nodes.get(name)?.core.masters.values() ?? [])].reduce((sum, m) => sum + [...m.own.workers.values()].filter((x) => x.tasks.size > 0).length, 0);
-  return w.names.reduce((best, name) => (n(name) > n(best) ? name : best), w.names[0]!);
+  const n = (name: string): number =>
+    [...(w.nodes.get(name)?.core.masters.values() ?? [])].reduce(
+      (sum, m) =>
+        sum +
+        [...m.own.workers.values()].filter((x) => x.tasks.size > 0).length,
+      0,
+    );
+  return w.names.reduce(
+    (best, name) => (n(name) > n(best) ? name : best),
+    w.names[0]!,
+  );
 }
 
-const busy = (m: SimWorker): boolean => !m.gone && [...m.tasks.values()].some((t) => m.onMachine(t));
+const busy = (m: SimWorker): boolean =>
+  !m.gone && [...m.tasks.values()].some((t) => m.onMachine(t));
 
 function begin(w: World, t: Trouble, met: MetMore = noneMet()): void {
   const r = w.rng;
   const node = t.node < 0 ? leader(w) : w.names[t.node % w.names.length]!;
   const over = (fn: () => void): void => w.at(t.forMs, fn);
-  const some = (): SimWorker[] => w.workers.filter((m) => !m.gone && r.chance(t.share));
+  const some = (): SimWorker[] =>
+    w.workers.filter((m) => !m.gone && r.chance(t.share));
   w.note(`trouble ${t.kind}`, { node, forMs: t.forMs, share: t.share });
   switch (t.kind) {
     case "refuse":
@@ -147,7 +201,8 @@
       return over(() => void (w.nodes.get(node) ?? w.boot(node)));
     case "crashAll":
       for (const n of w.names) w.crash(n);
-      for (const n of w.names) w.at(t.forMs * r.real(0.2, 1), () => w.nodes.get(n) ?? w.boot(n));
+      for (const n of w.names)
+        w.at(t.forMs * r.real(0.2, 1), () => w.nodes.get(n) ?? w.boot(n));
       return;
     case "atOnce":
       w.crash(node);
@@ -198,14 +253,21 @@
         if (!r.chance(t.share)) return;
         met.atEnd++;
         const what = r.int(0, 2);
-        w.at(r.real(0, 300), () => (what === 0 ? cancel(w, id) : what === 1 ? lookClosely(w, id) : submit(w, w.specs.get(id)!, -1e9)));
+        w.at(r.real(0, 300), () =>
+          what === 0
+            ? cancel(w, id)
+            : what === 1
+              ? lookClosely(w, id)
+              : submit(w, w.specs.get(id)!, -1e9),
+        );
       };
       return over(() => (w.jobEnded = null));
     case "looks":
       w.checker.onTold = (id, now) => {
         met.looks++;
         lookClosely(w, id);
-        if (now === "accepted" && r.chance(0.2)) w.at(r.real(0, 100), () => cancel(w, id));
+        if (now === "accepted" && r.chance(0.2))
+          w.at(r.real(0, 100), () => cancel(w, id));
       };
       return over(() => (w.checker.onTold = null));
     case "odd":
@@ -229,10 +291,24 @@
     case "burst":
       for (let n = 0; n * 250 < Math.min(t.forMs, 30_000); n++)
         w.at(n * 250, () => {
-          const spec = { ...randomJob(w, 600_000 + ++met.burst), shape: "batch" as const, tasks: 1, cpus: 1, gpus: 0, types: null, zone: null, samePlace: false, spread: false };
+          const spec = {
+            ...randomJob(w, 600_000 + ++met.burst),
+            shape: "batch" as const,
+            tasks: 1,
+            cpus: 1,
+            gpus: 0,
+            types: null,
+            zone: null,
+            samePlace: false,
+            spread: false,
+          };
           w.specs.set(spec.id, spec);
           submit(w, spec, w.now);
-          if (r.chance(0.25)) w.at(r.real(0, 8_000), () => w.checker.told.has(spec.id) && cancel(w, spec.id));
+          if (r.chance(0.25))
+            w.at(
+              r.real(0, 8_000),
+              () => w.checker.told.has(spec.id) && cancel(w, spec.id),
+            );
         });
       return;
     case "settings": {
@@ -245,7 +321,20 @@
         w.reconfigure(w.names.slice(0, -1), w.settings.teams);
       }
       // Lowered; what runs goes on, and until all go by it and have had time to end something the former limits are the rule.
-      else w.reconfigure(w.names, new Map([...w.settings.teams].map(([n, x]) => [n, { ...x, cpus: Math.min(x.cpus, x.cpusMax * 0.6), cpusMax: x.cpusMax * 0.6 }])));
+      else
+        w.reconfigure(
+          w.names,
+          new Map(
+            [...w.settings.teams].map(([n, x]) => [
+              n,
+              {
+                ...x,
+                cpus: Math.min(x.cpus, x.cpusMax * 0.6),
+                cpusMax: x.cpusMax * 0.6,
+              },
+            ]),
+          ),
+        );
       w.names.forEach((n, i) =>
         w.at((t.forMs / w.names.length) * i, () => {
           met.settings++;
@@ -259,13 +348,18 @@
       w.stormOf = 8;
       return over(() => (w.stormOf = 1));
     case "cancel":
-      for (const [id, told] of [...w.checker.told]) if (told === "accepted" && r.chance(t.share)) w.at(r.real(0, t.forMs), () => cancel(w, id));
+      for (const [id, told] of [...w.checker.told])
+        if (told === "accepted" && r.chance(t.share))
+          w.at(r.real(0, t.forMs), () => cancel(w, id));
   }
 }
 
 /** Counts what meets, by looking at what the state service, the machines and the users have. */
 function watch(w: World, met: MetMore): void {
-  const owners = new Map<string, { owner: string; version: number; had: Set<string>; changedMs: number[] }>();
+  const owners = new Map<
+    string,
+    { owner: string; version: number; had: Set<string>; changedMs: number[] }
+  >();
   const begun = new Set<SimWorker>();
   let awaySinceMs = 0;
   let toldAway = false;
@@ -279,7 +373,9 @@
       const o = owners.get(group);
       if (o?.version === d.version) continue;
       if (o) {
-        const mine = w.kept.filter((r) => w.nodes.get(owner)?.core.groups.of(r.zone) === group);
+        const mine = w.kept.filter(
+          (r) => w.nodes.get(owner)?.core.groups.of(r.zone) === group,
+        );
         if (mine.length > 0) {
           w.kept = w.kept.filter((r) => !mine.includes(r));
           for (const r of mine.slice(-20))
@@ -290,23 +386,45 @@
               });
         }
         o.changedMs.push(w.now);
-        if (o.changedMs.filter((ms) => ms > w.now - 120_000).length >= 10) met.tenTimes++;
-        if (w.workers.some((m) => busy(m) && (m.cut.size > 0 || m.oneWay || m.hung || m.mute))) met.unreached++;
+        if (o.changedMs.filter((ms) => ms > w.now - 120_000).length >= 10)
+          met.tenTimes++;
+        if (
+          w.workers.some(
+            (m) => busy(m) && (m.cut.size > 0 || m.oneWay || m.hung || m.mute),
+          )
+        )
+          met.unreached++;
         if (o.had.has(owner)) met.back++;
-        if ([...w.specs.values()].some((s) => s.shape === "batch" && s.tasks > 1 && w.checker.told.get(s.id) === "accepted" && w.results.has(`${s.id}/0`) !== w.results.has(`${s.id}/1`))) met.apart++;
+        if (
+          [...w.specs.values()].some(
+            (s) =>
+              s.shape === "batch" &&
+              s.tasks > 1 &&
+              w.checker.told.get(s.id) === "accepted" &&
+              w.results.has(`${s.id}/0`) !== w.results.has(`${s.id}/1`),
+          )
+        )
+          met.apart++;
       }
-      owners.set(group, { owner, version: d.version, had: (o?.had ?? new Set<string>()).add(owner), changedMs: o?.changedMs ?? [] });
+      owners.set(group, {
+        owner,
+        version: d.version,
+        had: (o?.had ?? new Set<string>()).add(owner),
+        changedMs: o?.changedMs ?? [],
+      });
     }
     if (w.stateCut.size > 0) gapUntilMs = w.now + 500;
     const now = w.checker.cancelledOn;
     if (now > confirmed) {
       if (w.now < gapUntilMs) met.gapCancels += now - confirmed;
-      if ([...w.stateCut.keys()].some((n) => w.meshCuts.has(n))) met.cutCancels += now - confirmed;
+      if ([...w.stateCut.keys()].some((n) => w.meshCuts.has(n)))
+        met.cutCancels += now - confirmed;
     }
     confirmed = now;
     const away = w.names.every((n) => !w.nodes.get(n) || w.nodes.get(n)!.still);
     if (!away) awaySinceMs = w.now;
-    if (away && !toldAway && w.now - awaySinceMs > 1000 * w.settings.leaseS) met.allAway++;
+    if (away && !toldAway && w.now - awaySinceMs > 1000 * w.settings.leaseS)
+      met.allAway++;
     toldAway = away && w.now - awaySinceMs > 1000 * w.settings.leaseS;
     for (const m of w.workers)
       if (!begun.has(m) && m.tasks.size > 0) {
@@ -333,7 +451,8 @@
   world.capacity = 6;
   world.runFactor = runFactor;
   world.carries = true;
-  for (const z of world.zones) for (let i = 0; i < 3; i++) world.cloud.add(world.types[0]!, z, false, 0);
+  for (const z of world.zones)
+    for (let i = 0; i < 3; i++) world.cloud.add(world.types[0]!, z, false, 0);
   watch(world, met);
   return { world, met };
 }
@@ -358,7 +477,12 @@
 export function playMore(seed: number, troubles: readonly Trouble[]): Played {
   const { world: w, met } = stage(seed, seed % 2 === 0 ? 4 : 1);
   if (seed % 3 === 1) {
-    w.settings.teams = new Map([...w.settings.teams].map(([n, t]) => [n, { ...t, cpus: 10, cpusMax: n === "red" ? 18 : 26 }]));
+    w.settings.teams = new Map(
+      [...w.settings.teams].map(([n, t]) => [
+        n,
+        { ...t, cpus: 10, cpusMax: n === "red" ? 18 : 26 },
+      ]),
+    );
     w.bootAll();
   }
   const confirmed = new Set<string>();
@@ -376,13 +500,30 @@
               used += w.specs.get(t.job)!.cpus;
               lost ||= m.cut.size > 0 || m.hung || m.oneWay || m.mute;
             }
-      if (lost && used > (w.teamLimits ?? w.settings.teams).get(team)!.cpusMax - 5) met.atLimit++;
+      if (
+        lost &&
+        used > (w.teamLimits ?? w.settings.teams).get(team)!.cpusMax - 5
+      )
+        met.atLimit++;
     }
   });
   users(w, 95_000, (x, n) => {
     // No gang may need more than its team may ever use: it would be refused, which is right.
     const spec = randomJob(x, n);
-    return spec.shape === "batch" ? spec : { ...spec, tasks: Math.min(spec.tasks, Math.max(1, Math.floor((0.6 * w.settings.teams.get(spec.team)!.cpusMax) / spec.cpus))) };
+    return spec.shape === "batch"
+      ? spec
+      : {
+          ...spec,
+          tasks: Math.min(
+            spec.tasks,
+            Math.max(
+              1,
+              Math.floor(
+                (0.6 * w.settings.teams.get(spec.team)!.cpusMax) / spec.cpus,
+              ),
+            ),
+          ),
+        };
   });
   if (seed % 4 === 0) pipelines(w, 5_000, 90_000);
   for (const t of troubles) w.at(t.atMs, () => begin(w, t, met));
@@ -394,15 +535,44 @@
 
 /** Two to four troubles close together, once or twice a day; in half of them the state service is one. */
 export function draw(seed: number): Trouble[] {
-  return drawn(seed, 4, (r) => (r.chance(0.3) ? r.pick(["refuse", "outage", "lateWrites", "cancel"] as const) : r.pick(KINDS)));
+  return drawn(seed, 4, (r) =>
+    r.chance(0.3)
+      ? r.pick(["refuse", "outage", "lateWrites", "cancel"] as const)
+      : r.pick(KINDS),
+  );
 }
 /** Two to five, about half of them of the rest. */
 export function drawMore(seed: number): Trouble[] {
-  return drawn(seed, 5, (r) => (r.chance(0.45) ? r.pick(REST) : r.chance(0.3) ? r.pick(["refuse", "outage", "lateWrites", "cancel", "crash", "atOnce"] as const) : r.pick(KINDS)));
+  return drawn(seed, 5, (r) =>
+    r.chance(0.45)
+      ? r.pick(REST)
+      : r.chance(0.3)
+        ? r.pick([
+            "refuse",
+            "outage",
+            "lateWrites",
+            "cancel",
+            "crash",
+            "atOnce",
+          ] as const)
+        : r.pick(KINDS),
+  );
 }
 /** These last longer than what hinders machines and controllers. */
-const LONG: readonly Kind[] = ["lateWrites", "copies", "lostAnswers", "forNext", "atEnd", "looks", "roll"];
-function drawn(seed: number, most: number, kindOf: (r: Rng) => Kind): Trouble[] {
+const LONG: readonly Kind[] = [
+  "lateWrites",
+  "copies",
+  "lostAnswers",
+  "forNext",
+  "atEnd",
+  "looks",
+  "roll",
+];
+function drawn(
+  seed: number,
+  most: number,
+  kindOf: (r: Rng) => Kind,
+): Trouble[] {
   const r = new World(seed ^ 0x5eed, undefined, [], 1).rng;
   const out: Trouble[] = [];
   for (let n = r.int(1, 2); n > 0; n--) {
@@ -410,16 +580,29 @@
     for (let k = r.int(2, most); k > 0; k--) {
       const kind = kindOf(r);
       const atMs = at + r.real(0, 4_000);
-      out.push({ kind, atMs, forMs: Math.min(OVER_MS - atMs, LONG.includes(kind) ? r.real(15_000, 60_000) : r.real(500, 40_000)), node: r.chance(0.6) ? -1 : r.int(0, 6), share: r.pick([0.1, 0.3, 0.6]) });
+      out.push({
+        kind,
+        atMs,
+        forMs: Math.min(
+          OVER_MS - atMs,
+          LONG.includes(kind) ? r.real(15_000, 60_000) : r.real(500, 40_000),
+        ),
+        node: r.chance(0.6) ? -1 : r.int(0, 6),
+        share: r.pick([0.1, 0.3, 0.6]),
+      });
     }
   }
   return out.sort((a, b) => a.atMs - b.atMs);
 }
 
 /** The fewest of these troubles that still break a rule: one after the other is left out for as long as that goes. */
-export function shrink(seed: number, troubles: readonly Trouble[], day: typeof play = play): Trouble[] {
+export function shrink(
+  seed: number,
+  troubles: readonly Trouble[],
+  day: typeof play = play,
+): Trouble[] {
   let left = [...troubles];
-  for (let i = 0; i < left.length; ) {
+  for (let i = 0; i < left.length;) {
     const fewer = left.filter((_, k) => k !== i);
     if (day(seed, fewer).world.checker.broken.length > 0) left = fewer;
     else i++;
@@ -439,7 +622,14 @@
 export function gap(seed: number): Played {
   const { world: w, met } = stage(seed, 8);
   const r = w.rng;
-  users(w, 60_000, (world, n) => ({ ...randomJob(world, n), cpus: world.rng.pick([1, 2]), gpus: 0, types: null, zone: null, deadlineS: null }));
+  users(w, 60_000, (world, n) => ({
+    ...randomJob(world, n),
+    cpus: world.rng.pick([1, 2]),
+    gpus: 0,
+    types: null,
+    zone: null,
+    deadlineS: null,
+  }));
   let at = r.real(18_000, 26_000);
   for (let n = (seed % 2) + 1; n > 0; n--) {
     const t = { node: -1, share: 0.7 };
@@ -448,18 +638,38 @@
     w.at(at - EDGE_MS, () => {
       // The same controller throughout: whoever leads shortly before it is refused.
       const node = w.names.indexOf(leader(w));
-      const one = (kind: Kind, delayMs: number, forMs: number, share = t.share): void => w.at(EDGE_MS + delayMs, () => begin(w, { kind, atMs: w.now, forMs, node, share }));
+      const one = (
+        kind: Kind,
+        delayMs: number,
+        forMs: number,
+        share = t.share,
+      ): void =>
+        w.at(EDGE_MS + delayMs, () =>
+          begin(w, { kind, atMs: w.now, forMs, node, share }),
+        );
       // Its touches alone are held for nearly as long as a hold lasts, or its reads.
       const edge = r.pick(["none", "none", "writesHeld", "readsHeld"] as const);
       if (edge === "writesHeld") one(edge, -r.real(9_000, EDGE_MS), EDGE_MS);
       if (edge === "readsHeld") one(edge, 0, before + downMs);
-      else one(r.pick(["cutOff", "refuse"] as const), 0, r.real(before, 14_000));
+      else
+        one(r.pick(["cutOff", "refuse"] as const), 0, r.real(before, 14_000));
       // It stands still with answers to touch and read on their way to it.
       if (r.chance(0.5)) one("slow", -3_000, 3_000 + before, 0.45);
-      if (r.chance(0.5)) one("freeze", r.real(-2_000, before), r.real(3_000, 9_000));
+      if (r.chance(0.5))
+        one("freeze", r.real(-2_000, before), r.real(3_000, 9_000));
       // Its permit ends while it stands still, between a decision and the sending.
-      if (r.chance(0.6)) one("freeze", r.real(0.7, 0.95) * holdMs(w.settings), r.real(4_000, 9_000));
-      if (r.chance(0.3)) one("freeze", before + downMs + r.real(-1_000, 500), r.real(500, 5_000));
+      if (r.chance(0.6))
+        one(
+          "freeze",
+          r.real(0.7, 0.95) * holdMs(w.settings),
+          r.real(4_000, 9_000),
+        );
+      if (r.chance(0.3))
+        one(
+          "freeze",
+          before + downMs + r.real(-1_000, 500),
+          r.real(500, 5_000),
+        );
       one("cancel", 0, before);
       one("outage", before, downMs);
     });
