--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -4,9 +4,31 @@
 import type { Settings } from "../../src/config/settings.js";
 import { DEFAULTS } from "../../src/config/operator.js";
 import { Controller } from "../../src/coordination/controller.js";
-import type { Answer, CloudCall, CloudReply, CommandReply, Effect, Input } from "../../src/coordination/effects.js";
-import type { Cause, JobSpec, MachineType, Order, Report, ReportedTask, TaskState, Tuning } from "../../src/coordination/model.js";
-import { type Change, HOLD_ENDED, type Item, type StateCall, type StateReply } from "../../src/protocol/state.js";
+import type {
+  Answer,
+  CloudCall,
+  CloudReply,
+  CommandReply,
+  Effect,
+  Input,
+} from "../../src/coordination/effects.js";
+import type {
+  Cause,
+  JobSpec,
+  MachineType,
+  Order,
+  Report,
+  ReportedTask,
+  TaskState,
+  Tuning,
+} from "../../src/coordination/model.js";
+import {
+  type Change,
+  HOLD_ENDED,
+  type Item,
+  type StateCall,
+  type StateReply,
+} from "../../src/protocol/state.js";
 import { Controller as ProductionController } from "../production/coordination/controller.js";
 import { Checker } from "./checker.js";
 
@@ -33,10 +55,17 @@
 
 class StateService {
   epoch = 0;
-  readonly data = new Map<string, { value: unknown; version: number; hold?: number }>();
+  readonly data = new Map<
+    string,
+    { value: unknown; version: number; hold?: number }
+  >();
   readonly holds = new Map<number, { ttlMs: number; endsMs: number }>();
   private readonly log: Change[] = [];
-  private readonly watchers = new Set<{ prefix: string; since: number; done: (r: StateReply) => void }>();
+  private readonly watchers = new Set<{
+    prefix: string;
+    since: number;
+    done: (r: StateReply) => void;
+  }>();
   private holdIds = 0;
 
   constructor(private readonly world: World) {}
@@ -49,7 +78,9 @@
     for (const [id, h] of this.holds) {
       if (this.world.now < h.endsMs) continue;
       this.holds.delete(id);
-      const keys = [...this.data].filter(([, d]) => d.hold === id).map(([k]) => k);
+      const keys = [...this.data]
+        .filter(([, d]) => d.hold === id)
+        .map(([k]) => k);
       if (keys.length === 0) continue;
       this.epoch++;
       for (const k of keys) {
@@ -63,14 +94,20 @@
     if (!this.world.stateDown) this.expire();
   }
   private since(prefix: string, since: number): Change[] {
-    return this.log.filter((c) => c.version > since && c.key.startsWith(prefix));
+    return this.log.filter(
+      (c) => c.version > since && c.key.startsWith(prefix),
+    );
   }
   private wake(): void {
     for (const w of [...this.watchers]) {
       const changes = this.since(w.prefix, w.since);
       if (changes.length === 0) continue;
       this.watchers.delete(w);
-      w.done({ is: "changes", epoch: this.epoch, changes: structuredClone(changes) });
+      w.done({
+        is: "changes",
+        epoch: this.epoch,
+        changes: structuredClone(changes),
+      });
     }
   }
   handle(call: StateCall, done: (r: StateReply) => void): void {
@@ -79,33 +116,85 @@
     switch (call.op) {
       case "get": {
         const d = this.data.get(call.key);
-        return done({ is: "item", item: d ? { key: call.key, value: structuredClone(d.value), version: d.version } : null });
+        return done({
+          is: "item",
+          item: d
+            ? {
+                key: call.key,
+                value: structuredClone(d.value),
+                version: d.version,
+              }
+            : null,
+        });
       }
       case "list": {
-        const keys = [...this.data.keys()].filter((k) => k.startsWith(call.prefix) && k > call.after).sort();
-        const items: Item[] = keys.slice(0, 20).map((key) => ({ key, value: structuredClone(this.data.get(key)!.value), version: this.data.get(key)!.version }));
-        return done({ is: "items", items, more: keys.length > 20, epoch: this.epoch });
+        const keys = [...this.data.keys()]
+          .filter((k) => k.startsWith(call.prefix) && k > call.after)
+          .sort();
+        const items: Item[] = keys.slice(0, 20).map((key) => ({
+          key,
+          value: structuredClone(this.data.get(key)!.value),
+          version: this.data.get(key)!.version,
+        }));
+        return done({
+          is: "items",
+          items,
+          more: keys.length > 20,
+          epoch: this.epoch,
+        });
       }
       case "commit": {
         // Values and transactions over the limit of the day are refused.
-        const limits = this.world.limitsFell ? this.world.nextLimits : this.world.settings.state;
-        const bytes = Math.max(0, ...call.writes.map((w) => (w.op === "put" ? Buffer.byteLength(JSON.stringify(w.value)) : 0)));
-        if (bytes > limits.valueBytes || call.writes.length > limits.txnOps || call.conditions.length > 4 * limits.txnOps) return done({ is: "refused", why: "400" });
-        for (const w of call.writes) if (w.op === "put" && w.hold !== undefined && !this.holds.has(w.hold)) return done({ is: "refused", why: HOLD_ENDED });
-        if (call.conditions.some((c) => (this.data.get(c.key)?.version ?? 0) !== c.version)) return done({ is: "conflict" });
+        const limits = this.world.limitsFell
+          ? this.world.nextLimits
+          : this.world.settings.state;
+        const bytes = Math.max(
+          0,
+          ...call.writes.map((w) =>
+            w.op === "put" ? Buffer.byteLength(JSON.stringify(w.value)) : 0,
+          ),
+        );
+        if (
+          bytes > limits.valueBytes ||
+          call.writes.length > limits.txnOps ||
+          call.conditions.length > 4 * limits.txnOps
+        )
+          return done({ is: "refused", why: "400" });
+        for (const w of call.writes)
+          if (w.op === "put" && w.hold !== undefined && !this.holds.has(w.hold))
+            return done({ is: "refused", why: HOLD_ENDED });
+        if (
+          call.conditions.some(
+            (c) => (this.data.get(c.key)?.version ?? 0) !== c.version,
+          )
+        )
+          return done({ is: "conflict" });
         this.epoch++;
         for (const w of call.writes) {
           if (w.op === "put") {
-            this.data.set(w.key, { value: structuredClone(w.value), version: this.epoch, hold: w.hold });
-            this.log.push({ op: "put", key: w.key, value: structuredClone(w.value), version: this.epoch });
-          } else if (this.data.delete(w.key)) this.log.push({ op: "delete", key: w.key, version: this.epoch });
+            this.data.set(w.key, {
+              value: structuredClone(w.value),
+              version: this.epoch,
+              hold: w.hold,
+            });
+            this.log.push({
+              op: "put",
+              key: w.key,
+              value: structuredClone(w.value),
+              version: this.epoch,
+            });
+          } else if (this.data.delete(w.key))
+            this.log.push({ op: "delete", key: w.key, version: this.epoch });
         }
         done({ is: "committed", epoch: this.epoch });
         return this.wake();
       }
       case "newHold": {
         const id = ++this.holdIds;
-        this.holds.set(id, { ttlMs: call.ttlMs, endsMs: this.world.now + call.ttlMs });
+        this.holds.set(id, {
+          ttlMs: call.ttlMs,
+          endsMs: this.world.now + call.ttlMs,
+        });
         return done({ is: "hold", hold: id });
       }
       case "touch": {
@@ -117,7 +206,12 @@
       case "changes": {
         if (this.world.rng.chance(0.002)) return done({ is: "gone" });
         const changes = this.since(call.prefix, call.since);
-        if (changes.length > 0 || call.waitMs === 0) return done({ is: "changes", epoch: this.epoch, changes: structuredClone(changes) });
+        if (changes.length > 0 || call.waitMs === 0)
+          return done({
+            is: "changes",
+            epoch: this.epoch,
+            changes: structuredClone(changes),
+          });
         const w = { prefix: call.prefix, since: call.since, done };
         this.watchers.add(w);
         this.world.at(call.waitMs, () => {
@@ -180,19 +274,32 @@
     this.loop();
   }
   private isCut(node: string): boolean {
-    return this.cut.has(node) || this.world.apart(this.zone, this.world.zoneOf(node));
+    return (
+      this.cut.has(node) || this.world.apart(this.zone, this.world.zoneOf(node))
+    );
   }
   onMachine(t: SimTask): boolean {
-    return t.state === "waiting" || t.state === "running" || t.state === "saving";
+    return (
+      t.state === "waiting" || t.state === "running" || t.state === "saving"
+    );
   }
   private loop(life = this.lives): void {
     if (this.gone || life !== this.lives) return;
     this.expire();
-    if (!this.flying && !this.hung && this.world.now - this.lastMs >= 500) this.report();
-    this.world.at(1000 * this.world.settings.reportS * this.world.rng.real(0.75, 1.25), () => this.loop(life));
+    if (!this.flying && !this.hung && this.world.now - this.lastMs >= 500)
+      this.report();
+    this.world.at(
+      1000 * this.world.settings.reportS * this.world.rng.real(0.75, 1.25),
+      () => this.loop(life),
+    );
   }
   expire(): void {
-    if (this.gone || !this.up || this.world.now - this.sentMs <= this.world.settings.leaseS * 1000) return;
+    if (
+      this.gone ||
+      !this.up ||
+      this.world.now - this.sentMs <= this.world.settings.leaseS * 1000
+    )
+      return;
     // A hanging machine acts when it resumes, but its tasks count as gone: it does not execute them.
     this.tasks.clear();
     this.session++;
@@ -201,7 +308,11 @@
   /** Its process or machine ended and is back: it knows nothing of before, neither its session nor the highest token. */
   restart(downMs: number): void {
     if (this.gone || !this.up) return;
-    this.world.note(`${this.id} restarts`, { session: this.session, tally: this.tally, tasks: [...this.tasks.keys()] });
+    this.world.note(`${this.id} restarts`, {
+      session: this.session,
+      tally: this.tally,
+      tasks: [...this.tasks.keys()],
+    });
     this.up = false;
     this.lives++;
     this.tasks.clear();
@@ -219,7 +330,13 @@
   private lives = 0;
   changed(): void {
     this.world.at(500, () => {
-      if (!this.gone && !this.hung && !this.flying && this.world.now - this.lastMs >= 500) this.report();
+      if (
+        !this.gone &&
+        !this.hung &&
+        !this.flying &&
+        this.world.now - this.lastMs >= 500
+      )
+        this.report();
     });
   }
   snapshot(): Report {
@@ -233,10 +350,18 @@
       session: this.session,
       tally: this.tally,
       token: this.token,
-      noticeS: this.noticeMs === null ? null : Math.max(0, (this.noticeMs - this.world.now) / 1000),
-      tasks: [...this.tasks.values()].map(
-        (t): ReportedTask => ({ job: t.job, index: t.index, attempt: t.attempt, state: t.state, cause: t.cause, saved: t.saved }),
-      ),
+      noticeS:
+        this.noticeMs === null
+          ? null
+          : Math.max(0, (this.noticeMs - this.world.now) / 1000),
+      tasks: [...this.tasks.values()].map((t): ReportedTask => ({
+        job: t.job,
+        index: t.index,
+        attempt: t.attempt,
+        state: t.state,
+        cause: t.cause,
+        saved: t.saved,
+      })),
     };
   }
   private report(): void {
@@ -255,13 +380,21 @@
       over = true;
       this.flying = false;
       this.target++;
-      this.world.at(1000, () => this.gone || this.hung || this.flying || this.report());
+      this.world.at(
+        1000,
+        () => this.gone || this.hung || this.flying || this.report(),
+      );
     };
     this.world.at(4000, next);
     if (this.mute) return this.world.at(this.world.rng.real(1, 3_900), next);
     const deliver = (): void =>
       this.world.report(node, r, (a) => {
-        if (this.isCut(node) || this.oneWay || this.world.rng.chance(this.world.loss)) return;
+        if (
+          this.isCut(node) ||
+          this.oneWay ||
+          this.world.rng.chance(this.world.loss)
+        )
+          return;
         this.world.at(this.world.rng.real(1, 30), () => {
           if (over || this.gone || life !== this.lives) return;
           if (a === null) return next();
@@ -271,7 +404,10 @@
             over = true;
             this.flying = false;
             this.target = to;
-            return this.world.at(this.world.rng.real(0, 500), () => this.gone || this.hung || this.flying || this.report());
+            return this.world.at(
+              this.world.rng.real(0, 500),
+              () => this.gone || this.hung || this.flying || this.report(),
+            );
           }
           if (a.is !== "orders") return next();
           over = true;
@@ -287,20 +423,49 @@
         });
       });
     // Copies come late, from seconds to well over a lease, at any node.
-    for (let n = this.world.rng.chance(this.world.copies) ? this.world.rng.int(1, 2) : 0; n > 0; n--)
-      this.world.at(this.world.rng.real(500, 4_000 * this.world.settings.leaseS * this.world.rng.real() ** 2), () => {
-        this.world.lateReports++;
-        this.world.report(this.world.rng.pick(names), structuredClone(r), () => {});
-      });
-    if (this.world.forNext > 0 && this.world.rng.chance(this.world.forNext) && this.world.kept.length < 500) this.world.kept.push(structuredClone(r));
+    for (
+      let n = this.world.rng.chance(this.world.copies)
+        ? this.world.rng.int(1, 2)
+        : 0;
+      n > 0;
+      n--
+    )
+      this.world.at(
+        this.world.rng.real(
+          500,
+          4_000 * this.world.settings.leaseS * this.world.rng.real() ** 2,
+        ),
+        () => {
+          this.world.lateReports++;
+          this.world.report(
+            this.world.rng.pick(names),
+            structuredClone(r),
+            () => {},
+          );
+        },
+      );
+    if (
+      this.world.forNext > 0 &&
+      this.world.rng.chance(this.world.forNext) &&
+      this.world.kept.length < 500
+    )
+      this.world.kept.push(structuredClone(r));
     if (this.isCut(node)) {
       // Held by the network, perhaps delivered much later.
-      if (this.world.rng.chance(0.5)) this.world.at(this.world.rng.real(1_000, 60_000), deliver);
+      if (this.world.rng.chance(0.5))
+        this.world.at(this.world.rng.real(1_000, 60_000), deliver);
       return;
     }
-    if (!this.world.rng.chance(this.world.loss)) this.world.at(this.world.rng.real(1, 30), deliver);
+    if (!this.world.rng.chance(this.world.loss))
+      this.world.at(this.world.rng.real(1, 30), deliver);
   }
-  command(node: string, token: number, session: number, orders: Order[], done: (r: CommandReply) => void): void {
+  command(
+    node: string,
+    token: number,
+    session: number,
+    orders: Order[],
+    done: (r: CommandReply) => void,
+  ): void {
     const life = this.lives;
     const askedMs = this.world.now;
     const run = (answer: boolean): void => {
@@ -315,19 +480,37 @@
         for (const o of orders) this.execute(o);
       }
       this.tally++;
-      if (answer && !this.oneWay && !this.world.rng.chance(this.world.loss)) done({ is: "answered", status: ok ? 200 : 409 });
+      if (answer && !this.oneWay && !this.world.rng.chance(this.world.loss))
+        done({ is: "answered", status: ok ? 200 : 409 });
     };
-    const held = this.isCut(node) || (this.oneWay && this.world.rng.chance(0.5));
-    if (!held && (this.oneWay || this.world.rng.chance(this.world.loss))) return;
-    this.world.at(held ? this.world.rng.real(1_000, 60_000) : this.world.rng.real(1, 30), () => run(!held));
+    const held =
+      this.isCut(node) || (this.oneWay && this.world.rng.chance(0.5));
+    if (!held && (this.oneWay || this.world.rng.chance(this.world.loss)))
+      return;
+    this.world.at(
+      held ? this.world.rng.real(1_000, 60_000) : this.world.rng.real(1, 30),
+      () => run(!held),
+    );
   }
   inspect(node: string, done: (r: Report) => void): void {
     const life = this.lives;
     this.world.at(this.world.rng.real(1, 30), () => {
-      if (this.gone || !this.up || life !== this.lives || this.hung || this.oneWay || this.isCut(node) || this.world.rng.chance(this.world.loss)) return;
+      if (
+        this.gone ||
+        !this.up ||
+        life !== this.lives ||
+        this.hung ||
+        this.oneWay ||
+        this.isCut(node) ||
+        this.world.rng.chance(this.world.loss)
+      )
+        return;
       this.expire();
       const r = this.snapshot();
-      this.world.at(this.world.rng.real(1, 30), () => this.isCut(node) || done(r));
+      this.world.at(
+        this.world.rng.real(1, 30),
+        () => this.isCut(node) || done(r),
+      );
     });
   }
   execute(o: Order): void {
@@ -336,14 +519,32 @@
     if (o.op === "start") {
       if (t) return;
       const spec = this.world.specs.get(o.job);
-      const task: SimTask = { job: o.job, index: o.index, attempt: o.attempt, state: "fetching", cause: null, saved: false, stopped: false };
+      const task: SimTask = {
+        job: o.job,
+        index: o.index,
+        attempt: o.attempt,
+        state: "fetching",
+        cause: null,
+        saved: false,
+        stopped: false,
+      };
       this.tasks.set(key, task);
-      const live = [...this.tasks.values()].filter((x) => x.state !== "exited" && x !== task);
+      const live = [...this.tasks.values()].filter(
+        (x) => x.state !== "exited" && x !== task,
+      );
       if (!spec) return this.exit(task, "no_such");
-      if (live.some((x) => x.job === o.job && x.index === o.index)) return this.exit(task, "busy");
-      const used = live.reduce((a, x) => a + this.world.specs.get(x.job)!.cpus, 0);
-      if (used + spec.cpus > this.type.cpus + 1e-6) return this.exit(task, "no_room");
-      this.world.at(this.images.has(spec.image) ? 10 : this.world.rng.real(300, 2500), () => this.hasImage(task, spec));
+      if (live.some((x) => x.job === o.job && x.index === o.index))
+        return this.exit(task, "busy");
+      const used = live.reduce(
+        (a, x) => a + this.world.specs.get(x.job)!.cpus,
+        0,
+      );
+      if (used + spec.cpus > this.type.cpus + 1e-6)
+        return this.exit(task, "no_room");
+      this.world.at(
+        this.images.has(spec.image) ? 10 : this.world.rng.real(300, 2500),
+        () => this.hasImage(task, spec),
+      );
       return;
     }
     if (!t) return;
@@ -353,9 +554,17 @@
     }
     if (t.state === "exited") return;
     const spec = this.world.specs.get(o.job)!;
-    if (t.state === "running" && spec.checkpointS > 0 && o.graceS >= spec.saveS) {
+    if (
+      t.state === "running" &&
+      spec.checkpointS > 0 &&
+      o.graceS >= spec.saveS
+    ) {
       t.state = "saving";
-      this.world.at(spec.saveS * 1000, () => t.state === "saving" && this.has(t) && this.exit(t, "stopped", true));
+      this.world.at(
+        spec.saveS * 1000,
+        () =>
+          t.state === "saving" && this.has(t) && this.exit(t, "stopped", true),
+      );
     } else if (t.state !== "saving" || o.graceS === 0) this.exit(t, "stopped");
   }
   private has(t: SimTask): boolean {
@@ -373,24 +582,39 @@
     if (spec.shape === "ensemble") {
       t.state = "waiting";
       this.changed();
-      this.world.at(this.world.settings.gangWaitS * 1000, () => t.state === "waiting" && this.has(t) && this.exit(t, "incomplete"));
+      this.world.at(
+        this.world.settings.gangWaitS * 1000,
+        () =>
+          t.state === "waiting" && this.has(t) && this.exit(t, "incomplete"),
+      );
       return this.world.gangReady(t.job, t.attempt, spec);
     }
     this.run(t, spec);
   }
-  run(t: SimTask, spec: JobSpec, runMs = this.world.rng.real(1_000, 12_000) * this.world.runFactor): void {
+  run(
+    t: SimTask,
+    spec: JobSpec,
+    runMs = this.world.rng.real(1_000, 12_000) * this.world.runFactor,
+  ): void {
     t.state = "running";
     this.changed();
     if (spec.shape === "daemon") return;
     this.world.at(runMs, () => {
       if (!this.has(t) || t.state !== "running") return;
       if (this.hung) return this.run(t, spec, 500);
-      if (this.faulty || this.world.broken.has(t.job)) return this.exit(t, "error");
-      if (spec.shape === "ensemble" && !this.world.gangComplete(t.job, t.attempt, spec)) return this.exit(t, "peers");
+      if (this.faulty || this.world.broken.has(t.job))
+        return this.exit(t, "error");
+      if (
+        spec.shape === "ensemble" &&
+        !this.world.gangComplete(t.job, t.attempt, spec)
+      )
+        return this.exit(t, "peers");
       this.world.results.add(`${t.job}/${t.index}`);
-      if (spec.shape === "ensemble") this.world.gangDone(t.job, t.attempt, spec);
+      if (spec.shape === "ensemble")
+        this.world.gangDone(t.job, t.attempt, spec);
       else this.exit(t, "done");
-      if (this.world.jobEnded && this.world.checker.isDone(t.job)) this.world.jobEnded(t.job);
+      if (this.world.jobEnded && this.world.checker.isDone(t.job))
+        this.world.jobEnded(t.job);
     });
   }
   exit(t: SimTask, cause: Cause, saved = false): void {
@@ -417,11 +641,23 @@
 
   constructor(private readonly world: World) {}
 
-  add(type: MachineType, zone: string, spot: boolean, bootMs: number): SimWorker {
-    const w = new SimWorker(this.world, `n-${String(++this.ids).padStart(6, "0")}`, type, zone, spot);
+  add(
+    type: MachineType,
+    zone: string,
+    spot: boolean,
+    bootMs: number,
+  ): SimWorker {
+    const w = new SimWorker(
+      this.world,
+      `n-${String(++this.ids).padStart(6, "0")}`,
+      type,
+      zone,
+      spot,
+    );
     this.rented.set(w.id, w);
     this.world.workers.push(w);
-    if (this.world.rng.chance(0.95)) this.world.at(bootMs, () => w.gone || w.start());
+    if (this.world.rng.chance(0.95))
+      this.world.at(bootMs, () => w.gone || w.start());
     return w;
   }
   handle(call: CloudCall): CloudReply {
@@ -432,11 +668,25 @@
       case "rent": {
         const known = this.charters.get(call.request);
         if (known) return { is: "rented", machines: known };
-        const there = [...this.rented.values()].filter((w) => w.zone === call.zone && w.type.name === call.type && w.spot === call.spot).length;
+        const there = [...this.rented.values()].filter(
+          (w) =>
+            w.zone === call.zone &&
+            w.type.name === call.type &&
+            w.spot === call.spot,
+        ).length;
         const n = Math.min(call.count, this.world.capacity - there);
         if (n <= 0) return { is: "noCapacity" };
         const type = this.world.types.find((t) => t.name === call.type)!;
-        const machines = Array.from({ length: n }, () => this.add(type, call.zone, call.spot, this.world.bootFactor * this.world.rng.real(1_000, 6_000)).id);
+        const machines = Array.from(
+          { length: n },
+          () =>
+            this.add(
+              type,
+              call.zone,
+              call.spot,
+              this.world.bootFactor * this.world.rng.real(1_000, 6_000),
+            ).id,
+        );
         this.charters.set(call.request, machines);
         return { is: "rented", machines };
       }
@@ -448,13 +698,26 @@
         return { is: "returned" };
       case "list": {
         // As things were up to twice the usual lag ago; a list may be older than the one before it.
-        const asOf = this.world.now - this.world.rng.real(0, 2_000 * this.world.settings.cloud.listLagS);
+        const asOf =
+          this.world.now -
+          this.world.rng.real(0, 2_000 * this.world.settings.cloud.listLagS);
         return {
           is: "list",
           more: false,
           machines: this.world.workers
-            .filter((w) => w.id > call.after && w.bornMs <= asOf && w.removedMs > asOf)
-            .map((w) => ({ id: w.id, address: "", type: w.type.name, zone: w.zone, spot: w.spot, state: w.gone ? "failed" : w.up ? "running" : "starting", ageS: (this.world.now - w.bornMs) / 1000 })),
+            .filter(
+              (w) =>
+                w.id > call.after && w.bornMs <= asOf && w.removedMs > asOf,
+            )
+            .map((w) => ({
+              id: w.id,
+              address: "",
+              type: w.type.name,
+              zone: w.zone,
+              spot: w.spot,
+              state: w.gone ? "failed" : w.up ? "running" : "starting",
+              ageS: (this.world.now - w.bornMs) / 1000,
+            })),
         };
       }
     }
@@ -531,7 +794,10 @@
   /** Zones that reach nobody outside and are not reached; packets into and out of them are held. */
   private readonly zoneCuts = new Set<string>();
   /** Nodes that the state service refuses, whose messages to it are held, or of whose messages only those are that change something, or that don't. */
-  readonly stateCut = new Map<string, "refused" | "held" | "writes" | "reads">();
+  readonly stateCut = new Map<
+    string,
+    "refused" | "held" | "writes" | "reads"
+  >();
   readonly logs: string[] = [];
   /** The limits that the state service will have once they fell; the present version keeps within them all the time. */
   readonly nextLimits = { valueBytes: 2048, txnOps: 4 };
@@ -549,8 +815,30 @@
   private reqs = 0;
   private readonly answers = new Map<number, (a: Answer | null) => void>();
   readonly types: MachineType[] = [
-    { name: "small", cpus: 8, gpus: 0, memGb: 32, cacheGb: 20, fetchGbPerS: 1, price: 1, spotPrice: 0.3, bootS: 4, zones: ["east", "mid", "west", "attic"] },
-    { name: "big", cpus: 24, gpus: 4, memGb: 128, cacheGb: 50, fetchGbPerS: 1, price: 8, spotPrice: 2, bootS: 6, zones: ["east", "mid"] },
+    {
+      name: "small",
+      cpus: 8,
+      gpus: 0,
+      memGb: 32,
+      cacheGb: 20,
+      fetchGbPerS: 1,
+      price: 1,
+      spotPrice: 0.3,
+      bootS: 4,
+      zones: ["east", "mid", "west", "attic"],
+    },
+    {
+      name: "big",
+      cpus: 24,
+      gpus: 4,
+      memGb: 128,
+      cacheGb: 50,
+      fetchGbPerS: 1,
+      price: 8,
+      spotPrice: 2,
+      bootS: 6,
+      zones: ["east", "mid"],
+    },
   ];
 
   constructor(
@@ -559,8 +847,19 @@
     old: readonly string[] = [],
     controllers = 3,
   ) {
-    this.names = ["node-a", "node-b", "node-c", "node-d", "node-e", "node-f", "node-g"].slice(0, controllers);
-    this.areas = ["east", "mid", "west", "east", "attic", "mid", "west"].slice(0, controllers);
+    this.names = [
+      "node-a",
+      "node-b",
+      "node-c",
+      "node-d",
+      "node-e",
+      "node-f",
+      "node-g",
+    ].slice(0, controllers);
+    this.areas = ["east", "mid", "west", "east", "attic", "mid", "west"].slice(
+      0,
+      controllers,
+    );
     for (const name of old) this.old.add(name);
     this.rng = new Rng(seed);
     this.settings = {
@@ -570,11 +869,21 @@
       mesh: { host: "0.0.0.0", port: 2 },
       peers: [],
       cloud: { host: "0.0.0.0", port: 3, rps: 5, listLagS: 2 },
-      state: { host: "0.0.0.0", port: 4, rps: 100, writeRps: 20, valueBytes: 8192, txnOps: 12 },
+      state: {
+        host: "0.0.0.0",
+        port: 4,
+        rps: 100,
+        writeRps: 20,
+        valueBytes: 8192,
+        txnOps: 12,
+      },
       zones: this.zones,
       teams: new Map([
         ["red", { name: "red", cpus: 20, gpus: 0, cpusMax: 48, gpusMax: 6 }],
-        ["blue", { name: "blue", cpus: 20, gpus: 0, cpusMax: 90, gpusMax: Infinity }],
+        [
+          "blue",
+          { name: "blue", cpus: 20, gpus: 0, cpusMax: 90, gpusMax: Infinity },
+        ],
       ]),
       objectives: [{ kind: "wait", class: "gangs", withinS: 2 }],
       reportS: 1,
@@ -607,7 +916,10 @@
     }
     this.heap[i] = e;
   }
-  private static less(a: { at: number; seq: number }, b: { at: number; seq: number }): boolean {
+  private static less(
+    a: { at: number; seq: number },
+    b: { at: number; seq: number },
+  ): boolean {
     return a.at < b.at || (a.at === b.at && a.seq < b.seq);
   }
   private pop(): { at: number; fn: () => void } | undefined {
@@ -618,7 +930,11 @@
     for (;;) {
       let c = 2 * i + 1;
       if (c >= this.heap.length) break;
-      if (c + 1 < this.heap.length && World.less(this.heap[c + 1]!, this.heap[c]!)) c++;
+      if (
+        c + 1 < this.heap.length &&
+        World.less(this.heap[c + 1]!, this.heap[c]!)
+      )
+        c++;
       if (!World.less(this.heap[c]!, last)) break;
       this.heap[i] = this.heap[c]!;
       i = c;
@@ -651,13 +967,38 @@
       ...this.settings,
       label: name,
       area: areas[i]!,
-      peers: this.names.map((label, k) => ({ label, area: areas[k]!, host: "0.0.0.0", port: 9 })).filter((p) => p.label !== name),
+      peers: this.names
+        .map((label, k) => ({
+          label,
+          area: areas[k]!,
+          host: "0.0.0.0",
+          port: 9,
+        }))
+        .filter((p) => p.label !== name),
     };
     const drift = 1 + this.rng.real(0, 0.0005);
     const core = this.old.has(name)
-      ? (new ProductionController(settings, this.tuning, this.now * drift, this.now) as unknown as Controller)
-      : new Controller({ ...settings, state: { ...settings.state, ...this.nextLimits } }, this.tuning, this.now * drift, this.now);
-    const node: Node = { core, life: ++this.lives, drift, still: null, stillFor: 0, failingMs: null, probeMs: 0 };
+      ? (new ProductionController(
+          settings,
+          this.tuning,
+          this.now * drift,
+          this.now,
+        ) as unknown as Controller)
+      : new Controller(
+          { ...settings, state: { ...settings.state, ...this.nextLimits } },
+          this.tuning,
+          this.now * drift,
+          this.now,
+        );
+    const node: Node = {
+      core,
+      life: ++this.lives,
+      drift,
+      still: null,
+      stillFor: 0,
+      failingMs: null,
+      probeMs: 0,
+    };
     this.nodes.set(name, node);
     const tick = (): void => {
       if (this.nodes.get(name) !== node) return;
@@ -667,7 +1008,12 @@
     tick();
     const peers = (): void => {
       if (this.nodes.get(name) !== node) return;
-      this.feed(name, node.life, { is: "peers", up: this.names.filter((n) => n !== name && this.nodes.get(n) && !this.meshCut(n, name)) });
+      this.feed(name, node.life, {
+        is: "peers",
+        up: this.names.filter(
+          (n) => n !== name && this.nodes.get(n) && !this.meshCut(n, name),
+        ),
+      });
       this.at(1_000, peers);
     };
     peers();
@@ -694,7 +1040,8 @@
   }
   private thaw(node: Node): void {
     // What queued up is worked off in order, at once: only then does the process wait for anything new.
-    for (let next = node.still?.shift(); next; next = node.still?.shift()) next();
+    for (let next = node.still?.shift(); next; next = node.still?.shift())
+      next();
     node.still = null;
   }
 
@@ -713,7 +1060,11 @@
   }
   /** No packet passes between these two zones; `null`: users, cloud and state service, which belong to none. */
   apart(a: string | null, b: string | null): boolean {
-    return a !== b && ((a !== null && this.zoneCuts.has(a)) || (b !== null && this.zoneCuts.has(b)));
+    return (
+      a !== b &&
+      ((a !== null && this.zoneCuts.has(a)) ||
+        (b !== null && this.zoneCuts.has(b)))
+    );
   }
   /** Controllers are killed one after the other and come back with the present version. */
   rollout(atMs: number, everyMs: number): void {
@@ -721,39 +1072,61 @@
       this.at(atMs + i * everyMs, () => {
         this.old.delete(name);
         this.crash(name);
-        this.at(this.rng.real(1_000, 4_000), () => this.nodes.get(name) ?? this.boot(name));
+        this.at(
+          this.rng.real(1_000, 4_000),
+          () => this.nodes.get(name) ?? this.boot(name),
+        );
       }),
     );
   }
 
   /** Messages between these two nodes don't arrive. */
   meshCut(a: string, b: string): boolean {
-    return this.meshCuts.has(a) || this.meshCuts.has(b) || this.apart(this.zoneOf(a), this.zoneOf(b));
+    return (
+      this.meshCuts.has(a) ||
+      this.meshCuts.has(b) ||
+      this.apart(this.zoneOf(a), this.zoneOf(b))
+    );
   }
   readonly meshCuts = new Set<string>();
 
   /** A worker's report at a node, passed on over the mesh where the node says so. */
   report(name: string, r: Report, done: (a: Answer | null) => void): void {
-    this.ask(name, (req) => ({ is: "report", req, report: r, relayed: false }), (a) => {
-      if (a?.is !== "relay") return done(a);
-      const life = this.nodes.get(name)?.life ?? 0;
-      const fail = (): void => {
-        this.feed(name, life, { is: "unserved", zone: r.zone });
-        done({ is: "elsewhere", master: null });
-      };
-      if (this.meshCut(name, a.master)) return this.at(2_000, fail);
-      this.at(this.rng.real(1, 5), () =>
-        this.ask(a.master, (req) => ({ is: "report", req, report: r, relayed: true }), (b) => (b?.is === "orders" ? this.at(2, () => done(b)) : fail())),
-      );
-    });
+    this.ask(
+      name,
+      (req) => ({ is: "report", req, report: r, relayed: false }),
+      (a) => {
+        if (a?.is !== "relay") return done(a);
+        const life = this.nodes.get(name)?.life ?? 0;
+        const fail = (): void => {
+          this.feed(name, life, { is: "unserved", zone: r.zone });
+          done({ is: "elsewhere", master: null });
+        };
+        if (this.meshCut(name, a.master)) return this.at(2_000, fail);
+        this.at(this.rng.real(1, 5), () =>
+          this.ask(
+            a.master,
+            (req) => ({ is: "report", req, report: r, relayed: true }),
+            (b) => (b?.is === "orders" ? this.at(2, () => done(b)) : fail()),
+          ),
+        );
+      },
+    );
   }
 
   /** A line of the world's own in the log. */
   note(what: string, fields: Record<string, unknown> = {}): void {
-    if (this.logs.length < 50_000) this.logs.push(`${(this.now / 1000).toFixed(3)} world ${what} ${JSON.stringify(fields)}`);
+    if (this.logs.length < 50_000)
+      this.logs.push(
+        `${(this.now / 1000).toFixed(3)} world ${what} ${JSON.stringify(fields)}`,
+      );
   }
   /** A request at a node; null: no answer or no connection. */
-  ask(name: string, input: (req: number) => Input, done: (a: Answer | null) => void): void {
+  ask(
+    name: string,
+    input: (req: number) => Input,
+    done: (a: Answer | null) => void,
+  ): void {
     const node = this.nodes.get(name);
     if (!node) return done(null);
     const req = ++this.reqs;
@@ -764,7 +1137,8 @@
   feed(name: string, life: number, input: Input): void {
     const node = this.nodes.get(name);
     if (!node || node.life !== life) return;
-    if (node.still) return void node.still.push(() => this.step(name, node, input));
+    if (node.still)
+      return void node.still.push(() => this.step(name, node, input));
     this.step(name, node, input);
   }
   private step(name: string, node: Node, input: Input): void {
@@ -777,11 +1151,20 @@
       for (const e of effects) {
         if (looksFirst || this.old.has(name)) this.carryOut(name, node, e);
         else if (node.core.mayLeave(e, this.now * node.drift)) {
-          if (this.nodes.get(name) === node) this.checker.leaves(name, node.core, e);
+          if (this.nodes.get(name) === node)
+            this.checker.leaves(name, node.core, e);
           this.carryOut(name, node, e);
-        }
-        else if (e.do === "command") this.feed(name, node.life, { is: "command", op: e.op, reply: { is: "refused" } });
-        else if (e.do === "answer") this.carryOut(name, node, { ...e, answer: { is: "later", afterS: 1, why: "no permit" } });
+        } else if (e.do === "command")
+          this.feed(name, node.life, {
+            is: "command",
+            op: e.op,
+            reply: { is: "refused" },
+          });
+        else if (e.do === "answer")
+          this.carryOut(name, node, {
+            ...e,
+            answer: { is: "later", afterS: 1, why: "no permit" },
+          });
       }
     };
     if (node.stillFor === 0) return carryOut();
@@ -792,8 +1175,20 @@
 
   /** The peer that carries a controller's calls to the state service at this moment, as `StateClient` chooses it; null: none. */
   private carrier(name: string, node: Node): string | null {
-    if (!this.carries || node.failingMs === null || this.now - node.failingMs < 1_200 || this.old.has(name)) return null;
-    const peer = this.names.find((n) => n !== name && this.nodes.get(n)?.failingMs === null && !this.nodes.get(n)!.still && !this.meshCut(name, n));
+    if (
+      !this.carries ||
+      node.failingMs === null ||
+      this.now - node.failingMs < 1_200 ||
+      this.old.has(name)
+    )
+      return null;
+    const peer = this.names.find(
+      (n) =>
+        n !== name &&
+        this.nodes.get(n)?.failingMs === null &&
+        !this.nodes.get(n)!.still &&
+        !this.meshCut(name, n),
+    );
     if (peer === undefined) return null;
     if (this.now - node.probeMs <= 1_000) return peer;
     node.probeMs = this.now;
@@ -801,31 +1196,61 @@
   }
 
   /** A controller's own request to the state service. */
-  private direct(name: string, node: Node, call: StateCall, done: (r: StateReply) => void): void {
+  private direct(
+    name: string,
+    node: Node,
+    call: StateCall,
+    done: (r: StateReply) => void,
+  ): void {
     let over = false;
     const end = (r: StateReply | null): void => {
       if (over) return;
       over = true;
-      if (r === null || (r.is === "refused" && r.why === "503")) node.failingMs ??= this.now;
+      if (r === null || (r.is === "refused" && r.why === "503"))
+        node.failingMs ??= this.now;
       else node.failingMs = null;
       if (r) done(r);
     };
-    this.at(call.op === "changes" ? call.waitMs + 1_500 : 1_500, () => end(null));
+    this.at(call.op === "changes" ? call.waitMs + 1_500 : 1_500, () =>
+      end(null),
+    );
     const cut = this.stateCut.get(name);
     if (cut === "refused") return end({ is: "refused", why: "503" });
-    const changes = call.op === "commit" || call.op === "touch" || call.op === "newHold";
-    const held = cut === "held" || (cut === "writes" && changes) || (cut === "reads" && !changes) || this.apart(this.zoneOf(name), null) || this.rng.chance(this.loss / 4);
-    const late = call.op === "commit" && this.lateWrites > 0 && this.rng.chance(this.lateWrites);
-    const lost = call.op === "commit" && this.lostAnswers > 0 && this.rng.chance(this.lostAnswers);
-    const delay = held ? this.rng.real(1_600, 60_000) : late ? this.rng.real(2_000, 12_000) : this.rng.real(1, 10) + (this.stateSlow > 0 ? this.rng.real(0, this.stateSlow / 2) : 0);
+    const changes =
+      call.op === "commit" || call.op === "touch" || call.op === "newHold";
+    const held =
+      cut === "held" ||
+      (cut === "writes" && changes) ||
+      (cut === "reads" && !changes) ||
+      this.apart(this.zoneOf(name), null) ||
+      this.rng.chance(this.loss / 4);
+    const late =
+      call.op === "commit" &&
+      this.lateWrites > 0 &&
+      this.rng.chance(this.lateWrites);
+    const lost =
+      call.op === "commit" &&
+      this.lostAnswers > 0 &&
+      this.rng.chance(this.lostAnswers);
+    const delay = held
+      ? this.rng.real(1_600, 60_000)
+      : late
+        ? this.rng.real(2_000, 12_000)
+        : this.rng.real(1, 10) +
+          (this.stateSlow > 0 ? this.rng.real(0, this.stateSlow / 2) : 0);
     // Open watches wait, as in an outage.
-    const waits = (): boolean => call.op === "changes" && this.stateCut.has(name) && this.stateCut.get(name) !== "writes";
+    const waits = (): boolean =>
+      call.op === "changes" &&
+      this.stateCut.has(name) &&
+      this.stateCut.get(name) !== "writes";
     this.at(delay, () =>
       this.state.handle(call, (r) => {
         if (late && r.is === "committed") this.lateWritten++;
         if (lost && r.is === "committed") this.answersLost++;
-        if (this.rng.chance(this.loss / 4) || held || late || lost || waits()) return;
-        if (this.stateSlow > 0) this.at(this.rng.real(0, this.stateSlow / 2), () => end(r));
+        if (this.rng.chance(this.loss / 4) || held || late || lost || waits())
+          return;
+        if (this.stateSlow > 0)
+          this.at(this.rng.real(0, this.stateSlow / 2), () => end(r));
         else end(r);
       }),
     );
@@ -833,7 +1258,8 @@
 
   private carryOut(name: string, node: Node, e: Effect): void {
     if (this.nodes.get(name) !== node) return;
-    const back = (i: Input): void => this.at(this.rng.real(1, 10), () => this.feed(name, node.life, i));
+    const back = (i: Input): void =>
+      this.at(this.rng.real(1, 10), () => this.feed(name, node.life, i));
     switch (e.do) {
       case "answer": {
         const done = this.answers.get(e.req);
@@ -851,7 +1277,8 @@
         };
         const wait = e.call.op === "changes" ? e.call.waitMs + 1500 : 1500;
         this.at(wait, () => reply({ is: "unknown", why: "timeout" }));
-        if (e.call.op === "commit" && !this.old.has(name)) this.checker.committed(name, e.call.writes);
+        if (e.call.op === "commit" && !this.old.has(name))
+          this.checker.committed(name, e.call.writes);
         const peer = this.carrier(name, node);
         if (peer === null) this.direct(name, node, e.call, reply);
         else {
@@ -860,7 +1287,14 @@
           this.at(this.rng.real(1, 5), () => {
             const other = this.nodes.get(peer);
             if (!other || this.meshCut(name, peer)) return;
-            this.direct(peer, other, e.call, (r) => this.meshCut(name, peer) || this.at(this.rng.real(1, 5), () => reply(r)));
+            this.direct(
+              peer,
+              other,
+              e.call,
+              (r) =>
+                this.meshCut(name, peer) ||
+                this.at(this.rng.real(1, 5), () => reply(r)),
+            );
           });
         }
         break;
@@ -873,7 +1307,8 @@
           back({ is: "cloud", op: e.op, reply: r });
         };
         this.at(4_000, () => reply({ is: "failed", why: "timeout" }));
-        const held = this.apart(this.zoneOf(name), null) || this.rng.chance(this.loss);
+        const held =
+          this.apart(this.zoneOf(name), null) || this.rng.chance(this.loss);
         this.at(held ? this.rng.real(5_000, 40_000) : 100, () => {
           const r = this.cloud.handle(e.call);
           if (!held) reply(r);
@@ -902,14 +1337,19 @@
           back({ is: "inspected", op: e.op, report: r });
         };
         this.at(3_000, () => reply(null));
-        this.workers.find((x) => x.id === `n-${e.address.split(":")[1]}`)?.inspect(name, reply);
+        this.workers
+          .find((x) => x.id === `n-${e.address.split(":")[1]}`)
+          ?.inspect(name, reply);
         break;
       }
       case "wake":
         this.at(e.afterMs, () => this.feed(name, node.life, { is: "wake" }));
         break;
       case "log":
-        if (this.logs.length < 50_000) this.logs.push(`${(this.now / 1000).toFixed(3)} ${name} ${e.msg} ${JSON.stringify(e.fields)}`);
+        if (this.logs.length < 50_000)
+          this.logs.push(
+            `${(this.now / 1000).toFixed(3)} ${name} ${e.msg} ${JSON.stringify(e.fields)}`,
+          );
         break;
     }
   }
@@ -917,7 +1357,13 @@
   // ---- gangs ---------------------------------------------------------------------------------------------
 
   private gang(job: string, attempt: number): { w: SimWorker; t: SimTask }[] {
-    return this.workers.flatMap((w) => [...w.tasks.values()].filter((t) => t.job === job && t.attempt === attempt && t.state !== "exited").map((t) => ({ w, t })));
+    return this.workers.flatMap((w) =>
+      [...w.tasks.values()]
+        .filter(
+          (t) => t.job === job && t.attempt === attempt && t.state !== "exited",
+        )
+        .map((t) => ({ w, t })),
+    );
   }
   gangReady(job: string, attempt: number, spec: JobSpec): void {
     const all = this.gang(job, attempt).filter((x) => x.t.state === "waiting");
@@ -926,7 +1372,11 @@
     for (const { w, t } of all) w.run(t, spec, ms);
   }
   gangComplete(job: string, attempt: number, spec: JobSpec): boolean {
-    return this.gang(job, attempt).filter((x) => x.t.state === "running" && !x.w.hung).length === spec.tasks;
+    return (
+      this.gang(job, attempt).filter(
+        (x) => x.t.state === "running" && !x.w.hung,
+      ).length === spec.tasks
+    );
   }
   gangDone(job: string, attempt: number, spec: JobSpec): void {
     for (let i = 0; i < spec.tasks; i++) this.results.add(`${job}/${i}`);
--- a/test/transport.test.ts
+++ b/test/transport.test.ts
@@ -13,32 +13,71 @@
   `label = "solo"\narea = "east"\nclient_listen = "127.0.0.1:1"\nmesh_addr = "127.0.0.1:2"\n[outside]\ncloud = "127.0.0.1:3"\nstate = "127.0.0.1:4"\n[cluster]\nzones = ["east"]\n[cluster.workers]\nreport_s = 1.0\nlease_s = 10.0\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = 40.0\n[cluster.state]\nrps = 10.0\nwrite_rps = 10.0\nvalue_kb = 8.0\ntxn_ops = 12\n[cluster.cloud]\nrps = 5.0\nlist_lag_s = 1.0\n`,
   "test.toml",
 );
-const JOB = JSON.stringify({ id: "req-000001", jobclass: "demo", crew: "red", shape: "batch", urgency: "normal", shards: 2, cores: 2, memoryGb: 4, bundle: "i", sizeGb: 1, reckonS: 5 });
+const JOB = JSON.stringify({
+  id: "req-000001",
+  jobclass: "demo",
+  crew: "red",
+  shape: "batch",
+  urgency: "normal",
+  shards: 2,
+  cores: 2,
+  memoryGb: 4,
+  bundle: "i",
+  sizeGb: 1,
+  reckonS: 5,
+});
 
 test("a fault of the core ends one request with 503, whatever it was, and the next is served", async () => {
   process.env["LOG_LEVEL"] = "silent";
   const daemon = new Daemon(SETTINGS, { ...DEFAULTS });
   const app = api(daemon);
-  const { core } = daemon as unknown as { core: { step: (...a: unknown[]) => unknown } };
+  const { core } = daemon as unknown as {
+    core: { step: (...a: unknown[]) => unknown };
+  };
   const step = core.step.bind(core);
   // A user whose job was accepted, or whose cancellation was written, must not be told that it never can be.
   const requests: [string, string, string?][] = [
     ["POST", "/v1/jobs", JOB],
     ["GET", "/v1/jobs/req-000001"],
     ["POST", "/v1/jobs/req-000001/withdraw"],
-    ["POST", "/hello", JSON.stringify({ berth: "n-1", address: "127.0.0.1:1", hull: "m", yard: "east", watch: 1, tally: 1 })],
+    [
+      "POST",
+      "/hello",
+      JSON.stringify({
+        berth: "n-1",
+        address: "127.0.0.1:1",
+        hull: "m",
+        yard: "east",
+        watch: 1,
+        tally: 1,
+      }),
+    ],
   ];
   for (const [k, [method, path, body]] of requests.entries()) {
     core.step = () => {
       throw new Error("defect");
     };
     const r = await app.request(path, { method, body });
-    assert.deepEqual([r.status, r.headers.get("retry-after"), (await r.text()).includes("defect")], [503, "1", false], path);
+    assert.deepEqual(
+      [
+        r.status,
+        r.headers.get("retry-after"),
+        (await r.text()).includes("defect"),
+      ],
+      [503, "1", false],
+      path,
+    );
     assert.equal((daemon as unknown as { faults: number }).faults, k + 1);
     core.step = step;
-    assert.equal((await app.request(path, { method, body })).status, path === "/hello" ? 421 : 503);
+    assert.equal(
+      (await app.request(path, { method, body })).status,
+      path === "/hello" ? 421 : 503,
+    );
   }
-  assert.equal((daemon as unknown as { pending: Map<number, unknown> }).pending.size, 0);
+  assert.equal(
+    (daemon as unknown as { pending: Map<number, unknown> }).pending.size,
+    0,
+  );
 });
 
 test("bodies are bounded, of stated length and in chunks", async () => {
@@ -58,12 +97,22 @@
   const chunks = (text: string): ReadableStream<Uint8Array> =>
     new ReadableStream({
       start: (c) => {
-        for (let i = 0; i < text.length; i += 5_000) c.enqueue(Buffer.from(text.slice(i, i + 5_000)));
+        for (let i = 0; i < text.length; i += 5_000)
+          c.enqueue(Buffer.from(text.slice(i, i + 5_000)));
         c.close();
       },
     });
   const post = (body: BodyInit, length?: number): Promise<number> =>
-    Promise.resolve(app.request("/v1/jobs", { method: "POST", body, duplex: "half", ...(length === undefined ? {} : { headers: { "content-length": String(length) } }) } as RequestInit)).then((r) => r.status);
+    Promise.resolve(
+      app.request("/v1/jobs", {
+        method: "POST",
+        body,
+        duplex: "half",
+        ...(length === undefined
+          ? {}
+          : { headers: { "content-length": String(length) } }),
+      } as RequestInit),
+    ).then((r) => r.status);
   assert.equal(await post(JOB, JOB.length), 503);
   assert.equal(await post(chunks(JOB)), 503);
   assert.deepEqual(got, [2, 2]);
@@ -78,7 +127,10 @@
   for (let seed = 1; seed <= 30; seed++) {
     const rng = new Rng(seed);
     const table = new Connections<number>(most, silentMs);
-    const model = new Map<number, { kind: Kind; busy: boolean; sinceMs: number }>();
+    const model = new Map<
+      number,
+      { kind: Kind; busy: boolean; sinceMs: number }
+    >();
     let now = 0;
     let ids = 0;
     for (let k = 0; k < 3_000; k++) {
@@ -93,12 +145,22 @@
         model.set(s, { kind: "fresh", busy: false, sinceMs: now });
         if (out === null) assert.ok(model.size <= most);
         else {
-          assert.equal(open.length, most, "nothing is closed while there is room");
+          assert.equal(
+            open.length,
+            most,
+            "nothing is closed while there is room",
+          );
           if (out === s) {
             assert.equal(idle.length, 0, "refused while another is idle");
           } else {
             const c = model.get(out)!;
-            assert.ok(!c.busy && idle.every(([, o]) => o.kind !== c.kind || o.sinceMs >= c.sinceMs), "the oldest idle of its kind");
+            assert.ok(
+              !c.busy &&
+                idle.every(
+                  ([, o]) => o.kind !== c.kind || o.sinceMs >= c.sinceMs,
+                ),
+              "the oldest idle of its kind",
+            );
           }
           model.delete(out);
         }
@@ -119,7 +181,9 @@
         model.delete(s);
         table.closed(s);
       } else {
-        const due = open.filter(([, c]) => !c.busy && now - c.sinceMs > silentMs[c.kind]).map(([s]) => s);
+        const due = open
+          .filter(([, c]) => !c.busy && now - c.sinceMs > silentMs[c.kind])
+          .map(([s]) => s);
         assert.deepEqual(table.silent(now).sort(), due.sort());
         for (const s of due) model.delete(s);
       }
@@ -139,19 +203,40 @@
     table.asked(`u${i}`, "user");
     table.answered(`u${i}`, 300 + i);
   }
-  assert.equal(table.opened("x", 400), "u0", "users are further over theirs now");
+  assert.equal(
+    table.opened("x", 400),
+    "u0",
+    "users are further over theirs now",
+  );
 });
 
 test("who goes away in the middle of a body is no fault of the program", async () => {
   const faults: Error[] = [];
-  const core: Asked = { ask: () => Promise.resolve({ is: "unknownJob" }), ready: () => true, relay: () => Promise.resolve(null), malformed: () => {}, fault: (e) => faults.push(e) };
+  const core: Asked = {
+    ask: () => Promise.resolve({ is: "unknownJob" }),
+    ready: () => true,
+    relay: () => Promise.resolve(null),
+    malformed: () => {},
+    fault: (e) => faults.push(e),
+  };
   const app = api(core);
   const broken = (e: Error): Promise<Response> => {
     const body = new ReadableStream({ start: (c) => c.error(e) });
-    return Promise.resolve(app.request("/v1/jobs", { method: "POST", body, headers: { "content-length": "100" }, duplex: "half" } as RequestInit));
+    return Promise.resolve(
+      app.request("/v1/jobs", {
+        method: "POST",
+        body,
+        headers: { "content-length": "100" },
+        duplex: "half",
+      } as RequestInit),
+    );
   };
   // As Node's own request says it.
-  assert.equal((await broken(Object.assign(new Error("aborted"), { code: "ECONNRESET" }))).status, 503);
+  assert.equal(
+    (await broken(Object.assign(new Error("aborted"), { code: "ECONNRESET" })))
+      .status,
+    503,
+  );
   assert.deepEqual(faults, []);
   assert.equal((await broken(new Error("a defect"))).status, 503);
   assert.equal(faults.length, 1);
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -8,7 +8,26 @@
 import { Room } from "../src/coordination/room.js";
 import { Roster } from "../src/coordination/roster.js";
 import { RangeSet as OldRangeSet } from "./production/coordination/ranges.js";
-import { bytesOf, FIN_BLOCK, finBlock, finKey, inBlock, parseKey, readFin, readJob, readRoom, readRoster, type RoomRecord, type RosterEntry, rosterKey, type TeamRow, writeFin, writeJob, writeRoom, writeRoster } from "../src/storage/records.js";
+import {
+  bytesOf,
+  FIN_BLOCK,
+  finBlock,
+  finKey,
+  inBlock,
+  parseKey,
+  readFin,
+  readJob,
+  readRoom,
+  readRoster,
+  type RoomRecord,
+  type RosterEntry,
+  rosterKey,
+  type TeamRow,
+  writeFin,
+  writeJob,
+  writeRoom,
+  writeRoster,
+} from "../src/storage/records.js";
 import type { Condition, Write } from "../src/protocol/state.js";
 import * as old from "./production/storage/records.js";
 import { pipelines, randomJob, troubles, users } from "./sim/days.js";
@@ -21,14 +40,41 @@
 test("records that one version writes mean the same to the other", () => {
   const w = new World(1);
   const spec = randomJob(w, 1);
-  const pairs: [number, number][] = [[0, 3], [7, 7]];
-  const released = { spec, acceptedAt: 5, split: new Map([["g", RangeSet.of(pairs)]]), awaits: [], releasedAt: 9 };
+  const pairs: [number, number][] = [
+    [0, 3],
+    [7, 7],
+  ];
+  const released = {
+    spec,
+    acceptedAt: 5,
+    split: new Map([["g", RangeSet.of(pairs)]]),
+    awaits: [],
+    releasedAt: 9,
+  };
   const oldJob = old.readJob(stored(writeJob(released)))!;
-  assert.deepEqual([oldJob.spec, oldJob.acceptedAt, oldJob.split.get("g")!.pairs()], [spec, 5, pairs]);
+  assert.deepEqual(
+    [oldJob.spec, oldJob.acceptedAt, oldJob.split.get("g")!.pairs()],
+    [spec, 5, pairs],
+  );
   // Rewritten by production, the time of release is lost and nothing else.
-  assert.deepEqual(readJob(stored(old.writeJob(oldJob))), { ...released, releasedAt: null });
+  assert.deepEqual(readJob(stored(old.writeJob(oldJob))), {
+    ...released,
+    releasedAt: null,
+  });
   // A waiting job has no tasks for anyone there.
-  assert.equal(old.readJob(stored(writeJob({ ...released, split: new Map(), awaits: ["req-9"], releasedAt: null })))!.split.size, 0);
+  assert.equal(
+    old.readJob(
+      stored(
+        writeJob({
+          ...released,
+          split: new Map(),
+          awaits: ["req-9"],
+          releasedAt: null,
+        }),
+      ),
+    )!.split.size,
+    0,
+  );
 
   const finished = RangeSet.empty();
   const rng = new Rng(2);
@@ -36,8 +82,16 @@
   // Production's whole blocks, as bitmaps, then ours beside them under other keys: together they are everything.
   const half = finished.slice(0, 19_999);
   const kept = new Map<string, unknown>();
-  for (const chunk of [0, 1]) kept.set(old.finKey("req-1", "g", chunk), stored(old.writeFin(OldRangeSet.of(half.pairs()), chunk)));
-  for (let task = 20_000 - (20_000 % FIN_BLOCK); task < 40_000; task += FIN_BLOCK) {
+  for (const chunk of [0, 1])
+    kept.set(
+      old.finKey("req-1", "g", chunk),
+      stored(old.writeFin(OldRangeSet.of(half.pairs()), chunk)),
+    );
+  for (
+    let task = 20_000 - (20_000 % FIN_BLOCK);
+    task < 40_000;
+    task += FIN_BLOCK
+  ) {
     const key = finKey("req-1", "g", finBlock(task));
     assert.ok(!kept.has(key));
     kept.set(key, stored(writeFin(inBlock(finished, finBlock(task)))));
@@ -53,14 +107,55 @@
   assert.deepEqual(byNew.pairs(), finished.pairs());
   assert.deepEqual(byOld.pairs(), finished.pairs());
 
-  const machines = new Map([["n-1", { going: false, type: "a" }], ["n-2", { going: true, type: "b" }]]);
+  const machines = new Map([
+    ["n-1", { going: false, type: "a" }],
+    ["n-2", { going: true, type: "b" }],
+  ]);
   assert.deepEqual(old.readRoster(stored(writeRoster(machines))), machines);
   assert.deepEqual(readRoster(stored(old.writeRoster(machines))), machines);
-  const room = { rows: [{ type: "t", zone: "z", spot: true, machines: 3, free: [[1, 0, 2, 3] as [number, number, number, number]], reserved: [] }], queue: { plain: 1, accelerated: 2 }, running: new Map([["req-1", 2]]), soldOut: ["t/z/spot"], left: new Map([["t/z/ordinary", 4]]), wants: new Map([["red", { cpus: 1, gpus: 0, since: 3 }]]), teams: null, cut: false };
-  const row: TeamRow = { use: [1, 2], may: [3, 4], now: [5, 0], nowSince: [6, Infinity], soon: [0, 4], soonSince: [Infinity, 8], beyond: [7, 8], waits: [9, 0] };
+  const room = {
+    rows: [
+      {
+        type: "t",
+        zone: "z",
+        spot: true,
+        machines: 3,
+        free: [[1, 0, 2, 3] as [number, number, number, number]],
+        reserved: [],
+      },
+    ],
+    queue: { plain: 1, accelerated: 2 },
+    running: new Map([["req-1", 2]]),
+    soldOut: ["t/z/spot"],
+    left: new Map([["t/z/ordinary", 4]]),
+    wants: new Map([["red", { cpus: 1, gpus: 0, since: 3 }]]),
+    teams: null,
+    cut: false,
+  };
+  const row: TeamRow = {
+    use: [1, 2],
+    may: [3, 4],
+    now: [5, 0],
+    nowSince: [6, Infinity],
+    soon: [0, 4],
+    soonSince: [Infinity, 8],
+    beyond: [7, 8],
+    waits: [9, 0],
+  };
   const { teams: _, cut: __, ...asOld } = room;
   // Production reads a room without what teams use, and writes one that says nothing of it.
-  const more: RoomRecord = { ...room, rows: [{ ...room.rows[0]!, yields: [[8, 0, 16, 1, 2, 3]] }], queueFrom: [[3, 2], [1, 2], [1, 0], [0, 0]], teams: new Map([["red", row]]), cut: true };
+  const more: RoomRecord = {
+    ...room,
+    rows: [{ ...room.rows[0]!, yields: [[8, 0, 16, 1, 2, 3]] }],
+    queueFrom: [
+      [3, 2],
+      [1, 2],
+      [1, 0],
+      [0, 0],
+    ],
+    teams: new Map([["red", row]]),
+    cut: true,
+  };
   for (const r of [room, more]) {
     assert.deepEqual(old.readRoom(stored(writeRoom(r))), asOld);
     assert.deepEqual(readRoom(stored(writeRoom(r))), r);
@@ -69,11 +164,22 @@
 });
 
 test("a roster record that became too large is divided, each machine being in one record at every moment", () => {
-  for (const [seed, count] of [[1, 200], [2, 200], [3, 120]] as const) {
+  for (const [seed, count] of [
+    [1, 200],
+    [2, 200],
+    [3, 120],
+  ] as const) {
     const rng = new Rng(seed);
     const limits = { valueBytes: 2048, txnOps: 4 };
-    const machines = new Map<string, RosterEntry>(Array.from({ length: count }, (_, i) => [`n-${String(i).padStart(6, "0")}`, { going: false, type: rng.pick(["stonerack", "faultglass"]) }]));
-    const state = new Map([[rosterKey("g", 0), { value: stored(writeRoster(machines)), version: 1 }]]);
+    const machines = new Map<string, RosterEntry>(
+      Array.from({ length: count }, (_, i) => [
+        `n-${String(i).padStart(6, "0")}`,
+        { going: false, type: rng.pick(["stonerack", "faultglass"]) },
+      ]),
+    );
+    const state = new Map([
+      [rosterKey("g", 0), { value: stored(writeRoster(machines)), version: 1 }],
+    ]);
     assert.ok(bytesOf(writeRoster(machines)) > limits.valueBytes);
     let epoch = 1;
     const pending: (() => void)[] = [];
@@ -81,25 +187,60 @@
       rosters: new Map([["g", new Map([[0, machines]])]]),
       revisionOf: (key: string) => state.get(key)?.version ?? 0,
     };
-    const ctx = { nowMs: 0, mirror, settings: { state: limits }, log: () => {} };
-    const everywhere = (): [string, boolean][] => [...state.values()].flatMap((d) => [...readRoster(d.value)!].map(([id, e]): [string, boolean] => [id, e.going]));
-    const commit = (conditions: Condition[], writes: Write[], done: (end: "ok" | "conflict" | "refused" | "unknown") => void): void => {
+    const ctx = {
+      nowMs: 0,
+      mirror,
+      settings: { state: limits },
+      log: () => {},
+    };
+    const everywhere = (): [string, boolean][] =>
+      [...state.values()].flatMap((d) =>
+        [...readRoster(d.value)!].map(([id, e]): [string, boolean] => [
+          id,
+          e.going,
+        ]),
+      );
+    const commit = (
+      conditions: Condition[],
+      writes: Write[],
+      done: (end: "ok" | "conflict" | "refused" | "unknown") => void,
+    ): void => {
       assert.ok(writes.length <= limits.txnOps);
       pending.push(() => {
         // Some never arrive, some arrive and their answer is lost.
         const luck = rng.int(0, 3);
-        const ok = luck > 0 && conditions.every((c) => (state.get(c.key)?.version ?? 0) === c.version);
+        const ok =
+          luck > 0 &&
+          conditions.every(
+            (c) => (state.get(c.key)?.version ?? 0) === c.version,
+          );
         if (ok) {
           epoch++;
           for (const x of writes) {
-            assert.ok(x.op === "put" && bytesOf(x.value as object) <= limits.valueBytes);
+            assert.ok(
+              x.op === "put" && bytesOf(x.value as object) <= limits.valueBytes,
+            );
             state.set(x.key, { value: stored(x.value), version: epoch });
           }
         }
         const ids = everywhere().map(([id]) => id);
-        assert.equal(new Set(ids).size, ids.length, "no machine is in two records");
-        for (const id of machines.keys()) if (!gone.has(id)) assert.ok(ids.includes(id), `${id} is in no record`);
-        done(luck === 0 ? "refused" : luck === 1 ? "unknown" : ok ? "ok" : "conflict");
+        assert.equal(
+          new Set(ids).size,
+          ids.length,
+          "no machine is in two records",
+        );
+        for (const id of machines.keys())
+          if (!gone.has(id))
+            assert.ok(ids.includes(id), `${id} is in no record`);
+        done(
+          luck === 0
+            ? "refused"
+            : luck === 1
+              ? "unknown"
+              : ok
+                ? "ok"
+                : "conflict",
+        );
       });
     };
     const gone = new Set<string>();
@@ -122,7 +263,9 @@
       pending.shift()?.();
     }
     const end = new Map(everywhere());
-    for (const id of marked) if (!gone.has(id)) assert.ok(end.get(id) && r.goingWritten(id), `${id} is marked`);
+    for (const id of marked)
+      if (!gone.has(id))
+        assert.ok(end.get(id) && r.goingWritten(id), `${id} is marked`);
     for (const id of gone) assert.ok(!end.has(id) && !r.has(id));
   }
 });
@@ -131,9 +274,23 @@
   const limits = { valueBytes: 2048, txnOps: 4 };
   const types = Array.from({ length: 12 }, (_, i) => `type-of-machine-${i}`);
   const workers = types.flatMap((typeName, i) =>
-    ["zone-a", "zone-b", "zone-c", "zone-d"].flatMap((zone) => Array.from({ length: i + 1 }, (_, k) => ({ id: `n-${typeName}-${zone}-${k}`, typeName, type: { cpus: 32 + k, gpus: 0, memGb: 64 }, zone, spot: false, kind: `${typeName}/${zone}`, free: null, tasks: new Map(), strays: new Map() }))),
+    ["zone-a", "zone-b", "zone-c", "zone-d"].flatMap((zone) =>
+      Array.from({ length: i + 1 }, (_, k) => ({
+        id: `n-${typeName}-${zone}-${k}`,
+        typeName,
+        type: { cpus: 32 + k, gpus: 0, memGb: 64 },
+        zone,
+        spot: false,
+        kind: `${typeName}/${zone}`,
+        free: null,
+        tasks: new Map(),
+        strays: new Map(),
+      })),
+    ),
+  );
+  const offers = types.flatMap((t) =>
+    ["zone-a", "zone-b"].map((z) => `${t}/${z}/spot`),
   );
-  const offers = types.flatMap((t) => ["zone-a", "zone-b"].map((z) => `${t}/${z}/spot`));
   const own = {
     group: "g",
     usableWorkers: () => ({ usable: workers, reserved: new Set<string>() }),
@@ -142,13 +299,45 @@
     runningOf: () => 0,
     queue: () => ({ plain: 0, accelerated: 0 }),
   };
-  const renting = { soldOut: () => [...offers], left: () => new Map(offers.map((o) => [o, 3])) };
-  const sharing = { rows: () => ({ wants: new Map(Array.from({ length: 20 }, (_, i) => [`team-${i}`, { cpus: 1, gpus: 0, since: 1_700_000_000_000 }])), teams: new Map() }) };
-  const room = new Room({ nowMs: 0, mirror: { jobs: new Map() }, settings: { state: limits } } as unknown as Context, own as unknown as Holdings, sharing as unknown as Sharing, renting as unknown as Renting);
+  const renting = {
+    soldOut: () => [...offers],
+    left: () => new Map(offers.map((o) => [o, 3])),
+  };
+  const sharing = {
+    rows: () => ({
+      wants: new Map(
+        Array.from({ length: 20 }, (_, i) => [
+          `team-${i}`,
+          { cpus: 1, gpus: 0, since: 1_700_000_000_000 },
+        ]),
+      ),
+      teams: new Map(),
+    }),
+  };
+  const room = new Room(
+    {
+      nowMs: 0,
+      mirror: { jobs: new Map() },
+      settings: { state: limits },
+    } as unknown as Context,
+    own as unknown as Holdings,
+    sharing as unknown as Sharing,
+    renting as unknown as Renting,
+  );
   const record = room.fitted();
-  assert.ok(bytesOf(writeRoom(record)) <= limits.valueBytes, `${bytesOf(writeRoom(record))}`);
-  assert.ok(record.rows.length > 10 && record.rows.every((r) => r.machines >= 5), "the rows of the most machines");
-  assert.equal(room.now().rows.length, 48, "the group itself goes by all of it");
+  assert.ok(
+    bytesOf(writeRoom(record)) <= limits.valueBytes,
+    `${bytesOf(writeRoom(record))}`,
+  );
+  assert.ok(
+    record.rows.length > 10 && record.rows.every((r) => r.machines >= 5),
+    "the rows of the most machines",
+  );
+  assert.equal(
+    room.now().rows.length,
+    48,
+    "the group itself goes by all of it",
+  );
   const { teams: _, cut: __, queueFrom: ___, ...asOld } = record;
   assert.deepEqual(old.readRoom(stored(writeRoom(record))), asOld);
 });
@@ -156,17 +345,55 @@
 test("written room fits a value to the byte, with what gives way on as many rows as there are", () => {
   for (let more = 0; more < 60; more++) {
     const limits = { valueBytes: 1_700 + more, txnOps: 4 };
-    const run = { job: { view: { urgency: "best_effort", spec: { shape: "batch", tasks: 9, cpus: 2, gpus: 0, memGb: 1 } } }, phase: "running" };
-    const workers = Array.from({ length: 24 }, (_, i) => ({ id: `n-${i}`, typeName: `t${i}`, type: { cpus: 32, gpus: 0, memGb: 64 }, zone: "east", spot: false, kind: `t${i}/east`, free: null, tasks: new Map([["a", run]]), strays: new Map() }));
-    const jobs = new Map(["normal", "best_effort"].map((urgency, i) => [`req-${i}`, { urgency }]));
-    const own = { group: "g", usableWorkers: () => ({ usable: workers, reserved: new Set<string>() }), isHeld: () => false, jobs: new Map(), runningOf: () => 0 };
+    const run = {
+      job: {
+        view: {
+          urgency: "best_effort",
+          spec: { shape: "batch", tasks: 9, cpus: 2, gpus: 0, memGb: 1 },
+        },
+      },
+      phase: "running",
+    };
+    const workers = Array.from({ length: 24 }, (_, i) => ({
+      id: `n-${i}`,
+      typeName: `t${i}`,
+      type: { cpus: 32, gpus: 0, memGb: 64 },
+      zone: "east",
+      spot: false,
+      kind: `t${i}/east`,
+      free: null,
+      tasks: new Map([["a", run]]),
+      strays: new Map(),
+    }));
+    const jobs = new Map(
+      ["normal", "best_effort"].map((urgency, i) => [`req-${i}`, { urgency }]),
+    );
+    const own = {
+      group: "g",
+      usableWorkers: () => ({ usable: workers, reserved: new Set<string>() }),
+      isHeld: () => false,
+      jobs: new Map(),
+      runningOf: () => 0,
+    };
     const sharing = { rows: () => ({ wants: new Map(), teams: new Map() }) };
     const renting = { soldOut: () => [], left: () => new Map() };
-    const room = new Room({ nowMs: 5_000, mirror: { jobs }, settings: { state: limits } } as unknown as Context, own as unknown as Holdings, sharing as unknown as Sharing, renting as unknown as Renting);
+    const room = new Room(
+      {
+        nowMs: 5_000,
+        mirror: { jobs },
+        settings: { state: limits },
+      } as unknown as Context,
+      own as unknown as Holdings,
+      sharing as unknown as Sharing,
+      renting as unknown as Renting,
+    );
     const record = room.fitted();
     const bytes = bytesOf(writeRoom(record));
     // The list of what gives way was counted without its own name: up to 7 bytes too many for each row.
-    assert.ok(bytes <= limits.valueBytes && bytes > limits.valueBytes - 60, `${bytes} of ${limits.valueBytes}`);
+    assert.ok(
+      bytes <= limits.valueBytes && bytes > limits.valueBytes - 60,
+      `${bytes} of ${limits.valueBytes}`,
+    );
     const n = record.rows.filter((r) => r.yields !== undefined).length;
     assert.ok(n > 0 && n < 24, `${n} rows say what gives way`);
   }
@@ -185,17 +412,32 @@
   w.run(withTroubles ? 250_000 : 330_000);
   return w;
 }
-const report = (w: World, seed: number): string => `seed ${seed}: ${w.checker.broken.join("; ")}\n${w.logs.slice(-30).join("\n")}`;
-const stages = (w: World, status: string): string[] => [...w.checker.told].filter(([id, s]) => s === status && w.awaits.has(id)).map(([id]) => id);
+const report = (w: World, seed: number): string =>
+  `seed ${seed}: ${w.checker.broken.join("; ")}\n${w.logs.slice(-30).join("\n")}`;
+const stages = (w: World, status: string): string[] =>
+  [...w.checker.told]
+    .filter(([id, s]) => s === status && w.awaits.has(id))
+    .map(([id]) => id);
 
 test("a quiet upgrade keeps the rules, and every line of jobs comes to its end", () => {
   for (let seed = 700; seed < 704; seed++) {
     const w = upgradeDay(seed, false);
     assert.deepEqual(w.checker.broken, [], report(w, seed));
     const open = stages(w, "accepted");
-    assert.deepEqual(open, [], `seed ${seed}: ${open.map((id) => `${id} needs ${w.awaits.get(id)!.join()}`).join("; ")}\n${w.logs.slice(-20).join("\n")}`);
-    assert.ok(stages(w, "done").length > 20 && stages(w, "cancelled").length > 3, `${stages(w, "done").length} done, ${stages(w, "cancelled").length} cancelled`);
-    assert.equal(w.logs.filter((l) => l.includes("refuses a transaction")).length, 0, "nothing is over a limit");
+    assert.deepEqual(
+      open,
+      [],
+      `seed ${seed}: ${open.map((id) => `${id} needs ${w.awaits.get(id)!.join()}`).join("; ")}\n${w.logs.slice(-20).join("\n")}`,
+    );
+    assert.ok(
+      stages(w, "done").length > 20 && stages(w, "cancelled").length > 3,
+      `${stages(w, "done").length} done, ${stages(w, "cancelled").length} cancelled`,
+    );
+    assert.equal(
+      w.logs.filter((l) => l.includes("refuses a transaction")).length,
+      0,
+      "nothing is over a limit",
+    );
   }
 });
 
