A new master also waits for machines that a roster written by production may lack

Cause: production writes its roster conditional on its token alone. Change: roster records written by the present version say that they are complete; production leaves the mark out. While one lacks it, a new master waits for all machines that a list of the cloud of its own time names, or for lease_s, counts what it can't know as used, and writes the mark after all that it added. What bounds unknown machines is a number now, not Infinity, which became NaN in what was written of teams. Takeovers from the present version take no list and no change more.

--- a/src/coordination/holdings.ts
+++ b/src/coordination/holdings.ts
@@ -4,7 +4,7 @@
 import { type CommitEnd, type Context, DRIFT } from "./context.js";
 import { Urgent } from "./effects.js";
 import { Ledger, type Use } from "./ledger.js";
-import { taskKey } from "./model.js";
+import { type ListedMachine, taskKey } from "./model.js";
 import { Roster } from "./roster.js";
 import { queueOf } from "./splitter.js";
 import type { JobRun, TaskRun, Worker } from "./tasks.js";
@@ -25,6 +25,8 @@
 
 const LEASE_SLACK_MS = 1_000;
 const LIST_SLACK_MS = 500;
+/** What a machine of unknown size may use at most, in CPUs and accelerators: more than any limit. */
+const UNKNOWN_SIZE = 1e9;
 /** Of a group's machines, those that may be replaced at a time for receiving nothing. */
 const REPLACED_SHARE = 0.1;
 
@@ -44,8 +46,10 @@
   readonly untold = new Set<Worker>();
   /** Machines whose room a gang held in the last placing pass. */
   readonly holding = new Set<Worker>();
-  /** Machines of the former master that have not reported under this token; null: all accounted for. */
-  private fence: Set<string> | null;
+  /** Machines of the former master that have not reported under this token, with their types; null: all accounted for. */
+  private fence: Map<string, string> | null;
+  /** The roster may lack some of them: the fence also waits for a list of the cloud that names them. */
+  private fenceLacksList: boolean;
   private readonly sinceMs: number;
 
   constructor(
@@ -67,8 +71,11 @@
     );
     // Invariant (rules ran_twice, quota, wrong_place): whatever a former master may have started counts as
     // running until every machine it could have used has spoken under this token or is past its lease.
-    this.fence = new Set(this.roster.machines().keys());
-    if (this.fence.size === 0) this.fence = null;
+    this.fence = new Map();
+    for (const [id, { type }] of this.roster.machines())
+      this.fence.set(id, type);
+    this.fenceLacksList = this.roster.mayLackMachines;
+    if (this.fence.size === 0 && !this.fenceLacksList) this.fence = null;
   }
 
   /** Every commit of a master depends on its token, so that a late one changes nothing after a takeover. */
@@ -191,13 +198,15 @@
         if (j.old) add(j.view.spec.team, j.view.spec, j.waiting.size);
       // A silent machine may also run tasks of jobs that are over, of any team.
       // One whose report may be a late copy may run more than that lists.
-      for (const id of this.fence) {
-        const type = this.ctx.catalog?.find(
-          (t) => t.name === this.roster.machines().get(id)?.type,
-        );
+      for (const [id, typeName] of this.fence) {
+        const type = this.ctx.catalog?.find((t) => t.name === typeName);
         const known = listedOn(this.workers.get(id));
-        blind.cpus += Math.max(0, (type?.cpus ?? Infinity) - known.cpus);
-        blind.gpus += Math.max(0, (type?.gpus ?? Infinity) - known.gpus);
+        blind.cpus += Math.max(0, (type?.cpus ?? UNKNOWN_SIZE) - known.cpus);
+        blind.gpus += Math.max(0, (type?.gpus ?? UNKNOWN_SIZE) - known.gpus);
+      }
+      if (this.fenceLacksList) {
+        blind.cpus += UNKNOWN_SIZE;
+        blind.gpus += UNKNOWN_SIZE;
       }
     }
     for (const team of this.ctx.settings.teams.keys()) add(team, blind);
@@ -326,7 +335,8 @@
   accountFor(id: string): void {
     if (!this.fence) return;
     this.fence.delete(id);
-    if (this.fence.size === 0) this.liftFence("every machine has reported");
+    if (this.fence.size === 0 && !this.fenceLacksList)
+      this.liftFence("every machine has reported");
   }
 
   private liftFence(why: string): void {
@@ -334,10 +344,12 @@
       group: this.group,
       token: this.token,
       why,
-      silent: [...(this.fence ?? [])].slice(0, 10),
+      silent: [...(this.fence?.keys() ?? [])].slice(0, 10),
       afterMs: Math.round(this.ctx.nowMs - this.sinceMs),
     });
     this.fence = null;
+    this.fenceLacksList = false;
+    this.roster.confirm();
     this.dirty = true;
   }
 
@@ -369,9 +381,10 @@
    * does not show is not waited for. One machine that was taken without notice held up each takeover of hundreds for a
    * whole lease.
    */
-  listed(machines: { has(id: string): boolean }, asOfMs: number): void {
+  listed(machines: ReadonlyMap<string, ListedMachine>, asOfMs: number): void {
     if (!this.fence || asOfMs < this.sinceMs + LIST_SLACK_MS) return;
-    for (const id of [...this.fence]) {
+    if (this.fenceLacksList) this.fenceListed(machines);
+    for (const id of [...(this.fence?.keys() ?? [])]) {
       if (machines.has(id) || this.workers.has(id)) continue;
       this.ctx.log("info", "machine of the former master is gone", {
         worker: id,
@@ -381,13 +394,34 @@
     }
   }
 
+  /**
+   * Invariant (ran_twice, quota): what the former master may have started runs on machines that were up before this master
+   * began, so this list names them, whether the roster does or not. One that stopped of its own accord runs nothing.
+   */
+  private fenceListed(machines: ReadonlyMap<string, ListedMachine>): void {
+    this.fenceLacksList = false;
+    let added = 0;
+    for (const [id, machine] of machines) {
+      const hasReported = (this.workers.get(id)?.token ?? 0) >= this.token;
+      if (machine.state === "failed" || hasReported || this.fence!.has(id))
+        continue;
+      this.fence!.set(id, machine.type);
+      added++;
+    }
+    this.ctx.log("info", "takeover waits for machines that the roster lacks", {
+      group: this.group,
+      machines: added,
+    });
+    if (this.fence!.size === 0) this.liftFence("every machine has reported");
+  }
+
   /** Leases that have ended: of the machines that a takeover waits for, and of those that fell silent. */
   expire(): void {
     const now = this.ctx.nowMs;
     const leaseMs = this.ctx.settings.leaseS * 1000 * DRIFT + LEASE_SLACK_MS;
     if (this.fence && now - this.sinceMs > leaseMs) {
       // Invariant (ran_twice): a machine that has reported, though not under this token yet, may run tasks: it stays.
-      for (const id of this.fence)
+      for (const id of this.fence.keys())
         if (!this.workers.has(id)) this.forgetMachine(id);
       this.liftFence("leases of silent machines have ended");
     }
--- a/src/coordination/mirror.ts
+++ b/src/coordination/mirror.ts
@@ -15,7 +15,7 @@
   readRoom,
   readRoster,
   type RoomRecord,
-  type RosterEntry,
+  type RosterRecord,
   readBelief,
   readReclaims,
   type Reclaim,
@@ -65,7 +65,7 @@
   readonly jobs = new Map<string, JobView>();
   readonly rooms = new Map<string, RoomRecord>();
   /** group -> chunk -> machines */
-  readonly rosters = new Map<string, Map<number, Map<string, RosterEntry>>>();
+  readonly rosters = new Map<string, Map<number, RosterRecord>>();
   /** Counts changes of `limits`. */
   limitsSeq = 0;
   /** Parts of the teams' limits, by key. */
--- a/src/coordination/roster.ts
+++ b/src/coordination/roster.ts
@@ -1,6 +1,7 @@
 import {
   bytesOf,
   type RosterEntry,
+  type RosterRecord,
   rosterKey,
   writeRoster,
 } from "../storage/records.js";
@@ -9,6 +10,12 @@
 
 /** Left free in each record, for what a mark or another machine type adds. */
 const SLACK_BYTES = 100;
+/** Until a commit that failed is sent again. */
+const RETRY_MS = 300;
+
+/** Bytes that a record of these machines takes once it is marked as complete. */
+const bytesOfMarked = (machines: Map<string, RosterEntry>): number =>
+  bytesOf(writeRoster({ machines, complete: true }));
 
 /**
  * The written list of the machines that a group may have started tasks on. A machine is committed before its
@@ -21,6 +28,10 @@
   private readonly dirty = new Set<number>();
   /** Records between which machines were moved: they are committed together or not at all. */
   private together: ReadonlySet<number> = new Set();
+  /** Records of which it is not known that they name all machines: the version in production wrote them. */
+  private readonly unconfirmed = new Set<number>();
+  /** Whatever these records may lack has been heard of since, or is gone. */
+  private nothingLacking = false;
   private busy = false;
   private retryMs = 0;
 
@@ -34,13 +45,31 @@
     ) => void,
     private readonly changed: () => void,
   ) {
-    for (const [chunk, m] of ctx.mirror.rosters.get(group) ?? []) {
-      this.want.set(chunk, new Map(m));
-      for (const [id, e] of m) this.written.set(id, e);
-      if (!this.fits(m)) this.dirty.add(chunk);
+    for (const [chunk, record] of ctx.mirror.rosters.get(group) ?? []) {
+      const { machines, complete } = record;
+      this.want.set(chunk, new Map(machines));
+      for (const [id, entry] of machines) this.written.set(id, entry);
+      if (!complete) this.unconfirmed.add(chunk);
+      if (!this.fits(machines)) this.dirty.add(chunk);
     }
   }
 
+  /**
+   * Machines on which tasks run may be missing. The version in production replaces a record whatever it holds by then, so a
+   * commit of it without an answer may have taken machines off the list after these began tasks.
+   */
+  get mayLackMachines(): boolean {
+    return this.unconfirmed.size > 0;
+  }
+  /**
+   * Every machine that may run tasks of a former master is listed or gone. The records are marked as complete once all that
+   * was added to them is written.
+   */
+  confirm(): void {
+    this.nothingLacking = true;
+    this.flush();
+  }
+
   machines(): ReadonlyMap<string, RosterEntry> {
     return this.written;
   }
@@ -55,14 +84,13 @@
     for (const [chunk, m] of this.want) if (m.has(id)) return chunk;
     return undefined;
   }
-  private fits(m: ReadonlyMap<string, RosterEntry>): boolean {
-    return bytesOf(writeRoster(m)) <= this.ctx.settings.state.valueBytes;
+  private fits(machines: Map<string, RosterEntry>): boolean {
+    return bytesOfMarked(machines) <= this.ctx.settings.state.valueBytes;
   }
   /** Bytes that a record takes, worked out once for as long as nobody changes it. */
-  private sizeOf(chunk: number, m: ReadonlyMap<string, RosterEntry>): number {
+  private sizeOf(chunk: number, m: Map<string, RosterEntry>): number {
     let size = this.sizes.get(chunk);
-    if (size === undefined)
-      this.sizes.set(chunk, (size = bytesOf(writeRoster(m))));
+    if (size === undefined) this.sizes.set(chunk, (size = bytesOfMarked(m)));
     return size;
   }
   private readonly sizes = new Map<number, number>();
@@ -82,7 +110,7 @@
       }
       // It takes at least its name and seven signs: most records are full, and known to be.
       if (this.sizeOf(chunk, m) + id.length + 7 > most) continue;
-      const size = bytesOf(writeRoster(new Map(m).set(id, entry)));
+      const size = bytesOfMarked(new Map(m).set(id, entry));
       if (size <= most) return { chunk, size };
     }
   }
@@ -143,45 +171,70 @@
     return parts;
   }
 
+  /** The record to write next: one that changed, or else one to be marked as complete. */
+  private nextChunk(): number | undefined {
+    const changed = this.dirty.values().next().value;
+    if (changed !== undefined || !this.nothingLacking) return changed;
+    return this.unconfirmed.values().next().value;
+  }
+
+  /** Records as they are to be written now, and whether they may be marked as complete. */
+  private toSend(): Map<number, RosterRecord> {
+    for (const chunk of this.together) this.dirty.delete(chunk);
+    // Invariant (ran_twice): while a machine that was added is in no record yet, some record has to say that one may be missing.
+    const allWritten = this.nothingLacking && this.dirty.size === 0;
+    const records = new Map<number, RosterRecord>();
+    for (const chunk of this.together) {
+      const complete = allWritten || !this.unconfirmed.has(chunk);
+      records.set(chunk, {
+        machines: new Map(this.want.get(chunk)),
+        complete,
+      });
+    }
+    return records;
+  }
+
   flush(): void {
     if (this.busy || this.ctx.nowMs < this.retryMs) return;
     if (this.together.size === 0) {
-      const chunk = this.dirty.values().next().value;
+      const chunk = this.nextChunk();
       if (chunk === undefined) return;
       this.together = this.fits(this.want.get(chunk)!)
         ? new Set([chunk])
         : this.divide(chunk);
     }
-    const sent = new Map(
-      [...this.together].map((chunk) => [chunk, new Map(this.want.get(chunk))]),
-    );
-    for (const chunk of sent.keys()) this.dirty.delete(chunk);
+    const records = this.toSend();
     this.busy = true;
     // Conditional on what this master last knew of them: a commit without an answer that is carried out after a later
     // one would take machines off the list on which tasks run.
-    const conditions = [...sent.keys()].map((chunk) => {
+    const conditions = [...records.keys()].map((chunk) => {
       const key = rosterKey(this.group, chunk);
       return { key, version: this.ctx.mirror.revisionOf(key) };
     });
-    const writes = [...sent].map(([chunk, m]): Write => ({
+    const writes = [...records].map(([chunk, record]): Write => ({
       op: "put",
       key: rosterKey(this.group, chunk),
-      value: writeRoster(m),
+      value: writeRoster(record),
     }));
     this.commit(conditions, writes, (end) => {
       this.busy = false;
-      if (end === "ok") {
-        this.together = new Set();
-        // Taken off since, or listed elsewhere by now: only a commit that names it there counts.
-        for (const [chunk, m] of sent)
-          for (const [id, e] of m)
-            if (this.want.get(chunk)!.has(id)) this.written.set(id, e);
-        this.changed();
-      } else {
-        for (const chunk of sent.keys()) this.dirty.add(chunk);
-        this.retryMs = this.ctx.nowMs + 300;
+      if (end === "ok") this.committed(records);
+      else {
+        for (const chunk of records.keys()) this.dirty.add(chunk);
+        this.retryMs = this.ctx.nowMs + RETRY_MS;
       }
       this.flush();
     });
   }
+
+  private committed(records: ReadonlyMap<number, RosterRecord>): void {
+    this.together = new Set();
+    for (const [chunk, { machines, complete }] of records) {
+      if (complete) this.unconfirmed.delete(chunk);
+      // Taken off since, or listed elsewhere by now: only a commit that names it there counts.
+      for (const [id, entry] of machines)
+        if (this.want.get(chunk)!.has(id)) this.written.set(id, entry);
+    }
+    this.changed();
+  }
 }
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -188,6 +188,15 @@
   /** Not all teams found room in the record. */
   cut: boolean;
 }
+/** One of the records that list the machines of a group. */
+export interface RosterRecord {
+  machines: Map<string, RosterEntry>;
+  /**
+   * The record was written by a commit that is conditional on the record that it replaces, so it lacks no machine that was
+   * added before. The version in production writes records without this condition, and leaves the mark out.
+   */
+  complete: boolean;
+}
 export interface RosterEntry {
   /** Marked for return: never used again. */
   going: boolean;
@@ -283,6 +292,8 @@
 const Roster = v.object({
   t: v.array(v.string()),
   m: v.array(v.tuple([v.string(), v.number(), v.number()])),
+  // Not known to the version before, which neither minds nor keeps it.
+  c: v.optional(v.number()),
 });
 const Quota = v.record(
   v.string(),
@@ -482,23 +493,27 @@
   ...(r.cut ? { cut: true } : {}),
 });
 
-export function readRoster(value: unknown): Map<string, RosterEntry> | null {
-  const o = read(Roster, value);
-  return (
-    o &&
-    new Map(
-      o.m.map(([id, type, going]) => [
-        id,
-        { going: going === 1, type: o.t[type] ?? "" },
-      ]),
-    )
+export function readRoster(value: unknown): RosterRecord | null {
+  const record = read(Roster, value);
+  if (!record) return null;
+  const machines = new Map(
+    record.m.map(([id, type, going]) => [
+      id,
+      { going: going === 1, type: record.t[type] ?? "" },
+    ]),
   );
+  return { machines, complete: record.c === 1 };
 }
-export function writeRoster(m: ReadonlyMap<string, RosterEntry>): object {
-  const t = [...new Set([...m.values()].map((e) => e.type))];
+export function writeRoster({ machines, complete }: RosterRecord): object {
+  const types = [...new Set([...machines.values()].map((e) => e.type))];
   return {
-    t,
-    m: [...m].map(([id, e]) => [id, t.indexOf(e.type), e.going ? 1 : 0]),
+    t: types,
+    m: [...machines].map(([id, e]) => [
+      id,
+      types.indexOf(e.type),
+      e.going ? 1 : 0,
+    ]),
+    ...(complete ? { c: 1 } : {}),
   };
 }
 
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -31,6 +31,7 @@
 import type { Condition, Write } from "../src/protocol/state.js";
 import * as old from "./production/storage/records.js";
 import { pipelines, randomJob, troubles, users } from "./sim/days.js";
+import { caught } from "./sim/guards.js";
 import { Rng, World } from "./sim/world.js";
 
 /** The version in production and the present one, on each other's records and side by side. */
@@ -111,8 +112,23 @@
     ["n-1", { going: false, type: "a" }],
     ["n-2", { going: true, type: "b" }],
   ]);
-  assert.deepEqual(old.readRoster(stored(writeRoster(machines))), machines);
-  assert.deepEqual(readRoster(stored(old.writeRoster(machines))), machines);
+  for (const complete of [true, false])
+    assert.deepEqual(
+      old.readRoster(stored(writeRoster({ machines, complete }))),
+      machines,
+    );
+  assert.deepEqual(
+    readRoster(stored(writeRoster({ machines, complete: true }))),
+    {
+      machines,
+      complete: true,
+    },
+  );
+  // Production replaces a record whatever it holds: what it wrote may lack machines.
+  assert.deepEqual(readRoster(stored(old.writeRoster(machines))), {
+    machines,
+    complete: false,
+  });
   const room = {
     rows: [
       {
@@ -163,7 +179,7 @@
   assert.deepEqual(readRoom(stored(old.writeRoom(asOld))), room);
 });
 
-test("a roster record that became too large is divided, each machine being in one record at every moment", () => {
+test("a roster record of production that is too large is divided, each machine being in one record at every moment; it is marked as complete only once nothing is missing", () => {
   for (const [seed, count] of [
     [1, 200],
     [2, 200],
@@ -178,13 +194,18 @@
       ]),
     );
     const state = new Map([
-      [rosterKey("g", 0), { value: stored(writeRoster(machines)), version: 1 }],
+      [
+        rosterKey("g", 0),
+        { value: stored(old.writeRoster(machines)), version: 1 },
+      ],
     ]);
-    assert.ok(bytesOf(writeRoster(machines)) > limits.valueBytes);
+    assert.ok(bytesOf(old.writeRoster(machines)) > limits.valueBytes);
     let epoch = 1;
     const pending: (() => void)[] = [];
     const mirror = {
-      rosters: new Map([["g", new Map([[0, machines]])]]),
+      rosters: new Map([
+        ["g", new Map([[0, readRoster(state.get(rosterKey("g", 0))!.value)!]])],
+      ]),
       revisionOf: (key: string) => state.get(key)?.version ?? 0,
     };
     const ctx = {
@@ -195,11 +216,13 @@
     };
     const everywhere = (): [string, boolean][] =>
       [...state.values()].flatMap((d) =>
-        [...readRoster(d.value)!].map(([id, e]): [string, boolean] => [
+        [...readRoster(d.value)!.machines].map(([id, e]): [string, boolean] => [
           id,
           e.going,
         ]),
       );
+    const allComplete = (): boolean =>
+      [...state.values()].every((d) => readRoster(d.value)!.complete);
     const commit = (
       conditions: Condition[],
       writes: Write[],
@@ -232,6 +255,10 @@
         for (const id of machines.keys())
           if (!gone.has(id))
             assert.ok(ids.includes(id), `${id} is in no record`);
+        assert.ok(confirmed || !allComplete(), "marked before it is confirmed");
+        if (allComplete())
+          for (const id of toBeListed)
+            assert.ok(gone.has(id) || ids.includes(id), `${id} is missing`);
         done(
           luck === 0
             ? "refused"
@@ -244,6 +271,9 @@
       });
     };
     const gone = new Set<string>();
+    let confirmed = false;
+    /** Added before the records were confirmed. */
+    const toBeListed = new Set<string>();
     const r = new Roster(ctx as unknown as Context, "g", commit, () => {});
     r.flush();
     const marked = new Set<string>();
@@ -259,9 +289,15 @@
           r.set(id, { going: true, type: "stonerack" });
         }
       }
+      if (k === 150) {
+        confirmed = true;
+        for (const listed of marked) toBeListed.add(listed);
+        r.confirm();
+      }
       r.flush();
       pending.shift()?.();
     }
+    assert.ok(allComplete() && !r.mayLackMachines);
     const end = new Map(everywhere());
     for (const id of marked)
       if (!gone.has(id))
@@ -463,3 +499,23 @@
   const w = upgradeDay(LATE_ROSTER, true);
   assert.deepEqual(w.checker.broken, [], report(w, LATE_ROSTER));
 });
+
+test("guard: a new master also waits for machines that a roster written by production may lack", () => {
+  caught(
+    (seed) => upgradeDay(seed, true),
+    [LATE_ROSTER],
+    "ran_twice",
+    () => {
+      const before = Object.getOwnPropertyDescriptor(
+        Roster.prototype,
+        "mayLackMachines",
+      )!;
+      Object.defineProperty(Roster.prototype, "mayLackMachines", {
+        get: () => false,
+        configurable: true,
+      });
+      return () =>
+        Object.defineProperty(Roster.prototype, "mayLackMachines", before);
+    },
+  );
+});
