--- a/test/hooks-sending.test.ts
+++ b/test/hooks-sending.test.ts
@@ -14,7 +14,7 @@
 import { messageBody, parseSecret, signature } from "../src/hooks/signing.js";
 import { certificate, Deployment, kills } from "./hooks/processes.js";
 import { HookWorld, LIMITS } from "./hooks/days.js";
-import { Rng } from "./sim/world.js";
+import { Rng } from "./sim/rng.js";
 
 test("real processes: forced kills of one and of all controllers, a receiver in all moods; nothing lost, every repeat explained", async () => {
   const { ended, wrong, d } = await kills(7, 120, 1_000);
--- a/test/hooks/days.ts
+++ b/test/hooks/days.ts
@@ -8,7 +8,7 @@
 } from "../../src/hooks/core.js";
 import type { Attempted, Launch } from "../../src/hooks/delivery.js";
 import { HOOKS } from "../../src/hooks/records.js";
-import { Rng } from "../sim/world.js";
+import { Rng } from "../sim/rng.js";
 import { Store } from "./store.js";
 
 export const LIMITS: HookLimits = {
--- a/test/hooks/processes.ts
+++ b/test/hooks/processes.ts
@@ -15,7 +15,7 @@
   type StateReply,
 } from "../../src/protocol/state.js";
 import { freePort } from "../ports.js";
-import { Rng } from "../sim/world.js";
+import { Rng } from "../sim/rng.js";
 import { Store } from "./store.js";
 
 /** Real controllers on loopback, against stand-ins for the state service, the cloud and the receivers of hooks. */
--- a/test/parts.test.ts
+++ b/test/parts.test.ts
@@ -28,7 +28,7 @@
   writeJob,
 } from "../src/storage/records.js";
 import { Limiter } from "../src/transport/limiter.js";
-import { Rng } from "./sim/world.js";
+import { Rng } from "./sim/rng.js";
 
 const JOB = {
   id: "req-000412",
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -13,7 +13,8 @@
   troubles,
   users,
 } from "./sim/days.js";
-import { type SimWorker, World } from "./sim/world.js";
+import type { SimWorker } from "./sim/machine.js";
+import { World } from "./sim/world.js";
 
 const DAY_MS = 240_000;
 
--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -2,7 +2,8 @@
 import type { Effect } from "../../src/coordination/effects.js";
 import type { JobSpec } from "../../src/coordination/model.js";
 import type { Write } from "../../src/protocol/state.js";
-import type { SimWorker, World } from "./world.js";
+import type { SimWorker } from "./machine.js";
+import type { World } from "./world.js";
 
 /** PROTOCOL's rules, checked on what the workers really do and what users are really told. */
 export class Checker {
--- /dev/null
+++ b/test/sim/cloud.ts
@@ -0,0 +1,95 @@
+import type { CloudCall, CloudReply } from "../../src/coordination/effects.js";
+import type { MachineType } from "../../src/coordination/model.js";
+import { SimWorker } from "./machine.js";
+import type { World } from "./world.js";
+
+/** A stand-in for the cloud: rents machines, takes them back and lists them with a lag. */
+export class Cloud {
+  private ids = 0;
+  private readonly charters = new Map<string, string[]>();
+  readonly rented = new Map<string, SimWorker>();
+
+  constructor(private readonly world: World) {}
+
+  add(
+    type: MachineType,
+    zone: string,
+    spot: boolean,
+    bootMs: number,
+  ): SimWorker {
+    const w = new SimWorker(
+      this.world,
+      `n-${String(++this.ids).padStart(6, "0")}`,
+      type,
+      zone,
+      spot,
+    );
+    this.rented.set(w.id, w);
+    this.world.workers.push(w);
+    if (this.world.rng.chance(0.95))
+      this.world.at(bootMs, () => w.gone || w.start());
+    return w;
+  }
+  handle(call: CloudCall): CloudReply {
+    if (this.world.cloudDown) return { is: "failed", why: "503" };
+    switch (call.op) {
+      case "catalog":
+        return { is: "catalog", types: structuredClone(this.world.types) };
+      case "rent": {
+        const known = this.charters.get(call.request);
+        if (known) return { is: "rented", machines: known };
+        const there = [...this.rented.values()].filter(
+          (w) =>
+            w.zone === call.zone &&
+            w.type.name === call.type &&
+            w.spot === call.spot,
+        ).length;
+        const n = Math.min(call.count, this.world.capacity - there);
+        if (n <= 0) return { is: "noCapacity" };
+        const type = this.world.types.find((t) => t.name === call.type)!;
+        const machines = Array.from(
+          { length: n },
+          () =>
+            this.add(
+              type,
+              call.zone,
+              call.spot,
+              this.world.bootFactor * this.world.rng.real(1_000, 6_000),
+            ).id,
+        );
+        this.charters.set(call.request, machines);
+        return { is: "rented", machines };
+      }
+      case "return":
+        for (const id of call.machines) {
+          this.rented.get(id)?.taken();
+          this.rented.delete(id);
+        }
+        return { is: "returned" };
+      case "list": {
+        // As things were up to twice the usual lag ago; a list may be older than the one before it.
+        const asOf =
+          this.world.now -
+          this.world.rng.real(0, 2_000 * this.world.settings.cloud.listLagS);
+        return {
+          is: "list",
+          more: false,
+          machines: this.world.workers
+            .filter(
+              (w) =>
+                w.id > call.after && w.bornMs <= asOf && w.removedMs > asOf,
+            )
+            .map((w) => ({
+              id: w.id,
+              address: "",
+              type: w.type.name,
+              zone: w.zone,
+              spot: w.spot,
+              state: w.gone ? "failed" : w.up ? "running" : "starting",
+              ageS: (this.world.now - w.bornMs) / 1000,
+            })),
+        };
+      }
+    }
+  }
+}
--- /dev/null
+++ b/test/sim/machine.ts
@@ -0,0 +1,423 @@
+import type { CommandReply } from "../../src/coordination/effects.js";
+import type {
+  Cause,
+  JobSpec,
+  MachineType,
+  Order,
+  Report,
+  ReportedTask,
+  TaskState,
+} from "../../src/coordination/model.js";
+import type { World } from "./world.js";
+
+/** A task on a simulated machine. */
+export interface SimTask {
+  job: string;
+  index: number;
+  attempt: number;
+  state: TaskState;
+  cause: Cause | null;
+  saved: boolean;
+  stopped: boolean;
+}
+
+/** A simulated machine with its worker, as PROTOCOL describes it. */
+export class SimWorker {
+  session = 1;
+  tally = 0;
+  token = 0;
+  up = false;
+  gone = false;
+  hung = false;
+  faulty = false;
+  /** Its reports arrive, but neither answers nor commands reach it. */
+  oneWay = false;
+  /** It can't open connections to any controller, while commands sent to it arrive and are answered. */
+  mute = false;
+  noticeMs: number | null = null;
+  /** Nodes that can't be reached. */
+  readonly cut = new Set<string>();
+  readonly tasks = new Map<string, SimTask>();
+  private sentMs = 0;
+  private target = 0;
+  private flying = false;
+  private lastMs = -1e9;
+  private readonly images = new Set<string>();
+  readonly bornMs: number;
+  /** When it was deleted or taken: from then on the cloud's list does not name it, once the list has caught up. */
+  removedMs = Infinity;
+
+  constructor(
+    readonly world: World,
+    readonly id: string,
+    readonly type: MachineType,
+    readonly zone: string,
+    readonly spot: boolean,
+  ) {
+    this.bornMs = world.now;
+  }
+  start(): void {
+    this.up = true;
+    this.sentMs = this.world.now;
+    this.loop();
+  }
+  private isCut(node: string): boolean {
+    return (
+      this.cut.has(node) || this.world.apart(this.zone, this.world.zoneOf(node))
+    );
+  }
+  onMachine(t: SimTask): boolean {
+    return (
+      t.state === "waiting" || t.state === "running" || t.state === "saving"
+    );
+  }
+  private loop(life = this.lives): void {
+    if (this.gone || life !== this.lives) return;
+    this.expire();
+    if (!this.flying && !this.hung && this.world.now - this.lastMs >= 500)
+      this.report();
+    this.world.at(
+      1000 * this.world.settings.reportS * this.world.rng.real(0.75, 1.25),
+      () => this.loop(life),
+    );
+  }
+  expire(): void {
+    if (
+      this.gone ||
+      !this.up ||
+      this.world.now - this.sentMs <= this.world.settings.leaseS * 1000
+    )
+      return;
+    // A hanging machine acts when it resumes, but its tasks count as gone: it does not execute them.
+    this.tasks.clear();
+    this.session++;
+    this.sentMs = this.world.now;
+  }
+  /** Its process or machine ended and is back: it knows nothing of before, neither its session nor the highest token. */
+  restart(downMs: number): void {
+    if (this.gone || !this.up) return;
+    this.world.note(`${this.id} restarts`, {
+      session: this.session,
+      tally: this.tally,
+      tasks: [...this.tasks.keys()],
+    });
+    this.up = false;
+    this.lives++;
+    this.tasks.clear();
+    this.images.clear();
+    this.world.at(downMs, () => {
+      if (this.gone) return;
+      this.session = 1;
+      this.tally = 0;
+      this.token = 0;
+      this.flying = false;
+      this.lastMs = -1e9;
+      this.start();
+    });
+  }
+  private lives = 0;
+  changed(): void {
+    this.world.at(500, () => {
+      if (
+        !this.gone &&
+        !this.hung &&
+        !this.flying &&
+        this.world.now - this.lastMs >= 500
+      )
+        this.report();
+    });
+  }
+  snapshot(): Report {
+    this.tally++;
+    return {
+      worker: this.id,
+      address: `10.0.0.1:${this.id.slice(2)}`,
+      type: this.type.name,
+      zone: this.zone,
+      spot: this.spot,
+      session: this.session,
+      tally: this.tally,
+      token: this.token,
+      noticeS:
+        this.noticeMs === null
+          ? null
+          : Math.max(0, (this.noticeMs - this.world.now) / 1000),
+      tasks: [...this.tasks.values()].map((t): ReportedTask => ({
+        job: t.job,
+        index: t.index,
+        attempt: t.attempt,
+        state: t.state,
+        cause: t.cause,
+        saved: t.saved,
+      })),
+    };
+  }
+  private report(): void {
+    if (!this.up) return;
+    const life = this.lives;
+    const names = this.world.names;
+    const node = names[this.target % names.length]!;
+    const sent = this.world.now;
+    const r = this.snapshot();
+    const session = this.session;
+    this.flying = true;
+    this.lastMs = sent;
+    let over = false;
+    const next = (): void => {
+      if (over || life !== this.lives) return;
+      over = true;
+      this.flying = false;
+      this.target++;
+      this.world.at(
+        1000,
+        () => this.gone || this.hung || this.flying || this.report(),
+      );
+    };
+    this.world.at(4000, next);
+    if (this.mute) return this.world.at(this.world.rng.real(1, 3_900), next);
+    const deliver = (): void =>
+      this.world.report(node, r, (a) => {
+        if (
+          this.isCut(node) ||
+          this.oneWay ||
+          this.world.rng.chance(this.world.loss)
+        )
+          return;
+        this.world.at(this.world.rng.real(1, 30), () => {
+          if (over || this.gone || life !== this.lives) return;
+          if (a === null) return next();
+          if (a.is === "elsewhere") {
+            const to = a.master === null ? -1 : names.indexOf(a.master);
+            if (to < 0 || to === this.target % names.length) return next();
+            over = true;
+            this.flying = false;
+            this.target = to;
+            return this.world.at(
+              this.world.rng.real(0, 500),
+              () => this.gone || this.hung || this.flying || this.report(),
+            );
+          }
+          if (a.is !== "orders") return next();
+          over = true;
+          this.flying = false;
+          this.expire();
+          if (session !== this.session || a.token < this.token) return;
+          this.sentMs = sent;
+          if (a.token > this.token) {
+            this.token = a.token;
+            this.changed();
+          }
+          for (const o of a.orders) this.execute(o);
+        });
+      });
+    // Copies come late, from seconds to well over a lease, at any node.
+    for (
+      let n = this.world.rng.chance(this.world.copies)
+        ? this.world.rng.int(1, 2)
+        : 0;
+      n > 0;
+      n--
+    )
+      this.world.at(
+        this.world.rng.real(
+          500,
+          4_000 * this.world.settings.leaseS * this.world.rng.real() ** 2,
+        ),
+        () => {
+          this.world.lateReports++;
+          this.world.report(
+            this.world.rng.pick(names),
+            structuredClone(r),
+            () => {},
+          );
+        },
+      );
+    if (
+      this.world.forNext > 0 &&
+      this.world.rng.chance(this.world.forNext) &&
+      this.world.kept.length < 500
+    )
+      this.world.kept.push(structuredClone(r));
+    if (this.isCut(node)) {
+      // Held by the network, perhaps delivered much later.
+      if (this.world.rng.chance(0.5))
+        this.world.at(this.world.rng.real(1_000, 60_000), deliver);
+      return;
+    }
+    if (!this.world.rng.chance(this.world.loss))
+      this.world.at(this.world.rng.real(1, 30), deliver);
+  }
+  command(
+    node: string,
+    token: number,
+    session: number,
+    orders: Order[],
+    done: (r: CommandReply) => void,
+  ): void {
+    const life = this.lives;
+    const askedMs = this.world.now;
+    const run = (answer: boolean): void => {
+      if (this.gone || !this.up || life !== this.lives) return;
+      if (this.hung) return this.world.at(300, () => run(false));
+      this.expire();
+      const ok = token >= this.token && session === this.session;
+      if (ok) {
+        if (this.world.now - askedMs > 1_000) this.world.lateCommands++;
+        if (this.mute && orders.length > 0) this.world.muteCommands++;
+        if (token > this.token) this.token = token;
+        for (const o of orders) this.execute(o);
+      }
+      this.tally++;
+      if (answer && !this.oneWay && !this.world.rng.chance(this.world.loss))
+        done({ is: "answered", status: ok ? 200 : 409 });
+    };
+    const held =
+      this.isCut(node) || (this.oneWay && this.world.rng.chance(0.5));
+    if (!held && (this.oneWay || this.world.rng.chance(this.world.loss)))
+      return;
+    this.world.at(
+      held ? this.world.rng.real(1_000, 60_000) : this.world.rng.real(1, 30),
+      () => run(!held),
+    );
+  }
+  inspect(node: string, done: (r: Report) => void): void {
+    const life = this.lives;
+    this.world.at(this.world.rng.real(1, 30), () => {
+      if (
+        this.gone ||
+        !this.up ||
+        life !== this.lives ||
+        this.hung ||
+        this.oneWay ||
+        this.isCut(node) ||
+        this.world.rng.chance(this.world.loss)
+      )
+        return;
+      this.expire();
+      const r = this.snapshot();
+      this.world.at(
+        this.world.rng.real(1, 30),
+        () => this.isCut(node) || done(r),
+      );
+    });
+  }
+  execute(o: Order): void {
+    const key = `${o.job}/${o.index}#${o.attempt}`;
+    const t = this.tasks.get(key);
+    if (o.op === "start") {
+      if (t) return;
+      const spec = this.world.specs.get(o.job);
+      const task: SimTask = {
+        job: o.job,
+        index: o.index,
+        attempt: o.attempt,
+        state: "fetching",
+        cause: null,
+        saved: false,
+        stopped: false,
+      };
+      this.tasks.set(key, task);
+      const live = [...this.tasks.values()].filter(
+        (x) => x.state !== "exited" && x !== task,
+      );
+      if (!spec) return this.exit(task, "no_such");
+      if (live.some((x) => x.job === o.job && x.index === o.index))
+        return this.exit(task, "busy");
+      const used = live.reduce(
+        (a, x) => a + this.world.specs.get(x.job)!.cpus,
+        0,
+      );
+      if (used + spec.cpus > this.type.cpus + 1e-6)
+        return this.exit(task, "no_room");
+      this.world.at(
+        this.images.has(spec.image) ? 10 : this.world.rng.real(300, 2500),
+        () => this.hasImage(task, spec),
+      );
+      return;
+    }
+    if (!t) return;
+    if (o.op === "forget") {
+      if (t.state === "exited") this.tasks.delete(key);
+      return;
+    }
+    if (t.state === "exited") return;
+    const spec = this.world.specs.get(o.job)!;
+    if (
+      t.state === "running" &&
+      spec.checkpointS > 0 &&
+      o.graceS >= spec.saveS
+    ) {
+      t.state = "saving";
+      this.world.at(
+        spec.saveS * 1000,
+        () =>
+          t.state === "saving" && this.has(t) && this.exit(t, "stopped", true),
+      );
+    } else if (t.state !== "saving" || o.graceS === 0) this.exit(t, "stopped");
+  }
+  private has(t: SimTask): boolean {
+    return !this.gone && [...this.tasks.values()].includes(t);
+  }
+  private hasImage(t: SimTask, spec: JobSpec): void {
+    if (!this.has(t) || t.state !== "fetching") return;
+    if (this.hung) return this.world.at(300, () => this.hasImage(t, spec));
+    this.images.add(spec.image);
+    this.world.checker.begins(this, t.job, t.index);
+    if (this.world.results.has(`${t.job}/${t.index}`)) {
+      t.state = "running";
+      return this.exit(t, "done");
+    }
+    if (spec.shape === "ensemble") {
+      t.state = "waiting";
+      this.changed();
+      this.world.at(
+        this.world.settings.gangWaitS * 1000,
+        () =>
+          t.state === "waiting" && this.has(t) && this.exit(t, "incomplete"),
+      );
+      return this.world.gangReady(t.job, t.attempt, spec);
+    }
+    this.run(t, spec);
+  }
+  run(
+    t: SimTask,
+    spec: JobSpec,
+    runMs = this.world.rng.real(1_000, 12_000) * this.world.runFactor,
+  ): void {
+    t.state = "running";
+    this.changed();
+    if (spec.shape === "daemon") return;
+    this.world.at(runMs, () => {
+      if (!this.has(t) || t.state !== "running") return;
+      if (this.hung) return this.run(t, spec, 500);
+      if (this.faulty || this.world.broken.has(t.job))
+        return this.exit(t, "error");
+      if (
+        spec.shape === "ensemble" &&
+        !this.world.gangComplete(t.job, t.attempt, spec)
+      )
+        return this.exit(t, "peers");
+      this.world.results.add(`${t.job}/${t.index}`);
+      if (spec.shape === "ensemble")
+        this.world.gangDone(t.job, t.attempt, spec);
+      else this.exit(t, "done");
+      if (this.world.jobEnded && this.world.checker.isDone(t.job))
+        this.world.jobEnded(t.job);
+    });
+  }
+  exit(t: SimTask, cause: Cause, saved = false): void {
+    t.state = "exited";
+    t.cause = cause;
+    t.saved = saved;
+    this.changed();
+  }
+  vanish(): void {
+    this.gone = true;
+    this.tasks.clear();
+  }
+  /** The cloud takes it away. */
+  taken(): void {
+    this.vanish();
+    this.removedMs = this.world.now;
+  }
+}
--- a/test/sim/meetings.ts
+++ b/test/sim/meetings.ts
@@ -8,7 +8,9 @@
   submit,
   users,
 } from "./days.js";
-import { type Rng, type SimWorker, World } from "./world.js";
+import type { SimWorker } from "./machine.js";
+import type { Rng } from "./rng.js";
+import { World } from "./world.js";
 
 /**
  * Days on which two troubles meet. A day is a seed and a list of troubles, so that what broke a rule can be played again with
--- a/test/transport.test.ts
+++ b/test/transport.test.ts
@@ -5,7 +5,7 @@
 import { Daemon } from "../src/daemon.js";
 import { Connections, KINDS, type Kind } from "../src/transport/connections.js";
 import { api, type Asked } from "../src/transport/server.js";
-import { Rng } from "./sim/world.js";
+import { Rng } from "./sim/rng.js";
 
 /** What stands between the sockets and the core. */
 
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -32,7 +32,8 @@
 import * as old from "./production/storage/records.js";
 import { pipelines, randomJob, troubles, users } from "./sim/days.js";
 import { caught } from "./sim/guards.js";
-import { Rng, World } from "./sim/world.js";
+import { Rng } from "./sim/rng.js";
+import { World } from "./sim/world.js";
 
 /** The version in production and the present one, on each other's records and side by side. */
 
