Queues that wait for a limit or for larger room keep no group from taking tasks

Cause: a waiting task went only to a group whose queue is empty. A few tasks of a team at its limit, or a gang that does not fit, kept tasks of all others from the idle machines of their group; a job was left waiting for more than 90 s. Change: the written queue leaves out tasks that only their team's limit keeps from starting; a task of an array goes where there is room beside what waits.

--- /dev/null
+++ b/src/coordination/backlog.ts
@@ -0,0 +1,41 @@
+import type { Use } from "./ledger.js";
+import { fitLimit, goesWhole } from "./placement.js";
+import { queueOf } from "./splitter.js";
+import type { JobRun } from "./tasks.js";
+
+/** Waiting tasks, by the kind of machine that they need. */
+export interface Backlog {
+  plain: number;
+  accelerated: number;
+}
+
+/**
+ * Tasks that wait for machines. Those that only their team's limit keeps from starting wait for none: counted, they kept
+ * a group with idle machines from taking tasks of any other team.
+ */
+export function backlogOf(
+  jobs: Iterable<JobRun>,
+  headroom: ReadonlyMap<string, Use>,
+): Backlog {
+  const left = new Map<string, Use>();
+  for (const [team, use] of headroom) left.set(team, { ...use });
+  const backlog: Backlog = { plain: 0, accelerated: 0 };
+  for (const job of jobs) {
+    const tasks = startable(job, left.get(job.view.spec.team));
+    backlog[queueOf(job.view.spec)] += tasks;
+  }
+  return backlog;
+}
+
+/** Waiting tasks of a job that the rest of its team's limit allows, which they then take. */
+function startable(job: JobRun, left: Use | undefined): number {
+  const { spec } = job.view;
+  const waiting = job.waiting.size;
+  if (!left || waiting === 0) return waiting;
+  const allowed = Math.max(0, fitLimit(spec, left));
+  if (goesWhole(spec) && allowed < waiting) return 0;
+  const tasks = Math.min(waiting, allowed);
+  left.cpus -= tasks * spec.cpus;
+  left.gpus -= tasks * spec.gpus;
+  return tasks;
+}
--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -4,6 +4,7 @@
   type RoomRecord,
   writeJob,
 } from "../storage/records.js";
+import { backlogOf } from "./backlog.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import { Handover } from "./handover.js";
@@ -56,9 +57,9 @@
       (j) => !j.waiting.isEmpty,
     );
     if (waiting.length === 0) return;
-    const own = this.own.queue();
     const rooms = this.ctx.mirror.rooms;
     const headroom = this.sharing.headroom();
+    const own = backlogOf(this.own.jobs.values(), headroom);
     for (const job of waiting) {
       const spec = job.view.spec;
       const kind = queueOf(spec);
@@ -84,17 +85,14 @@
       if (whole && !this.own.waitsWhole(job)) continue;
       let best: { g: string; fit: number } | null = null;
       for (const [g, r] of rooms) {
-        if (
-          g === this.own.group ||
-          (!whole && r.queue[kind] > 0) ||
-          !this.ctx.mirror.groups.has(g)
-        )
-          continue;
+        if (g === this.own.group || !this.ctx.mirror.groups.has(g)) continue;
         const handed = this.ctx.handed.get(g);
-        // What waits there does not fit, or the room would not be free, and what it holds is not written as free.
+        // A gang that waits there does not fit, or the room would not be free, and what it holds is not written as free.
+        // Tasks of an array go where there is room beside all that waits there.
         const fit = whole
           ? this.wholeAt(job, g, r, short, handed)
-          : roomLeft(spec, r, this.ctx.catalog ?? [], short, handed);
+          : roomLeft(spec, r, this.ctx.catalog ?? [], short, handed) -
+            r.queue[kind];
         const n = Math.min(fit, this.allowed(spec, g, headroom.get(spec.team)));
         if (n >= (whole ? spec.tasks : 1) && (!best || n > best.fit))
           best = { g, fit: n };
--- a/src/coordination/room.ts
+++ b/src/coordination/room.ts
@@ -8,6 +8,7 @@
   tenth,
   writeRoom,
 } from "../storage/records.js";
+import { backlogOf } from "./backlog.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import type { Holdings } from "./holdings.js";
@@ -139,7 +140,7 @@
     );
     return {
       rows: [...rows.values()],
-      queue: { plain: queueFrom[0]![0], accelerated: queueFrom[0]![1] },
+      queue: backlogOf(this.own.jobs.values(), this.sharing.headroom()),
       queueFrom,
       running,
       soldOut,
--- /dev/null
+++ b/test/moves.test.ts
@@ -0,0 +1,85 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { JobSpec } from "../src/coordination/model.js";
+import { submit } from "./sim/days.js";
+import { told } from "./sim/guards.js";
+import { plainJob } from "./scenarios/stage.js";
+import { World } from "./sim/world.js";
+
+/** Arrays of two CPUs a task whose tasks run for half a minute. */
+function submitArray(world: World, id: number, over: Partial<JobSpec>): string {
+  const spec: JobSpec = {
+    ...plainJob(world, id),
+    shape: "batch",
+    samePlace: false,
+    urgency: "normal",
+    cpus: 2,
+    ...over,
+  };
+  world.specs.set(spec.id, spec);
+  submit(world, spec, world.now);
+  return spec.id;
+}
+
+/** Two groups and nothing to rent: one machine in the zone of the second, six in that of the first from 8 s on. */
+function twoGroups(): World {
+  const world = new World(5, undefined, [], 2);
+  world.capacity = 0;
+  world.runFactor = 4;
+  world.settings.teams = new Map([
+    ["red", { name: "red", cpus: 10, gpus: 0, cpusMax: 100, gpusMax: 8 }],
+    ["blue", { name: "blue", cpus: 4, gpus: 0, cpusMax: 8, gpusMax: 8 }],
+  ]);
+  world.bootAll();
+  world.cloud.add(world.types[0]!, "mid", false, 0);
+  world.at(8_000, () => {
+    for (let n = 0; n < 6; n++)
+      world.cloud.add(world.types[0]!, "east", false, 0);
+  });
+  return world;
+}
+
+test("tasks that only their team's limit keeps waiting don't keep other work from the idle machines of their group", () => {
+  const world = twoGroups();
+  let late = "";
+  world.at(4_000, () =>
+    submitArray(world, 1, { team: "red", tasks: 40, zone: "mid" }),
+  );
+  world.at(
+    5_000,
+    () => (late = submitArray(world, 2, { team: "red", tasks: 60 })),
+  );
+  // More of them than the other group has places: they wait for their limit all the time.
+  world.at(2_500, () =>
+    submitArray(world, 3, { team: "blue", tasks: 400, zone: "east" }),
+  );
+  world.run(160_000);
+  assert.deepEqual(world.checker.broken, [], told(world));
+  assert.equal(world.checker.told.get(late), "done", told(world));
+});
+
+test("a gang that does not fit keeps no other work from the idle machines of its group", () => {
+  const world = twoGroups();
+  let late = "";
+  world.at(4_000, () =>
+    submitArray(world, 1, { team: "red", tasks: 40, zone: "mid" }),
+  );
+  world.at(
+    5_000,
+    () => (late = submitArray(world, 2, { team: "red", tasks: 60 })),
+  );
+  // Seven tasks of a whole machine each, where there are six machines.
+  world.at(2_500, () =>
+    submitArray(world, 3, {
+      team: "red",
+      shape: "ensemble",
+      tasks: 7,
+      cpus: 8,
+      zone: "east",
+      samePlace: true,
+    }),
+  );
+  world.run(160_000);
+  assert.deepEqual(world.checker.broken, [], told(world));
+  assert.equal(world.checker.told.get(late), "done", told(world));
+});
