--- a/test/scenarios/index.ts
+++ b/test/scenarios/index.ts
@@ -1,19 +1,27 @@
 import { cancelledInHandover } from "./cancelled-in-handover.js";
 import { closeQuestions } from "./close-questions.js";
+import { heldCommands } from "./held-commands.js";
+import { lastTask } from "./last-task.js";
+import { leaderChanges } from "./leader-changes.js";
 import { limitsOutOfReach } from "./limits-out-of-reach.js";
 import { lostAnswers } from "./lost-answers.js";
 import { oldReports } from "./old-reports.js";
 import { oneTaskJobs } from "./one-task-jobs.js";
 import { quickMachines } from "./quick-machines.js";
 import type { Scenario } from "./stage.js";
+import { zones } from "./zones.js";
 
 /** Scenarios by name, for long searches. */
 export const SCENARIOS: Readonly<Record<string, Scenario>> = {
   "cancelled-in-handover": cancelledInHandover,
   "close-questions": closeQuestions,
+  "held-commands": heldCommands,
+  "last-task": lastTask,
+  "leader-changes": leaderChanges,
   "limits-out-of-reach": limitsOutOfReach,
   "lost-answers": lostAnswers,
   "old-reports": oldReports,
   "one-task-jobs": oneTaskJobs,
   "quick-machines": quickMachines,
+  zones,
 };
--- a/test/sim/machine.ts
+++ b/test/sim/machine.ts
@@ -19,6 +19,8 @@
   cause: Cause | null;
   saved: boolean;
   stopped: boolean;
+  /** When it will have run for its time; null: it does not run, or has no end. */
+  endsMs: number | null;
 }
 
 /** A simulated machine with its worker, as PROTOCOL describes it. */
@@ -275,6 +277,12 @@
       if (answer && !this.oneWay && !this.world.rng.chance(this.world.loss))
         done({ is: "answered", status: ok ? 200 : 409 });
     };
+    const hold = this.world.commandHold?.(node, this, token, orders);
+    if (hold)
+      return this.world.at(hold.forMs, () => {
+        if (!this.gone && this.up && life === this.lives) hold.onArrival();
+        run(false);
+      });
     const held =
       this.isCut(node) || (this.oneWay && this.world.rng.chance(0.5));
     if (!held && (this.oneWay || this.world.rng.chance(this.world.loss)))
@@ -319,6 +327,7 @@
         cause: null,
         saved: false,
         stopped: false,
+        endsMs: null,
       };
       this.tasks.set(key, task);
       const live = [...this.tasks.values()].filter(
@@ -391,6 +400,7 @@
     t.state = "running";
     this.changed();
     if (spec.shape === "daemon") return;
+    t.endsMs = this.world.now + runMs;
     this.world.at(runMs, () => {
       if (!this.has(t) || t.state !== "running") return;
       if (this.hung) return this.run(t, spec, 500);
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -30,6 +30,11 @@
   answered: boolean;
   afterMs?: number;
 }
+/** A direct command that is held up: for how long, and what is called just before the machine looks at it. */
+export interface CommandHold {
+  forMs: number;
+  onArrival: () => void;
+}
 /** Orders ride in the answer to a report, or are sent straight to the machine. */
 export type OrderChannel = "answer" | "command";
 
@@ -122,6 +127,15 @@
   commitFate:
     ((name: string, commit: CommitCall) => CommitFate | undefined) | null =
     null;
+  /** Holds a direct command up on its way, unanswered; undefined: it goes as the day brings. */
+  commandHold:
+    | ((
+        name: string,
+        machine: SimWorker,
+        token: number,
+        orders: readonly Order[],
+      ) => CommandHold | undefined)
+    | null = null;
   /** Called when a transaction was carried out. */
   readonly onCommitted: ((
     name: string,
