--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -49,7 +49,7 @@
   /** Age of the copy of the state service's records, in ms. */
   readAgeMs(): number;
   /** The token to act under for a group that no settings name any more; null: not yet, or another controller does. */
-  vacantToken(group: string): number | null;
+  unownedToken(group: string): number | null;
   /** Handed to each group, by splits and moves, since it last wrote its room. */
   readonly handed: ReadonlyMap<string, readonly Handed[]>;
   noteHanded(group: string, spec: JobSpec, tasks: number): void;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -29,12 +29,12 @@
 import type { JobSpec, MachineType, Order, Report, Tuning } from "./model.js";
 import { Orphans } from "./orphans.js";
 import { Ownership } from "./ownership.js";
-import { Reading } from "./reading.js";
-import { Seldom } from "./seldom.js";
+import { StateReader } from "./state-reader.js";
+import { RateLimitedLog } from "./rate-limited-log.js";
 import type { Handed } from "./splitter.js";
-import { Unanswered } from "./unanswered.js";
+import { UnansweredCommits } from "./unanswered-commits.js";
 import { Users, WITHDRAW_TRIES } from "./users.js";
-import { Vacancies } from "./vacancies.js";
+import { UnownedGroups } from "./unowned-groups.js";
 
 /** Who waits for the end of a call, which comes once. */
 function ended<F>(ops: Map<number, F>, op: number): F | undefined {
@@ -102,12 +102,12 @@
   readonly ownership: Ownership;
   readonly awaiting: Awaiting;
   private readonly orphans: Orphans;
-  private readonly vacancies: Vacancies;
-  private readonly odd = new Seldom(this);
+  private readonly unownedGroups: UnownedGroups;
+  private readonly contradictions = new RateLimitedLog(this);
   private readonly beliefs: Beliefs;
-  private readonly reading: Reading;
+  private readonly reader: StateReader;
   private readonly users: Users;
-  private readonly unanswered = new Unanswered();
+  private readonly unanswered = new UnansweredCommits();
   private out: Effect[] = [];
   private ops = 0;
   private readonly stateOps = new Map<
@@ -149,8 +149,8 @@
       () => this.checkMasters(),
       (group) => this.masters.get(group)?.own.deaf() ?? false,
     );
-    this.vacancies = new Vacancies(this, this.ownership);
-    this.orphans = new Orphans(this, this.vacancies, (spec) =>
+    this.unownedGroups = new UnownedGroups(this, this.ownership);
+    this.orphans = new Orphans(this, this.unownedGroups, (spec) =>
       this.users.cut(spec),
     );
     const state = (
@@ -160,7 +160,7 @@
     ): void => this.state(call, urgent, done);
     const later = (req: number, why: string, afterS = 1): void =>
       this.answer(req, { is: "later", afterS, why });
-    this.reading = new Reading(
+    this.reader = new StateReader(
       this,
       this.ownership,
       state,
@@ -174,7 +174,7 @@
       this.masters,
       this.ownership,
       this.awaiting,
-      this.reading,
+      this.reader,
       state,
       (req, answer) => this.answer(req, answer),
       later,
@@ -226,15 +226,15 @@
       case "memory":
         return this.users.memory(i.short);
       case "wake":
-        return this.reading.woken();
+        return this.reader.woken();
       case "submit":
         return this.users.submit(i.req, i.spec, i.awaits ?? []);
       case "status":
-        return this.reading.afterRead(i.req, i.id, (req, id) =>
+        return this.reader.afterRead(i.req, i.id, (req, id) =>
           this.users.tellStatus(req, id, 200),
         );
       case "withdraw":
-        return this.reading.afterRead(i.req, i.id, (req, id) =>
+        return this.reader.afterRead(i.req, i.id, (req, id) =>
           this.users.withdraw(req, id, WITHDRAW_TRIES),
         );
       case "report":
@@ -374,7 +374,7 @@
           this.handed.delete(s.group);
           break;
         case "unreadable":
-          this.odd.warn("record can't be read", s.key);
+          this.contradictions.warn("record can't be read", s.key);
           break;
         default:
           break;
@@ -404,7 +404,7 @@
 
   /** How things stand, for metrics: of the groups whose master this controller is. */
   get figures(): Figures {
-    const read = this.reading.refusals;
+    const read = this.reader.refusals;
     const oldest = Math.min(
       read.oldestMs ?? Infinity,
       this.users.lookups.oldestMs ?? Infinity,
@@ -521,8 +521,8 @@
   readAgeMs(): number {
     return this.ownership.readAgeMs;
   }
-  vacantToken(group: string): number | null {
-    return this.vacancies.token(group);
+  unownedToken(group: string): number | null {
+    return this.unownedGroups.token(group);
   }
 
   // ---- users ---------------------------------------------------------------------------------------------
@@ -565,15 +565,15 @@
 
   private tick(): void {
     this.ownership.tick();
-    this.reading.watch();
-    this.reading.readNow();
+    this.reader.watch();
+    this.reader.readNow();
     this.askCatalog();
     this.beliefs.tick(this.ownership.holdId);
     const agreed = this.beliefs.agreed();
     for (const m of this.masters.values()) m.tick(agreed);
     if (this.masters.size > 0) {
       this.orphans.tick();
-      this.vacancies.tick();
+      this.unownedGroups.tick();
     }
     this.awaiting.act();
     if (this.nowMs - this.lastSweepMs > 5_000) {
--- a/src/coordination/finishing.ts
+++ b/src/coordination/finishing.ts
@@ -9,7 +9,7 @@
 } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
-import type { Holdings } from "./holdings.js";
+import type { GroupState } from "./group-state.js";
 import type { JobSpec } from "./model.js";
 import type { JobRun } from "./tasks.js";
 
@@ -46,7 +46,7 @@
 export class Finishing {
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
   ) {}
 
   finish(job: JobRun, index: number): void {
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,6 +1,6 @@
 import { type Context, DRIFT } from "./context.js";
 import { Urgent } from "./effects.js";
-import type { Holdings } from "./holdings.js";
+import type { GroupState } from "./group-state.js";
 import type { JobSpec, ListedMachine, MachineType } from "./model.js";
 import { allowedOn, fits, suits } from "./placement.js";
 import { Renting } from "./renting.js";
@@ -45,7 +45,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     sharing: Sharing,
   ) {
     this.peakMs = ctx.nowMs;
--- a/src/coordination/gathering.ts
+++ b/src/coordination/gathering.ts
@@ -1,5 +1,5 @@
 import type { Context } from "./context.js";
-import type { Holdings } from "./holdings.js";
+import type { GroupState } from "./group-state.js";
 import type { Sharing } from "./limits/index.js";
 import type { JobSpec } from "./model.js";
 import {
@@ -59,7 +59,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     private readonly sharing: Sharing,
   ) {}
 
--- a/src/coordination/holdings.ts
+++ b/src/coordination/group-state.ts
@@ -35,7 +35,7 @@
  * what a former master may have left running. All parts of a master read it and change it by what is offered here, which
  * keeps it consistent; none of them owns a part of it, and nothing here calls any of them.
  */
-export class Holdings {
+export class GroupState {
   readonly workers = new Map<string, Worker>();
   readonly jobs = new Map<string, JobRun>();
   readonly ledger = new Ledger();
--- a/src/coordination/limits/demand.ts
+++ b/src/coordination/limits/demand.ts
@@ -1,5 +1,5 @@
 import type { Context } from "../context.js";
-import type { Holdings } from "../holdings.js";
+import type { GroupState } from "../group-state.js";
 import type { JobSpec } from "../model.js";
 import { allowedOn, EPS, fitCount, goesWhole, suits } from "../placement.js";
 import { isShort, turnAt } from "../queues.js";
@@ -40,7 +40,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     private readonly hasPlace: (spec: JobSpec) => boolean,
   ) {}
 
--- a/src/coordination/limits/guarantees.ts
+++ b/src/coordination/limits/guarantees.ts
@@ -1,6 +1,6 @@
 import type { Team } from "../../config/settings.js";
 import { type Context, STALE_MS } from "../context.js";
-import type { Holdings } from "../holdings.js";
+import type { GroupState } from "../group-state.js";
 import type { Use } from "../ledger.js";
 import { EPS } from "../placement.js";
 import { DIMS, entryOf, type Pair } from "./shares.js";
@@ -34,7 +34,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
   ) {}
 
   /**
--- a/src/coordination/limits/reclaims.ts
+++ b/src/coordination/limits/reclaims.ts
@@ -6,7 +6,7 @@
 } from "../../storage/records.js";
 import type { Context } from "../context.js";
 import { Urgent } from "../effects.js";
-import type { Holdings } from "../holdings.js";
+import type { GroupState } from "../group-state.js";
 import { NO_USE } from "../ledger.js";
 import { EPS } from "../placement.js";
 import type { Guarantees } from "./guarantees.js";
@@ -33,7 +33,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     private readonly guarantees: Guarantees,
   ) {}
 
--- a/src/coordination/limits/sharing.ts
+++ b/src/coordination/limits/sharing.ts
@@ -9,7 +9,7 @@
 import type { Context } from "../context.js";
 import { Urgent } from "../effects.js";
 import { Handover } from "../handover.js";
-import type { Holdings } from "../holdings.js";
+import type { GroupState } from "../group-state.js";
 import type { Use } from "../ledger.js";
 import type { JobSpec } from "../model.js";
 import { EPS } from "../placement.js";
@@ -50,7 +50,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     /** Whether this group has, or may get, a machine with room for a task of such a job. */
     hasPlace: (spec: JobSpec) => boolean,
   ) {
@@ -279,7 +279,7 @@
             (p[0] <= EPS && p[1] <= EPS)
           )
             continue;
-          const token = this.ctx.vacantToken(g);
+          const token = this.ctx.unownedToken(g);
           if (token !== null) gone.set(g, token);
         }
     return gone;
--- a/src/coordination/limits/shortfall.ts
+++ b/src/coordination/limits/shortfall.ts
@@ -1,5 +1,5 @@
 import type { Context } from "../context.js";
-import type { Holdings } from "../holdings.js";
+import type { GroupState } from "../group-state.js";
 import { NO_USE } from "../ledger.js";
 import type { JobSpec } from "../model.js";
 import { EPS } from "../placement.js";
@@ -18,7 +18,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     private readonly sharing: Sharing,
     private readonly guarantees: Guarantees,
     private readonly reclaims: Reclaims,
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -2,7 +2,7 @@
 import type { Answer } from "./effects.js";
 import { Finishing } from "./finishing.js";
 import { Fleet } from "./fleet.js";
-import { Holdings } from "./holdings.js";
+import { GroupState } from "./group-state.js";
 import { Guarantees, Reclaims, Sharing, Shortfall } from "./limits/index.js";
 import type { JobView } from "./mirror.js";
 import {
@@ -19,7 +19,7 @@
 import { RangeSet } from "./ranges.js";
 import { newReceipt, Receipts } from "./receipt.js";
 import { Room } from "./room.js";
-import { Seldom } from "./seldom.js";
+import { RateLimitedLog } from "./rate-limited-log.js";
 import {
   type JobRun,
   newJobRun,
@@ -40,7 +40,7 @@
  * the state service holds and learns from reports what runs; it is dropped as soon as the token is lost.
  */
 export class Master {
-  readonly own: Holdings;
+  readonly own: GroupState;
   private readonly fleet: Fleet;
   readonly sharing: Sharing;
   readonly guarantees: Guarantees;
@@ -51,7 +51,7 @@
   private readonly finishing: Finishing;
   readonly room: Room;
   private readonly receipts: Receipts;
-  private readonly odd: Seldom;
+  private readonly contradictions: RateLimitedLog;
   /** Reports that were no newer than what was known. */
   lateReports = 0;
 
@@ -61,10 +61,10 @@
     readonly token: number,
     permitted: () => boolean,
   ) {
-    const own = new Holdings(ctx, group, token, permitted);
+    const own = new GroupState(ctx, group, token, permitted);
     this.own = own;
     this.receipts = new Receipts(ctx, token);
-    this.odd = new Seldom(ctx);
+    this.contradictions = new RateLimitedLog(ctx);
     this.sharing = new Sharing(ctx, own, (spec) =>
       this.fleet.renting.hasPlace(spec),
     );
@@ -148,7 +148,7 @@
       (w.typeName !== r.type || w.zone !== r.zone || w.spot !== r.spot)
     ) {
       // Names are not given twice, and a machine does not change: whoever sent this, nothing is learnt from it.
-      this.odd.warn(
+      this.contradictions.warn(
         "report contradicts what is known of its machine",
         r.worker,
         { had: w.kind, says: offer(r.type, r.zone, r.spot) },
--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -8,7 +8,7 @@
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import { Handover } from "./handover.js";
-import type { Holdings } from "./holdings.js";
+import type { GroupState } from "./group-state.js";
 import type { Use } from "./ledger.js";
 import type { Sharing } from "./limits/index.js";
 import type { JobSpec } from "./model.js";
@@ -40,7 +40,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     private readonly renting: Renting,
     private readonly sharing: Sharing,
   ) {}
--- a/src/coordination/orphans.ts
+++ b/src/coordination/orphans.ts
@@ -5,7 +5,7 @@
 import type { JobSpec } from "./model.js";
 import type { RangeSet } from "./ranges.js";
 import { movedSplit } from "./splitter.js";
-import type { Vacancies } from "./vacancies.js";
+import type { UnownedGroups } from "./unowned-groups.js";
 
 const LOOK_MS = 5_000;
 
@@ -13,7 +13,7 @@
  * Parts of jobs in splits that name a group which no settings name any more: nobody would ever start them. They go to a group
  * that there is, once nothing of them can run.
  *
- * Invariant (ran_twice): the group has been this controller's for longer than a lease, so that nothing of it runs (`Vacancies`). The
+ * Invariant (ran_twice): the group has been this controller's for longer than a lease, so that nothing of it runs (`UnownedGroups`). The
  * commit is conditional on that token and on the job's record.
  */
 export class Orphans {
@@ -22,7 +22,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly vacancies: Pick<Vacancies, "token">,
+    private readonly unownedGroups: Pick<UnownedGroups, "token">,
     private readonly cut: (spec: JobSpec) => Map<string, RangeSet> | null,
   ) {}
 
@@ -35,7 +35,7 @@
     for (const job of this.ctx.mirror.jobs.values())
       for (const [group, part] of job.split) {
         if (part.isEmpty || names.includes(group)) continue;
-        const token = this.vacancies.token(group);
+        const token = this.unownedGroups.token(group);
         if (token !== null) this.move(job, group, part, token);
       }
   }
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -263,7 +263,7 @@
   }
 
   /** A group that no settings name and nobody has: taken like any other, without a master. */
-  takeVacant(group: string): void {
+  takeUnowned(group: string): void {
     if (this.permitted()) this.take(group, 0);
   }
   /** Nothing is done for it from now on, whatever becomes of the commit. */
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -1,7 +1,7 @@
 import { gangKey, jobKey, readyKey } from "../storage/records.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
-import type { Holdings } from "./holdings.js";
+import type { GroupState } from "./group-state.js";
 import { NO_USE, type Use } from "./ledger.js";
 import { type Due, Gathering } from "./gathering.js";
 import type { Guarantees, Sharing } from "./limits/index.js";
@@ -49,7 +49,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     private readonly sharing: Sharing,
     private readonly guarantees: Guarantees,
     private readonly preemption: Preemption,
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -1,5 +1,5 @@
 import type { Context } from "./context.js";
-import type { Holdings } from "./holdings.js";
+import type { GroupState } from "./group-state.js";
 import type { Use } from "./ledger.js";
 import {
   type Pair,
@@ -23,7 +23,7 @@
 export class Preemption {
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     private readonly sharing: Sharing,
     private readonly renting: Renting,
     private readonly reclaims: Reclaims,
--- a/src/coordination/queues.ts
+++ b/src/coordination/queues.ts
@@ -10,7 +10,7 @@
 export interface Queued {
   spec: JobSpec;
   standing: Pick<Standing, "urgency" | "readyAt">;
-  /** Tasks that it stands back by: see `Holdings.unfinished`. */
+  /** Tasks that it stands back by: see `GroupState.unfinished`. */
   tasks: number;
   /** It can't be done any more by the time that is expected of it; others still can. */
   late: boolean;
--- a/src/coordination/seldom.ts
+++ b/src/coordination/rate-limited-log.ts
@@ -4,7 +4,7 @@
 const MOST = 500;
 
 /** Log lines about what contradicts itself or what is known to be newer: each subject once a minute at most, with how often it was seen. */
-export class Seldom {
+export class RateLimitedLog {
   private readonly seen = new Map<string, { atMs: number; times: number }>();
 
   constructor(private readonly ctx: Pick<Context, "nowMs" | "log">) {}
--- a/src/coordination/renting.ts
+++ b/src/coordination/renting.ts
@@ -1,6 +1,6 @@
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
-import type { Holdings } from "./holdings.js";
+import type { GroupState } from "./group-state.js";
 import type { JobSpec, MachineType, Standing, Tuning } from "./model.js";
 import {
   allowedOn,
@@ -137,7 +137,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     private readonly sharing: Sharing,
     private readonly zones: () => string[],
   ) {}
--- a/src/coordination/room.ts
+++ b/src/coordination/room.ts
@@ -11,7 +11,7 @@
 import { backlogOf } from "./backlog.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
-import type { Holdings } from "./holdings.js";
+import type { GroupState } from "./group-state.js";
 import { type JobSpec, URGENCIES } from "./model.js";
 import { EPS } from "./placement.js";
 import type { Renting } from "./renting.js";
@@ -75,7 +75,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly own: Holdings,
+    private readonly own: GroupState,
     private readonly sharing: Sharing,
     private readonly renting: Renting,
   ) {}
--- a/src/coordination/reading.ts
+++ b/src/coordination/state-reader.ts
@@ -5,7 +5,7 @@
 import { FairQueue } from "./fairness.js";
 import type { Seen } from "./mirror.js";
 import type { Ownership } from "./ownership.js";
-import { Seldom } from "./seldom.js";
+import { RateLimitedLog } from "./rate-limited-log.js";
 
 /** A watch is renewed at least this often: its age is part of the permit. */
 const WATCH_MS = 2_000;
@@ -23,7 +23,7 @@
 }
 
 /** Keeps a controller's copy of the state service's records up to date: one watch, and reads for questions that need one. */
-export class Reading {
+export class StateReader {
   private watching = false;
   private loading = false;
   private reading = false;
@@ -32,7 +32,7 @@
   private waking = false;
   private readonly waiting = new FairQueue<Waiting>(MAX_WAITING);
   private stateDown = false;
-  private readonly odd: Seldom;
+  private readonly contradictions: RateLimitedLog;
 
   constructor(
     private readonly ctx: Context,
@@ -58,7 +58,7 @@
     /** Tells a question that it can't be answered now. */
     private readonly refuse: (req: number, why: string) => void,
   ) {
-    this.odd = new Seldom(ctx);
+    this.contradictions = new RateLimitedLog(ctx);
   }
 
   /** What was asked for by `ask`. */
@@ -79,10 +79,14 @@
       const newer =
         r.is === "items" ? r.items.find((i) => i.version > r.epoch) : undefined;
       if (r.is === "items" && newer)
-        this.odd.warn("state service contradicts itself", newer.key, {
-          stamp: newer.version,
-          epoch: r.epoch,
-        });
+        this.contradictions.warn(
+          "state service contradicts itself",
+          newer.key,
+          {
+            stamp: newer.version,
+            epoch: r.epoch,
+          },
+        );
       if (r.is !== "items" || newer) {
         this.loading = false;
         this.nextWatchMs = this.ctx.nowMs + 300;
@@ -136,7 +140,7 @@
             ? r.changes.find((c) => c.version > r.epoch)
             : undefined;
         if (r.is === "changes" && (newer || r.epoch < since)) {
-          this.odd.warn(
+          this.contradictions.warn(
             "state service contradicts itself",
             newer?.key ?? ROOT,
             { stamp: newer?.version, epoch: r.epoch, since },
--- a/src/coordination/unanswered.ts
+++ b/src/coordination/unanswered-commits.ts
@@ -3,7 +3,7 @@
 const MOST = 100;
 
 /** Transactions without an answer, to say in the log when one of them shows all the same: nothing is decided by it. */
-export class Unanswered {
+export class UnansweredCommits {
   /** By key: the value that was put, and when its answer was given up. */
   private readonly puts = new Map<string, { value: string; atMs: number }>();
 
--- a/src/coordination/vacancies.ts
+++ b/src/coordination/unowned-groups.ts
@@ -19,7 +19,7 @@
  * is nobody's would not do: absence is no revision, and a commit that is carried out late could find it absent again after another had
  * it in between.
  */
-export class Vacancies {
+export class UnownedGroups {
   private readonly wanted = new Map<string, number>();
   private readonly absent = new Map<string, { changed: number; ms: number }>();
   private readonly held = new Map<string, { token: number; ms: number }>();
@@ -28,7 +28,7 @@
     private readonly ctx: Context,
     private readonly ownership: Pick<
       Ownership,
-      "tokenOf" | "takeVacant" | "giveUp"
+      "tokenOf" | "takeUnowned" | "giveUp"
     >,
   ) {}
 
@@ -68,7 +68,7 @@
       const rank =
         (groups.names.indexOf(settings.label) - turn(group, n) + n) % n;
       if (nowMs - a.ms > ABSENT_MS + rank * TURN_MS)
-        this.ownership.takeVacant(group);
+        this.ownership.takeUnowned(group);
     }
   }
 }
--- a/src/coordination/users.ts
+++ b/src/coordination/users.ts
@@ -20,7 +20,7 @@
 import { EPS } from "./placement.js";
 import { isShort } from "./queues.js";
 import { RangeSet } from "./ranges.js";
-import type { Reading } from "./reading.js";
+import type { StateReader } from "./state-reader.js";
 import { capableGroups, splitJob } from "./splitter.js";
 
 export const WITHDRAW_TRIES = 4;
@@ -48,7 +48,7 @@
     private readonly masters: ReadonlyMap<string, Master>,
     private readonly ownership: Pick<Ownership, "readAgeMs">,
     private readonly awaiting: Awaiting,
-    private readonly reading: Reading,
+    private readonly reader: StateReader,
     state: (
       call: StateCall,
       urgent: Urgent,
@@ -158,7 +158,7 @@
     const id = spec.id;
     if (this.ctx.mirror.past.has(id)) return this.tellStatus(req, id, 200);
     if (this.ctx.mirror.jobs.has(id))
-      return this.reading.afterRead(req, id, (r, i) =>
+      return this.reader.afterRead(req, id, (r, i) =>
         this.tellStatus(r, i, 200),
       );
     if (!this.ctx.mirror.ready) return this.later(req, "not ready yet");
@@ -194,7 +194,7 @@
     );
     if (shown && this.ownership.readAgeMs < FRESH_MS)
       return this.judge(req, spec, awaits, []);
-    this.reading.afterRead(req, id, () => this.judge(req, spec, awaits, []));
+    this.reader.afterRead(req, id, () => this.judge(req, spec, awaits, []));
   }
 
   /**
@@ -323,7 +323,7 @@
           awaits,
           split: [...split].map(([g, r]) => [g, r.size]),
         });
-        this.reading.watchSoon();
+        this.reader.watchSoon();
       },
     );
   }
@@ -360,14 +360,14 @@
     this.ctx.commit(absent, [write], Urgent.User, (end) => {
       if (end === "ok") ok();
       else if (end === "conflict")
-        this.reading.afterRead(req, id, (r, i) => this.tellStatus(r, i, 200));
+        this.reader.afterRead(req, id, (r, i) => this.tellStatus(r, i, 200));
       else this.later(req, "state service does not answer");
     });
   }
 
   /** Answers from the job's record if there is one. */
   private known(req: number, id: string, unknown: () => void): void {
-    this.reading.afterRead(req, id, () => {
+    this.reader.afterRead(req, id, () => {
       if (this.ctx.mirror.jobs.has(id)) return this.tellStatus(req, id, 200);
       this.past(req, id, (p) =>
         p ? this.tellStatus(req, id, 200) : unknown(),
@@ -424,7 +424,7 @@
           this.learnt(id, past);
           this.answer(req, { is: "job", status: 200, id, state: "cancelled" });
         } else if (end === "conflict" && tries > 0)
-          this.reading.afterRead(req, id, (r, i) =>
+          this.reader.afterRead(req, id, (r, i) =>
             this.withdraw(r, i, tries - 1),
           );
         else this.later(req, "state service does not answer");
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -4,7 +4,7 @@
 import type { Hono, MiddlewareHandler } from "hono";
 import type { Settings } from "./config/settings.js";
 import { Controller } from "./coordination/controller.js";
-import { Seldom } from "./coordination/seldom.js";
+import { RateLimitedLog } from "./coordination/rate-limited-log.js";
 import type {
   Answer,
   CloudCall,
@@ -102,7 +102,7 @@
     this.state.through = this.mesh;
   }
 
-  private readonly odd = new Seldom({
+  private readonly odd = new RateLimitedLog({
     get nowMs() {
       return performance.now();
     },
--- a/test/contradictions.test.ts
+++ b/test/contradictions.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { parseReport } from "../src/protocol/workers.js";
-import { told } from "./sim/guards.js";
+import { describeDay } from "./sim/guards.js";
 import { World } from "./sim/world.js";
 
 /** What contradicts itself or what is known changes nothing, and is told of in the log once a minute at most. */
@@ -39,13 +39,13 @@
     w.run(30_000);
     assert.ok(
       core.permit.untilMs <= w.clockOf("node-a"),
-      `${wrong}: a permit without any read\n${told(w)}`,
+      `${wrong}: a permit without any read\n${describeDay(w)}`,
     );
     assert.equal(core.mirror.epoch, had);
     assert.equal(
       lines(w, "state service contradicts itself").length,
       1,
-      told(w),
+      describeDay(w),
     );
     w.run(75_000);
     assert.equal(
--- a/test/meetings-more.test.ts
+++ b/test/meetings-more.test.ts
@@ -1,22 +1,28 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Receipts } from "../src/coordination/receipt.js";
-import { caught, told } from "./sim/guards.js";
-import { drawMore, type MetMore, noneMet, playMore } from "./sim/meetings.js";
+import { expectGuardNeeded, describeDay } from "./sim/guards.js";
+import {
+  drawMore,
+  type AllMeetingCounts,
+  noMeetings,
+  playMore,
+} from "./sim/meetings.js";
 import type { World } from "./sim/world.js";
 
 /** The rest of the meetings that the operators name: docs/design/meetings.md has the table of meetings, tests and guards. */
 
 test("two to five troubles of all that the operators name, on a third of the days with short limits: the rules hold, nobody is left waiting, each meeting occurs", () => {
-  const met = noneMet();
+  const met = noMeetings();
   for (const seed of [0, 1, 2, 15, 19, 32, 33, 51]) {
     const { world: w, met: m } = playMore(seed, drawMore(seed));
     assert.deepEqual(
       w.checker.broken,
       [],
-      `seed ${seed}, ${JSON.stringify(drawMore(seed))}: ${told(w)}`,
+      `seed ${seed}, ${JSON.stringify(drawMore(seed))}: ${describeDay(w)}`,
     );
-    for (const k of Object.keys(met) as (keyof MetMore)[]) met[k] += m[k];
+    for (const k of Object.keys(met) as (keyof AllMeetingCounts)[])
+      met[k] += m[k];
   }
   for (const [k, n] of Object.entries(met))
     assert.ok(n > 0, `${k} never occurred: ${JSON.stringify(met)}`);
@@ -25,7 +31,7 @@
 const drawn = (seed: number): World => playMore(seed, drawMore(seed)).world;
 
 test("guard: a report that is older than what is known says nothing, also when it is kept for a new master", () => {
-  caught(drawn, [56], "ran_twice", () => {
+  expectGuardNeeded(drawn, [56], "ran_twice", () => {
     const before = Receipts.prototype.isLate;
     Receipts.prototype.isLate = () => false;
     return () => (Receipts.prototype.isLate = before);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -3,10 +3,10 @@
 import type { Context } from "../src/coordination/context.js";
 import { Controller } from "../src/coordination/controller.js";
 import type { Input } from "../src/coordination/effects.js";
-import { Holdings } from "../src/coordination/holdings.js";
+import { GroupState } from "../src/coordination/group-state.js";
 import type { JobSpec } from "../src/coordination/model.js";
 import { holdMs, Ownership } from "../src/coordination/ownership.js";
-import { Reading } from "../src/coordination/reading.js";
+import { StateReader } from "../src/coordination/state-reader.js";
 import type { StateCall } from "../src/protocol/state.js";
 import {
   beliefKey,
@@ -16,25 +16,31 @@
   roomKey,
 } from "../src/storage/records.js";
 import { randomJob } from "./sim/days.js";
-import { caught, told } from "./sim/guards.js";
-import { draw, gap, type Met, NOT_MET, play } from "./sim/meetings.js";
+import { expectGuardNeeded, describeDay } from "./sim/guards.js";
+import {
+  draw,
+  gap,
+  type MeetingCounts,
+  NO_MEETINGS,
+  play,
+} from "./sim/meetings.js";
 import { World } from "./sim/world.js";
 
 /** Where two troubles meet: docs/design.md has the table of meetings, tests and guards. */
 
-const total = (a: Met, b: Met): void => {
-  for (const k of Object.keys(a) as (keyof Met)[]) a[k] += b[k];
+const total = (a: MeetingCounts, b: MeetingCounts): void => {
+  for (const k of Object.keys(a) as (keyof MeetingCounts)[]) a[k] += b[k];
 };
 
 // ---- the meeting before all others -----------------------------------------------------------------------------
 
 test("the leader is refused alone, others confirm cancellations, then all are refused for longer than cancel_s: their tasks are gone in time", () => {
-  const met = { ...NOT_MET };
+  const met = { ...NO_MEETINGS };
   let longestMs = 0;
   let carried = 0;
   for (let seed = 0; seed < 14; seed++) {
     const { world: w, met: m } = gap(seed);
-    assert.deepEqual(w.checker.broken, [], `seed ${seed}: ${told(w)}`);
+    assert.deepEqual(w.checker.broken, [], `seed ${seed}: ${describeDay(w)}`);
     total(met, m);
     longestMs = Math.max(longestMs, w.checker.longestAfterMs);
     carried += w.carried;
@@ -98,7 +104,7 @@
 }
 
 test("guard: the permit counts from the sending of touch and read, not from their answers", () => {
-  caught(gapDay, [9, 17], "ran_cancelled", () => {
+  expectGuardNeeded(gapDay, [9, 17], "ran_cancelled", () => {
     const before = Controller.prototype.step;
     Controller.prototype.step = function (input: Input, nowMs, wallMs) {
       return before.call(
@@ -112,7 +118,7 @@
   });
 });
 test("guard: the permit counts from the last read of cancellations as well as from the last touch", () => {
-  caught(
+  expectGuardNeeded(
     gapDay,
     [1, 11],
     "ran_cancelled",
@@ -154,7 +160,7 @@
   }
 });
 test("guard: effects are looked at by the clock once more before they leave", () => {
-  caught(gapDay, [0], "no_permit", () => {
+  expectGuardNeeded(gapDay, [0], "no_permit", () => {
     const before = Controller.prototype.mayLeave;
     Controller.prototype.mayLeave = () => true;
     return () => (Controller.prototype.mayLeave = before);
@@ -197,7 +203,7 @@
 ): void {
   const end = w.now + mostMs;
   while (!holds()) {
-    assert.ok(w.now < end, `never: ${what}\n${told(w)}`);
+    assert.ok(w.now < end, `never: ${what}\n${describeDay(w)}`);
     w.run(w.now + 50);
   }
 }
@@ -442,13 +448,13 @@
 // ---- all of them, drawn ------------------------------------------------------------------------------------------
 
 test("two to four troubles at once, with 1 to 7 controllers: the rules hold, and each meeting occurs", () => {
-  const met = { ...NOT_MET };
+  const met = { ...NO_MEETINGS };
   for (let seed = 0; seed < 14; seed++) {
     const { world: w, met: m } = play(seed, draw(seed));
     assert.deepEqual(
       w.checker.broken,
       [],
-      `seed ${seed}, ${JSON.stringify(draw(seed))}: ${told(w)}`,
+      `seed ${seed}, ${JSON.stringify(draw(seed))}: ${describeDay(w)}`,
     );
     total(met, m);
   }
@@ -457,14 +463,14 @@
 });
 
 test("guard: what a former master may have started counts until its machines have spoken or their leases are over", () => {
-  caught(drawn, [11, 15], "ran_twice", () => {
-    const before = Holdings.prototype.mayStart;
-    Holdings.prototype.mayStart = (job) => !job.gone && !job.waiting.isEmpty;
-    return () => (Holdings.prototype.mayStart = before);
+  expectGuardNeeded(drawn, [11, 15], "ran_twice", () => {
+    const before = GroupState.prototype.mayStart;
+    GroupState.prototype.mayStart = (job) => !job.gone && !job.waiting.isEmpty;
+    return () => (GroupState.prototype.mayStart = before);
   });
 });
 test("guard: a start without an answer pins its task, for the command may still go on", () => {
-  caught(drawn, [2, 4], "quota", () => {
+  expectGuardNeeded(drawn, [2, 4], "quota", () => {
     const before = World.prototype.run;
     World.prototype.run = function (untilMs) {
       this.afterStep = (core) => {
@@ -478,15 +484,15 @@
   });
 });
 test("guard: an answer that is not final rests on a read that was sent after the question", () => {
-  caught(drawn, [2, 9], "went_back", () => {
-    const before = Reading.prototype.afterRead;
-    Reading.prototype.afterRead = (req, id, next) => next(req, id);
-    return () => (Reading.prototype.afterRead = before);
+  expectGuardNeeded(drawn, [2, 9], "went_back", () => {
+    const before = StateReader.prototype.afterRead;
+    StateReader.prototype.afterRead = (req, id, next) => next(req, id);
+    return () => (StateReader.prototype.afterRead = before);
   });
 });
 
 test("guard: nothing is done for a group from before it is given up, whatever becomes of the commit", () => {
-  caught(drawn, [12], "two_masters", () => {
+  expectGuardNeeded(drawn, [12], "two_masters", () => {
     const before = Ownership.prototype.tokenOf;
     Ownership.prototype.tokenOf = function (group) {
       const { ctx } = this as unknown as { ctx: Context };
--- a/test/moves.test.ts
+++ b/test/moves.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import type { JobSpec } from "../src/coordination/model.js";
 import { submit } from "./sim/days.js";
-import { told } from "./sim/guards.js";
+import { describeDay } from "./sim/guards.js";
 import { plainJob } from "./scenarios/stage.js";
 import { World } from "./sim/world.js";
 
@@ -54,8 +54,8 @@
     submitArray(world, 3, { team: "blue", tasks: 400, zone: "east" }),
   );
   world.run(160_000);
-  assert.deepEqual(world.checker.broken, [], told(world));
-  assert.equal(world.checker.told.get(late), "done", told(world));
+  assert.deepEqual(world.checker.broken, [], describeDay(world));
+  assert.equal(world.checker.told.get(late), "done", describeDay(world));
 });
 
 test("a gang that does not fit keeps no other work from the idle machines of its group", () => {
@@ -80,6 +80,6 @@
     }),
   );
   world.run(160_000);
-  assert.deepEqual(world.checker.broken, [], told(world));
-  assert.equal(world.checker.told.get(late), "done", told(world));
+  assert.deepEqual(world.checker.broken, [], describeDay(world));
+  assert.equal(world.checker.told.get(late), "done", describeDay(world));
 });
--- a/test/nights.test.ts
+++ b/test/nights.test.ts
@@ -8,7 +8,7 @@
 import type { JobSpec } from "../src/coordination/model.js";
 import { Receipts } from "../src/coordination/receipt.js";
 import { night, randomJob } from "./sim/days.js";
-import { caught, told } from "./sim/guards.js";
+import { expectGuardNeeded, describeDay } from "./sim/guards.js";
 import { World } from "./sim/world.js";
 
 /** Bad nights: docs/design/nights.md has the table of guards and tests. */
@@ -19,7 +19,7 @@
   let deaf = 0;
   for (let seed = 0; seed < 12; seed++) {
     const w = night(seed);
-    assert.deepEqual(w.checker.broken, [], `seed ${seed}: ${told(w)}`);
+    assert.deepEqual(w.checker.broken, [], `seed ${seed}: ${describeDay(w)}`);
     const open = w.checker.unfinished();
     assert.ok(open.length <= 2, `seed ${seed}: ${open.join()}`);
     starts += w.starts;
@@ -33,7 +33,7 @@
 });
 
 test("guard: a report with a lower token than its machine has shown, or of a life before, is late", () => {
-  caught(night, [85, 176, 29], "ran_twice", () => {
+  expectGuardNeeded(night, [85, 176, 29], "ran_twice", () => {
     const before = Receipts.prototype.isLate;
     Receipts.prototype.isLate = (w, r) =>
       r.session < w.session ||
@@ -43,7 +43,7 @@
 });
 
 test("guard: a machine's lease counts from the end of the last command with starts as well", () => {
-  caught(night, [77, 69], "ran_twice", () => {
+  expectGuardNeeded(night, [77, 69], "ran_twice", () => {
     const before = Receipts.prototype.note;
     Receipts.prototype.note = function (w, r, rose) {
       Object.defineProperty(w.receipt, "commandMs", {
@@ -140,7 +140,7 @@
   w.run(19_000);
   const before = w.workers.length;
   w.run(80_000);
-  assert.deepEqual(w.checker.broken, [], told(w));
+  assert.deepEqual(w.checker.broken, [], describeDay(w));
   const starts = (from: number, to: number): number =>
     w.logs.filter(
       (l) =>
@@ -160,7 +160,7 @@
     `${w.workers.length - before} machines rented meanwhile`,
   );
   w.run(130_000);
-  for (const s of jobs) assert.ok(isDone(w, s), `${s.id}\n${told(w)}`);
+  for (const s of jobs) assert.ok(isDone(w, s), `${s.id}\n${describeDay(w)}`);
   assert.ok(
     w.logs.some((l) => l.includes("machine receives again")),
     "they come back by the same evidence",
@@ -182,8 +182,8 @@
   bad.forEach((s, n) => submit(w, 4_000 + n * 50, s));
   good.forEach((s, n) => submit(w, 6_000 + n * 1_500, s));
   w.run(90_000);
-  assert.deepEqual(w.checker.broken, [], told(w));
-  for (const s of good) assert.ok(isDone(w, s), `${s.id}\n${told(w)}`);
+  assert.deepEqual(w.checker.broken, [], describeDay(w));
+  for (const s of good) assert.ok(isDone(w, s), `${s.id}\n${describeDay(w)}`);
   assert.equal(
     w.logs.filter((l) => l.includes("tasks of several jobs failed on it"))
       .length,
@@ -240,7 +240,7 @@
       beganMs = w.now;
   };
   w.run(320_000);
-  assert.deepEqual(w.checker.broken, [], told(w));
+  assert.deepEqual(w.checker.broken, [], describeDay(w));
   return (beganMs - 20_000) / 1000;
 }
 
@@ -374,12 +374,12 @@
     w.crash("node-c");
     w.bootAll();
     w.run(120_000);
-    assert.deepEqual(w.checker.broken, [], told(w));
+    assert.deepEqual(w.checker.broken, [], describeDay(w));
     assert.ok(
       w.logs.some((l) => l.includes("tasks of a group that is gone")),
       "something was split to it",
     );
     for (const s of jobs)
-      assert.ok(isDone(w, s), `seed ${seed}: ${s.id}\n${told(w)}`);
+      assert.ok(isDone(w, s), `seed ${seed}: ${s.id}\n${describeDay(w)}`);
   }
 });
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -4,7 +4,7 @@
 import type { Context } from "../src/coordination/context.js";
 import type { CloudCall, CloudReply } from "../src/coordination/effects.js";
 import { ownDueAt } from "../src/coordination/mirror.js";
-import { Holdings } from "../src/coordination/holdings.js";
+import { GroupState } from "../src/coordination/group-state.js";
 import type { JobSpec, MachineType } from "../src/coordination/model.js";
 import { Misfits, suits } from "../src/coordination/placement.js";
 import { isShort } from "../src/coordination/queues.js";
@@ -163,7 +163,7 @@
   };
   const r = new Renting(
     ctx as unknown as Context,
-    own as unknown as Holdings,
+    own as unknown as GroupState,
     sharing as unknown as Sharing,
     () => ["a", "b"],
   );
@@ -359,9 +359,9 @@
   });
   const holdings = {
     ctx: { tuning: DEFAULTS, mirror: { finishedCount: () => 0 } },
-  } as unknown as Holdings;
+  } as unknown as GroupState;
   assert.deepEqual(
-    parts.map((j) => Holdings.prototype.unfinished.call(holdings, j)),
+    parts.map((j) => GroupState.prototype.unfinished.call(holdings, j)),
     [4, 4],
   );
 });
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Controller } from "../src/coordination/controller.js";
-import { Holdings } from "../src/coordination/holdings.js";
+import { GroupState } from "../src/coordination/group-state.js";
 import { Ownership } from "../src/coordination/ownership.js";
 import { Sharing } from "../src/coordination/limits/index.js";
 import { freeOn } from "../src/coordination/tasks.js";
@@ -521,7 +521,7 @@
 
 test("the checker catches a master without a fence", () => {
   mustCatch("ran_twice", () => {
-    const proto = Holdings.prototype as unknown as {
+    const proto = GroupState.prototype as unknown as {
       mayStart: (j: {
         gone: boolean;
         waiting: { isEmpty: boolean };
@@ -852,7 +852,7 @@
   assert.ok(late.length > 5);
   for (const { w } of late) assert.deepEqual(w.checker.broken, []);
   // A list that does not know the machine yet, taken for the truth, starts its task twice.
-  const proto = Holdings.prototype as unknown as {
+  const proto = GroupState.prototype as unknown as {
     listed: (m: Map<string, unknown>, asOfMs: number) => void;
   };
   const before = proto.listed;
--- a/test/scenario-close-questions.test.ts
+++ b/test/scenario-close-questions.test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
 import { Lookups } from "../src/coordination/lookups.js";
-import { Reading } from "../src/coordination/reading.js";
+import { StateReader } from "../src/coordination/state-reader.js";
 import { closeQuestions } from "./scenarios/close-questions.js";
 import { expectCaught, expectKept } from "./scenarios/expect.js";
 
@@ -10,9 +10,9 @@
 
 test("guard: an answer that is not final rests on a read sent after the question", () => {
   const withoutRead = (): (() => void) => {
-    const before = Reading.prototype.afterRead;
-    Reading.prototype.afterRead = (req, id, next) => next(req, id);
-    return () => (Reading.prototype.afterRead = before);
+    const before = StateReader.prototype.afterRead;
+    StateReader.prototype.afterRead = (req, id, next) => next(req, id);
+    return () => (StateReader.prototype.afterRead = before);
   };
   expectCaught(closeQuestions, [6], "went_back", withoutRead);
   expectCaught(closeQuestions, [1], "forgotten", withoutRead);
--- a/test/scenario-leader-changes.test.ts
+++ b/test/scenario-leader-changes.test.ts
@@ -1,5 +1,5 @@
 import { test } from "node:test";
-import { Holdings } from "../src/coordination/holdings.js";
+import { GroupState } from "../src/coordination/group-state.js";
 import { expectCaught, expectKept } from "./scenarios/expect.js";
 import { leaderChanges } from "./scenarios/leader-changes.js";
 
@@ -9,8 +9,8 @@
 
 test("guard: a task of a former leader's job starts only once all machines are accounted for", () => {
   expectCaught(leaderChanges, [0, 1, 2, 3], "ran_twice", () => {
-    const before = Holdings.prototype.mayStart;
-    Holdings.prototype.mayStart = (job) => !job.gone && !job.waiting.isEmpty;
-    return () => (Holdings.prototype.mayStart = before);
+    const before = GroupState.prototype.mayStart;
+    GroupState.prototype.mayStart = (job) => !job.gone && !job.waiting.isEmpty;
+    return () => (GroupState.prototype.mayStart = before);
   });
 });
--- a/test/scenario-limits-out-of-reach.test.ts
+++ b/test/scenario-limits-out-of-reach.test.ts
@@ -1,5 +1,5 @@
 import { test } from "node:test";
-import { Holdings } from "../src/coordination/holdings.js";
+import { GroupState } from "../src/coordination/group-state.js";
 import { expectCaught, expectKept } from "./scenarios/expect.js";
 import { limitsOutOfReach } from "./scenarios/limits-out-of-reach.js";
 
@@ -9,8 +9,8 @@
 
 test("guard: what silent machines of the former leader may run counts for the limits", () => {
   expectCaught(limitsOutOfReach, [1], "quota", () => {
-    const before = Holdings.prototype.usage;
-    Holdings.prototype.usage = function () {
+    const before = GroupState.prototype.usage;
+    GroupState.prototype.usage = function () {
       const own = this as unknown as { fence: unknown };
       const { fence } = own;
       own.fence = null;
@@ -18,6 +18,6 @@
       own.fence = fence;
       return used;
     };
-    return () => (Holdings.prototype.usage = before);
+    return () => (GroupState.prototype.usage = before);
   });
 });
--- a/test/scenarios/close-questions.ts
+++ b/test/scenarios/close-questions.ts
@@ -1,4 +1,10 @@
-import { cancel, lookClosely, pipelines, submit, users } from "../sim/days.js";
+import {
+  cancel,
+  askAllControllers,
+  pipelines,
+  submit,
+  users,
+} from "../sim/days.js";
 import type { World } from "../sim/world.js";
 import {
   cutFromPeers,
@@ -80,7 +86,7 @@
         for (const name of world.names)
           for (const c of conditions.of(name, id))
             occurred.note(`${told}, ${c}`);
-        lookClosely(world, id);
+        askAllControllers(world, id);
       });
     if (told === "accepted" && (world.awaits.get(id)?.length ?? 0) > 0)
       occurred.note("accepted, waits for another job");
@@ -125,7 +131,7 @@
       return undefined;
     const beforeMs = rng.real(1, 20);
     conditions.unanswered.set(id, { name, untilMs: world.now + 1_500 });
-    world.at(beforeMs + rng.real(0, 300), () => lookClosely(world, id));
+    world.at(beforeMs + rng.real(0, 300), () => askAllControllers(world, id));
     return { beforeMs, answered: false };
   };
 }
--- a/test/scenarios/expect.ts
+++ b/test/scenarios/expect.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { caught, told } from "../sim/guards.js";
+import { expectGuardNeeded, describeDay } from "../sim/guards.js";
 import type { Scenario } from "./stage.js";
 
 /** No rule breaks on these days, and each conjunction occurs at least so often on all of them together. */
@@ -12,7 +12,7 @@
   for (const seed of seeds) {
     const { world, occurred } = scenario(seed);
     if (world.checker.broken.length > 0)
-      assert.fail(`seed ${seed}: ${told(world)}`);
+      assert.fail(`seed ${seed}: ${describeDay(world)}`);
     for (const [name, n] of occurred)
       total.set(name, (total.get(name) ?? 0) + n);
   }
@@ -27,5 +27,5 @@
   rule: string,
   off: () => () => void,
 ): void {
-  caught((seed) => scenario(seed).world, seeds, rule, off);
+  expectGuardNeeded((seed) => scenario(seed).world, seeds, rule, off);
 }
--- a/test/scenarios/last-task.ts
+++ b/test/scenarios/last-task.ts
@@ -1,4 +1,4 @@
-import { cancel, lookClosely, submit, users } from "../sim/days.js";
+import { cancel, askAllControllers, submit, users } from "../sim/days.js";
 import type { World } from "../sim/world.js";
 import {
   Occurrences,
@@ -95,7 +95,7 @@
     case "cancellation":
       return cancel(world, id);
     case "question":
-      return lookClosely(world, id);
+      return askAllControllers(world, id);
     case "repeated submission":
       return submit(world, world.specs.get(id)!, -1e9);
   }
--- a/test/sim/days.ts
+++ b/test/sim/days.ts
@@ -205,7 +205,7 @@
   );
 }
 /** Questions at all controllers within milliseconds, and the submission once more. */
-export function lookClosely(w: World, id: string): void {
+export function askAllControllers(w: World, id: string): void {
   const spec = w.specs.get(id)!;
   for (const name of w.names)
     for (const again of [false, true])
--- a/test/sim/guards.ts
+++ b/test/sim/guards.ts
@@ -2,11 +2,11 @@
 import type { World } from "./world.js";
 
 /** What broke on a day, and the last that was logged. */
-export const told = (w: World): string =>
+export const describeDay = (w: World): string =>
   `${w.checker.broken.join("; ")}\n${w.logs.slice(-20).join("\n")}`;
 
 /** Switches a guard off, `off` returning what switches it on again, and expects the checker to notice on one of these days. */
-export function caught(
+export function expectGuardNeeded(
   day: (seed: number) => World,
   seeds: readonly number[],
   rule: string,
--- a/test/sim/meetings.ts
+++ b/test/sim/meetings.ts
@@ -1,7 +1,7 @@
 import { holdMs } from "../../src/coordination/ownership.js";
 import {
   cancel,
-  lookClosely,
+  askAllControllers,
   odd,
   pipelines,
   randomJob,
@@ -65,7 +65,7 @@
 }
 
 /** How often each meeting of the operators' letter really happened. */
-export interface Met {
+export interface MeetingCounts {
   /** A group changed hands while machines with tasks could not be reached or heard nothing. */
   unreached: number;
   /** Commands that were carried out more than a second after they were sent. */
@@ -83,7 +83,7 @@
   /** The same while the state service refused a controller or was down shortly after. */
   gapCancels: number;
 }
-export const NOT_MET: Met = {
+export const NO_MEETINGS: MeetingCounts = {
   unreached: 0,
   lateCommands: 0,
   lateWrites: 0,
@@ -95,7 +95,7 @@
 };
 
 /** The same of the rest. */
-export interface MetMore extends Met {
+export interface AllMeetingCounts extends MeetingCounts {
   /** Commands with orders that reached a machine which could not report. */
   mute: number;
   /** Transactions that were carried out at once and of which only the answer was lost. */
@@ -123,8 +123,8 @@
   /** Times that no controller was up, or none stood, for longer than a lease. */
   allAway: number;
 }
-const NOT_MET_MORE: MetMore = {
-  ...NOT_MET,
+const NO_MEETINGS_AT_ALL: AllMeetingCounts = {
+  ...NO_MEETINGS,
   mute: 0,
   lostAnswers: 0,
   forNext: 0,
@@ -139,7 +139,7 @@
   removed: 0,
   allAway: 0,
 };
-export const noneMet = (): MetMore => ({ ...NOT_MET_MORE });
+export const noMeetings = (): AllMeetingCounts => ({ ...NO_MEETINGS_AT_ALL });
 
 export const controllersOf = (seed: number): number => (seed % 7) + 1;
 
@@ -161,7 +161,11 @@
 const busy = (m: SimWorker): boolean =>
   !m.gone && [...m.tasks.values()].some((t) => m.onMachine(t));
 
-function begin(w: World, t: Trouble, met: MetMore = noneMet()): void {
+function begin(
+  w: World,
+  t: Trouble,
+  met: AllMeetingCounts = noMeetings(),
+): void {
   const r = w.rng;
   const node = t.node < 0 ? leader(w) : w.names[t.node % w.names.length]!;
   const over = (fn: () => void): void => w.at(t.forMs, fn);
@@ -259,7 +263,7 @@
           what === 0
             ? cancel(w, id)
             : what === 1
-              ? lookClosely(w, id)
+              ? askAllControllers(w, id)
               : submit(w, w.specs.get(id)!, -1e9),
         );
       };
@@ -267,7 +271,7 @@
     case "looks":
       w.checker.onTold = (id, now) => {
         met.looks++;
-        lookClosely(w, id);
+        askAllControllers(w, id);
         if (now === "accepted" && r.chance(0.2))
           w.at(r.real(0, 100), () => cancel(w, id));
       };
@@ -357,7 +361,7 @@
 }
 
 /** Counts what meets, by looking at what the state service, the machines and the users have. */
-function watch(w: World, met: MetMore): void {
+function watch(w: World, met: AllMeetingCounts): void {
   const owners = new Map<
     string,
     { owner: string; version: number; had: Set<string>; changedMs: number[] }
@@ -443,13 +447,13 @@
 
 export interface Played {
   world: World;
-  met: MetMore;
+  met: AllMeetingCounts;
 }
 
 /** Jobs that run for a while, on machines that are there from the start. */
 function stage(seed: number, runFactor: number): Played {
   const world = new World(seed, undefined, [], controllersOf(seed));
-  const met = noneMet();
+  const met = noMeetings();
   world.capacity = 6;
   world.runFactor = runFactor;
   world.carries = true;
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import type { Context } from "../src/coordination/context.js";
 import type { JobSpec } from "../src/coordination/model.js";
-import type { Holdings } from "../src/coordination/holdings.js";
+import type { GroupState } from "../src/coordination/group-state.js";
 import type { Renting } from "../src/coordination/renting.js";
 import type { Sharing } from "../src/coordination/limits/index.js";
 import { RangeSet } from "../src/coordination/ranges.js";
@@ -32,7 +32,7 @@
 import type { Condition, Write } from "../src/protocol/state.js";
 import * as old from "./production/storage/records.js";
 import { pipelines, randomJob, troubles, users } from "./sim/days.js";
-import { caught } from "./sim/guards.js";
+import { expectGuardNeeded } from "./sim/guards.js";
 import { Rng } from "./sim/rng.js";
 import { World } from "./sim/world.js";
 
@@ -359,7 +359,7 @@
       mirror: { jobs: new Map() },
       settings: { state: limits },
     } as unknown as Context,
-    own as unknown as Holdings,
+    own as unknown as GroupState,
     sharing as unknown as Sharing,
     renting as unknown as Renting,
   );
@@ -425,7 +425,7 @@
         mirror: { jobs },
         settings: { state: limits },
       } as unknown as Context,
-      own as unknown as Holdings,
+      own as unknown as GroupState,
       sharing as unknown as Sharing,
       renting as unknown as Renting,
     );
@@ -574,7 +574,7 @@
 });
 
 test("guard: a new master also waits for machines that a roster written by production may lack", () => {
-  caught(rosterPutBack, [0], "ran_twice", () => {
+  expectGuardNeeded(rosterPutBack, [0], "ran_twice", () => {
     const before = Object.getOwnPropertyDescriptor(
       Roster.prototype,
       "mayLackMachines",
