Cut the master along its subjects: reconciliation of reports, and failures

Change: reconciliation.ts brings what is known of a machine's tasks in line with its report; failures.ts tells bad jobs from bad machines. Whole names, named constants.

--- /dev/null
+++ b/src/coordination/failures.ts
@@ -0,0 +1,110 @@
+import type { Context } from "./context.js";
+import type { GroupState } from "./group-state.js";
+import { taskKey } from "./model.js";
+import type { JobRun, TaskRun, Worker } from "./tasks.js";
+
+/** Failures of one job within this time are of one try: a gang's tasks fail together. */
+const ONE_TRY_MS = 5_000;
+/** Machines on which a job must have failed, and nothing of it completed, before it is the job that is suspected. */
+const SUSPECT_AFTER = 2;
+/** The same where other tasks of it have run for longer without failing. */
+const SUSPECT_ANYWAY = 5;
+const MOST_PAUSE_MS = 60_000;
+/** A machine on which so many jobs failed that are not suspected is given back. */
+const GIVE_UP_AFTER_JOBS = 2;
+
+/**
+ * Tells bad jobs from bad machines. A failure is mostly the machine's fault, but a job that was submitted with a mistake
+ * fails on every machine. It is suspected once it has failed on two machines and nothing of it has ever completed: then it
+ * accuses no machine any more, nothing is rented, held, moved or stopped for it, and it is retried with growing pauses.
+ */
+export class Failures {
+  constructor(
+    private readonly ctx: Context,
+    private readonly own: GroupState,
+    /** Gives a machine back to the cloud. */
+    private readonly giveUp: (worker: Worker, why: string) => void,
+  ) {}
+
+  /** A task ended with an error. */
+  failed(task: TaskRun): void {
+    const { job, worker } = task;
+    const now = this.ctx.nowMs;
+    job.errors.set(worker.id, (job.errors.get(worker.id) ?? 0) + 1);
+    if (now - job.failedMs > ONE_TRY_MS) job.failedTries++;
+    job.failedMs = now;
+    if (this.isSuspicious(task)) this.suspect(job);
+    else this.accuse(worker, task);
+    if (worker.failed.size >= GIVE_UP_AFTER_JOBS && !worker.going)
+      this.giveUp(worker, "tasks of several jobs failed on it");
+  }
+
+  /** Something of a job has completed: it has no mistake, and what failed before were machines. */
+  completed(job: JobRun): void {
+    if (job.suspectMs === null) return;
+    job.suspectMs = null;
+    job.failedTries = 0;
+    job.backoffUntilMs = 0;
+    job.errors.clear();
+    this.ctx.log("info", "job runs after all", { job: job.id });
+  }
+
+  private isSuspicious(task: TaskRun): boolean {
+    const { job } = task;
+    const healthy =
+      job.finished.size > 0 || this.ctx.mirror.finishedCount(job.id) > 0;
+    if (healthy) return false;
+    const needed = this.othersRunLonger(task) ? SUSPECT_ANYWAY : SUSPECT_AFTER;
+    return job.errors.size >= needed;
+  }
+
+  /** Others of the job that have run for longer than this one did speak for the job, but not for ever. */
+  private othersRunLonger(task: TaskRun): boolean {
+    const now = this.ctx.nowMs;
+    const ranMs = task.phase === "running" ? now - task.sinceMs : 0;
+    return [...task.job.active.values()].some(
+      (other) =>
+        other !== task &&
+        other.phase === "running" &&
+        now - other.sinceMs > ranMs * 1.2 + 1_000,
+    );
+  }
+
+  private accuse(worker: Worker, task: TaskRun): void {
+    worker.failed.add(task.job.id);
+    worker.avoidUntilMs = Math.max(
+      worker.avoidUntilMs,
+      this.ctx.nowMs + 5_000 * worker.failed.size,
+    );
+    this.ctx.log("info", "task failed", {
+      task: taskKey(task.job.id, task.index),
+      worker: worker.id,
+      jobsFailedHere: worker.failed.size,
+    });
+  }
+
+  private suspect(job: JobRun): void {
+    const now = this.ctx.nowMs;
+    const pauseMs = 1_000 * 2 ** Math.min(10, job.failedTries);
+    job.backoffUntilMs = Math.max(
+      job.backoffUntilMs,
+      now + Math.min(MOST_PAUSE_MS, pauseMs),
+    );
+    if (job.suspectMs !== null) return;
+    job.suspectMs = now;
+    for (const worker of this.own.workers.values())
+      if (worker.failed.delete(job.id) && worker.failed.size === 0)
+        worker.avoidUntilMs = Math.min(worker.avoidUntilMs, now);
+    this.ctx.log(
+      "warn",
+      "job fails wherever it runs; tried again ever more slowly",
+      {
+        job: job.id,
+        class: job.view.spec.class,
+        team: job.view.spec.team,
+        machines: [...job.errors.keys()].slice(0, 5),
+        failures: [...job.errors.values()].reduce((a, b) => a + b, 0),
+      },
+    );
+  }
+}
--- a/src/coordination/master.ts
+++ b/src/coordination/master.ts
@@ -1,39 +1,22 @@
 import type { Context } from "./context.js";
 import type { Answer } from "./effects.js";
+import { Failures } from "./failures.js";
 import { Finishing } from "./finishing.js";
 import { Fleet } from "./fleet.js";
 import { GroupState } from "./group-state.js";
 import { Guarantees, Reclaims, Sharing, Shortfall } from "./limits/index.js";
 import type { JobView } from "./mirror.js";
-import {
-  type Cause,
-  type Order,
-  type Report,
-  type ReportedTask,
-  taskKey,
-} from "./model.js";
+import { type Order, type Report } from "./model.js";
 import { Moves } from "./moves.js";
-import { allowedOn, offer } from "./placement.js";
+import { offer } from "./placement.js";
 import { Placing } from "./placing.js";
 import { Preemption } from "./preemption.js";
 import { RangeSet } from "./ranges.js";
 import { newReceipt, Receipts } from "./receipt.js";
+import { Reconciliation } from "./reconciliation.js";
 import { Room } from "./room.js";
 import { RateLimitedLog } from "./rate-limited-log.js";
-import {
-  type JobRun,
-  newJobRun,
-  runKey,
-  type TaskRun,
-  type Worker,
-} from "./tasks.js";
-
-/** Failures of one job within this time are of one try: a gang's tasks fail together. */
-const ONE_TRY_MS = 5_000;
-/** Machines on which a job must have failed, and nothing of it completed, before it is the job that is suspected. */
-const SUSPECT_AFTER = 2;
-const SUSPECT_ANYWAY = 5;
-const MOST_PAUSE_MS = 60_000;
+import { newJobRun, runKey, type Worker } from "./tasks.js";
 
 /**
  * The master of one group under one token. It alone starts tasks on the group's machines. It begins with what
@@ -51,6 +34,7 @@
   private readonly finishing: Finishing;
   readonly room: Room;
   private readonly receipts: Receipts;
+  private readonly reconciliation: Reconciliation;
   private readonly contradictions: RateLimitedLog;
   /** Reports that were no newer than what was known. */
   lateReports = 0;
@@ -89,6 +73,16 @@
       new Preemption(ctx, own, this.sharing, renting, this.reclaims),
     );
     this.finishing = new Finishing(ctx, own);
+    const failures = new Failures(ctx, own, (worker, why) =>
+      this.fleet.giveUp(worker, why),
+    );
+    this.reconciliation = new Reconciliation(
+      ctx,
+      own,
+      this.receipts,
+      this.finishing,
+      failures,
+    );
     this.room = new Room(ctx, own, this.sharing, renting);
     // Whether a machine marked for return was returned is not known: it is given back once more, and the cloud's word
     // that it is gone takes it off the fence.
@@ -216,7 +210,7 @@
       w.free = null;
     }
     if (!w.going) this.own.roster.set(w.id, { going: false, type: w.typeName });
-    this.reconcile(w, r.tasks);
+    this.reconciliation.reconcile(w, r.tasks);
     if (r.token === this.token) this.own.accountFor(w.id);
     this.own.noteIdle(w);
     this.onNotice(w);
@@ -292,7 +286,7 @@
           token: Math.max(w.token, r.token),
           heardMs: this.ctx.nowMs,
         });
-        this.reconcile(w, r.tasks, false);
+        this.reconciliation.reconcile(w, r.tasks, false);
         this.own.noteIdle(w);
         return;
       }
@@ -325,7 +319,7 @@
       });
       if (!w.going)
         this.own.roster.set(w.id, { going: false, type: w.typeName });
-      this.reconcile(w, r.tasks, false);
+      this.reconciliation.reconcile(w, r.tasks, false);
       this.own.noteIdle(w);
       this.own.dirty = true;
     });
@@ -340,255 +334,6 @@
     w.exited = [];
   }
 
-  /**
-   * `ordered`: the report was made after every answer before it, as a machine's own reports are. Its answer to a question is
-   * not: an order may reach it after that, so that an ordered task which it does not show may still start.
-   */
-  private reconcile(
-    w: Worker,
-    reported: readonly ReportedTask[],
-    ordered = true,
-  ): void {
-    const now = this.ctx.nowMs;
-    let missing = false;
-    let carriedOut = false;
-    const shown = new Map<string, ReportedTask>();
-    for (const r of reported) shown.set(runKey(r.job, r.index, r.attempt), r);
-    w.exited = [];
-    const strays = new Map(w.strays);
-    this.own.ledger.clearStrays(w);
-    for (const [key, t] of [...w.tasks]) {
-      const r = shown.get(key);
-      if (!r) {
-        // A start that no report shows was not carried out, and if it rode in an answer it never will be: the
-        // worker drops answers that it no longer waits for. One sent straight to it may still arrive.
-        if (t.phase !== "ordered") this.lostTask(t);
-        else if (!ordered) continue;
-        else if (t.stop && !w.openStarts.has(key)) this.own.requeue(t);
-        else if (t.told > 0) {
-          missing = true;
-          // What a machine that receives nothing was to start goes elsewhere as soon as it can't be carried out any more.
-          if (w.receipt.deafMs !== null && !w.openStarts.has(key))
-            this.own.requeue(t);
-        }
-      } else if (r.state === "exited") {
-        if (t.phase === "ordered") carriedOut = true;
-        this.exited(t, r.cause, r.saved);
-      } else {
-        if (t.phase === "ordered") carriedOut = true;
-        if (t.phase !== r.state) {
-          this.ctx.log("debug", "task phase", {
-            task: taskKey(t.job.id, t.index),
-            worker: w.id,
-            from: t.phase,
-            to: r.state,
-            afterMs: Math.round(now - t.sinceMs),
-          });
-          t.phase = r.state;
-          t.sinceMs = now;
-        }
-        if (r.state === "running" || r.state === "waiting")
-          this.noteImage(w, t);
-      }
-    }
-    for (const [key, r] of shown) {
-      if (r.state === "exited") {
-        w.exited.push({
-          job: r.job,
-          index: r.index,
-          attempt: r.attempt,
-          cause: r.cause,
-        });
-        if (!w.tasks.has(key) && r.cause === "done") this.foundDone(r);
-        continue;
-      }
-      if (w.tasks.has(key) || this.adopt(w, r)) continue;
-      const spec = (
-        this.own.jobs.get(r.job)?.view ?? this.ctx.mirror.jobs.get(r.job)
-      )?.spec;
-      this.own.ledger.addStray({
-        worker: w,
-        job: r.job,
-        index: r.index,
-        attempt: r.attempt,
-        need: spec
-          ? {
-              team: spec.team,
-              cpus: spec.cpus,
-              gpus: spec.gpus,
-              memGb: spec.memGb,
-            }
-          : (strays.get(key)?.need ?? null),
-        sinceMs: strays.get(key)?.sinceMs ?? now,
-      });
-    }
-    this.receipts.noteOrders(w, missing, carriedOut);
-    // What is gone from a machine has made room, or was what a waiting task had to wait for.
-    for (const key of strays.keys())
-      if (!w.strays.has(key)) this.own.dirty = true;
-  }
-
-  private noteImage(w: Worker, t: TaskRun): void {
-    const spec = t.job.view.spec;
-    if (!spec.image) return;
-    w.images.delete(spec.image);
-    w.images.set(spec.image, { gb: spec.imageGb, usedMs: this.ctx.nowMs });
-    let total = 0;
-    for (const i of w.images.values()) total += i.gb;
-    for (const [image, i] of w.images) {
-      if (total <= (w.type?.cacheGb ?? 0) || w.images.size === 1) break;
-      w.images.delete(image);
-      total -= i.gb;
-    }
-  }
-
-  /** A result that was reported under another attempt counts all the same. */
-  private foundDone(r: ReportedTask): void {
-    const job = this.own.jobs.get(r.job);
-    if (
-      !job ||
-      job.view.spec.shape === "daemon" ||
-      !job.mine.has(r.index) ||
-      job.finished.has(r.index)
-    )
-      return;
-    const running = job.active.get(r.index);
-    this.finishing.finish(job, r.index);
-    if (running) this.own.stop(running, 0, "done elsewhere");
-  }
-
-  /** A task that a former master started (or whose start we forgot): ours from now on, if it may be. */
-  private adopt(w: Worker, r: ReportedTask): boolean {
-    const job = this.own.jobs.get(r.job);
-    if (!job || job.gone || !job.waiting.has(r.index) || r.state === "exited")
-      return false;
-    const spec = job.view.spec;
-    if (
-      spec.shape === "ensemble" &&
-      [...job.active.values()].some((t) => t.attempt !== r.attempt)
-    )
-      return false;
-    if (!allowedOn(spec, w.typeName, w.zone, w.spot)) return false;
-    job.waiting.remove(r.index);
-    const t: TaskRun = {
-      job,
-      index: r.index,
-      attempt: r.attempt,
-      worker: w,
-      phase: r.state,
-      told: 0,
-      sinceMs: this.ctx.nowMs,
-      stop: null,
-    };
-    job.active.set(r.index, t);
-    this.own.ledger.put(t);
-    this.noteImage(w, t);
-    return true;
-  }
-
-  private lostTask(t: TaskRun): void {
-    this.ctx.log("info", "task vanished from its machine", {
-      task: taskKey(t.job.id, t.index),
-      worker: t.worker.id,
-    });
-    this.own.requeue(t);
-  }
-
-  private exited(t: TaskRun, cause: Cause | null, saved: boolean): void {
-    const { job, worker: w } = t;
-    this.ctx.log("debug", "task ended", {
-      task: taskKey(job.id, t.index),
-      worker: w.id,
-      cause,
-      saved,
-    });
-    if (cause === "done" && !job.gone && job.view.spec.shape !== "daemon")
-      this.finishing.finish(job, t.index);
-    if (cause === "done") {
-      w.failed.clear();
-      this.clears(job);
-    }
-    if (cause === "error") this.failed(t);
-    if (cause === "no_room" || cause === "busy")
-      w.avoidUntilMs = this.ctx.nowMs + 2_000;
-    if (cause === "no_such") job.backoffUntilMs = this.ctx.nowMs + 2_000;
-    this.own.requeue(t);
-  }
-
-  /**
-   * A failure is mostly the machine's fault, but a job that was submitted with a mistake fails on every machine. It is
-   * suspected once it has failed on two machines and nothing of it has ever completed: then it accuses no machine any more,
-   * nothing is rented, held, moved or stopped for it, and it is tried again ever more slowly. A machine is given up for
-   * failures of two jobs that are not suspected.
-   */
-  private failed(t: TaskRun): void {
-    const { job, worker: w } = t;
-    const now = this.ctx.nowMs;
-    job.errors.set(w.id, (job.errors.get(w.id) ?? 0) + 1);
-    if (now - job.failedMs > ONE_TRY_MS) job.failedTries++;
-    job.failedMs = now;
-    const healthy =
-      job.finished.size > 0 || this.ctx.mirror.finishedCount(job.id) > 0;
-    // Others of it that have run for longer than this one did speak for the job, but not for ever.
-    const ranMs = t.phase === "running" ? now - t.sinceMs : 0;
-    const others = [...job.active.values()].some(
-      (x) =>
-        x !== t &&
-        x.phase === "running" &&
-        now - x.sinceMs > ranMs * 1.2 + 1_000,
-    );
-    if (
-      !healthy &&
-      job.errors.size >= (others ? SUSPECT_ANYWAY : SUSPECT_AFTER)
-    )
-      this.suspect(job);
-    else {
-      w.failed.add(job.id);
-      w.avoidUntilMs = Math.max(w.avoidUntilMs, now + 5_000 * w.failed.size);
-      this.ctx.log("info", "task failed", {
-        task: taskKey(job.id, t.index),
-        worker: w.id,
-        jobsFailedHere: w.failed.size,
-      });
-    }
-    if (w.failed.size >= 2 && !w.going)
-      this.fleet.giveUp(w, "tasks of several jobs failed on it");
-  }
-
-  private suspect(job: JobRun): void {
-    const now = this.ctx.nowMs;
-    job.backoffUntilMs = Math.max(
-      job.backoffUntilMs,
-      now + Math.min(MOST_PAUSE_MS, 1_000 * 2 ** Math.min(10, job.failedTries)),
-    );
-    if (job.suspectMs !== null) return;
-    job.suspectMs = now;
-    for (const x of this.own.workers.values())
-      if (x.failed.delete(job.id) && x.failed.size === 0)
-        x.avoidUntilMs = Math.min(x.avoidUntilMs, now);
-    this.ctx.log(
-      "warn",
-      "job fails wherever it runs; tried again ever more slowly",
-      {
-        job: job.id,
-        class: job.view.spec.class,
-        team: job.view.spec.team,
-        machines: [...job.errors.keys()].slice(0, 5),
-        failures: [...job.errors.values()].reduce((a, b) => a + b, 0),
-      },
-    );
-  }
-
-  /** Something of a job has completed: it has no mistake, and what failed before were machines. */
-  private clears(job: JobRun): void {
-    if (job.suspectMs === null) return;
-    job.suspectMs = null;
-    job.failedTries = 0;
-    job.backoffUntilMs = 0;
-    job.errors.clear();
-    this.ctx.log("info", "job runs after all", { job: job.id });
-  }
-
   /** A spot machine that is about to be taken: what can save does so just in time. */
   private onNotice(w: Worker): void {
     if (w.takenAtMs === null) return;
