--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -31,6 +31,13 @@
 /** A task waits this long for its own group before it may move. */
 const MOVE_AFTER_MS = 400;
 
+/**
+ * Tasks of an array that have waited for so long also go to a group with a queue, if it has room beside all that waits there: a gang
+ * that does not fit kept them from its idle machines for as long as it waited. Sooner it cost deadlines: what waits there is
+ * mostly about to start.
+ */
+const BESIDE_AFTER_MS = 20_000;
+
 /** A job goes where others would be stopped for it only after it has waited here for longer than that takes. */
 const YIELD_AFTER_MS = 6_000;
 
@@ -87,12 +94,10 @@
       for (const [g, r] of rooms) {
         if (g === this.own.group || !this.ctx.mirror.groups.has(g)) continue;
         const handed = this.ctx.handed.get(g);
-        // A gang that waits there does not fit, or the room would not be free, and what it holds is not written as free.
-        // Tasks of an array go where there is room beside all that waits there.
+        // What waits there does not fit, or the room would not be free, and what it holds is not written as free.
         const fit = whole
           ? this.wholeAt(job, g, r, short, handed)
-          : roomLeft(spec, r, this.ctx.catalog ?? [], short, handed) -
-            r.queue[kind];
+          : this.placesAt(job, r, short, handed);
         const n = Math.min(fit, this.allowed(spec, g, headroom.get(spec.team)));
         if (n >= (whole ? spec.tasks : 1) && (!best || n > best.fit))
           best = { g, fit: n };
@@ -149,6 +154,21 @@
     }
   }
 
+  /** Tasks of an array that a group has places for: one with an empty queue, or after a while with room beside its queue. */
+  private placesAt(
+    job: JobRun,
+    room: RoomRecord,
+    short: boolean,
+    handed: readonly Handed[] | undefined,
+  ): number {
+    const { spec } = job.view;
+    const queued = room.queue[queueOf(spec)];
+    const waitedMs = this.ctx.nowMs - job.waitingSinceMs;
+    if (queued > 0 && waitedMs < BESIDE_AFTER_MS) return 0;
+    const catalog = this.ctx.catalog ?? [];
+    return roomLeft(spec, room, catalog, short, handed) - queued;
+  }
+
   /**
    * Tasks of a job that goes whole that fit into a group now; or, once it has waited for longer than stopping takes, that fit
    * there once less urgent work has given way, if nothing as urgent waits there.
