Moves: who may move, where to, and the giving are functions of their own

Cause: Moves.tick had 44 branches and nested five deep. Change: mayMove, groupWithRoom, groupToRent and give, with whole names.

--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -4,7 +4,7 @@
   type RoomRecord,
   writeJob,
 } from "../storage/records.js";
-import { backlogOf } from "./backlog.js";
+import { type Backlog, backlogOf } from "./backlog.js";
 import type { Context } from "./context.js";
 import { Urgent } from "./effects.js";
 import { Handover } from "./handover.js";
@@ -41,6 +41,12 @@
 /** A job goes where others would be stopped for it only after it has waited here for longer than that takes. */
 const YIELD_AFTER_MS = 6_000;
 
+/** Where tasks of a job go, and how many at most. */
+interface Target {
+  group: string;
+  tasks: number;
+}
+
 /** Waiting tasks that go to other groups. */
 export class Moves {
   private gaveMs = -Infinity;
@@ -64,94 +70,105 @@
       (j) => !j.waiting.isEmpty,
     );
     if (waiting.length === 0) return;
-    const rooms = this.ctx.mirror.rooms;
     const headroom = this.sharing.headroom();
-    const own = backlogOf(this.own.jobs.values(), headroom);
+    const backlog = backlogOf(this.own.jobs.values(), headroom);
     for (const job of waiting) {
-      const spec = job.view.spec;
-      const kind = queueOf(spec);
-      if (
-        job.moving ||
-        job.finalizing ||
-        job.suspectMs !== null ||
-        spec.spread ||
-        !this.own.mayStart(job) ||
-        this.ctx.nowMs - job.waitingSinceMs < MOVE_AFTER_MS
-      )
+      if (!this.mayMove(job, backlog)) continue;
+      const left = headroom.get(job.view.spec.team);
+      const target =
+        this.groupWithRoom(job, left) ?? this.groupToRent(job, left);
+      if (target) this.give(job, target, left);
+    }
+  }
+
+  private waitedMs(job: JobRun): number {
+    return this.ctx.nowMs - job.waitingSinceMs;
+  }
+
+  private mayMove(job: JobRun, backlog: Backlog): boolean {
+    const { spec } = job.view;
+    if (job.moving || job.finalizing || job.suspectMs !== null) return false;
+    if (spec.spread || !this.own.mayStart(job)) return false;
+    if (this.waitedMs(job) < MOVE_AFTER_MS) return false;
+    // A part of an array comes from the longest queue; a gang that can't start here goes to whoever holds it whole.
+    return goesWhole(spec)
+      ? this.own.waitsWhole(job)
+      : this.isLongestQueue(queueOf(spec), backlog);
+  }
+
+  private isLongestQueue(kind: keyof Backlog, backlog: Backlog): boolean {
+    for (const [group, room] of this.ctx.mirror.rooms)
+      if (group !== this.own.group && room.queue[kind] > backlog[kind])
+        return false;
+    return true;
+  }
+
+  /** The group that has places for most of the job's tasks, or for all of them if it goes whole. */
+  private groupWithRoom(job: JobRun, left: Use | undefined): Target | null {
+    const { spec } = job.view;
+    const whole = goesWhole(spec);
+    const short = isShort(spec, this.ctx.tuning);
+    const least = whole ? spec.tasks : 1;
+    let best: Target | null = null;
+    for (const [group, room] of this.ctx.mirror.rooms) {
+      if (group === this.own.group || !this.ctx.mirror.groups.has(group))
         continue;
-      const whole = goesWhole(spec);
-      const short = isShort(spec, this.ctx.tuning);
-      // A part of an array comes from the longest queue; a gang that can't start here goes to whoever holds it whole.
-      if (
-        !whole &&
-        [...rooms].some(
-          ([g, r]) => g !== this.own.group && r.queue[kind] > own[kind],
-        )
-      )
+      const handed = this.ctx.handed.get(group);
+      // What waits there does not fit, or the room would not be free, and what it holds is not written as free.
+      const fit = whole
+        ? this.wholeAt(job, group, room, short, handed)
+        : this.placesAt(job, room, short, handed);
+      const tasks = Math.min(fit, this.allowed(spec, group, left));
+      if (tasks >= least && (!best || tasks > best.tasks))
+        best = { group, tasks };
+    }
+    return best;
+  }
+
+  /** Nothing free anywhere and nothing more to be had here: a group with an empty queue that may still rent. */
+  private groupToRent(job: JobRun, left: Use | undefined): Target | null {
+    const { spec } = job.view;
+    const { catalog } = this.ctx;
+    if (!catalog || this.waitedMs(job) <= 2 * MOVE_AFTER_MS) return null;
+    if (!this.renting.exhausted(spec)) return null;
+    const whole = goesWhole(spec);
+    const short = isShort(spec, this.ctx.tuning);
+    for (const { group, zones } of capableGroups(
+      spec,
+      catalog,
+      this.ctx.groups,
+    )) {
+      const room = this.ctx.mirror.rooms.get(group);
+      if (group === this.own.group || !room || this.ctx.handed.has(group))
         continue;
-      if (whole && !this.own.waitsWhole(job)) continue;
-      let best: { g: string; fit: number } | null = null;
-      for (const [g, r] of rooms) {
-        if (g === this.own.group || !this.ctx.mirror.groups.has(g)) continue;
-        const handed = this.ctx.handed.get(g);
-        // What waits there does not fit, or the room would not be free, and what it holds is not written as free.
-        const fit = whole
-          ? this.wholeAt(job, g, r, short, handed)
-          : this.placesAt(job, r, short, handed);
-        const n = Math.min(fit, this.allowed(spec, g, headroom.get(spec.team)));
-        if (n >= (whole ? spec.tasks : 1) && (!best || n > best.fit))
-          best = { g, fit: n };
-      }
-      // Nothing free anywhere and nothing more to be had here: a group with an empty queue that may still rent.
-      if (
-        !best &&
-        this.ctx.catalog &&
-        this.ctx.nowMs - job.waitingSinceMs > 2 * MOVE_AFTER_MS &&
-        this.renting.exhausted(spec)
-      )
-        for (const c of capableGroups(
-          spec,
-          this.ctx.catalog,
-          this.ctx.groups,
-        )) {
-          const r = rooms.get(c.group);
-          if (
-            c.group === this.own.group ||
-            !r ||
-            r.queue[kind] > 0 ||
-            this.ctx.handed.has(c.group) ||
-            !canRent(spec, c.zones, r, this.ctx.catalog)
-          )
-            continue;
-          if (
-            whole &&
-            wholeRoom(spec, c.zones, r, this.ctx.catalog, short).soon <
-              spec.tasks
-          )
-            continue;
-          const n = Math.min(
-            this.allowed(spec, c.group, headroom.get(spec.team)),
-            whole ? spec.tasks : Math.ceil(job.waiting.size / 2),
-          );
-          if (n < (whole ? spec.tasks : 1)) continue;
-          best = { g: c.group, fit: n };
-          break;
-        }
-      if (!best) continue;
-      // Machines that are on their way for tasks of an array would come for nothing.
-      const movable = whole
-        ? spec.tasks
-        : job.waiting.size - this.renting.comingFor(spec);
-      if (movable <= 0) continue;
-      best.fit = Math.min(best.fit, movable);
-      const mine = headroom.get(spec.team);
-      if (mine) {
-        mine.cpus -= spec.cpus * Math.min(best.fit, job.waiting.size);
-        mine.gpus -= spec.gpus * Math.min(best.fit, job.waiting.size);
-      }
-      this.ctx.noteHanded(best.g, spec, Math.min(best.fit, job.waiting.size));
-      this.move(job, job.waiting.take(whole ? spec.tasks : best.fit), best.g);
+      if (room.queue[queueOf(spec)] > 0) continue;
+      if (!canRent(spec, zones, room, catalog)) continue;
+      const { soon } = wholeRoom(spec, zones, room, catalog, short);
+      if (whole && soon < spec.tasks) continue;
+      const wanted = whole ? spec.tasks : Math.ceil(job.waiting.size / 2);
+      const tasks = Math.min(this.allowed(spec, group, left), wanted);
+      if (tasks >= (whole ? spec.tasks : 1)) return { group, tasks };
+    }
+    return null;
+  }
+
+  /** Gives as many of the job's waiting tasks as the target takes and no machine is on its way for. */
+  private give(job: JobRun, target: Target, left: Use | undefined): void {
+    const { spec } = job.view;
+    const whole = goesWhole(spec);
+    // Machines that are on their way for tasks of an array would come for nothing.
+    const movable = whole
+      ? spec.tasks
+      : job.waiting.size - this.renting.comingFor(spec);
+    if (movable <= 0) return;
+    const most = Math.min(target.tasks, movable);
+    const tasks = Math.min(most, job.waiting.size);
+    if (left) {
+      left.cpus -= spec.cpus * tasks;
+      left.gpus -= spec.gpus * tasks;
     }
+    this.ctx.noteHanded(target.group, spec, tasks);
+    this.move(job, job.waiting.take(whole ? spec.tasks : most), target.group);
   }
 
   /** Tasks of an array that a group has places for: one with an empty queue, or after a while with room beside its queue. */
@@ -163,8 +180,7 @@
   ): number {
     const { spec } = job.view;
     const queued = room.queue[queueOf(spec)];
-    const waitedMs = this.ctx.nowMs - job.waitingSinceMs;
-    if (queued > 0 && waitedMs < BESIDE_AFTER_MS) return 0;
+    if (queued > 0 && this.waitedMs(job) < BESIDE_AFTER_MS) return 0;
     const catalog = this.ctx.catalog ?? [];
     return roomLeft(spec, room, catalog, short, handed) - queued;
   }
