Tasks that waited for 20 s are given whoever has the longest queue

Cause: only the master of the longest queue gives tasks of an array. A longer queue of work for one zone kept all others from idle machines elsewhere for as long as it lasted. Change: after 20 s of waiting a group gives, wherever there is room beside what waits there. Tests: moves.test.ts, the third; fails before.

--- a/src/coordination/moves.ts
+++ b/src/coordination/moves.ts
@@ -32,11 +32,11 @@
 const MOVE_AFTER_MS = 400;
 
 /**
- * Tasks of an array that have waited for so long also go to a group with a queue, if it has room beside all that waits there: a gang
- * that does not fit kept them from its idle machines for as long as it waited. Sooner it cost deadlines: what waits there is
- * mostly about to start.
+ * Tasks of an array that have waited for so long go to any group with room beside all that waits there, whoever has the longest
+ * queue: a gang that does not fit, or a longer queue of work for one zone, kept them from idle machines for as long as it waited.
+ * Sooner it cost deadlines: what waits there is mostly about to start.
  */
-const BESIDE_AFTER_MS = 20_000;
+const LONG_WAIT_MS = 20_000;
 
 /** A job goes where others would be stopped for it only after it has waited here for longer than that takes. */
 const YIELD_AFTER_MS = 6_000;
@@ -90,10 +90,13 @@
     if (job.moving || job.finalizing || job.suspectMs !== null) return false;
     if (spec.spread || !this.own.mayStart(job)) return false;
     if (this.waitedMs(job) < MOVE_AFTER_MS) return false;
-    // A part of an array comes from the longest queue; a gang that can't start here goes to whoever holds it whole.
-    return goesWhole(spec)
-      ? this.own.waitsWhole(job)
-      : this.isLongestQueue(queueOf(spec), backlog);
+    // A gang that can't start here goes to whoever holds it whole; a part of an array comes from the longest queue, but one that
+    // has waited for long does not go on waiting for what a longer queue has that can't be served elsewhere.
+    if (goesWhole(spec)) return this.own.waitsWhole(job);
+    return (
+      this.waitedMs(job) >= LONG_WAIT_MS ||
+      this.isLongestQueue(queueOf(spec), backlog)
+    );
   }
 
   private isLongestQueue(kind: keyof Backlog, backlog: Backlog): boolean {
@@ -180,7 +183,7 @@
   ): number {
     const { spec } = job.view;
     const queued = room.queue[queueOf(spec)];
-    if (queued > 0 && this.waitedMs(job) < BESIDE_AFTER_MS) return 0;
+    if (queued > 0 && this.waitedMs(job) < LONG_WAIT_MS) return 0;
     const catalog = this.ctx.catalog ?? [];
     return roomLeft(spec, room, catalog, short, handed) - queued;
   }
