--- a/test/sim/checker.ts
+++ b/test/sim/checker.ts
@@ -78,6 +78,7 @@
       for (const [z, n] of zones)
         if (n > Math.ceil(spec.tasks / 2))
           this.fail("wrong_place", `spread: ${n} of ${job} in ${z}`);
+    if (this.cancelledMs.has(job)) this.startsAfterCancelled++;
     this.checkCancelled(job);
     for (const name of this.world.awaits.get(job) ?? [])
       if (!this.isDone(name))
@@ -118,6 +119,8 @@
   readonly writes = new Map<string, number>();
   /** Tasks that were on machines when the cancellation of their job was confirmed, and the longest that one stayed there, in ms. */
   cancelledOn = 0;
+  /** Tasks that got on a machine after the cancellation of their job was confirmed: their starts were on the way. */
+  startsAfterCancelled = 0;
   longestAfterMs = 0;
   private checkCancelled(job: string): void {
     const at = this.cancelledMs.get(job);
--- a/test/sim/hunt.ts
+++ b/test/sim/hunt.ts
@@ -67,11 +67,13 @@
   const occurred = new Map<string, { times: number; days: number }>();
   let longestMs = 0;
   let confirmed = 0;
+  let startedAfter = 0;
   for (let seed = from; seed < to; seed++) {
     const day = play(seed);
     const { checker, starts } = day.world;
     longestMs = Math.max(longestMs, checker.longestAfterMs);
     confirmed += checker.cancelledOn;
+    startedAfter += checker.startsAfterCancelled;
     for (const [name, n] of day.occurred ?? []) {
       const sum = occurred.get(name) ?? { times: 0, days: 0 };
       const days = sum.days + (n > 0 ? 1 : 0);
@@ -85,7 +87,7 @@
       console.log(seed, "fewest troubles:", JSON.stringify(day.fewest()));
   }
   console.log(
-    `${to - from} days of ${kind}; ${confirmed} tasks on machines when their cancellation was confirmed, the longest for ${longestMs / 1000} s`,
+    `${to - from} days of ${kind}; ${confirmed} tasks on machines when their cancellation was confirmed, the longest for ${longestMs / 1000} s; ${startedAfter} got on one after it`,
   );
   for (const [name, { times, days }] of occurred)
     console.log(`${name}: ${times} times, on ${days} days`);
