One loop counts waiting tasks; scenarios share who leads, how a leader is cut off and whose zone it is

GroupState.queue counted what backlogOf counts without limits; four scenarios wrote the cut of a leader, two the words for a new leader and its look-up, three the group of a zone. Change: queue() calls backlogOf; cutOffLeader, liveLeaderOf, newLeader and groupOfZone stand in stage.ts.

--- a/src/coordination/backlog.ts
+++ b/src/coordination/backlog.ts
@@ -9,13 +9,16 @@
   accelerated: number;
 }
 
+/** No team has a limit to keep within. */
+const NO_LIMITS: ReadonlyMap<string, Use> = new Map();
+
 /**
- * Tasks that wait for machines. Those that only their team's limit keeps from starting wait for none: counted, they kept
+ * Tasks that wait for machines; without `headroom`, all tasks that wait. Those that only their team's limit keeps from starting wait for none: counted, they kept
  * a group with idle machines from taking tasks of any other team.
  */
 export function backlogOf(
   jobs: Iterable<JobRun>,
-  headroom: ReadonlyMap<string, Use>,
+  headroom = NO_LIMITS,
 ): Backlog {
   const left = new Map<string, Use>();
   for (const [team, use] of headroom) left.set(team, { ...use });
--- a/src/coordination/group-state.ts
+++ b/src/coordination/group-state.ts
@@ -1,12 +1,12 @@
 import type { Condition, Write } from "../protocol/state.js";
 import { reportGapMs } from "../protocol/workers.js";
 import { groupKey } from "../storage/records.js";
+import { type Backlog, backlogOf } from "./backlog.js";
 import { type CommitEnd, type Context, DRIFT } from "./context.js";
 import { Urgent } from "./effects.js";
 import { Ledger, type Use } from "./ledger.js";
 import { type ListedMachine, taskKey } from "./model.js";
 import { Roster } from "./roster.js";
-import { queueOf } from "./splitter.js";
 import type { JobRun, TaskRun, Worker } from "./tasks.js";
 
 /** What the tasks that a machine is known to have take. */
@@ -176,11 +176,8 @@
   }
 
   /** Tasks that wait, by kind of machine. */
-  queue(): { plain: number; accelerated: number } {
-    const queue = { plain: 0, accelerated: 0 };
-    for (const j of this.jobs.values())
-      queue[queueOf(j.view.spec)] += j.waiting.size;
-    return queue;
+  queue(): Backlog {
+    return backlogOf(this.jobs.values());
   }
 
   /** What each team uses in this group, counting all that may be running. */
--- a/test/scenarios/cancelled-in-handover.ts
+++ b/test/scenarios/cancelled-in-handover.ts
@@ -1,12 +1,11 @@
 import { cancel, users } from "../sim/days.js";
 import type { World } from "../sim/world.js";
 import {
-  cutFromPeers,
+  cutOffLeader,
   groupOf,
   Occurrences,
   ownerOf,
   plainJob,
-  refuse,
   restart,
   runToEnd,
   type ScenarioDay,
@@ -79,8 +78,7 @@
       restart(world, leader, rng.real(16_000, 19_000));
       break;
     case 2:
-      refuse(world, leader, 18_000);
-      cutFromPeers(world, leader, 18_000);
+      cutOffLeader(world, leader, 18_000);
       break;
     case 3:
       world.freeze(leader, rng.real(15_000, 18_000));
--- a/test/scenarios/limits-out-of-reach.ts
+++ b/test/scenarios/limits-out-of-reach.ts
@@ -2,14 +2,15 @@
 import type { SimWorker } from "../sim/machine.js";
 import type { World } from "../sim/world.js";
 import {
-  cutFromPeers,
+  cutOffLeader,
   groupOf,
   isUnreachable,
+  liveLeaderOf,
+  NEW_LEADERS,
+  newLeader,
   Occurrences,
-  ownerOf,
   plainJob,
   putOutOfReach,
-  refuse,
   restart,
   runToEnd,
   type ScenarioDay,
@@ -27,8 +28,6 @@
 /** A team is at its limit if no task of these jobs fits below it any more. */
 const LARGEST_TASK_CPUS = 2;
 
-const LEADERS = ["the same controller again", "another controller"] as const;
-
 /** A job that was cancelled while every team was at its limit, with a task on a machine that can't be reached. */
 interface Cancelled {
   job: string;
@@ -51,7 +50,7 @@
     ]),
   });
   const occurred = new Occurrences(
-    UNREACHABLE.flatMap((how) => LEADERS.map((l) => `${how}, ${l}`)),
+    UNREACHABLE.flatMap((how) => NEW_LEADERS.map((l) => `${how}, ${l}`)),
   );
   const cancelled: Cancelled[] = [];
   world.checker.onTold = (id, told) => {
@@ -59,8 +58,9 @@
     for (const c of cancelled)
       if (c.job === id && everyTeamAtLimit(world)) c.confirmedMs = world.now;
   };
-  watchGroups(world, ({ group, owner, formerOwner }) => {
-    const leader = LEADERS[owner === formerOwner ? 0 : 1];
+  watchGroups(world, (takeover) => {
+    const { group } = takeover;
+    const leader = newLeader(takeover);
     for (const c of cancelled)
       if (isMet(world, c, group)) occurred.note(`${c.how}, ${leader}`);
   });
@@ -108,8 +108,8 @@
   );
   if (busy.length === 0) return;
   const group = groupOf(world, rng.pick(busy).machine);
-  const leader = ownerOf(world, group)?.owner;
-  if (leader === undefined || !world.nodes.get(leader)) return;
+  const leader = liveLeaderOf(world, group);
+  if (leader === null) return;
   const cancelAll = (): void => cancelOnMachines(world, group, cancelled);
   if (rng.chance(0.5)) {
     cancelAll();
@@ -119,8 +119,7 @@
   }
   // It goes on answering its workers until its permit ends; then a peer takes the group.
   const awayMs = 20_000;
-  refuse(world, leader, awayMs);
-  cutFromPeers(world, leader, awayMs);
+  cutOffLeader(world, leader, awayMs);
   world.at(rng.real(9_500, 14_500), cancelAll);
 }
 
--- a/test/scenarios/old-reports.ts
+++ b/test/scenarios/old-reports.ts
@@ -3,11 +3,11 @@
 import { cancel, users } from "../sim/days.js";
 import type { World } from "../sim/world.js";
 import {
-  cutFromPeers,
+  cutOffLeader,
+  groupOfZone,
   Occurrences,
   plainJob,
   putOutOfReach,
-  refuse,
   restart,
   runToEnd,
   type ScenarioDay,
@@ -129,9 +129,7 @@
   contents.add(
     report.session < machine.session ? "earlier session" : "same session",
   );
-  const group = [...world.nodes.values()]
-    .find((n) => n !== null)
-    ?.core.groups.of(report.zone);
+  const group = groupOfZone(world, report.zone);
   for (const task of report.tasks) {
     if (task.state === "exited") continue;
     const { job, index, attempt } = task;
@@ -170,8 +168,7 @@
     const name = rng.pick(world.names);
     if (rng.chance(0.5)) return restart(world, name, rng.real(50, 900));
     if (rng.chance(0.5)) return restart(world, name, rng.real(15_000, 18_000));
-    refuse(world, name, 17_000);
-    cutFromPeers(world, name, 17_000);
+    cutOffLeader(world, name, 17_000);
   });
   world.every(6_000, () => {
     if (world.now > OVER_MS - 20_000) return;
--- a/test/scenarios/stage.ts
+++ b/test/scenarios/stage.ts
@@ -130,11 +130,28 @@
   });
 }
 
-/** The group that a machine's zone belongs to. */
-export function groupOf(world: World, machine: SimWorker): string {
+/** The group that a zone belongs to, as any controller that is up has it. */
+export function groupOfZone(world: World, zone: string): string | undefined {
   const node = [...world.nodes.values()].find((n) => n !== null);
-  return node!.core.groups.of(machine.zone);
+  return node?.core.groups.of(zone);
 }
+/** The group that a machine's zone belongs to; some controller is up. */
+export const groupOf = (world: World, machine: SimWorker): string =>
+  groupOfZone(world, machine.zone)!;
+
+/** The controller that leads a group, if it is up. */
+export function liveLeaderOf(world: World, group: string): string | null {
+  const owner = ownerOf(world, group)?.owner;
+  return owner !== undefined && world.nodes.get(owner) ? owner : null;
+}
+
+/** Who leads a group after a takeover. */
+export const NEW_LEADERS = [
+  "the same controller again",
+  "another controller",
+] as const;
+export const newLeader = (takeover: Takeover): (typeof NEW_LEADERS)[number] =>
+  NEW_LEADERS[takeover.owner === takeover.formerOwner ? 0 : 1];
 
 /** Tasks that are on machines at this moment, in the sense of PROTOCOL's rules. */
 export function* tasksOnMachines(
@@ -200,6 +217,12 @@
   world.at(forMs, () => world.meshCuts.delete(name));
 }
 
+/** A controller loses the state service and its peers for a while, not its workers: it answers them until its permit ends. */
+export function cutOffLeader(world: World, name: string, forMs: number): void {
+  refuse(world, name, forMs);
+  cutFromPeers(world, name, forMs);
+}
+
 /** A job that most groups can run: no limits of place, few CPUs. */
 export const plainJob = (world: World, n: number): JobSpec => ({
   ...randomJob(world, n),
--- a/test/scenarios/unreached-tasks.ts
+++ b/test/scenarios/unreached-tasks.ts
@@ -2,14 +2,15 @@
 import type { SimWorker } from "../sim/machine.js";
 import type { World } from "../sim/world.js";
 import {
-  cutFromPeers,
+  cutOffLeader,
   groupOf,
   isUnreachable,
+  liveLeaderOf,
+  NEW_LEADERS,
+  newLeader,
   Occurrences,
-  ownerOf,
   plainJob,
   putOutOfReach,
-  refuse,
   restart,
   runToEnd,
   type ScenarioDay,
@@ -24,8 +25,6 @@
 /** A task that has so long to go is a long one. */
 const LONG_MS = 20_000;
 
-const LEADERS = ["the same controller again", "another controller"] as const;
-
 /**
  * A leader ends while machines with long tasks can't be reached, or don't hear the new leader's answers: what they run is not started
  * again until they have spoken under the new token or their leases are over.
@@ -33,11 +32,12 @@
 export function unreachedTasks(seed: number): ScenarioDay {
   const world = stage(seed, { controllers: 2 + (seed % 3), runFactor: 10 });
   const occurred = new Occurrences(
-    UNREACHABLE.flatMap((how) => LEADERS.map((l) => `${how}, ${l}`)),
+    UNREACHABLE.flatMap((how) => NEW_LEADERS.map((l) => `${how}, ${l}`)),
   );
   const reach = new Map<SimWorker, string>();
-  watchGroups(world, ({ group, owner, formerOwner }) => {
-    const leader = LEADERS[owner === formerOwner ? 0 : 1];
+  watchGroups(world, (takeover) => {
+    const { group } = takeover;
+    const leader = newLeader(takeover);
     const met = new Set<string>();
     for (const { machine, task } of tasksOnMachines(world)) {
       if (!isUnreachable(machine) || groupOf(world, machine) !== group)
@@ -60,8 +60,8 @@
   const busy = [...tasksOnMachines(world)].map(({ machine }) => machine);
   if (busy.length === 0) return;
   const group = groupOf(world, rng.pick(busy));
-  const leader = ownerOf(world, group)?.owner;
-  if (leader === undefined || !world.nodes.get(leader)) return;
+  const leader = liveLeaderOf(world, group);
+  if (leader === null) return;
   const lose = (): void => {
     for (const machine of new Set(busy)) {
       if (groupOf(world, machine) !== group || isUnreachable(machine)) continue;
@@ -78,7 +78,6 @@
     );
   }
   // It goes on answering until its permit ends; shortly before a peer takes the group the machines are lost.
-  refuse(world, leader, 20_000);
-  cutFromPeers(world, leader, 20_000);
+  cutOffLeader(world, leader, 20_000);
   world.at(rng.real(9_500, 14_500), lose);
 }
