A heartbeat made before a start was answered says nothing of that task

Cause: `Reconciliation.reconcileAbsent` took a start that a heartbeat does not show for not carried out, because heartbeats are made after every answer before them. That holds for answers to heartbeats. A start sent straight to a machine is answered on another connection, and that answer overtakes a heartbeat made before it. With the task told to stop in between it was taken off the count and its resources were given to others while it ran, and no stop was sent.

Change: the answer to a command brings the sequence of the status that the machine made after it; a status with a lower one is no evidence that the task is absent, nor that the machine does not receive. A 200 that can't be read counts as no answer.

--- a/src/coordination/effects.ts
+++ b/src/coordination/effects.ts
@@ -71,7 +71,8 @@
 
 /** How a command to a worker ended. */
 export type CommandReply =
-  | { kind: "answered"; status: number }
+  /** `sequence`: of the status that the machine made after the commands; null: they were not carried out. */
+  | { kind: "answered"; status: number; sequence: number | null }
   /** No connection came about, so nothing can arrive later. */
   | { kind: "refused" }
   /** It may arrive, minutes later. */
--- a/src/coordination/machines/command-sender.ts
+++ b/src/coordination/machines/command-sender.ts
@@ -78,7 +78,11 @@
     const isSettled =
       reply.kind !== "unknown" && worker.incarnation === message.incarnation;
     if (!isSettled) return;
-    for (const key of message.startKeys) removeUnansweredStart(worker, key);
+    for (const key of message.startKeys) {
+      removeUnansweredStart(worker, key);
+      if (reply.kind === "answered" && reply.sequence !== null)
+        noteStartAnswered(worker, key, reply.sequence);
+    }
   }
 }
 
@@ -96,6 +100,17 @@
   worker.unansweredStarts.set(key, (worker.unansweredStarts.get(key) ?? 0) + 1);
 }
 
+/** The machine has carried the start out: only statuses that it made after this answer tell what became of it. */
+function noteStartAnswered(
+  worker: Worker,
+  key: string,
+  sequence: number,
+): void {
+  const task = worker.tasks.get(key);
+  if (!task) return;
+  task.startAnsweredSequence = Math.max(task.startAnsweredSequence, sequence);
+}
+
 function removeUnansweredStart(worker: Worker, key: string): void {
   const remaining = (worker.unansweredStarts.get(key) ?? 0) - 1;
   if (remaining > 0) worker.unansweredStarts.set(key, remaining);
--- a/src/coordination/machines/reconciliation.ts
+++ b/src/coordination/machines/reconciliation.ts
@@ -99,9 +99,9 @@
       this.onVanished(task);
       return false;
     }
-    // A start that no heartbeat shows was not carried out, and if it was part of an answer it never will be: the
+    // A start that no later heartbeat shows was not carried out, and if it was part of an answer it never will be: the
     // worker drops answers that it no longer waits for. One sent straight to it may still arrive.
-    if (!ordered) return false;
+    if (!ordered || this.isOlderThanStart(worker, task)) return false;
     if (task.stop && !worker.unansweredStarts.has(key)) {
       this.state.requeue(task);
       return false;
@@ -116,6 +116,14 @@
     return true;
   }
 
+  /**
+   * Invariant (quota, ran_twice): the answer to a command overtakes a heartbeat that was made before it and is still on its
+   * way. That heartbeat says nothing of what the command started (docs/incidents/heartbeat-overtaken.md).
+   */
+  isOlderThanStart(worker: Worker, task: TaskRun): boolean {
+    return worker.sequence < task.startAnsweredSequence;
+  }
+
   private notePhase(
     worker: Worker,
     task: TaskRun,
@@ -234,6 +242,7 @@
       worker,
       phase: reported.state,
       timesSent: 0,
+      startAnsweredSequence: -1,
       sinceMs: this.ctx.nowMs,
       stop: null,
     };
--- a/src/coordination/machines/worker-state.ts
+++ b/src/coordination/machines/worker-state.ts
@@ -19,6 +19,11 @@
   phase: "ordered" | Exclude<TaskState, "exited">;
   /** Answers to heartbeats that contained its start. */
   timesSent: number;
+  /**
+   * Sequence of the machine's last answer to a command that contained its start: a status made before it can't show the
+   * task. -1: no such answer.
+   */
+  startAnsweredSequence: number;
   sinceMs: number;
   /** It is to be stopped, with this much time to save. */
   stop: { graceS: number; why: string } | null;
--- a/src/coordination/scheduling/scheduler.ts
+++ b/src/coordination/scheduling/scheduler.ts
@@ -358,6 +358,7 @@
       worker,
       phase: "ordered",
       timesSent: 0,
+      startAnsweredSequence: -1,
       sinceMs: this.ctx.nowMs,
       stop: null,
     };
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -56,6 +56,8 @@
   ),
 });
 
+const SequenceOnly = v.object({ tally: count });
+
 /** Of a name that the schema has found well formed. */
 function splitTask(key: string): { job: string; index: number } | null {
   const at = key.lastIndexOf("/");
@@ -112,6 +114,14 @@
   };
 }
 
+/** The sequence of a machine's status, all that is needed of the answer to a command; null: it can't be read. */
+export function readSequence(body: string): number | null {
+  const raw = parseObject(body);
+  if (!raw.ok) return null;
+  const status = v.safeParse(SequenceOnly, raw.value);
+  return status.success ? status.output.tally : null;
+}
+
 function wireCommand(o: Command): object {
   const shard = `${o.job}/${o.index}`;
   switch (o.op) {
--- a/src/transport/worker-client.ts
+++ b/src/transport/worker-client.ts
@@ -1,6 +1,10 @@
 import type { CommandReply } from "../coordination/effects.js";
 import type { Command, Heartbeat } from "../coordination/model.js";
-import { commandBody, parseHeartbeat } from "../protocol/workers.js";
+import {
+  commandBody,
+  parseHeartbeat,
+  readSequence,
+} from "../protocol/workers.js";
 import { HttpClient, type HttpOutcome, type Method } from "./http-client.js";
 
 /** Of all connections of the process, what those to workers may take; requests beyond it wait for one. */
@@ -10,6 +14,8 @@
 const IDLE_SHARE = 0.5;
 /** A worker that does not answer within this time, the wait for a connection included, counts as out of reach. */
 const ANSWER_TIMEOUT_MS = 3_000;
+/** The commands were carried out, and the body is the machine's status after them. */
+const HTTP_OK = 200;
 
 /** Orders sent straight to workers. */
 export class WorkerClient {
@@ -35,8 +41,14 @@
       "/commands",
       JSON.stringify(commandBody(token, incarnation, commands)),
     );
-    if (f.kind === "answered") return { kind: "answered", status: f.status };
-    return { kind: f.kind };
+    if (f.kind !== "answered") return { kind: f.kind };
+    const { status } = f;
+    if (status !== HTTP_OK) return { kind: "answered", status, sequence: null };
+    const sequence = readSequence(f.body);
+    // Carried out, but which statuses it precedes is not known: as if its answer were lost.
+    return sequence === null
+      ? { kind: "unknown" }
+      : { kind: "answered", status, sequence };
   }
 
   private fetch(
@@ -59,7 +71,7 @@
   /** The machine's report of a moment after this question; null: no answer, or none that can be read. */
   async inspect(address: string): Promise<Heartbeat | null> {
     const f = await this.fetch(address, "GET", "/inspect");
-    if (f.kind !== "answered" || f.status !== 200) return null;
+    if (f.kind !== "answered" || f.status !== HTTP_OK) return null;
     const r = parseHeartbeat(f.body);
     return r.ok ? r.value : null;
   }
--- a/test/simulation/guards.ts
+++ b/test/simulation/guards.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { Controller } from "../../src/coordination/controller.js";
 import { DeliveryTracker } from "../../src/coordination/machines/delivery-tracker.js";
+import { Reconciliation } from "../../src/coordination/machines/reconciliation.js";
 import { PartitionState } from "../../src/coordination/scheduling/partition-state.js";
 import { StoreWatcher } from "../../src/coordination/store/store-watcher.js";
 import { FINAL_PREFIX, readFinal } from "../../src/storage/records.js";
@@ -63,6 +64,13 @@
   return () => (DeliveryTracker.prototype.isStale = before);
 }
 
+/** Without the check a heartbeat counts for tasks whose starts were carried out, and answered, after it was made. */
+export function withoutOvertakenCheck(): () => void {
+  const before = Reconciliation.prototype.isOlderThanStart;
+  Reconciliation.prototype.isOlderThanStart = () => false;
+  return () => (Reconciliation.prototype.isOlderThanStart = before);
+}
+
 /** Without the read an answer rests on the cache as it is, however old that may be. */
 export function withoutReadBeforeAnswer(): () => void {
   const before = StoreWatcher.prototype.afterRead;
--- a/test/simulation/machine.ts
+++ b/test/simulation/machine.ts
@@ -338,7 +338,11 @@
       }
       this.sequence++;
       if (answer && !this.oneWay && !this.world.rng.chance(this.world.loss))
-        done({ kind: "answered", status: ok ? 200 : 409 });
+        done({
+          kind: "answered",
+          status: ok ? 200 : 409,
+          sequence: ok ? this.sequence : null,
+        });
     };
     const hold = this.world.commandHold?.(node, this, token, commands);
     if (hold)
