--- a/test/simulation/world.ts
+++ b/test/simulation/world.ts
@@ -19,6 +19,7 @@
 import { ProductionController } from "./production-controller.js";
 import { type CheckedWorld, Checker } from "./checker.js";
 import { Cloud, type CloudWorld } from "./cloud.js";
+import { EventQueue } from "./event-queue.js";
 import type {
   CommandHold,
   HeartbeatHold,
@@ -170,8 +171,7 @@
   /** Looks at a controller after each of its steps. */
   afterStep: ((core: Controller) => void) | null = null;
   starts = 0;
-  private readonly heap: { at: number; seq: number; fn: () => void }[] = [];
-  private seq = 0;
+  private readonly events = new EventQueue();
   private lives = 0;
   private reqs = 0;
   private readonly answers = new Map<number, (a: Answer | null) => void>();
@@ -276,41 +276,7 @@
   }
 
   at(delayMs: number, fn: () => void): void {
-    const e = { at: this.now + delayMs, seq: ++this.seq, fn };
-    let i = this.heap.push(e) - 1;
-    while (i > 0) {
-      const p = (i - 1) >> 1;
-      if (!World.shorten(e, this.heap[p]!)) break;
-      this.heap[i] = this.heap[p]!;
-      i = p;
-    }
-    this.heap[i] = e;
-  }
-  private static shorten(
-    a: { at: number; seq: number },
-    b: { at: number; seq: number },
-  ): boolean {
-    return a.at < b.at || (a.at === b.at && a.seq < b.seq);
-  }
-  private pop(): { at: number; fn: () => void } | undefined {
-    const top = this.heap[0];
-    const last = this.heap.pop();
-    if (!top || !last || top === last) return top;
-    let i = 0;
-    for (;;) {
-      let c = 2 * i + 1;
-      if (c >= this.heap.length) break;
-      if (
-        c + 1 < this.heap.length &&
-        World.shorten(this.heap[c + 1]!, this.heap[c]!)
-      )
-        c++;
-      if (!World.shorten(this.heap[c]!, last)) break;
-      this.heap[i] = this.heap[c]!;
-      i = c;
-    }
-    this.heap[i] = last;
-    return top;
+    this.events.add(this.now + delayMs, fn);
   }
   every(ms: number, fn: () => void): void {
     this.at(ms, () => {
@@ -319,10 +285,10 @@
     });
   }
   run(untilMs: number): void {
-    while (this.heap.length > 0 && this.heap[0]!.at <= untilMs) {
-      const e = this.pop()!;
-      this.now = e.at;
-      e.fn();
+    while (this.events.nextMs <= untilMs) {
+      const event = this.events.take()!;
+      this.now = event.atMs;
+      event.run();
       if (this.checker.broken.length > 0) return;
     }
     this.now = untilMs;
