--- a/test/scenarios/delayed-commands.ts
+++ b/test/scenarios/delayed-commands.ts
@@ -4,6 +4,7 @@
 import {
   partitionOf,
   isUnreachable,
+  LOW_LIMITS,
   Occurrences,
   ownerOf,
   plainJob,
@@ -37,10 +38,7 @@
   const world = stage(seed, {
     controllers: 2 + (seed % 3),
     runFactor: 3,
-    teams: new Map([
-      ["red", { name: "red", cpus: 10, gpus: 0, cpusMax: 12, gpusMax: 4 }],
-      ["blue", { name: "blue", cpus: 10, gpus: 0, cpusMax: 15, gpusMax: 4 }],
-    ]),
+    teams: LOW_LIMITS,
   });
   const { rng } = world;
   const occurred = new Occurrences(CONJUNCTIONS);
--- a/test/scenarios/overtaken-heartbeats.ts
+++ b/test/scenarios/overtaken-heartbeats.ts
@@ -19,6 +19,7 @@
 import type { Heartbeat } from "../../src/coordination/model.js";
 import {
   liveLeaderOf,
+  LOW_LIMITS,
   Occurrences,
   partitionOf,
   plainJob,
@@ -44,10 +45,7 @@
   const world = stage(seed, {
     controllers: 2 + (seed % 3),
     runFactor: 3,
-    teams: new Map([
-      ["red", { name: "red", cpus: 10, gpus: 0, cpusMax: 12, gpusMax: 4 }],
-      ["blue", { name: "blue", cpus: 10, gpus: 0, cpusMax: 15, gpusMax: 4 }],
-    ]),
+    teams: LOW_LIMITS,
   });
   const { rng } = world;
   const occurred = new Occurrences([NOT_CANCELLED, CANCELLED]);
--- a/test/scenarios/stage.ts
+++ b/test/scenarios/stage.ts
@@ -42,6 +42,12 @@
   tuning?: Tuning;
 }
 
+/** Limits that the teams are at as soon as a few jobs run. */
+export const LOW_LIMITS: Settings["teams"] = new Map([
+  ["red", { name: "red", cpus: 10, gpus: 0, cpusMax: 12, gpusMax: 4 }],
+  ["blue", { name: "blue", cpus: 10, gpus: 0, cpusMax: 15, gpusMax: 4 }],
+]);
+
 /** A deployment whose machines are up from the start. */
 export function stage(seed: number, options: StageOptions = {}): World {
   const world = new World(seed, options.tuning, [], options.controllers ?? 3);
--- a/test/simulation/checker.ts
+++ b/test/simulation/checker.ts
@@ -168,25 +168,29 @@
     if (needsPermit && core.leadershipLease.untilMs <= this.world.clockOf(name))
       this.fail("no_permit", `${name}: ${e.type}`);
   }
-  /** The invariant that most rules rest on: a group has one master at a time that may act. */
-  private oneLeader(): void {
-    if (!this.invariants) return;
-    const acting = new Map<string, string>();
+  /** Controllers of the present version that may act now. */
+  private *acting(): Generator<{ name: string; core: Controller }> {
     for (const name of this.world.names) {
       const core = this.world.production.has(name)
         ? null
         : this.world.nodes.get(name)?.core;
-      if (!core || core.leadershipLease.untilMs <= this.world.clockOf(name))
-        continue;
+      if (core && core.leadershipLease.untilMs > this.world.clockOf(name))
+        yield { name, core };
+    }
+  }
+  /** The invariant that most rules rest on: a group has one master at a time that may act. */
+  private oneLeader(): void {
+    if (!this.invariants) return;
+    const leaders = new Map<string, string>();
+    for (const { name, core } of this.acting())
       for (const partition of core.leaders.keys()) {
-        if (acting.has(partition))
+        if (leaders.has(partition))
           this.fail(
             "two_masters",
-            `${partition}: ${acting.get(partition)} and ${name}`,
+            `${partition}: ${leaders.get(partition)} and ${name}`,
           );
-        acting.set(partition, name);
+        leaders.set(partition, name);
       }
-    }
   }
   /**
    * The invariant that limits rest on: what is on a machine is counted by the leader of its partition, once the failover
@@ -194,12 +198,7 @@
    */
   everyTaskCounted(): void {
     if (!this.invariants) return;
-    for (const name of this.world.names) {
-      const core = this.world.production.has(name)
-        ? null
-        : this.world.nodes.get(name)?.core;
-      if (!core || core.leadershipLease.untilMs <= this.world.clockOf(name))
-        continue;
+    for (const { name, core } of this.acting())
       for (const { w, job, index, attempt } of this.on()) {
         const leader = core.leaders.get(core.partitions.partitionOf(w.zone));
         if (!leader || leader.state.isFenced) continue;
@@ -209,7 +208,6 @@
           continue;
         this.fail(UNCOUNTED, `${key} on ${w.id} is not counted by ${name}`);
       }
-    }
   }
   sweep(): void {
     this.oneLeader();
