--- a/test/coordination/machines/overtaken-heartbeats.test.ts
+++ b/test/coordination/machines/overtaken-heartbeats.test.ts
@@ -4,7 +4,7 @@
 import type { TaskRun } from "../../../src/coordination/machines/worker-state.js";
 import type { Heartbeat, JobSpec } from "../../../src/coordination/model.js";
 import type { SimWorker } from "../../simulation/machine.js";
-import { randomJob } from "../../simulation/workloads.js";
+import { plainJob } from "../../scenarios/stage.js";
 import { World } from "../../simulation/world.js";
 
 /**
@@ -25,12 +25,7 @@
   kind: "array",
   tasks: 1,
   cpus: 2,
-  gpus: 0,
-  machineTypes: null,
-  zone: null,
-  spread: false,
   samePlace: false,
-  deadlineS: null,
 };
 
 /** Time in which a start is sent, carried out and answered, and no heartbeat is made after it. */
@@ -50,7 +45,7 @@
   const leader = world.nodes.get("node-a")!.core.leaders.get("node-a")!;
   const worker = leader.state.workers.get(machine.id)!;
   worker.lastAnsweredMs = world.clockOf("node-a");
-  const spec = { ...randomJob(world, 1), ...ONE_TASK };
+  const spec = { ...plainJob(world, 1), ...ONE_TASK };
   world.specs.set(spec.id, spec);
   world.ask(
     "node-a",
--- a/test/scenarios/overtaken-heartbeats.ts
+++ b/test/scenarios/overtaken-heartbeats.ts
@@ -14,7 +14,7 @@
  */
 import { cancel, submitWorkload } from "../simulation/workloads.js";
 import type { SimWorker } from "../simulation/machine.js";
-import type { World } from "../simulation/world.js";
+import { RETRANSMISSION_MS, type World } from "../simulation/world.js";
 import { attemptKey } from "../../src/coordination/machines/worker-state.js";
 import type { Heartbeat } from "../../src/coordination/model.js";
 import {
@@ -30,9 +30,8 @@
 } from "./stage.js";
 
 const OVER_MS = 120_000;
-/** Part of the heartbeats whose packet is lost, and when it arrives that was sent again. */
+/** Part of the heartbeats whose packet is lost and sent again. */
 const DELAYED_SHARE = 0.3;
-const RETRANSMISSION_MS = [200, 1_500] as const;
 /** Part of the jobs that are cancelled right after a start of theirs was sent, and how long after. */
 const CANCELLED_SHARE = 0.3;
 const CANCELLED_AFTER_MS = [20, 1_000] as const;
--- a/test/simulation/world.ts
+++ b/test/simulation/world.ts
@@ -30,7 +30,7 @@
 import { StateService, type StateServiceWorld } from "./state-service.js";
 
 /** When a packet arrives that was lost and sent again, once or several times. */
-const RETRANSMISSION_MS = [200, 1_500] as const;
+export const RETRANSMISSION_MS = [200, 1_500] as const;
 const RETRANSMISSION_SEED = 0x7cb;
 
 export type CommitCall = Extract<StateCall, { op: "commit" }>;
