--- a/test/simulation/fault-combinations-extended.test.ts
+++ b/test/simulation/fault-combinations-extended.test.ts
@@ -45,6 +45,8 @@
 const RETRANSMITTED = 0.1;
 const lossy = (seed: number): World =>
   play(seed, draw(seed), RETRANSMITTED).world;
+const lossyDrawn = (seed: number): World =>
+  playMore(seed, drawMore(seed), RETRANSMITTED).world;
 
 test("messages between controllers and machines overtake each other while faults are injected: the rules hold, every task is counted", () => {
   for (const seed of [3, 6, 23, 39, 57, 72]) {
@@ -67,3 +69,18 @@
   const world = drawn(229);
   assert.deepEqual(world.checker.broken, [], describeWorkload(world));
 });
+
+// The part of the gang that lies in the partition of a removed controller is never taken back, so that the other part waits for it for
+// good.
+test("a gang with spread is not left waiting for its part in a partition that no settings name", () => {
+  for (const [world, seed] of [
+    [drawn(151), 151],
+    [lossyDrawn(32), 32],
+    [lossyDrawn(137), 137],
+  ] as const)
+    assert.deepEqual(
+      world.checker.broken,
+      [],
+      `seed ${seed}: ${describeWorkload(world)}`,
+    );
+});
