--- a/test/simulation/fault-combinations-extended.test.ts
+++ b/test/simulation/fault-combinations-extended.test.ts
@@ -63,6 +63,19 @@
   expectGuardNeeded(lossy, [3], UNCOUNTED, withoutOvertakenCheck);
 });
 
+// The zone of a removed controller is another partition's at once; until the machines there report to it, the removed partition's part of
+// the limit, which nobody has taken yet, covers their tasks.
+test("tasks of a removed controller count towards its part of the limit until its machines report elsewhere", () => {
+  for (const seed of [235, 480]) {
+    const world = drawn(seed);
+    assert.deepEqual(
+      world.checker.broken,
+      [],
+      `seed ${seed}: ${describeWorkload(world)}`,
+    );
+  }
+});
+
 // Older and larger work of the team keeps the rest of its limit for itself, which it can't use; smaller work in another partition
 // waits beside room.
 test("small work of a team that is under its limit does not wait 90 s behind larger work of its own", () => {
