--- a/src/coordination/quota/quota-allocator.ts
+++ b/src/coordination/quota/quota-allocator.ts
@@ -3,10 +3,8 @@
  * Owns the change of the quota records that is under way. Design: docs/design/limits.md.
  */
 import type { Team } from "../../config/settings.js";
-import { partitionKey, QUOTA_KEY, type Shares } from "../../storage/records.js";
-import type { Context, TransactionOutcome } from "../context.js";
-import { CallPriority } from "../effects.js";
-import { PendingTransfer } from "../leadership/pending-transfer.js";
+import { QUOTA_KEY } from "../../storage/records.js";
+import type { Context } from "../context.js";
 import type { ResourceUse } from "../machines/resource-ledger.js";
 import type { JobSpec } from "../model.js";
 import type { PartitionState } from "../scheduling/partition-state.js";
@@ -15,9 +13,10 @@
   type PartitionDemand,
   publishedDemands,
 } from "./partition-demand.js";
+import { QuotaChange } from "./quota-change.js";
 import { QuotaDemand } from "./quota-demand.js";
 import { planQuotas } from "./quota-plan.js";
-import type { QuotaPlan, QuotaSituation } from "./quota-situation.js";
+import type { QuotaSituation } from "./quota-situation.js";
 import {
   CAPS_NAME,
   entryOf,
@@ -39,24 +38,9 @@
 /** Stands for "no limit" in what is published: JSON knows no Infinity. */
 const UNLIMITED_USE = 1e9;
 
-/** Revisions that a change depends on. */
-interface ChangeBase {
-  records: [key: string, version: number][];
-  /** Partitions that no settings name, with the token under which they have no leader. */
-  removedPartitions: [partition: string, token: number][];
-}
-
-/** A change of the quota records until the records show how it ended. */
-interface PendingChange {
-  /** By team: what it gives away. */
-  reserved: Map<string, ResourceAmounts>;
-  priority: CallPriority;
-  transfer: PendingTransfer<ChangeBase, Map<string, Shares>>;
-}
-
 /** A partition's use of the teams' limits. */
 export class QuotaAllocator {
-  private pendingChange: PendingChange | null = null;
+  private pendingChange: QuotaChange | null = null;
   private nextPlanMs = -Infinity;
   private readonly quotaDemand: QuotaDemand;
   /** Entries looked up since the records last changed. */
@@ -109,8 +93,8 @@
 
   /** What of a team's limit is on its way to other partitions. */
   inFlight(team: string): ResourceAmounts {
-    const reserved = this.pendingChange?.reserved.get(team);
-    return reserved && !this.isSettled() ? [reserved[0], reserved[1]] : [0, 0];
+    const change = this.pendingChange;
+    return change && !change.isSettled() ? change.reservedOf(team) : [0, 0];
   }
 
   /** By team: what it may still use in this partition, a fresh copy. */
@@ -236,11 +220,11 @@
   /** `agreed`: every live controller goes by the same limits as this one. */
   tick(agreed: boolean): void {
     if (this.pendingChange) {
-      if (!this.isSettled()) {
+      if (!this.pendingChange.isSettled()) {
         this.send(this.pendingChange);
         return;
       }
-      this.logSettled(this.pendingChange);
+      this.pendingChange.logSettled((team) => this.entry(team));
       this.pendingChange = null;
     }
     if (this.context.nowMs < this.nextPlanMs) return;
@@ -248,10 +232,20 @@
     const plan = planQuotas(this.situation(agreed, removedTokens));
     if (!plan) return;
     this.nextPlanMs = this.context.nowMs + TRANSFER_INTERVAL_MS;
-    const change = this.toChange(plan, removedTokens);
-    this.pendingChange = change;
-    this.logPlan(plan, agreed);
-    this.send(change);
+    this.pendingChange = new QuotaChange(
+      this.context,
+      this.state,
+      plan,
+      removedTokens,
+    );
+    this.pendingChange.logPlanned(agreed);
+    this.send(this.pendingChange);
+  }
+
+  private send(change: QuotaChange): void {
+    change.send(() => {
+      if (this.pendingChange === change) this.pendingChange = null;
+    });
   }
 
   private situation(
@@ -330,39 +324,6 @@
     return removed;
   }
 
-  private toChange(
-    plan: QuotaPlan,
-    removedTokens: ReadonlyMap<string, number>,
-  ): PendingChange {
-    const base: ChangeBase = {
-      records: [...plan.writes.keys()].map((key) => [key, this.versionOf(key)]),
-      removedPartitions: plan.gone.flatMap((partition) => {
-        const token = removedTokens.get(partition);
-        return token === undefined ? [] : [[partition, token]];
-      }),
-    };
-    return {
-      reserved: plan.reserved,
-      priority:
-        plan.caps.length > 0 ? CallPriority.Leader : CallPriority.Background,
-      transfer: new PendingTransfer(base, plan.writes),
-    };
-  }
-
-  private logPlan(plan: QuotaPlan, agreed: boolean): void {
-    for (const { team, to, give } of plan.given)
-      this.context.log("transferring quota to another partition", {
-        team,
-        to,
-        cpus: give[0],
-        gpus: give[1],
-      });
-    for (const team of plan.caps)
-      this.context.log("writing team quota", { team, agreed });
-    for (const partition of plan.gone)
-      this.context.log("reclaiming quota of removed partition", { partition });
-  }
-
   private logRecordsRead(): void {
     const { quotaRecords } = this.context.cache;
     this.context.log("quota records read", {
@@ -373,64 +334,4 @@
       })),
     });
   }
-
-  private logSettled({ transfer, reserved }: PendingChange): void {
-    this.context.log("quota change settled", {
-      partition: this.state.partition,
-      answer: transfer.answer,
-      records: transfer.baseRevision.records.map(([key, before]) => ({
-        key,
-        before,
-        after: this.versionOf(key),
-      })),
-      teams: [...reserved.keys()].flatMap((team) => {
-        const entry = this.entry(team);
-        return entry ? [{ team, parts: entry.sum, limit: entry.cap }] : [];
-      }),
-    });
-  }
-
-  private send(change: PendingChange): void {
-    change.transfer.send(
-      (base, writes, done) => this.commit(change.priority, base, writes, done),
-      () => {
-        if (this.pendingChange === change) this.pendingChange = null;
-      },
-    );
-  }
-
-  private commit(
-    priority: CallPriority,
-    base: ChangeBase,
-    writes: ReadonlyMap<string, Shares>,
-    done: (outcome: TransactionOutcome) => void,
-  ): void {
-    const conditions = [
-      ...base.records.map(([key, version]) => ({ key, version })),
-      ...base.removedPartitions.map(([partition, version]) => ({
-        key: partitionKey(partition),
-        version,
-      })),
-    ];
-    const puts = [...writes].map(([key, value]) => ({
-      op: "put" as const,
-      key,
-      value,
-    }));
-    this.state.commit(conditions, puts, priority, done);
-  }
-
-  /** Whether the records show how the pending change ended. */
-  private isSettled(): boolean {
-    return (
-      this.pendingChange !== null &&
-      this.pendingChange.transfer.baseRevision.records.some(
-        ([key, version]) => this.versionOf(key) !== version,
-      )
-    );
-  }
-
-  private versionOf(key: string): number {
-    return this.context.cache.quotaRecords.get(key)?.revision ?? 0;
-  }
 }
