Parts of gangs with spread in a removed partition go to partitions that are there

What callers saw: a gang with `spread` that had a part in the partition of a controller which was removed for good waited for ever, beside idle machines; only a cancellation ended it.

Cause: tasks that are assigned to a partition that no settings name are taken back under its token, but such gangs were left alone, as their parts start under one attempt that all have announced.

Now the part is given to a partition whose zones may hold it beside what is there, under the same token, after the same lease with drift, conditional on the job's record; parts elsewhere, which may run, stay.

The check now goes by that registry in place of the attempt, which parts of a gang share: a task that its zone's leader does not count must be counted by the leader of a partition that has its machine in the registry, or, while that has none or a fence, lie in its written part with all that runs on the machines of that registry. What no other partition's registry names is checked as before.

--- a/src/coordination/leadership/orphaned-tasks.ts
+++ b/src/coordination/leadership/orphaned-tasks.ts
@@ -12,13 +12,17 @@
   Clock,
   Configuration,
   Context,
+  MachineCatalog,
   StoreTransactions,
   StoreView,
 } from "../context.js";
 import { CallPriority } from "../effects.js";
 import { reassigned } from "../jobs/job-partitioner.js";
+import { capablePartitions } from "../jobs/partition-capacity.js";
 import type { RangeSet } from "../jobs/range-set.js";
 import type { JobSpec } from "../model.js";
+import { maxTasksPerZone } from "../scheduling/placement.js";
+import { isSpreadOverPartitions } from "../scheduling/spread-gangs.js";
 import type { JobView } from "../store/job-view.js";
 import type { LeaderlessPartitions } from "./leaderless-partitions.js";
 
@@ -50,6 +54,7 @@
   constructor(
     private readonly ctx: Clock &
       Configuration &
+      MachineCatalog &
       StoreView &
       StoreTransactions &
       Pick<Context, "log">,
@@ -106,18 +111,48 @@
     const completed = this.ctx.cache.finished(job.id).get(part.partition);
     if (completed) tasks.removeAll(completed);
     const newAssignment = this.partitionJob(job.spec);
-    if (!newAssignment || isSpreadGang(job)) return null;
-    const to = largestPartition(newAssignment);
+    if (!newAssignment) return null;
+    const to = isSpreadGang(job)
+      ? this.partitionForGangPart(job, tasks.size, newAssignment)
+      : largestPartition(newAssignment);
     if (to === undefined) return null;
     const assignment = reassigned(job.assignment, part.partition, tasks, to);
     assignment.delete(part.partition);
     return { to, tasks, value: writeJob({ ...job, assignment }) };
   }
+
+  /**
+   * Where a part of a gang with `spread` goes, beside the parts that stay where they are and may run: to a partition whose zones may
+   * hold it together with the part that is there. Those that such a gang would be assigned to now come first, then those that have
+   * a part. Invariant (ran_twice): the parts start under a new attempt, which all of them announce first (`nextGangStep`); records of
+   * former attempts are conditional on the revision of the job that this replaces.
+   */
+  private partitionForGangPart(
+    { spec, assignment }: JobView,
+    taskCount: number,
+    newAssignment: ReadonlyMap<string, RangeSet>,
+  ): string | undefined {
+    const zonesByPartition = new Map(
+      capablePartitions(spec, this.ctx.catalog ?? [], this.ctx.partitions).map(
+        ({ partition, zones }) => [partition, zones.length],
+      ),
+    );
+    const holdsPart = (partition: string): boolean => {
+      const zones = zonesByPartition.get(partition) ?? 0;
+      const present = assignment.get(partition)?.size ?? 0;
+      return present + taskCount <= zones * maxTasksPerZone(spec);
+    };
+    return [
+      ...newAssignment.keys(),
+      ...assignment.keys(),
+      ...zonesByPartition.keys(),
+    ].find(holdsPart);
+  }
 }
 
-/** A gang whose tasks lie in several partitions starts under one attempt that all have announced: it is left alone. */
+/** A gang whose tasks lie in several partitions, which start under one attempt. */
 function isSpreadGang({ spec, assignment }: JobView): boolean {
-  return spec.kind === "gang" && spec.spread && assignment.size > 1;
+  return isSpreadOverPartitions(spec, assignment.size);
 }
 
 /** The partition with the most tasks, the first by name if several have as many. */
--- a/test/simulation/checker.ts
+++ b/test/simulation/checker.ts
@@ -5,7 +5,7 @@
 import type { JobSpec } from "../../src/coordination/model.js";
 import { entryOf } from "../../src/coordination/quota/quota-records.js";
 import { DIMENSIONS } from "../../src/coordination/quota/resource-amounts.js";
-import { ATTEMPTS_PER_TOKEN } from "../../src/coordination/scheduling/attempt-sequence.js";
+import type { PartitionLeader } from "../../src/coordination/scheduling/partition-leader.js";
 import { EPSILON } from "../../src/coordination/scheduling/placement.js";
 import type { Write } from "../../src/protocol/state.js";
 import type { SimWorker } from "./machine.js";
@@ -28,6 +28,27 @@
   clockOf(name: string): number;
 }
 
+/** Whether a leader counts a task on a machine. */
+function isCounted(
+  { state }: PartitionLeader,
+  { id }: SimWorker,
+  key: string,
+): boolean {
+  const worker = state.workers.get(id);
+  return (
+    worker !== undefined &&
+    (worker.tasks.has(key) || worker.unconfirmedTasks.has(key))
+  );
+}
+
+/** The partitions in whose written registries a machine is. */
+const registeredIn = (core: Controller, { id }: SimWorker): string[] =>
+  [...core.cache.registries].flatMap(([partition, records]) =>
+    [...records.values()].some(({ machines }) => machines.has(id))
+      ? [partition]
+      : [],
+  );
+
 /** Broken by a task on a machine that the leader of its partition does not count. */
 export const UNCOUNTED = "uncounted";
 
@@ -182,15 +203,12 @@
         yield { name, core };
     }
   }
-  /** By fencing token: the partition of its leader. */
-  private readonly partitionOfToken = new Map<number, string>();
   /** The invariant that most rules rest on: a group has one master at a time that may act. */
   private oneLeader(): void {
     if (!this.invariants) return;
     const leaders = new Map<string, string>();
     for (const { name, core } of this.acting())
-      for (const [partition, { token }] of core.leaders) {
-        this.partitionOfToken.set(token, partition);
+      for (const partition of core.leaders.keys()) {
         if (leaders.has(partition))
           this.fail(
             "two_masters",
@@ -201,42 +219,48 @@
   }
   /**
    * The invariant that limits rest on: what is on a machine is counted by the leader of its partition, once the failover
-   * fence is lifted, or lies in the part that a removed partition still has of the limit. A team's use on machines is then no
-   * more than what the leaders count together and such parts.
+   * fence is lifted, or lies in the part of the partition that started it. A team's use on machines is then no more than what the
+   * leaders count together and such parts.
    */
   everyTaskCounted(): void {
     if (!this.invariants) return;
     for (const { name, core } of this.acting())
       for (const { w, job, index, attempt, spec } of this.on()) {
-        const leader = core.leaders.get(core.partitions.partitionOf(w.zone));
-        if (!leader || leader.state.isFenced) continue;
-        const worker = leader.state.workers.get(w.id);
+        const partition = core.partitions.partitionOf(w.zone);
+        const leader = core.leaders.get(partition);
         const key = attemptKey(job, index, attempt);
-        if (worker?.tasks.has(key) || worker?.unconfirmedTasks.has(key))
+        if (!leader || leader.state.isFenced || isCounted(leader, w, key))
+          continue;
+        const former = registeredIn(core, w).filter((p) => p !== partition);
+        if (former.some((p) => this.isInPartOf(p, core, w, key, spec.team)))
           continue;
-        if (this.isInRemovedPart(core, attempt, spec.team)) continue;
         this.fail(UNCOUNTED, `${key} on ${w.id} is not counted by ${name}`);
       }
   }
   /**
-   * Whether a task was started by a partition that the controller's settings do not name any more and whose written part of the
-   * limit covers all that still runs of its starts. Its zone is another partition's now, which counts the task from the machine's
-   * first heartbeat on.
+   * Whether a task lies in the part of the limit of another partition, in whose registry its machine is: the zone changed hands, as a
+   * controller was removed or named again. That partition's leader counts it, or has yet to learn what runs, or there is none; then the
+   * written part covers all that runs on the machines of its registry. The zone's partition counts the task from the machine's first
+   * heartbeat on.
    */
-  private isInRemovedPart(
+  private isInPartOf(
+    partition: string,
     core: Controller,
-    attempt: number,
+    machine: SimWorker,
+    key: string,
     team: string,
   ): boolean {
-    const starter = this.starterOf(attempt);
-    if (starter === undefined || core.partitions.names.includes(starter))
-      return false;
+    for (const other of this.acting()) {
+      const leader = other.core.leaders.get(partition);
+      if (leader && !leader.state.isFenced)
+        return isCounted(leader, machine, key);
+    }
     const entry = entryOf(core.cache.quotaRecords, team);
-    const part = entry?.parts[starter];
+    const part = entry?.parts[partition];
     if (!entry || !part) return false;
     const use: [number, number] = [0, 0];
-    for (const { spec, attempt: other } of this.on())
-      if (spec.team === team && this.starterOf(other) === starter) {
+    for (const { spec, w } of this.on())
+      if (spec.team === team && registeredIn(core, w).includes(partition)) {
         use[0] += spec.cpus;
         use[1] += spec.gpus;
       }
@@ -246,8 +270,6 @@
         use[dimension] <= part[dimension] + EPSILON,
     );
   }
-  private readonly starterOf = (attempt: number): string | undefined =>
-    this.partitionOfToken.get(Math.floor(attempt / ATTEMPTS_PER_TOKEN));
   sweep(): void {
     this.oneLeader();
     this.everyTaskCounted();
