Idle quota is lent to work that fits into it; large work has quota reserved in time

What callers saw: small work of a team that is under its limit waited for as long as older, larger work of the team did, beside idle machines.

Cause: a partition kept for its own earlier work all that this needs, also what it can't start with: of 10.8 CPUs 8 in use and 2.8 kept for tasks of 4 and 5.

Now what no waiting task of a partition could start with for 5 s is lent to partitions that it completes tasks in, also from several. Alone that would starve large work beside a stream of small: for a large job of which nothing has begun and that lacks quota all partitions hold back other work of its team, 60 of every 75 s, while its age is 0.4 to 1.25 of begin_within_s.

The bytes of a record with nothing lent or asked for are as before.

--- a/src/coordination/quota/partition-demand.ts
+++ b/src/coordination/quota/partition-demand.ts
@@ -26,6 +26,20 @@
   soonSince: ResourceAmounts;
   /** The part of the limit that this is beyond: what has come since is not wanted any more. */
   beyond: ResourceAmounts;
+  /** What the first tasks lack that idle parts elsewhere are enough for; absent: there are none, or an earlier version wrote it. */
+  backfill?: ResourceAmounts | undefined;
+  /** For a large job whose first start is overdue; absent: there is none, or an earlier version wrote it. */
+  reservation?: QuotaReservation | undefined;
+}
+
+/** Quota to be reserved for one job until it starts. */
+export interface QuotaReservation {
+  /** What it lacks of the quota. */
+  lacks: ResourceAmounts;
+  /** Time of day since which the job is ready, in whole ms. */
+  readyAt: number;
+  /** Its place in `PRIORITIES`. */
+  priority: number;
 }
 
 /** What these tasks want beyond `share`, of which `use` is used already; null: nothing. */
--- a/src/coordination/quota/quota-allocator.ts
+++ b/src/coordination/quota/quota-allocator.ts
@@ -6,6 +6,7 @@
 import { QUOTA_KEY } from "../../storage/records.js";
 import type { Context } from "../context.js";
 import type { ResourceUse } from "../machines/resource-ledger.js";
+import type { JobRun } from "../machines/worker-state.js";
 import type { JobSpec } from "../model.js";
 import type { PartitionState } from "../scheduling/partition-state.js";
 import {
@@ -13,6 +14,7 @@
   type PartitionDemand,
   publishedDemands,
 } from "./partition-demand.js";
+import { QuotaBackfill } from "./quota-backfill.js";
 import { QuotaChange } from "./quota-change.js";
 import { QuotaDemand } from "./quota-demand.js";
 import { planQuotas } from "./quota-plan.js";
@@ -24,6 +26,7 @@
   mayUse,
   type QuotaEntry,
 } from "./quota-records.js";
+import { QuotaReservations } from "./quota-reservations.js";
 import { type QuotaReport, quotaWantOf, teamRowOf } from "./quota-report.js";
 import {
   isAnyPositive,
@@ -43,6 +46,8 @@
   private pendingChange: QuotaChange | null = null;
   private nextPlanMs = -Infinity;
   private readonly quotaDemand: QuotaDemand;
+  private readonly reservations: QuotaReservations;
+  private readonly backfill: QuotaBackfill;
   /** Entries looked up since the records last changed. */
   private entries = new Map<string, QuotaEntry | null>();
   private entriesSequence = -1;
@@ -54,6 +59,17 @@
     hasPlace: (spec: JobSpec) => boolean,
   ) {
     this.quotaDemand = new QuotaDemand(context, state, hasPlace);
+    this.reservations = new QuotaReservations(
+      context,
+      state,
+      this.quotaDemand,
+      (team) => this.free(team),
+    );
+    this.backfill = new QuotaBackfill(context, (team) => ({
+      waiting: this.quotaDemand.waitingOf(team),
+      free: this.free(team),
+      idleElsewhere: this.idleElsewhere(team),
+    }));
   }
 
   // ---- what may be used ------------------------------------------------------------------------------------
@@ -97,6 +113,18 @@
     return change && !change.isSettled() ? change.reservedOf(team) : [0, 0];
   }
 
+  /** What this partition may still use of a team. */
+  private free(team: string): ResourceAmounts {
+    const share = this.share(team);
+    const use = this.uses()(team);
+    return [share[0] - use[0], share[1] - use[1]];
+  }
+
+  /** Whether a job may not start now, because its team's limit is reserved for a large job that waits for too long. */
+  isHeldBack(job: JobRun): boolean {
+    return this.reservations.isHeldBack(job);
+  }
+
   /** By team: what it may still use in this partition, a fresh copy. */
   headroom(): Map<string, ResourceUse> {
     const useOf = this.uses();
@@ -156,6 +184,7 @@
         demand,
         use: [cpus, gpus],
         waiting: this.waiting(name),
+        idle: this.backfill.lendable(name),
         possibleUse: this.state.isFenced
           ? this.boundedUse(team, useOf(name))
           : [cpus, gpus],
@@ -187,7 +216,29 @@
   private demand(team: string, use: ResourceAmounts): PartitionDemand | null {
     const waiting = this.quotaDemand.waitingOf(team);
     if (waiting.length === 0) return null;
-    return demandBeyondShare(waiting, this.share(team), use);
+    const demand = demandBeyondShare(waiting, this.share(team), use);
+    return (
+      demand && {
+        ...demand,
+        backfill: this.reservations.inForce(team)
+          ? undefined
+          : this.backfill.target(team)?.lacks,
+        reservation: this.reservations.published(team),
+      }
+    );
+  }
+
+  /** What other partitions have idle of a team, as they last published it. */
+  private idleElsewhere(team: string): ResourceAmounts {
+    const sum: ResourceAmounts = [0, 0];
+    for (const [partition, { teams }] of this.context.cache.capacities) {
+      const idle = teams?.get(team)?.idle;
+      const isLed = this.context.cache.partitions.has(partition);
+      if (!idle || !isLed || partition === this.state.partition) continue;
+      sum[0] += idle[0];
+      sum[1] += idle[1];
+    }
+    return sum;
   }
 
   private ownDemands(
@@ -219,6 +270,7 @@
 
   /** `agreed`: every live controller goes by the same limits as this one. */
   tick(agreed: boolean): void {
+    this.backfill.update(this.context.settings.teams.keys());
     if (this.pendingChange) {
       if (!this.pendingChange.isSettled()) {
         this.send(this.pendingChange);
@@ -267,6 +319,11 @@
       others: this.othersDemands(),
       keep: (team, sinceMs, partition, now) =>
         this.needBefore(team, sinceMs, partition, now),
+      idle: (team) => this.backfill.lendable(team),
+      keptForBackfill: (team) => this.backfill.kept(team),
+      reservation: (team) => this.reservations.inForce(team),
+      keptFrom: (team, reservation) =>
+        this.reservations.keptFrom(team, reservation),
       agreed,
       gone: new Set(removedTokens.keys()),
       // The version before takes an equal part of what the first record does not name, so elsewhere nothing may move
--- a/src/coordination/quota/quota-change.ts
+++ b/src/coordination/quota/quota-change.ts
@@ -90,12 +90,13 @@
   // ---- log -------------------------------------------------------------------------------------------------
 
   logPlanned(agreed: boolean): void {
-    for (const { team, to, give } of this.plan.given)
+    for (const { team, to, give, reason } of this.plan.given)
       this.context.log("transferring quota to another partition", {
         team,
         to,
         cpus: give[0],
         gpus: give[1],
+        reason,
       });
     for (const team of this.plan.caps)
       this.context.log("writing team quota", { team, agreed });
--- a/src/coordination/quota/quota-demand.ts
+++ b/src/coordination/quota/quota-demand.ts
@@ -11,9 +11,11 @@
   fitCount,
   isAllowedOn,
   isSuitable,
+  maxTasksPerZone,
   startsWhole,
 } from "../scheduling/placement.js";
 import { isShort, turnAt } from "../scheduling/scheduling-round.js";
+import { isSpreadOverPartitions } from "../scheduling/spread-gangs.js";
 import { freeOn, type JobRun } from "../machines/worker-state.js";
 import type { ResourceAmounts } from "./resource-amounts.js";
 
@@ -27,6 +29,12 @@
   readyAt: number;
   /** They have a place at once, or have waited for so long that they count as if they had. */
   isStartable: boolean;
+  /** What has to start at once: one task, or a whole gang. */
+  unit: ResourceAmounts;
+  /** How many of these wait. */
+  units: number;
+  /** The part of a gang whose other parts, in other partitions, have to start with it. */
+  isPartOfGang: boolean;
 }
 
 /** What jobs that ask for nearly the same find; `placesNow` shrinks as jobs take of it. */
@@ -143,7 +151,8 @@
 
   private addTasks(job: JobRun, taskCount: number, isStartable: boolean): void {
     if (taskCount <= 0) return;
-    const { spec, readyAt } = job.view;
+    const { spec, readyAt, assignment } = job.view;
+    const unitTasks = spec.kind === "gang" ? taskCount : 1;
     let list = this.byTeam.get(spec.team);
     if (!list) {
       list = [];
@@ -156,11 +165,35 @@
       turnMs: Math.round(this.turnOf(job)),
       readyAt,
       isStartable,
+      unit: [spec.cpus * unitTasks, spec.gpus * unitTasks],
+      units: taskCount / unitTasks,
+      isPartOfGang: isSpreadOverPartitions(spec, assignment.size),
     });
   }
 
+  /** Whether all tasks of the job that have to start at once have a place, now or to be rented, whoever else may use it. */
+  canBePlaced(job: JobRun): boolean {
+    const { spec } = job.view;
+    if (this.hasPlace(spec)) return true;
+    const places = this.placesByZone(spec, isShort(spec, this.context.tuning));
+    const inZones = [...places.values()].map((count) =>
+      Math.min(count, maxTasksPerZone(spec)),
+    );
+    const total = spec.samePlace
+      ? Math.max(0, ...inZones)
+      : inZones.reduce((sum, count) => sum + count, 0);
+    return total >= (spec.kind === "gang" ? job.waiting.size : 1);
+  }
+
   /** Tasks of such a job that would start at once if the limit let them; with `samePlace` in the best zone. */
   private countPlacesNow(spec: JobSpec, short: boolean): number {
+    const places = [...this.placesByZone(spec, short).values()];
+    return spec.samePlace
+      ? Math.max(0, ...places)
+      : places.reduce((sum, count) => sum + count, 0);
+  }
+
+  private placesByZone(spec: JobSpec, short: boolean): Map<string, number> {
     const { usable, reserved } = this.state.usableWorkers();
     const placesByZone = new Map<string, number>();
     for (const worker of usable) {
@@ -172,11 +205,10 @@
         !isSuitable(spec, type, spot, this.context.catalog)
       )
         continue;
-      const key = spec.samePlace ? zone : "";
-      const places = placesByZone.get(key) ?? 0;
-      placesByZone.set(key, places + fitCount(spec, freeOn(worker)));
+      const places = placesByZone.get(zone) ?? 0;
+      placesByZone.set(zone, places + fitCount(spec, freeOn(worker)));
     }
-    return Math.max(0, ...placesByZone.values());
+    return placesByZone;
   }
 }
 
@@ -184,7 +216,7 @@
  * Whether the job can begin under the team's present limit. One that was accepted under a larger limit may not, and what it
  * waited for would be kept from all others.
  */
-function canBeginUnder(team: Team, spec: JobSpec): boolean {
+export function canBeginUnder(team: Team, spec: JobSpec): boolean {
   const minTasks = spec.kind === "array" ? 1 : spec.tasks;
   return (
     spec.cpus * minTasks <= team.cpusMax + EPSILON &&
--- a/src/coordination/quota/quota-report.ts
+++ b/src/coordination/quota/quota-report.ts
@@ -22,11 +22,13 @@
   possibleUse: ResourceAmounts;
   /** What waits and has a place, now or to be rented. */
   waiting: ResourceAmounts;
+  /** What others may borrow. */
+  idle: ResourceAmounts;
 }
 
 /** The row of a team; null when there is nothing to say of it. */
 export function teamRowOf(state: TeamQuotaState): TeamRow | null {
-  const { demand, use, possibleUse, waiting } = state;
+  const { demand, use, possibleUse, waiting, idle } = state;
   const isIdle =
     !demand &&
     !isAnyPositive(use) &&
@@ -42,6 +44,9 @@
     soonSince: demand?.soonSince ?? [Infinity, Infinity],
     beyond: finiteOrZero(demand?.beyond ?? [0, 0]),
     waits: waiting,
+    idle: isAnyPositive(idle) ? idle : undefined,
+    backfill: demand?.backfill,
+    reservation: demand?.reservation,
   };
 }
 
--- a/src/coordination/quota/quota-situation.ts
+++ b/src/coordination/quota/quota-situation.ts
@@ -2,6 +2,7 @@
 import type { Team } from "../../config/settings.js";
 import type { Shares } from "../../storage/records.js";
 import type { PartitionDemand } from "./partition-demand.js";
+import type { PlacedReservation } from "./quota-reservations.js";
 import type { QuotaRecords } from "./quota-records.js";
 import type { ResourceAmounts } from "./resource-amounts.js";
 
@@ -31,6 +32,14 @@
     partition: string,
     now: boolean,
   ): ResourceAmounts;
+  /** What this partition has free and nothing that waits here can use. */
+  idle(team: string): ResourceAmounts;
+  /** What this partition keeps for waiting tasks that idle quota elsewhere completes. */
+  keptForBackfill(team: string): ResourceAmounts;
+  /** The large job that quota is reserved for now; null: there is none. */
+  reservation(team: string): PlacedReservation | null;
+  /** What this partition keeps for its own overdue job while quota is reserved. */
+  keptFrom(team: string, reservation: PlacedReservation): ResourceAmounts;
   /** Every live controller goes by the same limits as this one. */
   agreed: boolean;
   /** Partitions that no settings name any more and of which nothing can run. */
@@ -39,13 +48,30 @@
   movable(key: string): boolean;
 }
 
+/** Why a part of a limit goes to another partition. */
+export type GiftReason =
+  /** Its work has its turn. */
+  | "turn"
+  /** For a large job whose first start is overdue. */
+  | "reservation"
+  /** Its tasks fit into what nothing here can use. */
+  | "backfill";
+
+/** What a plan gives to another partition. */
+export interface QuotaGift {
+  team: string;
+  to: string;
+  give: ResourceAmounts;
+  reason: GiftReason;
+}
+
 /** What a partition writes in one commit. */
 export interface QuotaPlan {
   /** New values of records, by key. */
   writes: Map<string, Shares>;
   /** By team: what this partition gives away, and does not use from before the commit is sent. */
   reserved: Map<string, ResourceAmounts>;
-  given: { team: string; to: string; give: ResourceAmounts }[];
+  given: QuotaGift[];
   /** Partitions whose absence it rests on. */
   gone: string[];
   /** Teams whose limit was written anew. */
--- a/src/coordination/quota/quota-takers.ts
+++ b/src/coordination/quota/quota-takers.ts
@@ -1,6 +1,7 @@
 /** Orders the partitions that want more of a team's limit. Owns no state. */
 import { EPSILON } from "../scheduling/placement.js";
 import type { PartitionDemand } from "./partition-demand.js";
+import type { PlacedReservation } from "./quota-reservations.js";
 import type { QuotaSituation } from "./quota-situation.js";
 import {
   type Dimension,
@@ -71,6 +72,55 @@
   return takers.filter(({ wanted }) => wanted > EPSILON);
 }
 
+/** The partition of the job that quota is reserved for, with what it still lacks; null: nothing of this. */
+export function reservingTaker(
+  situation: QuotaSituation,
+  { partition, lacks, readyAt }: PlacedReservation,
+  team: string,
+  parts: Readonly<Record<string, ResourceAmounts>>,
+  dimension: Dimension,
+): QuotaTaker | null {
+  const isOwn = partition === situation.partition;
+  const demands = isOwn ? situation.mine : situation.others.get(partition);
+  const beyond = demands?.get(team)?.beyond;
+  if (!beyond) return null;
+  const wanted = remaining(lacks, beyond, parts[partition], dimension);
+  return wanted > EPSILON
+    ? { partition, sinceMs: readyAt, now: true, wanted }
+    : null;
+}
+
+/** A partition whose tasks could start with what is idle elsewhere, and what they lack. */
+export interface BackfillTaker {
+  partition: string;
+  lacks: ResourceAmounts;
+}
+
+/** The other partitions that ask for idle quota of a team, in the order of the turns of their oldest work. */
+export function backfillTakersOf(
+  situation: QuotaSituation,
+  team: string,
+  parts: Readonly<Record<string, ResourceAmounts>>,
+): BackfillTaker[] {
+  const takers: (BackfillTaker & { sinceMs: number })[] = [];
+  for (const [partition, demands] of situation.others) {
+    const demand = demands.get(team);
+    const isNamed = situation.partitions.includes(partition);
+    if (!demand?.backfill || !isNamed || partition === situation.partition)
+      continue;
+    const { backfill, beyond, nowSince } = demand;
+    const lacks = perDimension((dimension) =>
+      remaining(backfill, beyond, parts[partition], dimension),
+    );
+    takers.push({ partition, lacks, sinceMs: Math.min(...nowSince) });
+  }
+  return takers.sort(
+    (first, second) =>
+      first.sinceMs - second.sinceMs ||
+      (first.partition < second.partition ? -1 : 1),
+  );
+}
+
 /** What is left of a want after what has come since it was published. */
 const remaining = (
   wanted: Readonly<ResourceAmounts>,
--- a/src/coordination/quota/quota-team-planner.ts
+++ b/src/coordination/quota/quota-team-planner.ts
@@ -4,7 +4,12 @@
  */
 import type { Team } from "../../config/settings.js";
 import { EPSILON } from "../scheduling/placement.js";
-import type { QuotaPlan, QuotaSituation } from "./quota-situation.js";
+import type { PlacedReservation } from "./quota-reservations.js";
+import type {
+  GiftReason,
+  QuotaPlan,
+  QuotaSituation,
+} from "./quota-situation.js";
 import {
   limitOf,
   MAX_ROUNDING_ERROR,
@@ -12,10 +17,16 @@
   overdrawn,
   type QuotaEntry,
 } from "./quota-records.js";
-import { type QuotaTaker, takersOf } from "./quota-takers.js";
+import {
+  backfillTakersOf,
+  type QuotaTaker,
+  reservingTaker,
+  takersOf,
+} from "./quota-takers.js";
 import {
   type Dimension,
   DIMENSIONS,
+  isAnyPositive,
   type ResourceAmounts,
   roundDownToHundredth,
   roundUpToHundredth,
@@ -32,6 +43,8 @@
   private readonly confirmedUse: ResourceAmounts | null;
   /** What this partition gives away. */
   private readonly reserved: ResourceAmounts = [0, 0];
+  /** The large job that quota is reserved for now. */
+  private readonly reservation: PlacedReservation | null;
   private isChanged = false;
 
   constructor(
@@ -50,6 +63,7 @@
     this.limit = limitOf(team);
     this.use = situation.use(team.name);
     this.confirmedUse = situation.known(team.name);
+    this.reservation = situation.reservation(team.name);
   }
 
   /** The entry to be written; null: it stays as it is. */
@@ -61,8 +75,10 @@
       this.stateUse(dimension);
       this.giveBackExcess(dimension);
     }
-    if (this.mayMove())
+    if (this.mayMove()) {
       for (const dimension of DIMENSIONS) this.moveToTakers(dimension);
+      if (!this.reservation) this.lendIdle();
+    }
     if (this.reserved.some((amount) => amount > 0))
       this.plan.reserved.set(this.team.name, this.reserved);
     return this.isChanged ? { parts: this.parts, cap: this.cap } : null;
@@ -156,8 +172,8 @@
     let unassigned = roundDownToHundredth(
       Math.max(0, cap - this.total(dimension)),
     );
-    const { situation, team, parts } = this;
-    for (const taker of takersOf(situation, team.name, parts, dimension)) {
+    const { situation } = this;
+    for (const taker of this.takers(dimension)) {
       const available = roundDownToHundredth(
         Math.min(taker.wanted, unassigned),
       );
@@ -168,6 +184,20 @@
     }
   }
 
+  /** In the order of their turns, but first the one that quota is reserved for. */
+  private takers(
+    dimension: Dimension,
+  ): (QuotaTaker & { reason: GiftReason })[] {
+    const { situation, team, parts, reservation } = this;
+    const takers = takersOf(situation, team.name, parts, dimension).map(
+      (taker) => ({ ...taker, reason: "turn" as GiftReason }),
+    );
+    const first =
+      reservation &&
+      reservingTaker(situation, reservation, team.name, parts, dimension);
+    return first ? [{ ...first, reason: "reservation" }, ...takers] : takers;
+  }
+
   /** What nobody has is there for whoever comes first, who takes it by this commit and uses it once it is written. */
   private takeUnassigned(amount: number, dimension: Dimension): void {
     if (amount <= EPSILON) return;
@@ -178,34 +208,87 @@
 
   /** Gives what this partition neither uses nor needs for its own work that comes first. */
   private giveTo(
-    taker: QuotaTaker,
+    taker: QuotaTaker & { reason: GiftReason },
     wanted: number,
     dimension: Dimension,
   ): void {
-    const { partition, sinceMs, now } = taker;
-    const kept = this.situation.keep(this.team.name, sinceMs, partition, now);
+    const { partition, reason } = taker;
     const ownPart = this.partOf(this.situation.partition);
-    const spare = ownPart[dimension] - this.use[dimension] - kept[dimension];
-    const amount = roundDownToHundredth(Math.max(0, Math.min(wanted, spare)));
-    if (amount <= EPSILON) return;
-    const takerPart = this.partOf(partition);
+    const kept = this.keptFrom(taker, dimension);
+    const spare = ownPart[dimension] - this.use[dimension] - kept;
+    this.give(partition, Math.min(wanted, spare), dimension, reason);
+  }
+
+  private keptFrom(
+    { partition, sinceMs, now, reason }: QuotaTaker & { reason: GiftReason },
+    dimension: Dimension,
+  ): number {
+    const { situation, reservation } = this;
+    const team = this.team.name;
+    const reserved = reservation
+      ? situation.keptFrom(team, reservation)[dimension]
+      : situation.keptForBackfill(team)[dimension];
+    if (reason === "reservation") return reserved;
+    const forTurns = situation.keep(team, sinceMs, partition, now)[dimension];
+    return Math.max(forTurns, reserved);
+  }
+
+  /** Lends what nothing that waits here can use to partitions whose tasks it completes. */
+  private lendIdle(): void {
+    const { situation, team, parts } = this;
+    const idle = situation.idle(team.name);
+    if (!isAnyPositive(idle)) return;
+    for (const { partition, lacks } of backfillTakersOf(
+      situation,
+      team.name,
+      parts,
+    ))
+      for (const dimension of DIMENSIONS) {
+        if (this.cap[dimension] === Infinity) continue;
+        const unused =
+          this.partOf(situation.partition)[dimension] - this.use[dimension];
+        const amount = Math.min(lacks[dimension], idle[dimension], unused);
+        idle[dimension] -= this.give(partition, amount, dimension, "backfill");
+      }
+  }
+
+  /** Moves an amount from the own part to another partition's; returns it, rounded. */
+  private give(
+    to: string,
+    wanted: number,
+    dimension: Dimension,
+    reason: GiftReason,
+  ): number {
+    const amount = roundDownToHundredth(Math.max(0, wanted));
+    if (amount <= EPSILON) return 0;
+    const ownPart = this.partOf(this.situation.partition);
+    const takerPart = this.partOf(to);
     ownPart[dimension] = roundDownToHundredth(ownPart[dimension] - amount);
     takerPart[dimension] = roundDownToHundredth(takerPart[dimension] + amount);
     this.reserved[dimension] += amount;
     this.isChanged = true;
-    this.noteGiven(partition, amount, dimension);
+    this.noteGiven(to, amount, dimension, reason);
+    return amount;
   }
 
-  private noteGiven(to: string, amount: number, dimension: Dimension): void {
+  private noteGiven(
+    to: string,
+    amount: number,
+    dimension: Dimension,
+    reason: GiftReason,
+  ): void {
     const team = this.team.name;
     const { given } = this.plan;
-    const earlier = given.find((gift) => gift.team === team && gift.to === to);
+    const earlier = given.find(
+      (gift) => gift.team === team && gift.to === to && gift.reason === reason,
+    );
     if (earlier) earlier.give[dimension] += amount;
     else
       given.push({
         team,
         to,
         give: dimension === 0 ? [amount, 0] : [0, amount],
+        reason,
       });
   }
 }
--- a/src/coordination/scheduling/attempt-sequence.ts
+++ b/src/coordination/scheduling/attempt-sequence.ts
@@ -4,7 +4,7 @@
 import type { PartitionState } from "./partition-state.js";
 
 /** Attempts of one token: with a token below 2^33 they stay below 2^53. */
-export const ATTEMPTS_PER_TOKEN = 2 ** 20;
+const ATTEMPTS_PER_TOKEN = 2 ** 20;
 
 export class AttemptSequence {
   private issued = 0;
--- a/src/coordination/scheduling/gang-assembly.ts
+++ b/src/coordination/scheduling/gang-assembly.ts
@@ -3,6 +3,7 @@
  * each class, and which gangs are being assembled.
  */
 import type { Context } from "../context.js";
+import { hasBegun } from "./job-progress.js";
 import type { PartitionState } from "./partition-state.js";
 import type { QuotaAllocator } from "../quota/index.js";
 import type { JobSpec } from "../model.js";
@@ -119,7 +120,7 @@
     if (this.boundS <= 0 || job.quarantinedSinceMs !== null) return "no";
     if (job.view.spec.kind === "gang") return this.gangPrecedenceOf(job);
     const hasWaitedLong = this.ageS(job) > this.boundS * FIRST_TASK_AFTER;
-    return hasWaitedLong && !this.hasBegun(job) ? "array" : "no";
+    return hasWaitedLong && !hasBegun(this.ctx, job) ? "array" : "no";
   }
 
   private gangPrecedenceOf(job: JobRun): Precedence {
@@ -142,17 +143,6 @@
         (this.largestByClass.get(spec.jobClass) ?? Infinity) * LARGE_GANG_SHARE
     );
   }
-  private hasBegun(job: JobRun): boolean {
-    if (
-      job.active.size > 0 ||
-      job.finished.size > 0 ||
-      this.ctx.cache.finishedCount(job.id) > 0
-    )
-      return true;
-    for (const { running } of this.ctx.cache.capacities.values())
-      if ((running.get(job.id) ?? 0) > 0) return true;
-    return false;
-  }
   /** Whether the partition's share of its team's limit has room for a gang, whatever of it others of the team use now. */
   private isWithinQuota(job: JobRun): boolean {
     const { spec } = job.view;
--- a/src/coordination/scheduling/scheduler.ts
+++ b/src/coordination/scheduling/scheduler.ts
@@ -98,8 +98,8 @@
     this.lastRoundMs = this.ctx.nowMs;
     this.rounds++;
     this.reservations.clear();
-    const ready = [...this.partition.jobs.values()].filter((job) =>
-      this.partition.mayStart(job),
+    const ready = [...this.partition.jobs.values()].filter(
+      (job) => this.partition.mayStart(job) && !this.quota.isHeldBack(job),
     );
     if (ready.length === 0) return;
     this.gangAssembly.update(ready);
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -296,6 +296,7 @@
     to: string;
     cpus: number;
     gpus: number;
+    reason: "turn" | "reservation" | "backfill";
   };
   /** The records show how a change of the quotas ended that this partition had sent. */
   "quota change settled": {
--- a/src/storage/records/capacity.ts
+++ b/src/storage/records/capacity.ts
@@ -110,6 +110,13 @@
   beyond: [number, number];
   /** Waiting tasks within the partition's share that have a place once others make it, in all. */
   waits: [number, number];
+  /** What of the share is neither used nor enough for anything that waits. This and what follows is absent from earlier versions' rows. */
+  idle?: [number, number] | undefined;
+  /** What tasks lack that idle shares of other partitions are enough for. */
+  backfill?: [number, number] | undefined;
+  /** For a large job whose first start is overdue: what it lacks, since when (ms) it is ready, its place in `PRIORITIES`. */
+  reservation?:
+    { lacks: [number, number]; readyAt: number; priority: number } | undefined;
 }
 
 export interface CapacityRecord {
@@ -229,8 +236,62 @@
   soonSince: readSince(values.slice(7, 9), values[9]!, values[15]),
   beyond: [values[10]!, values[11]!],
   waits: [values[12]!, values[13]!],
+  ...readBackfill(values.slice(BASIC_VALUES)),
 });
 
+/** Values of a row that all versions write since it has two times for each want. */
+const BASIC_VALUES = 16;
+
+/** What follows them, where there is any of it: idle, backfill, reservation. */
+function readBackfill(
+  values: readonly number[],
+): Pick<TeamRow, "idle" | "backfill" | "reservation"> {
+  const [idleCpus, idleGpus, cpus, gpus, ...reservation] = values;
+  const [lackingCpus, lackingGpus, readyAt, priority] = reservation;
+  return {
+    ...pairUnlessZero("idle", idleCpus, idleGpus),
+    ...pairUnlessZero("backfill", cpus, gpus),
+    ...(readyAt
+      ? {
+          reservation: {
+            lacks: [lackingCpus ?? 0, lackingGpus ?? 0],
+            readyAt,
+            priority: priority ?? 0,
+          },
+        }
+      : {}),
+  };
+}
+
+const pairUnlessZero = (
+  name: "idle" | "backfill",
+  cpus = 0,
+  gpus = 0,
+): Pick<TeamRow, "idle" | "backfill"> =>
+  cpus > 0 || gpus > 0 ? { [name]: [cpus, gpus] } : {};
+
+/** As `readBackfill` reads it; nothing where there is nothing to say. */
+function backfillValues({ idle, backfill, reservation }: TeamRow): number[] {
+  const isSaid = [idle, backfill, reservation].some(Boolean);
+  if (!isSaid) return [];
+  return [
+    ...[idle, backfill].flatMap((amounts) => amounts ?? NO_AMOUNTS),
+    ...(reservation ? reservationValues(reservation) : []),
+  ];
+}
+
+const reservationValues = ({
+  lacks,
+  readyAt,
+  priority,
+}: NonNullable<TeamRow["reservation"]>): number[] => [
+  ...lacks,
+  readyAt,
+  priority,
+];
+
+const NO_AMOUNTS: readonly [number, number] = [0, 0];
+
 /** `gpusSince` is absent from records of an earlier version: `firstSince` then stands for both. */
 const readSince = (
   want: readonly number[],
@@ -243,8 +304,8 @@
 
 /**
  * A team's row as it is written, after the team's name: use, may, now, its time, soon, its time, beyond, waits. JSON knows
- * no Infinity; 0 stands for no time. The times of what lacks accelerators come last: a reader from before takes the first
- * for both.
+ * no Infinity; 0 stands for no time. The times of what lacks accelerators come then: a reader from before takes the first
+ * for both. What `backfillValues` says comes last, and a reader from before ignores it.
  */
 const teamValues = (row: TeamRow): number[] =>
   [
@@ -258,6 +319,7 @@
     ...row.waits,
     row.nowSince[1],
     row.soonSince[1],
+    ...backfillValues(row),
   ].map((amount) =>
     Number.isFinite(amount) ? Math.round(amount * 100) / 100 : 0,
   );
--- a/test/golden/records.ts
+++ b/test/golden/records.ts
@@ -246,6 +246,43 @@
   );
 });
 
+test("golden: what a group lends and asks for of a limit", () => {
+  const row = {
+    use: [1, 0],
+    may: [1, 0],
+    now: [4, 1],
+    nowSince: [1_700_000_000_002, 1_700_000_000_003],
+    soon: [0, 0],
+    soonSince: [Infinity, Infinity],
+    beyond: [3.8, 0],
+    waits: [12, 1],
+  } satisfies records.TeamRow;
+  expectStored(
+    {
+      ...ROOM,
+      rows: [],
+      teams: new Map<string, records.TeamRow>([
+        ["lends", { ...row, idle: [2.8, 0] }],
+        ["asks", { ...row, backfill: [0.2, 1] }],
+        [
+          "reserves",
+          {
+            ...row,
+            reservation: {
+              lacks: [4.2, 1],
+              readyAt: 1_700_000_000_004,
+              priority: 2,
+            },
+          },
+        ],
+      ]),
+    },
+    records.writeCapacity,
+    records.readCapacity,
+    '{"rows":[],"q":[5,2],"qu":[[5,2],[4,1],[3,0],[1,0]],"run":[["req-000412",3]],"out":["small/east/true"],"left":[["big/mid/false",2]],"want":[["red",8,1,1700000000001]],"team":[["lends",1,0,1,0,4,1,1700000000002,0,0,0,3.8,0,12,1,1700000000003,0,2.8,0,0,0],["asks",1,0,1,0,4,1,1700000000002,0,0,0,3.8,0,12,1,1700000000003,0,0,0,0.2,1],["reserves",1,0,1,0,4,1,1700000000002,0,0,0,3.8,0,12,1,1700000000003,0,0,0,0,0,4.2,1,1700000000004,2]],"cut":true}',
+  );
+});
+
 test("golden: group, claim, limits, belief and reclaims", () => {
   const partition: records.PartitionRecord = { owner: "node-a", hold: 77 };
   assert.deepEqual(
