Log heartbeats that are refused for their size

A machine that holds more tasks than it can report looked, in a controller's log, like a machine that went silent: the refusal with 400 came from the middleware that limits bodies, which told nobody, although docs/software-limits.md says "400, logged". So a lease lost for this could not be told from one lost to a broken link or a busy controller.

Test "a heartbeat that is refused for its size is reported, with a content-length and in chunks": before, no error was reported (actual [] against two); after, it passes.

--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -42,7 +42,7 @@
     withheld: number;
     leadershipLeaseExpiredMs: number;
   };
-  /** A heartbeat could not be parsed and was answered with 400. */
+  /** A heartbeat was too large or could not be parsed and was answered with 400. */
   "malformed heartbeat": RateLimitedFields;
   /** Most of the heap is in use after a full collection: new jobs are rejected. */
   "memory low, new jobs rejected": { jobs: number };
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -27,7 +27,7 @@
     zone: string,
     body: string,
   ): Promise<{ status: number; body: string } | null>;
-  /** Called for a heartbeat that cannot be parsed. */
+  /** Called for a heartbeat that is too large or cannot be parsed. */
   noteMalformedHeartbeat(error: string): void;
   /** Called when handling a request threw an unexpected error. */
   reportError(error: Error): void;
@@ -73,10 +73,16 @@
 /**
  * Limits the size of request bodies. Node's parser never accepts more than `content-length` states, so for bodies with that
  * header only its value is checked. Hono's own middleware, which converts every body to a web stream and took a third of the
- * time needed to handle a heartbeat, is used only for chunked bodies.
+ * time needed to handle a heartbeat, is used only for chunked bodies. `onTooLarge` is called with the reason of a refusal.
  */
-function limitBodySize(): MiddlewareHandler {
-  const tooLarge = (): Response => badRequest("body: over 64 KiB");
+function limitBodySize(
+  onTooLarge: (reason: string) => void = () => {},
+): MiddlewareHandler {
+  const tooLarge = (): Response => {
+    const reason = "body: over 64 KiB";
+    onTooLarge(reason);
+    return badRequest(reason);
+  };
   const limitChunkedBody = bodyLimit({
     maxSize: MAX_BODY_BYTES,
     onError: tooLarge,
@@ -91,6 +97,32 @@
   };
 }
 
+/** Passes a worker's heartbeat to the core, or relays it to the leader of its partition, and returns the answer. */
+async function answerHeartbeat(
+  core: RequestHandler,
+  body: string,
+): Promise<Response> {
+  const parsed = parseHeartbeat(body);
+  if (!parsed.ok) {
+    core.noteMalformedHeartbeat(parsed.error);
+    return badRequest(parsed.error);
+  }
+  const answer = await core.ask((reqId) => ({
+    type: "heartbeat",
+    reqId,
+    heartbeat: parsed.value,
+    relayed: false,
+  }));
+  if (answer.kind !== "relay") return toHttp(answer);
+  const relayed = await core.relay(answer.leader, parsed.value.zone, body);
+  if (!relayed || relayed.status !== 200)
+    return toHttp({ kind: "redirect", leader: null });
+  return new Response(relayed.body, {
+    status: 200,
+    headers: { "content-type": "application/json" },
+  });
+}
+
 /**
  * Routes for requests of users, workers and health checks.
  *
@@ -104,6 +136,9 @@
 ): Hono {
   const app = new Hono();
   const limit = limitBodySize();
+  const limitHeartbeat = limitBodySize((reason) =>
+    core.noteMalformedHeartbeat(reason),
+  );
   for (const createRoutes of extraRoutes) app.route("/", createRoutes(limit));
   app.get("/ready", () =>
     Response.json(
@@ -131,28 +166,9 @@
       ? toHttp(await core.ask((reqId) => ({ type: "cancel", reqId, id })))
       : toHttp({ kind: "unknownJob" });
   });
-  app.post("/hello", limit, async (c) => {
-    const text = await c.req.text();
-    const parsed = parseHeartbeat(text);
-    if (!parsed.ok) {
-      core.noteMalformedHeartbeat(parsed.error);
-      return badRequest(parsed.error);
-    }
-    const answer = await core.ask((reqId) => ({
-      type: "heartbeat",
-      reqId,
-      heartbeat: parsed.value,
-      relayed: false,
-    }));
-    if (answer.kind !== "relay") return toHttp(answer);
-    const relayed = await core.relay(answer.leader, parsed.value.zone, text);
-    if (!relayed || relayed.status !== 200)
-      return toHttp({ kind: "redirect", leader: null });
-    return new Response(relayed.body, {
-      status: 200,
-      headers: { "content-type": "application/json" },
-    });
-  });
+  app.post("/hello", limitHeartbeat, async (c) =>
+    answerHeartbeat(core, await c.req.text()),
+  );
   for (const path of [
     "/ready",
     "/v1/jobs",
--- a/test/transport/transport.test.ts
+++ b/test/transport/transport.test.ts
@@ -129,6 +129,30 @@
   assert.deepEqual(taskCounts, [2, 2]);
 });
 
+test("a heartbeat that is refused for its size is reported, with a content-length and in chunks", async () => {
+  const errors: string[] = [];
+  const app = api({
+    ask: () => assert.fail("passed to the core"),
+    ready: () => true,
+    relay: () => Promise.resolve(null),
+    noteMalformedHeartbeat: (error) => void errors.push(error),
+    reportError: (e) => assert.fail(e),
+  });
+  const body = "x".repeat(70_000);
+  for (const headers of [
+    { "content-length": String(body.length) },
+    { "transfer-encoding": "chunked" },
+  ]) {
+    const response = await app.request("/hello", {
+      method: "POST",
+      body,
+      headers,
+    });
+    assert.equal(response.status, 400);
+  }
+  assert.deepEqual(errors, ["body: over 64 KiB", "body: over 64 KiB"]);
+});
+
 test("the number of connections is limited: the longest idle one of the kind furthest over its share is closed, and none in use", () => {
   const limit = 40;
   const timeoutMs = { fresh: 3_000, probe: 3_000, user: 60_000, worker: 8_000 };
