Give a machine no more tasks than its heartbeats can list

Callers saw: an array of 4,800 tasks of 0.02 CPUs and a job of another team were accepted, and after 106 s (600 s by hand) not one task of either was done, on machines, links and controllers that worked all the time.

Cause: a heartbeat lists all tasks of its machine, exited ones too, in a body of 64 KiB at most. Placement counted CPUs, accelerators and memory alone, and started 1,200 and more tasks on a machine, which could then report nothing, lost its lease with all tasks and was filled again, every 12 to 14 s.

Evidence: in the simulation, whose workers can't send a heartbeat of over 64 KiB any more, only machines with such heartbeats lose their tasks, and no machine is taken for unreachable; the case records "a report of 1202 tasks takes 72368 bytes".

Change: free capacity has places for tasks beside the three resources, 398 to a machine: 64 KiB less 4 KiB for the rest of the heartbeat, by the largest entry that PROTOCOL allows. Tasks that are or may be on the machine take one each, exited ones until they are forgotten. Everything that asks what fits goes by `FreeCapacity`, whose type does not let the places be left out: placement, gangs, reservations, preemption, capacity reports, rentals. So the bound holds wherever a start is decided, and what does not fit is rented for.

Test: test/scenarios/small-tasks.test.ts. Literal workers in two tests have the `exited` list that every worker has.

--- a/src/coordination/jobs/partition-capacity.ts
+++ b/src/coordination/jobs/partition-capacity.ts
@@ -7,6 +7,7 @@
 import { type JobSpec, type MachineType, PRIORITIES } from "../model.js";
 import {
   canRunOn,
+  capacityOf,
   fitCount,
   isAllowedOn,
   isSuitable,
@@ -56,7 +57,7 @@
     if (!mayUseRow(spec, row, catalog)) continue;
     const kinds = usesReserved ? [...row.free, ...row.reserved] : row.free;
     for (const [cpus, gpus, memGb, machines] of kinds)
-      slots += machines * fitCount(spec, { cpus, gpus, memGb });
+      slots += machines * fitCount(spec, capacityOf({ cpus, gpus, memGb }));
   }
   return slots;
 }
@@ -96,7 +97,7 @@
       maxPriority,
     ] of row.preemptible)
       if (priority >= minPriority && priority <= maxPriority)
-        slots += machines * fitCount(spec, { cpus, gpus, memGb });
+        slots += machines * fitCount(spec, capacityOf({ cpus, gpus, memGb }));
   }
   return slots;
 }
@@ -203,7 +204,8 @@
     const key = offerKey(type.name, zone, spot);
     const machines =
       capacity?.left.get(key) ?? (soldOut.has(key) ? 0 : Infinity);
-    if (machines > 0) afterRental += machines * fitCount(spec, type);
+    if (machines > 0)
+      afterRental += machines * fitCount(spec, capacityOf(type));
   }
   return { free, afterPreemption, afterRental };
 }
@@ -274,7 +276,7 @@
   for (const row of capacity?.rows ?? []) {
     const type = catalog.find(({ name }) => name === row.type);
     if (type && mayUseRow(spec, row, catalog))
-      slots += row.machines * fitCount(spec, type);
+      slots += row.machines * fitCount(spec, capacityOf(type));
   }
   return Math.max(MIN_SLOTS, slots);
 }
--- a/src/coordination/machines/autoscaler.ts
+++ b/src/coordination/machines/autoscaler.ts
@@ -5,7 +5,12 @@
 import { type Context, CLOCK_DRIFT_FACTOR } from "../context.js";
 import type { JobSpec, ListedMachine } from "../model.js";
 import type { QuotaAllocator } from "../quota/index.js";
-import { fits, isAllowedOn, isSuitable } from "../scheduling/placement.js";
+import {
+  capacityOf,
+  fits,
+  isAllowedOn,
+  isSuitable,
+} from "../scheduling/placement.js";
 import type { PartitionState } from "../scheduling/partition-state.js";
 import { machineTypeOf } from "./capacity-offers.js";
 import { type MachineList, MachineListPoller } from "./machine-list-poller.js";
@@ -168,7 +173,7 @@
       if (
         !job.waiting.isEmpty &&
         isAllowedOn(spec, typeName, zone, spot) &&
-        fits(spec, type) &&
+        fits(spec, capacityOf(type)) &&
         isSuitable(spec, type, spot, this.ctx.catalog)
       )
         return true;
--- a/src/coordination/machines/capacity-offers.ts
+++ b/src/coordination/machines/capacity-offers.ts
@@ -11,7 +11,7 @@
   isAllowedOn,
   isSuitable,
   offerKey,
-  type Resources,
+  type FreeCapacity,
 } from "../scheduling/placement.js";
 
 /** Machines of one type in one zone, either spot or on-demand. */
@@ -27,11 +27,11 @@
   rentedMs: number;
 }
 
-/** Free resources of one machine, either running, booting or planned. Planning subtracts from `free` in place. */
+/** Free capacity of one machine, either running, booting or planned. Planning subtracts from `free` in place. */
 export interface MachineCapacity extends CapacityOffer {
   /** Whether the machine is reserved for short jobs. */
   isReserved: boolean;
-  free: Resources;
+  free: FreeCapacity;
 }
 
 /** Machines of one offer that a plan requests from the cloud. */
--- a/src/coordination/machines/reconciliation.ts
+++ b/src/coordination/machines/reconciliation.ts
@@ -11,6 +11,7 @@
 import type { DeliveryTracker } from "./delivery-tracker.js";
 import {
   attemptKey,
+  type ExitedTask,
   type UnconfirmedTask,
   type TaskRun,
   type Worker,
@@ -61,15 +62,17 @@
     const reported = new Map<string, ReportedTask>();
     for (const task of tasks)
       reported.set(attemptKey(task.job, task.index, task.attempt), task);
-    worker.exited = [];
     const unconfirmed = new Map(worker.unconfirmedTasks);
     this.state.ledger.clearUnconfirmed(worker);
     const evidence = this.reconcileKnown(worker, reported, followsAnswers);
+    const exited: ExitedTask[] = [];
     for (const [key, task] of reported) {
-      if (task.state === "exited") this.noteExited(worker, key, task);
+      if (task.state === "exited")
+        exited.push(this.noteExited(worker, key, task));
       else if (!worker.tasks.has(key) && !this.adopt(worker, task))
         this.addUnconfirmed(worker, task, unconfirmed.get(key));
     }
+    this.state.ledger.setExited(worker, exited);
     this.deliveries.noteStartEvidence(
       worker,
       evidence.isStartMissing,
@@ -182,15 +185,11 @@
     worker: Worker,
     key: string,
     reported: ReportedTask,
-  ): void {
-    worker.exited.push({
-      job: reported.job,
-      index: reported.index,
-      attempt: reported.attempt,
-      cause: reported.cause,
-    });
-    if (!worker.tasks.has(key) && reported.cause === "done")
+  ): ExitedTask {
+    const { job, index, attempt, cause } = reported;
+    if (!worker.tasks.has(key) && cause === "done")
       this.onReportedDone(reported);
+    return { job, index, attempt, cause };
   }
 
   /** Records a task that is not expected here and can't be adopted. It is stopped, and its resources count until it is gone. */
--- a/src/coordination/machines/rental-plan.ts
+++ b/src/coordination/machines/rental-plan.ts
@@ -3,8 +3,8 @@
  * jobs take their slots from it one after the other. A slot is the capacity for one task.
  */
 import type { Context } from "../context.js";
-import type { EffectivePriority, JobSpec, MachineType } from "../model.js";
-import { fitCount, type Resources } from "../scheduling/placement.js";
+import type { EffectivePriority, JobSpec } from "../model.js";
+import { capacityOf, fitCount, subtractTask } from "../scheduling/placement.js";
 import {
   isSameOffer,
   type CapacityOffers,
@@ -13,14 +13,6 @@
   type RentableOffer,
 } from "./capacity-offers.js";
 import { isOnlySpotWorthwhile } from "./rental-timing.js";
-import { subtract } from "./worker-state.js";
-
-/** The total resources of a machine of this type. */
-export const resourcesOf = ({ cpus, gpus, memGb }: MachineType): Resources => ({
-  cpus,
-  gpus,
-  memGb,
-});
 
 /** How many tasks of the job fit on these machines in total. */
 export const countSlots = (
@@ -39,7 +31,7 @@
   for (const machine of machines) {
     if (unplaced === 0) break;
     const takenCount = Math.min(unplaced, fitCount(spec, machine.free));
-    for (let i = 0; i < takenCount; i++) subtract(machine.free, spec);
+    for (let i = 0; i < takenCount; i++) subtractTask(machine.free, spec);
     unplaced -= takenCount;
   }
   return unplaced;
@@ -70,7 +62,8 @@
   countRentable(spec: JobSpec, zones: readonly string[]): number {
     let taskCount = 0;
     for (const offer of this.rentableOffers(spec, zones))
-      taskCount += offer.maxMachines * fitCount(spec, offer.machineType);
+      taskCount +=
+        offer.maxMachines * fitCount(spec, capacityOf(offer.machineType));
     return taskCount;
   }
 
@@ -119,7 +112,7 @@
       const { machineType } = offer;
       const price = offer.spot ? machineType.spotPrice : machineType.price;
       const costPerTask =
-        price / Math.min(fitCount(spec, machineType), unplaced);
+        price / Math.min(fitCount(spec, capacityOf(machineType)), unplaced);
       if (costPerTask < lowestCost) {
         cheapest = offer;
         lowestCost = costPerTask;
@@ -135,7 +128,7 @@
     offer: RentableOffer,
   ): number {
     const { machineType, zone, spot, maxMachines } = offer;
-    const tasksPerMachine = fitCount(spec, machineType);
+    const tasksPerMachine = fitCount(spec, capacityOf(machineType));
     const rental: PlannedRental = {
       type: machineType.name,
       zone,
@@ -151,7 +144,7 @@
       zone,
       spot,
       isReserved: false,
-      free: resourcesOf(machineType),
+      free: capacityOf(machineType),
     }));
     for (const machine of addedMachines) this.machines.push(machine);
     return takeSlots(spec, unplaced, addedMachines);
--- a/src/coordination/machines/resource-ledger.ts
+++ b/src/coordination/machines/resource-ledger.ts
@@ -4,6 +4,7 @@
  */
 
 import {
+  type ExitedTask,
   type UnconfirmedTask,
   attemptKey,
   type TaskRun,
@@ -90,6 +91,12 @@
     worker.unconfirmedTasks.clear();
   }
 
+  /** Replaces the exited tasks of a worker, which take no resources but space in its heartbeats. */
+  setExited(worker: Worker, exited: readonly ExitedTask[]): void {
+    if (exited.length !== worker.exited.length) worker.free = null;
+    worker.exited = exited;
+  }
+
   unconfirmedOfJob(jobId: string): ReadonlySet<UnconfirmedTask> {
     return this.unconfirmedByJob.get(jobId) ?? NO_TASKS;
   }
--- a/src/coordination/machines/scale-out-planner.ts
+++ b/src/coordination/machines/scale-out-planner.ts
@@ -7,6 +7,7 @@
 import { backlogKindOf } from "../jobs/partition-capacity.js";
 
 import {
+  capacityOf,
   fitCount,
   fitWithinLimit,
   maxTasksPerZone,
@@ -157,7 +158,7 @@
     let slots = 0;
     for (const machine of this.plan.machinesServing(spec)) {
       const machineType = machineTypeOf(this.ctx, machine.type);
-      if (machineType) slots += fitCount(spec, machineType);
+      if (machineType) slots += fitCount(spec, capacityOf(machineType));
     }
     const lackingWorkS = dueWorkS - (slots * timeLeftS) / ESTIMATE_FACTOR;
     if (lackingWorkS <= 0) return 0;
--- a/src/coordination/machines/scale-out.ts
+++ b/src/coordination/machines/scale-out.ts
@@ -6,7 +6,7 @@
 import type { JobSpec } from "../model.js";
 import type { QuotaAllocator } from "../quota/index.js";
 import type { PartitionState } from "../scheduling/partition-state.js";
-import { fitCount, fits } from "../scheduling/placement.js";
+import { capacityOf, fitCount, fits } from "../scheduling/placement.js";
 import {
   type BootingMachine,
   type CapacityOffer,
@@ -15,7 +15,7 @@
   type MachineCapacity,
   type PlannedRental,
 } from "./capacity-offers.js";
-import { RentalPlan, resourcesOf } from "./rental-plan.js";
+import { RentalPlan } from "./rental-plan.js";
 import { RentalRequests } from "./rental-requests.js";
 import { ScaleOutPlanner, type WarmCapacity } from "./scale-out-planner.js";
 import { freeOn, type Worker } from "./worker-state.js";
@@ -156,7 +156,7 @@
       const machineType = machineTypeOf(this.ctx, offer.type);
       if (!machineType) continue;
       const { type, zone, spot } = offer;
-      const free = resourcesOf(machineType);
+      const free = capacityOf(machineType);
       machines.push({ type, zone, spot, isReserved: false, free });
     }
     return machines;
--- a/src/coordination/machines/warm-capacity.ts
+++ b/src/coordination/machines/warm-capacity.ts
@@ -4,7 +4,7 @@
  */
 import type { Context } from "../context.js";
 import type { JobSpec } from "../model.js";
-import { fits, isAllowedOn } from "../scheduling/placement.js";
+import { capacityOf, fits, isAllowedOn } from "../scheduling/placement.js";
 import type { PartitionState } from "../scheduling/partition-state.js";
 import { memoizeByOffer } from "./memoize-by-offer.js";
 import type { WarmCapacity } from "./scale-out-planner.js";
@@ -127,7 +127,7 @@
         worker.zone,
         worker.spot,
       ) &&
-      fits(spec, worker.type) &&
+      fits(spec, capacityOf(worker.type)) &&
       spec.gpus > 0 === worker.type.gpus > 0
     );
   }
--- a/src/coordination/machines/worker-commands.ts
+++ b/src/coordination/machines/worker-commands.ts
@@ -6,14 +6,13 @@
 import type { Command } from "../model.js";
 import {
   attemptKey,
+  type ExitedTask,
   type JobRun,
   type TaskRun,
   type UnconfirmedTask,
   type Worker,
 } from "./worker-state.js";
 
-type ExitedTask = Worker["exited"][number];
-
 /** All commands that apply to this worker now: for exited tasks, then for unconfirmed tasks, then for its own tasks. */
 export function commandsForWorker(
   worker: Worker,
--- a/src/coordination/machines/worker-state.ts
+++ b/src/coordination/machines/worker-state.ts
@@ -6,7 +6,14 @@
 import type { PendingTransfer } from "../leadership/pending-transfer.js";
 import type { JobView } from "../store/job-view.js";
 import type { ExitCause, Heartbeat, MachineType, TaskState } from "../model.js";
-import { offerKey, type Resources } from "../scheduling/placement.js";
+import {
+  capacityOf,
+  NO_CAPACITY,
+  type FreeCapacity,
+  offerKey,
+  type Resources,
+  subtractTask,
+} from "../scheduling/placement.js";
 import { RangeSet } from "../jobs/range-set.js";
 
 /** One task on one machine, from its start command until the machine is known not to have it any more. */
@@ -81,6 +88,14 @@
   firstReportedMs: number;
 }
 
+/** A task that ended on a machine and that the machine's heartbeats still list. */
+export interface ExitedTask {
+  job: string;
+  index: number;
+  attempt: number;
+  cause: ExitCause | null;
+}
+
 /** Whether a machine receives the leader's answers and commands, and what is known of the time before its last restart. */
 export interface DeliveryState {
   /** The machine has shown that it receives this leader's messages, or was already known to belong to this partition. */
@@ -133,8 +148,8 @@
   spot: boolean;
   /** Key of the machine's type, zone and spot flag. Machines with the same key are equivalent for every job. */
   offerKey: string;
-  /** Cached free resources; null if the worker's tasks or type changed since they were computed. */
-  free: Readonly<Resources> | null;
+  /** Cached free capacity; null if the worker's tasks or type changed since it was computed. */
+  free: Readonly<FreeCapacity> | null;
   incarnation: number;
   sequence: number;
   /** Highest fencing token that the worker has shown. */
@@ -151,12 +166,7 @@
   tasks: Map<string, TaskRun>;
   unconfirmedTasks: Map<string, UnconfirmedTask>;
   /** Exited tasks in the last heartbeat, which the worker keeps until a `forget`. */
-  exited: {
-    job: string;
-    index: number;
-    attempt: number;
-    cause: ExitCause | null;
-  }[];
+  exited: readonly ExitedTask[];
   /** Images that the machine should have cached, least recently used first. */
   images: Map<string, { sizeGb: number; lastUsedMs: number }>;
   isReturning: boolean;
@@ -265,34 +275,24 @@
   };
 }
 
-/** Free resources of a machine, counting every task that is or may be on it. `ResourceLedger` invalidates the cached value. */
-export function freeOn(worker: Worker): Resources {
+/** Free capacity of a machine, counting every task that is or may be on it. `ResourceLedger` invalidates the cached value. */
+export function freeOn(worker: Worker): FreeCapacity {
   worker.free ??= countFree(worker);
-  return {
-    cpus: worker.free.cpus,
-    gpus: worker.free.gpus,
-    memGb: worker.free.memGb,
-  };
+  const { cpus, gpus, memGb, taskSlots } = worker.free;
+  return { cpus, gpus, memGb, taskSlots };
 }
 
-function countFree(worker: Worker): Resources {
-  const free = {
-    cpus: worker.type?.cpus ?? 0,
-    gpus: worker.type?.gpus ?? 0,
-    memGb: worker.type?.memGb ?? 0,
-  };
-  for (const { job } of worker.tasks.values()) subtract(free, job.view.spec);
+function countFree(worker: Worker): Readonly<FreeCapacity> {
+  if (!worker.type) return NO_CAPACITY;
+  const free = capacityOf(worker.type);
+  for (const { job } of worker.tasks.values())
+    subtractTask(free, job.view.spec);
   for (const { need } of worker.unconfirmedTasks.values()) {
     // A task of an unknown job may take the whole machine.
-    if (need) subtract(free, need);
-    else return { cpus: 0, gpus: 0, memGb: 0 };
+    if (!need) return NO_CAPACITY;
+    subtractTask(free, need);
   }
+  // Exited tasks take no resources, but the machine's heartbeats list them until they are forgotten.
+  free.taskSlots -= worker.exited.length;
   return free;
 }
-
-/** Subtracts the resources of one task from `from`, in place. */
-export function subtract(from: Resources, need: Resources): void {
-  from.cpus -= need.cpus;
-  from.gpus -= need.gpus;
-  from.memGb -= need.memGb;
-}
--- a/src/coordination/scheduling/capacity-report.ts
+++ b/src/coordination/scheduling/capacity-report.ts
@@ -17,7 +17,7 @@
 import { CallPriority } from "../effects.js";
 import type { PartitionState } from "./partition-state.js";
 import { type JobSpec, PRIORITIES } from "../model.js";
-import { EPSILON } from "./placement.js";
+import { addTask, EPSILON } from "./placement.js";
 import type { ScaleOut } from "../machines/scale-out.js";
 import type { QuotaAllocator } from "../quota/index.js";
 import {
@@ -45,7 +45,7 @@
   const kinds: PreemptibleKind[] = [];
   const free = freeOn(worker);
   for (const rank of ranks) {
-    let { cpus, gpus, memGb } = free;
+    const available = { ...free };
     let freesMore = false;
     for (const task of worker.tasks.values()) {
       const { spec, priority } = task.job.view;
@@ -56,11 +56,10 @@
       )
         continue;
       freesMore = true;
-      cpus += spec.cpus;
-      gpus += spec.gpus;
-      memGb += spec.memGb;
+      addTask(available, spec);
     }
-    if (!freesMore) continue;
+    if (!freesMore || available.taskSlots < 1) continue;
+    const { cpus, gpus, memGb } = available;
     const kind: PreemptibleKind = [
       tenth(cpus),
       tenth(gpus),
@@ -127,6 +126,7 @@
       }
       if (
         (f.cpus <= EPSILON && f.gpus <= EPSILON) ||
+        f.taskSlots < 1 ||
         this.state.isReservedForOther(worker)
       )
         continue;
--- a/src/coordination/scheduling/gang-assembly.ts
+++ b/src/coordination/scheduling/gang-assembly.ts
@@ -9,6 +9,7 @@
 import type { JobSpec } from "../model.js";
 import {
   isAllowedOn,
+  addTask,
   fitCount,
   fitWithinLimit,
   requestKeyOf,
@@ -18,7 +19,6 @@
 import {
   freeOn,
   type JobRun,
-  subtract,
   type TaskRun,
   type Worker,
 } from "../machines/worker-state.js";
@@ -221,8 +221,7 @@
       .sort((first, second) => first.inS - second.inS);
     for (const { inS, task } of taskEnds) {
       if (inS === Infinity) break;
-      const { cpus, gpus, memGb } = task.job.view.spec;
-      subtract(free, { cpus: -cpus, gpus: -gpus, memGb: -memGb });
+      addTask(free, task.job.view.spec);
       const count = fitCount(spec, free);
       while (slots.length < count) slots.push(inS);
     }
--- a/src/coordination/scheduling/gang-reservations.ts
+++ b/src/coordination/scheduling/gang-reservations.ts
@@ -4,17 +4,17 @@
  */
 import type { ResourceUse } from "../machines/resource-ledger.js";
 import { NO_USE } from "../machines/resource-ledger.js";
-import { subtract, type Worker } from "../machines/worker-state.js";
+import type { Worker } from "../machines/worker-state.js";
 import type { JobSpec } from "../model.js";
 import type { PartitionState } from "./partition-state.js";
-import type { Resources } from "./placement.js";
+import { type FreeCapacity, subtractTask } from "./placement.js";
 
 /** Safety factor on the estimates of tasks that may use a gang's slots: estimates are often too short by half. */
 const BACKFILL_ESTIMATE_FACTOR = 1.6;
 
 export class GangReservations {
-  /** Resources reserved for gangs that are being assembled. Tasks that end before the assembly may still use them. */
-  private readonly reservedByWorker = new Map<Worker, Resources>();
+  /** Capacity reserved for gangs that are being assembled. Tasks that end before the assembly may still use it. */
+  private readonly reservedByWorker = new Map<Worker, FreeCapacity>();
   /** Expected seconds until the first of the gangs with reservations is assembled. */
   private soonestAssemblyS = Infinity;
 
@@ -31,11 +31,11 @@
   reserveFully(
     chosen: readonly Worker[],
     spec: JobSpec,
-    free: ReadonlyMap<Worker, Resources>,
+    free: ReadonlyMap<Worker, FreeCapacity>,
   ): void {
     for (const worker of chosen) {
       const freeHere = free.get(worker);
-      if (freeHere) subtract(freeHere, spec);
+      if (freeHere) subtractTask(freeHere, spec);
       this.state.workersReservedForGangs.add(worker);
     }
   }
@@ -52,6 +52,7 @@
         cpus: (reserved?.cpus ?? 0) + spec.cpus,
         gpus: (reserved?.gpus ?? 0) + spec.gpus,
         memGb: (reserved?.memGb ?? 0) + spec.memGb,
+        taskSlots: (reserved?.taskSlots ?? 0) + 1,
       });
       this.state.workersReservedForGangs.add(worker);
     }
@@ -78,13 +79,14 @@
   }
 
   /** The part of a machine's free capacity that a job may use. */
-  availableTo(spec: JobSpec, worker: Worker, free: Resources): Resources {
+  availableTo(spec: JobSpec, worker: Worker, free: FreeCapacity): FreeCapacity {
     const reserved = this.reservedByWorker.get(worker);
     if (!reserved || this.mayBackfill(spec)) return free;
     return {
       cpus: free.cpus - reserved.cpus,
       gpus: free.gpus - reserved.gpus,
       memGb: free.memGb - reserved.memGb,
+      taskSlots: free.taskSlots - reserved.taskSlots,
     };
   }
 }
--- a/src/coordination/scheduling/machine-selector.ts
+++ b/src/coordination/scheduling/machine-selector.ts
@@ -11,7 +11,7 @@
   isAllowedOn,
   isSuitable,
   maxTasksPerZone,
-  type Resources,
+  type FreeCapacity,
 } from "./placement.js";
 import type { RoundResources } from "./round-resources.js";
 
@@ -186,7 +186,7 @@
 function scoreOf(
   job: JobRun,
   worker: Worker,
-  available: Resources,
+  available: FreeCapacity,
   isReserved: boolean,
 ): number {
   const spec = job.view.spec;
--- a/src/coordination/scheduling/partition-state.ts
+++ b/src/coordination/scheduling/partition-state.ts
@@ -285,7 +285,7 @@
     worker.incarnation = incarnation;
     worker.sequence = -1;
     worker.unansweredStarts.clear();
-    worker.exited = [];
+    this.ledger.setExited(worker, []);
   }
 
   /** Adds a machine to the registry, which must happen before its first task starts, unless it is being returned. */
--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -2,6 +2,7 @@
  * Where tasks fit: arithmetic on resources, and the rules on machine types, zones and prices. Owns no state except the
  * requests that an `UnplaceableCache` records during one scheduling round.
  */
+import { MAX_TASKS_PER_MACHINE } from "../../protocol/message-size.js";
 import type { JobSpec, MachineType } from "../model.js";
 
 /** Amounts of resources are sums of decimal fractions, so comparisons tolerate this rounding error. */
@@ -14,37 +15,82 @@
   memGb: number;
 }
 
-/** Whether one task that needs `need` fits into `free`. */
-export const fits = (need: Resources, free: Resources): boolean =>
-  need.cpus <= free.cpus + EPSILON &&
-  need.gpus <= free.gpus + EPSILON &&
-  need.memGb <= free.memGb + EPSILON;
+/** What is free on a machine. */
+export interface FreeCapacity extends Resources {
+  /** How many more tasks the machine's heartbeats can list; negative if it holds too many. */
+  taskSlots: number;
+}
 
-/** Maximum number of tasks per machine if they need no resources at all. */
-const MAX_TASKS_WITHOUT_NEED = 1_000;
+/** The capacity of a machine without tasks. */
+export const capacityOf = ({ cpus, gpus, memGb }: Resources): FreeCapacity => ({
+  cpus,
+  gpus,
+  memGb,
+  taskSlots: MAX_TASKS_PER_MACHINE,
+});
+
+/** The capacity of a machine that can take no task. */
+export const NO_CAPACITY: Readonly<FreeCapacity> = {
+  cpus: 0,
+  gpus: 0,
+  memGb: 0,
+  taskSlots: 0,
+};
+
+/** Subtracts what one task occupies from `free`, in place. */
+export function subtractTask(free: FreeCapacity, need: Resources): void {
+  free.cpus -= need.cpus;
+  free.gpus -= need.gpus;
+  free.memGb -= need.memGb;
+  free.taskSlots -= 1;
+}
+
+/** Adds what one task occupied to `free`, in place. */
+export function addTask(free: FreeCapacity, need: Resources): void {
+  free.cpus += need.cpus;
+  free.gpus += need.gpus;
+  free.memGb += need.memGb;
+  free.taskSlots += 1;
+}
+
+/** Whether a task that needs `need` requires no more of any resource than `available`. */
+const needsAtMost = (need: Resources, available: Resources): boolean =>
+  need.cpus <= available.cpus + EPSILON &&
+  need.gpus <= available.gpus + EPSILON &&
+  need.memGb <= available.memGb + EPSILON;
+
+/** Whether one task that needs `need` fits into `free`. */
+export const fits = (need: Resources, free: FreeCapacity): boolean =>
+  free.taskSlots >= 1 && needsAtMost(need, free);
 
 /** How many tasks that each need `need` fit into `free`. */
-export function fitCount(need: Resources, free: Resources): number {
+export function fitCount(need: Resources, free: FreeCapacity): number {
   const count = Math.min(
     fitCountOf(need.cpus, free.cpus),
     fitCountOf(need.gpus, free.gpus),
     fitCountOf(need.memGb, free.memGb),
+    free.taskSlots,
   );
-  return count === Infinity ? MAX_TASKS_WITHOUT_NEED : Math.max(0, count);
+  return Math.max(0, count);
 }
 
 const fitCountOf = (need: number, free: number): number =>
   need > 0 ? Math.floor((free + EPSILON) / need) : Infinity;
 
-/** How many tasks fit into what remains of a team's limit, which does not cover memory. */
-export const fitWithinLimit = (
+/** Maximum number of tasks within a limit if they need none of what it limits. */
+const MAX_TASKS_WITHOUT_NEED = 1_000;
+
+/** How many tasks fit into what remains of a team's limit, which covers neither memory nor the number of tasks. */
+export function fitWithinLimit(
   need: Resources,
   remaining: { cpus: number; gpus: number },
-): number =>
-  fitCount(
-    { cpus: need.cpus, gpus: need.gpus, memGb: 0 },
-    { cpus: remaining.cpus, gpus: remaining.gpus, memGb: 0 },
+): number {
+  const count = Math.min(
+    fitCountOf(need.cpus, remaining.cpus),
+    fitCountOf(need.gpus, remaining.gpus),
   );
+  return count === Infinity ? MAX_TASKS_WITHOUT_NEED : Math.max(0, count);
+}
 
 /** Whether a job's tasks may run on machines of this type and zone, spot or on-demand. */
 export function isAllowedOn(
@@ -68,7 +114,7 @@
   return (
     type.zones.includes(zone) &&
     isAllowedOn(spec, type.name, zone, false) &&
-    fits(spec, type)
+    needsAtMost(spec, type)
   );
 }
 
@@ -88,7 +134,7 @@
 ): boolean {
   if (!type || spec.gpus > 0 || type.gpus === 0) return true;
   const price = spot ? type.spotPrice : type.price;
-  const pricePerSlot = price / Math.max(1, fitCount(spec, type));
+  const pricePerSlot = price / Math.max(1, fitCount(spec, capacityOf(type)));
   return pricePerSlot <= plainPricePerSlot(spec, catalog) * MAX_PRICE_RATIO;
 }
 
@@ -103,7 +149,7 @@
       type.gpus === 0 &&
       type.zones.some((zone) => canRunOn(spec, type, zone))
     )
-      lowest = Math.min(lowest, type.price / fitCount(spec, type));
+      lowest = Math.min(lowest, type.price / fitCount(spec, capacityOf(type)));
   return lowest;
 }
 
@@ -165,7 +211,8 @@
     if (!isComparable(spec)) return false;
     const key = requirementsKeyOf(spec, machineClass);
     return (this.requestsByKey.get(key) ?? []).some(
-      (request) => fits(request, spec) && request.tasks <= tasksAtOnce(spec),
+      (request) =>
+        needsAtMost(request, spec) && request.tasks <= tasksAtOnce(spec),
     );
   }
 }
--- a/src/coordination/scheduling/preemption.ts
+++ b/src/coordination/scheduling/preemption.ts
@@ -14,7 +14,9 @@
 import { type JobSpec, PRIORITIES } from "../model.js";
 import {
   isAllowedOn,
-  type Resources,
+  addTask,
+  type FreeCapacity,
+  NO_CAPACITY,
   EPSILON,
   fitCount,
   fits,
@@ -126,7 +128,7 @@
   private victimsOn(
     worker: Worker,
     job: JobRun,
-    free: Resources,
+    free: FreeCapacity,
     reclaimable: ReclaimableTeams,
     remaining: Map<string, ResourceAmounts>,
   ): Victims | null {
@@ -144,7 +146,7 @@
       if (!this.charge(task, job, remaining)) continue;
       victims.push(task);
       lostCpuS += this.lostCpuSecondsOf(task);
-      addTo(available, task.job.view.spec);
+      addTask(available, task.job.view.spec);
     }
     return victims.length > 0 && fits(spec, available)
       ? { victims, lostCpuS }
@@ -179,7 +181,7 @@
   preemptFor(
     job: JobRun,
     workers: readonly Worker[],
-    free: ReadonlyMap<Worker, Resources>,
+    free: ReadonlyMap<Worker, FreeCapacity>,
     used: ReadonlyMap<string, ResourceUse>,
   ): void {
     const { spec } = job.view;
@@ -247,7 +249,7 @@
     job: JobRun,
     taskCount: number,
     usable: readonly Worker[],
-    free: ReadonlyMap<Worker, Resources>,
+    free: ReadonlyMap<Worker, FreeCapacity>,
     reclaimable: ReclaimableTeams,
   ): Candidate | null {
     const { spec } = job.view;
@@ -292,7 +294,7 @@
     eligible: readonly Worker[],
     withSlots: readonly Worker[],
     missingSlots: number,
-    free: ReadonlyMap<Worker, Resources>,
+    free: ReadonlyMap<Worker, FreeCapacity>,
     reclaimable: ReclaimableTeams,
   ): Candidate | null {
     const victimsOn = (
@@ -337,7 +339,7 @@
     eligible: readonly Worker[],
     withSlots: readonly Worker[],
     missingSlots: number,
-    free: ReadonlyMap<Worker, Resources>,
+    free: ReadonlyMap<Worker, FreeCapacity>,
     reclaimable: ReclaimableTeams,
   ): Candidate | null {
     const { spec } = job.view;
@@ -465,17 +467,17 @@
   return reclaimed;
 }
 
-/** Free resources on the machines of `tasks` once these tasks are gone. */
+/** Free capacity of the machines of `tasks` once these tasks are gone. */
 function freeWithout(
   tasks: readonly TaskRun[],
-  free: ReadonlyMap<Worker, Resources>,
-): Map<Worker, Resources> {
-  const freed = new Map<Worker, Resources>();
+  free: ReadonlyMap<Worker, FreeCapacity>,
+): Map<Worker, FreeCapacity> {
+  const freed = new Map<Worker, FreeCapacity>();
   for (const { worker, job } of tasks) {
     const available = freed.get(worker) ?? {
-      ...(free.get(worker) ?? { cpus: 0, gpus: 0, memGb: 0 }),
+      ...(free.get(worker) ?? NO_CAPACITY),
     };
-    addTo(available, job.view.spec);
+    addTask(available, job.view.spec);
     freed.set(worker, available);
   }
   return freed;
@@ -492,9 +494,3 @@
 /** Whether a job is a gang of several tasks: if one of them stops, all do. */
 const isGang = ({ view: { spec } }: JobRun): boolean =>
   spec.kind === "gang" && spec.tasks > 1;
-
-function addTo(resources: Resources, added: Resources): void {
-  resources.cpus += added.cpus;
-  resources.gpus += added.gpus;
-  resources.memGb += added.memGb;
-}
--- a/src/coordination/scheduling/round-resources.ts
+++ b/src/coordination/scheduling/round-resources.ts
@@ -5,7 +5,7 @@
 import type { ResourceUse } from "../machines/resource-ledger.js";
 import { freeOn, type Worker } from "../machines/worker-state.js";
 import type { PartitionState } from "./partition-state.js";
-import type { Resources } from "./placement.js";
+import type { FreeCapacity } from "./placement.js";
 
 export interface RoundResources {
   /** Machines on which tasks may be started. */
@@ -15,7 +15,7 @@
   /** Ids of the machines that are reserved for short tasks. */
   readonly reservedIds: ReadonlySet<string>;
   /** Free capacity of each machine, less what this round has placed or reserved there. */
-  readonly free: Map<Worker, Resources>;
+  readonly free: Map<Worker, FreeCapacity>;
   /** What each team uses of its limit, including what this round has placed or reserved. */
   readonly used: Map<string, ResourceUse>;
 }
--- a/src/coordination/scheduling/scheduler.ts
+++ b/src/coordination/scheduling/scheduler.ts
@@ -4,12 +4,7 @@
  */
 import type { Context } from "../context.js";
 import { NO_USE } from "../machines/resource-ledger.js";
-import {
-  type JobRun,
-  subtract,
-  type TaskRun,
-  type Worker,
-} from "../machines/worker-state.js";
+import type { JobRun, TaskRun, Worker } from "../machines/worker-state.js";
 import { type JobSpec, taskKey } from "../model.js";
 import type { Guarantees, QuotaAllocator } from "../quota/index.js";
 import { AttemptSequence } from "./attempt-sequence.js";
@@ -17,7 +12,7 @@
 import { GangReservations } from "./gang-reservations.js";
 import { MachineSelector } from "./machine-selector.js";
 import type { PartitionState } from "./partition-state.js";
-import { fitWithinLimit, UnplaceableCache } from "./placement.js";
+import { fitWithinLimit, subtractTask, UnplaceableCache } from "./placement.js";
 import type { Preemption } from "./preemption.js";
 import { type RoundResources, roundResourcesOf } from "./round-resources.js";
 import {
@@ -341,7 +336,7 @@
       if (index === undefined) break;
       this.startTask(job, index, worker, attempt);
       const freeHere = free.get(worker);
-      if (freeHere) subtract(freeHere, spec);
+      if (freeHere) subtractTask(freeHere, spec);
       teamUse.cpus += spec.cpus;
       teamUse.gpus += spec.gpus;
     }
--- a/src/protocol/jobs.ts
+++ b/src/protocol/jobs.ts
@@ -3,7 +3,8 @@
 
 /** Requests and responses of users. Names on the wire are mapped to those of the core in this folder. */
 
-export const JOB_ID = /^req-[0-9]{1,40}$/;
+export const MAX_JOB_ID_DIGITS = 40;
+export const JOB_ID = new RegExp(`^req-[0-9]{1,${MAX_JOB_ID_DIGITS}}$`);
 export const MAX_TASKS = 100_000;
 /** Jobs that a job may depend on. Its record contains their ids, and each is looked up when the job is accepted. */
 const MAX_DEPENDENCIES = 64;
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -12,28 +12,34 @@
 const text = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
 const MAX_REPORTED_TASKS = 5_000;
 
+/** States of a task, as workers report them. */
+export const TASK_STATES = [
+  "fetching",
+  "waiting",
+  "running",
+  "saving",
+  "exited",
+] as const;
+/** Causes of the end of a task, as workers report them. */
+export const EXIT_CAUSES = [
+  "done",
+  "stopped",
+  "peers",
+  "incomplete",
+  "error",
+  "no_room",
+  "busy",
+  "no_such",
+] as const;
+
 const TaskBody = v.object({
   shard: v.pipe(
     v.string(),
     v.regex(/^req-[0-9]{1,40}\/[0-9]{1,6}$/, "must look like req-000412/3"),
   ),
   try: count,
-  status: v.picklist(["fetching", "waiting", "running", "saving", "exited"]),
-  cause: v.optional(
-    v.nullable(
-      v.picklist([
-        "done",
-        "stopped",
-        "peers",
-        "incomplete",
-        "error",
-        "no_room",
-        "busy",
-        "no_such",
-      ]),
-    ),
-    null,
-  ),
+  status: v.picklist(TASK_STATES),
+  cause: v.optional(v.nullable(v.picklist(EXIT_CAUSES)), null),
   kept: v.optional(v.nullable(v.boolean()), false),
 });
 
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -5,6 +5,7 @@
 import { bodyLimit } from "hono/body-limit";
 import type { Answer, Input } from "../coordination/effects.js";
 import { jobBody, JOB_ID, parseJob } from "../protocol/jobs.js";
+import { MAX_REQUEST_BYTES } from "../protocol/message-size.js";
 import {
   heartbeatAnswerBody,
   parseHeartbeat,
@@ -14,8 +15,6 @@
 import type { Settings } from "../config/settings.js";
 import { ConnectionTable, type ConnectionKind } from "./connection-table.js";
 
-const MAX_BODY_BYTES = 64 * 1024;
-
 /** What the HTTP server requires of the controller. */
 export interface RequestHandler {
   /** Passes a request to the core and returns its answer. `input` makes the core's input from the request id. */
@@ -84,14 +83,14 @@
     return badRequest(reason);
   };
   const limitChunkedBody = bodyLimit({
-    maxSize: MAX_BODY_BYTES,
+    maxSize: MAX_REQUEST_BYTES,
     onError: tooLarge,
   });
   return (c, next) => {
     const length = c.req.header("content-length");
     if (length === undefined || c.req.header("transfer-encoding") !== undefined)
       return limitChunkedBody(c, next);
-    return Number(length) > MAX_BODY_BYTES
+    return Number(length) > MAX_REQUEST_BYTES
       ? Promise.resolve(tooLarge())
       : next();
   };
--- a/test/coordination/machines/scale-out.test.ts
+++ b/test/coordination/machines/scale-out.test.ts
@@ -110,6 +110,7 @@
     spot: false,
     tasks: new Map(),
     unconfirmedTasks: new Map(),
+    exited: [],
     leaseExpired: false,
     isReturning: false,
   }) as unknown as Worker;
--- a/test/scenarios/index.ts
+++ b/test/scenarios/index.ts
@@ -8,6 +8,7 @@
 import { limitsOutOfReach } from "./limits-out-of-reach.js";
 import { lostReplies } from "./lost-replies.js";
 import { staleHeartbeats } from "./stale-heartbeats.js";
+import { smallTasks } from "./small-tasks.js";
 import { oneTaskJobs } from "./one-task-jobs.js";
 import { fastBootingMachines } from "./fast-booting-machines.js";
 import { overtakenHeartbeats } from "./overtaken-heartbeats.js";
@@ -30,6 +31,7 @@
   "one-task-jobs": oneTaskJobs,
   "overtaken-heartbeats": overtakenHeartbeats,
   "quick-machines": fastBootingMachines,
+  "small-tasks": smallTasks,
   "unreached-tasks": unreachableTasks,
   zones: zoneFailures,
 };
--- a/test/simulation/machine.ts
+++ b/test/simulation/machine.ts
@@ -9,6 +9,7 @@
   ReportedTask,
   TaskState,
 } from "../../src/coordination/model.js";
+import { isTooLarge } from "./heartbeat-size.js";
 import type { Rng } from "./rng.js";
 
 /** A task on a simulated machine. */
@@ -110,6 +111,8 @@
   private heartbeatInFlight = false;
   private lastSentMs = -1e9;
   private readonly images = new Set<string>();
+  /** Heartbeats that were refused for their size. */
+  oversizedHeartbeats = 0;
   readonly bornMs: number;
   /** When its worker last started. */
   startedMs = Infinity;
@@ -258,6 +261,10 @@
     this.world.at(4000, tryNextController);
     if (this.isMute)
       return this.world.at(this.world.rng.real(1, 3_900), tryNextController);
+    if (isTooLarge(heartbeat)) {
+      this.oversizedHeartbeats++;
+      return this.world.at(this.world.rng.real(1, 30), tryNextController);
+    }
     const deliver = (): void =>
       this.world.heartbeat(node, heartbeat, (answer) => {
         if (
--- a/test/software-limits.test.ts
+++ b/test/software-limits.test.ts
@@ -16,6 +16,23 @@
   Redirects,
 } from "../src/coordination/machines/redirects.js";
 import { MachineRegistry } from "../src/coordination/machines/machine-registry.js";
+import { ResourceLedger } from "../src/coordination/machines/resource-ledger.js";
+import {
+  freeOn,
+  newWorker,
+} from "../src/coordination/machines/worker-state.js";
+import { fitCount, fits } from "../src/coordination/scheduling/placement.js";
+import { JOB_ID, MAX_JOB_ID_DIGITS, MAX_TASKS } from "../src/protocol/jobs.js";
+import {
+  LONGEST_REPORTED_TASK,
+  MAX_REQUEST_BYTES,
+  MAX_TASKS_PER_MACHINE,
+} from "../src/protocol/message-size.js";
+import {
+  EXIT_CAUSES,
+  parseHeartbeat,
+  TASK_STATES,
+} from "../src/protocol/workers.js";
 import { Frame } from "../src/protocol/frames.js";
 import type { Write } from "../src/protocol/state.js";
 import { bytesOf, readRegistry } from "../src/storage/records.js";
@@ -168,6 +185,71 @@
   );
 });
 
+// ---- tasks of a machine ----------------------------------------------------------------------------------
+
+test("a heartbeat with as many tasks as a machine may hold, all names and numbers of the largest size, is within 64 KiB and is accepted", () => {
+  const name = "\u0001".repeat(200);
+  const tasks = Array.from({ length: MAX_TASKS_PER_MACHINE }, () => ({
+    ...LONGEST_REPORTED_TASK,
+  }));
+  const heartbeat = JSON.stringify({
+    berth: name,
+    address: "255.255.255.255:65535",
+    hull: name,
+    yard: name,
+    loaners: false,
+    watch: 2 ** 64,
+    tally: 2 ** 64,
+    baton: 2 ** 64,
+    recallS: Number.MIN_VALUE,
+    shards: tasks,
+  });
+  const spaces = (heartbeat.match(/[:,]/g) ?? []).length;
+  assert.ok(Buffer.byteLength(heartbeat) + spaces <= MAX_REQUEST_BYTES);
+  assert.equal(parseHeartbeat(heartbeat).ok, true);
+});
+
+test("no task that a worker can report takes more of a heartbeat than the longest entry", () => {
+  const longest = JSON.stringify(LONGEST_REPORTED_TASK).length;
+  const index = MAX_TASKS - 1;
+  for (const status of TASK_STATES)
+    for (const cause of [...EXIT_CAUSES, null])
+      for (const kept of [true, false, null]) {
+        const shard = `req-${"9".repeat(MAX_JOB_ID_DIGITS)}/${index}`;
+        const entry = { shard, try: 2 ** 64, status, cause, kept };
+        assert.ok(JSON.stringify(entry).length <= longest, status);
+      }
+  assert.ok(!JOB_ID.test(`req-${"9".repeat(MAX_JOB_ID_DIGITS + 1)}`));
+});
+
+test("exited tasks take places on their machine until it forgets them, tasks of any size one each", () => {
+  const world = new World(11);
+  world.run(5_000);
+  const context = world.nodes.get("node-a")!.core as unknown as Context;
+  const type = world.types[0]!;
+  const worker = newWorker(
+    { ...heartbeatFrom("n-1", "east"), type: type.name },
+    { type, isProven: true, isReturning: false, nowMs: context.nowMs },
+  );
+  const ledger = new ResourceLedger();
+  const need = { cpus: 0, gpus: 0, memGb: 0 };
+  const freePlaces = (): number => fitCount(need, freeOn(worker));
+  assert.equal(freePlaces(), MAX_TASKS_PER_MACHINE);
+  const exited = Array.from({ length: MAX_TASKS_PER_MACHINE }, (_, index) => ({
+    job: "req-000001",
+    index,
+    attempt: 1,
+    cause: "done" as const,
+  }));
+  ledger.setExited(worker, exited.slice(1));
+  assert.equal(freePlaces(), 1);
+  ledger.setExited(worker, exited);
+  assert.equal(freePlaces(), 0);
+  assert.ok(!fits(need, freeOn(worker)));
+  ledger.setExited(worker, []);
+  assert.equal(freePlaces(), MAX_TASKS_PER_MACHINE);
+});
+
 // ---- connections between controllers ---------------------------------------------------------------------
 
 const PLATFORM_FILE = (
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -362,6 +362,7 @@
         free: null,
         tasks: new Map(),
         unconfirmedTasks: new Map(),
+        exited: [],
       })),
     ),
   );
@@ -447,6 +448,7 @@
       free: null,
       tasks: new Map([["a", task]]),
       unconfirmedTasks: new Map(),
+      exited: [],
     }));
     const jobs = new Map(
       ["normal", "best_effort"].map((priority, i) => [
