Count a command as sent only if its message contains it

Callers saw nothing of this yet: found by reading, while looking for messages that grow with the number of tasks on a machine.

Cause: the leader made all commands of a machine and counted all starts among them as sent; the formatting of the message then cut it to 200. Starts that were left out were missing from the next heartbeat and counted against the machine as not carried out. And the cut could fall between the start and the stop that one answer must contain for a cancelled task whose first start had no answer: the task then starts after its cancellation was confirmed (ran_cancelled).

Change: `commandsForWorker` stops at 200 (`MAX_COMMANDS`), keeps the commands of one task together, and notes only what the message contains; what may not be sent directly is left out before that. The formatting cuts nothing any more. Two tests that switch a guard off by replacing `commandsFor` pass its new argument on.

--- a/src/coordination/machines/command-sender.ts
+++ b/src/coordination/machines/command-sender.ts
@@ -24,8 +24,11 @@
     private readonly ctx: Context,
     private readonly state: PartitionState,
     private readonly deliveries: DeliveryTracker,
-    /** Returns all commands that currently apply to a worker. */
-    private readonly commandsFor: (worker: Worker) => Command[],
+    /** Returns the commands for the next message to a worker, as far as `maySend` allows them. */
+    private readonly commandsFor: (
+      worker: Worker,
+      maySend: (command: Command) => boolean,
+    ) => Command[],
   ) {}
 
   /** Sends each worker its pending commands in one message. What may not be sent directly waits for the next heartbeat. */
@@ -33,7 +36,7 @@
     for (const worker of this.state.workersWithPendingCommands) {
       this.state.workersWithPendingCommands.delete(worker);
       if (!this.maySend(worker)) continue;
-      const commands = this.commandsFor(worker).filter((command) =>
+      const commands = this.commandsFor(worker, (command) =>
         mayBeSentDirectly(worker, command),
       );
       if (commands.length > 0) this.send(worker, commands);
--- a/src/coordination/machines/worker-commands.ts
+++ b/src/coordination/machines/worker-commands.ts
@@ -1,8 +1,9 @@
 /**
  * Derives the commands for a worker from the partition leader's view of it. Stateless: commands are idempotent, so every answer
- * to a heartbeat contains all commands that still apply.
+ * to a heartbeat contains the commands that still apply, as many as a message may have.
  */
 
+import { MAX_COMMANDS } from "../../protocol/message-size.js";
 import type { Command } from "../model.js";
 import {
   attemptKey,
@@ -13,20 +14,42 @@
   type Worker,
 } from "./worker-state.js";
 
-/** All commands that apply to this worker now: for exited tasks, then for unconfirmed tasks, then for its own tasks. */
+/** The commands for one task, which only make sense in the same message. */
+interface TaskCommands {
+  readonly commands: readonly Command[];
+  /** The task, if the commands start it and don't stop it. */
+  readonly started?: TaskRun;
+}
+
+/**
+ * The commands for the next message to this worker: for exited tasks, then for unconfirmed tasks, then for its own tasks, as far as
+ * `maySend` allows them. What has no space in the message does not count as sent.
+ */
 export function commandsForWorker(
   worker: Worker,
   jobs: ReadonlyMap<string, JobRun>,
+  maySend: (command: Command) => boolean = () => true,
 ): Command[] {
-  const commands: Command[] = [];
+  const message: Command[] = [];
+  for (const { commands, started } of applicableCommands(worker, jobs)) {
+    const sent = commands.filter(maySend);
+    if (message.length + sent.length > MAX_COMMANDS) break;
+    message.push(...sent);
+    if (started) started.timesSent++;
+  }
+  return message;
+}
+
+function* applicableCommands(
+  worker: Worker,
+  jobs: ReadonlyMap<string, JobRun>,
+): Generator<TaskCommands> {
   for (const exited of worker.exited)
     if (mayForget(worker, exited, jobs.get(exited.job)))
-      commands.push(forgetCommand(exited));
+      yield { commands: [forgetCommand(exited)] };
   for (const task of worker.unconfirmedTasks.values())
-    commands.push(stopUnconfirmedCommand(task));
-  for (const task of worker.tasks.values())
-    commands.push(...commandsForTask(worker, task));
-  return commands;
+    yield { commands: [stopUnconfirmedCommand(task)] };
+  for (const task of worker.tasks.values()) yield commandsForTask(worker, task);
 }
 
 function mayForget(
@@ -46,24 +69,27 @@
   );
 }
 
-function commandsForTask(worker: Worker, task: TaskRun): Command[] {
+function commandsForTask(worker: Worker, task: TaskRun): TaskCommands {
   if (task.stop && task.phase === "ordered") {
     const key = attemptKey(task.job.id, task.index, task.attempt);
     // Invariant (ran_cancelled): the task's start may still arrive, minutes late. If one answer both starts and stops the task,
     // the worker records the attempt as exited, so that the late start has no effect.
     return worker.unansweredStarts.has(key)
-      ? [startCommand(task), stopCommand(task, 0)]
-      : [];
+      ? { commands: [startCommand(task), stopCommand(task, 0)] }
+      : NO_COMMANDS;
   }
   if (task.stop) {
     const isSaving = task.phase === "saving" && task.stop.graceS > 0;
-    return isSaving ? [] : [stopCommand(task, task.stop.graceS)];
+    return isSaving
+      ? NO_COMMANDS
+      : { commands: [stopCommand(task, task.stop.graceS)] };
   }
-  if (task.phase !== "ordered") return [];
-  task.timesSent++;
-  return [startCommand(task)];
+  if (task.phase !== "ordered") return NO_COMMANDS;
+  return { commands: [startCommand(task)], started: task };
 }
 
+const NO_COMMANDS: TaskCommands = { commands: [] };
+
 function forgetCommand(exited: ExitedTask): Command {
   return {
     op: "forget",
--- a/src/coordination/scheduling/partition-leader.ts
+++ b/src/coordination/scheduling/partition-leader.ts
@@ -123,7 +123,7 @@
       ctx,
       state,
       this.deliveries,
-      (worker) => this.commandsFor(worker),
+      (worker, maySend) => this.commandsFor(worker, maySend),
     );
     this.resumeReturns();
     for (const view of ctx.cache.jobs.values()) this.syncJob(view, true);
@@ -386,8 +386,12 @@
 
   // ---- commands ------------------------------------------------------------------------------------------
 
-  private commandsFor(worker: Worker): Command[] {
-    return commandsForWorker(worker, this.state.jobs);
+  /** The commands for the next message to a machine, as far as `maySend` allows them. */
+  private commandsFor(
+    worker: Worker,
+    maySend?: (command: Command) => boolean,
+  ): Command[] {
+    return commandsForWorker(worker, this.state.jobs, maySend);
   }
 
   /** Sends commands that should not wait for the next heartbeat directly to the machines. */
--- a/src/protocol/message-size.ts
+++ b/src/protocol/message-size.ts
@@ -29,3 +29,6 @@
 export const MAX_TASKS_PER_MACHINE = Math.floor(
   (MAX_REQUEST_BYTES - HEARTBEAT_HEADER_BYTES) / MAX_REPORTED_TASK_BYTES,
 );
+
+/** Maximum number of commands in a message to a worker, which keeps it far below 64 KiB. The rest follows with the next one. */
+export const MAX_COMMANDS = 200;
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -145,15 +145,12 @@
   }
 }
 
-/** Maximum number of commands in a message, which keeps it far below 64 KiB. The rest is sent with the next one. */
-const MAX_COMMANDS = 200;
-
 export const heartbeatAnswerBody = (
   token: number,
   commands: readonly Command[],
 ): object => ({
   baton: token,
-  orders: commands.slice(0, MAX_COMMANDS).map(wireCommand),
+  orders: commands.map(wireCommand),
 });
 
 export const commandBody = (
@@ -163,7 +160,7 @@
 ): object => ({
   baton: token,
   watch: incarnation,
-  orders: commands.slice(0, MAX_COMMANDS).map(wireCommand),
+  orders: commands.map(wireCommand),
 });
 
 export const redirectBody = (leader: string | null): object =>
--- a/test/scenarios/cancelled-in-transfer.test.ts
+++ b/test/scenarios/cancelled-in-transfer.test.ts
@@ -10,14 +10,17 @@
 test("guard: a new leader stops tasks of jobs that are unknown to it", () => {
   expectDetected(cancelledInTransfer, [0], "ran_cancelled", () => {
     type WithCommands = {
-      commandsFor(worker: { unconfirmedTasks: Map<string, unknown> }): unknown;
+      commandsFor(
+        worker: { unconfirmedTasks: Map<string, unknown> },
+        maySend: unknown,
+      ): unknown;
     };
     const leader = PartitionLeader.prototype as unknown as WithCommands;
     const before = leader.commandsFor;
-    leader.commandsFor = function (worker) {
+    leader.commandsFor = function (worker, maySend) {
       const { unconfirmedTasks } = worker;
       worker.unconfirmedTasks = new Map();
-      const commands = before.call(this, worker);
+      const commands = before.call(this, worker, maySend);
       worker.unconfirmedTasks = unconfirmedTasks;
       return commands;
     };
--- a/test/simulation/checker.test.ts
+++ b/test/simulation/checker.test.ts
@@ -110,10 +110,18 @@
 
 test("the checker detects a cancelled task that goes on after its machine hung", () => {
   assert.deepEqual(runHangWorkload().checker.brokenRules, []);
-  type WithCommands = { commandsFor(worker: unknown): { op: string }[] };
+  type WithCommands = {
+    commandsFor(worker: unknown, maySend: unknown): { op: string }[];
+  };
   const { commandsFor } = PartitionLeader.prototype as unknown as WithCommands;
-  const noStops = function (this: unknown, worker: never): unknown {
-    return commandsFor.call(this, worker).filter((o) => o.op !== "stop");
+  const noStops = function (
+    this: unknown,
+    worker: never,
+    maySend: never,
+  ): unknown {
+    return commandsFor
+      .call(this, worker, maySend)
+      .filter((o) => o.op !== "stop");
   };
   assertBroken(
     without(PartitionLeader.prototype, "commandsFor", noStops, runHangWorkload),
--- a/test/simulation/checker.ts
+++ b/test/simulation/checker.ts
@@ -2,11 +2,12 @@
 import type { Controller } from "../../src/coordination/controller.js";
 import type { Effect } from "../../src/coordination/effects.js";
 import { attemptKey } from "../../src/coordination/machines/worker-state.js";
-import type { JobSpec } from "../../src/coordination/model.js";
+import type { Command, JobSpec } from "../../src/coordination/model.js";
 import { entryOf } from "../../src/coordination/quota/quota-records.js";
 import { DIMENSIONS } from "../../src/coordination/quota/resource-amounts.js";
 import type { PartitionLeader } from "../../src/coordination/scheduling/partition-leader.js";
 import { EPSILON } from "../../src/coordination/scheduling/placement.js";
+import { MAX_COMMANDS } from "../../src/protocol/message-size.js";
 import type { Write } from "../../src/protocol/state.js";
 import type { SimWorker } from "./machine.js";
 
@@ -180,6 +181,11 @@
         );
     }
   }
+  /** Checks that a message of the present version carries no more commands than keep it within 64 KiB. */
+  checkCommands(node: string, commands: readonly Command[]): void {
+    if (!this.world.production.has(node) && commands.length > MAX_COMMANDS)
+      this.fail("limits", `${node}: ${commands.length} commands in a message`);
+  }
   /** Number of writes sent by the present version, by kind of record. */
   readonly writesByKind = new Map<string, number>();
   /** Tasks that were on machines when the cancellation of their job was confirmed. */
--- a/test/simulation/world.ts
+++ b/test/simulation/world.ts
@@ -502,6 +502,7 @@
     answer: Answer | null,
   ): void {
     if (answer?.kind !== "commands") return;
+    this.checker.checkCommands(name, answer.commands);
     for (const notify of this.onCommands)
       notify(name, heartbeat.worker, answer.commands, "answer");
   }
@@ -755,6 +756,7 @@
           });
         };
         this.at(3_000, () => reply({ kind: "unknown" }));
+        this.checker.checkCommands(name, effect.commands);
         const machineId = `n-${effect.address.split(":")[1]}`;
         for (const notify of this.onCommands)
           notify(name, machineId, effect.commands, "command");
