Record the end of a webhook attempt with the circuit breaker that allowed it

Callers saw: a webhook is removed while its receiver is away, and after the receiver is back its other webhook on that controller sends nothing more, until the process ends: 7 of 8 ends of jobs untold after 45 s, where no pause is longer than 4 s.

Cause: a half-open breaker allows one attempt and waits to be told how that ended. The delivery told it, unless its subscription was gone or it had been stopped, and it told the breaker of the URL that the subscription had by then. The breaker belongs to the receiver's origin and outlives all of these, so the only allowed attempt stayed in flight for it for ever.

Evidence: after 300 s on the former sources (simulated) the controller shows a window of 8, no attempt in flight, the receiver half-open; no pause of the case lasts that long, no log line says that the record or the lane belongs to another controller.

Change: the webhook core, which starts attempts and gets each result, keeps the breaker and its permit with the attempt and records the end there, whatever became of the webhook. Only the end of the attempt that a half-open breaker allowed frees it; before, the late end of any other attempt did, too.

The breaker's own test uses permits, and a new one has an earlier attempt end beside the probe.

--- a/src/webhooks/circuit-breaker.ts
+++ b/src/webhooks/circuit-breaker.ts
@@ -39,15 +39,22 @@
 
 export type BreakerState = "closed" | "open" | "half-open";
 
+/** Identifies an attempt that a circuit breaker was told of, until its end is recorded there. */
+export type AttemptPermit = symbol;
+
 /**
  * Opens after `failureThreshold` failures in a row. While it is open, no attempt is made. After a pause it is half-open and
  * allows a single attempt, whose outcome closes it or opens it again for longer. Half of each pause is fixed, the rest is jitter.
+ *
+ * The end of every attempt must be recorded, also if its notification or its subscription is gone by then: until the end of the
+ * only attempt that it allows, a half-open circuit breaker allows no other.
  */
 export class CircuitBreaker {
   private consecutiveFailures = 0;
   private consecutiveOpenings = 0;
   private openUntilMs = -Infinity;
-  private probeInFlight = false;
+  /** The attempt that it allowed while half-open; null if there is none in flight. */
+  private probe: AttemptPermit | null = null;
 
   constructor(
     private readonly failureThreshold: number,
@@ -66,21 +73,23 @@
   /** Whether an attempt may start now. */
   allows(nowMs: number): boolean {
     const state = this.state(nowMs);
-    return state === "closed" || (state === "half-open" && !this.probeInFlight);
+    return state === "closed" || (state === "half-open" && this.probe === null);
   }
   /** An attempt starts. */
-  recordStart(nowMs: number): void {
-    if (this.state(nowMs) === "half-open") this.probeInFlight = true;
+  recordStart(nowMs: number): AttemptPermit {
+    const permit = Symbol("attempt");
+    if (this.state(nowMs) === "half-open") this.probe = permit;
+    return permit;
   }
   /** The receiver answered the attempt and is working, whether or not it accepted the notification. */
-  recordSuccess(): void {
+  recordSuccess(permit: AttemptPermit): void {
+    this.release(permit);
     this.consecutiveFailures = 0;
     this.consecutiveOpenings = 0;
     this.openUntilMs = -Infinity;
-    this.probeInFlight = false;
   }
-  recordFailure(nowMs: number): void {
-    this.probeInFlight = false;
+  recordFailure(permit: AttemptPermit, nowMs: number): void {
+    this.release(permit);
     this.consecutiveFailures++;
     // Attempts in flight at the same time fail together. This is one failure of the receiver and opens the breaker only once.
     if (
@@ -99,8 +108,11 @@
     );
   }
   /** The sender aborted the attempt, which says nothing about the receiver. */
-  recordAbort(): void {
-    this.probeInFlight = false;
+  recordAbort(permit: AttemptPermit): void {
+    this.release(permit);
+  }
+  private release(permit: AttemptPermit): void {
+    if (this.probe === permit) this.probe = null;
   }
   /** The receiver asked for a pause (Retry-After). */
   pauseFor(nowMs: number, pauseMs: number): void {
--- a/src/webhooks/delivery.ts
+++ b/src/webhooks/delivery.ts
@@ -8,7 +8,6 @@
 } from "../protocol/state.js";
 import { FINAL_PREFIX } from "../storage/records.js";
 import {
-  type CircuitBreaker,
   backoffMs,
   type BackoffLimits,
   mayHaveArrived,
@@ -89,10 +88,10 @@
   callStore(call: StateCall, done: (reply: StateReply) => void): void;
   /** Whether webhooks may write this many changes now. If so, they count against the rate. */
   mayWrite(changes: number): boolean;
-  /** The circuit breaker of the URL's origin. */
-  breaker(url: string): CircuitBreaker;
+  /** Whether the circuit breaker of the URL's origin allows an attempt now. */
+  isReceiverAllowed(url: string): boolean;
   mayStartAttempt(): boolean;
-  /** Returns an id for the attempt that is unique on this controller. */
+  /** Starts an attempt that is allowed. Returns an id for it that is unique on this controller. */
   startAttempt(delivery: Delivery, request: AttemptRequest): number;
   abortAttempt(attemptId: number): void;
   /** The receiver wants no more notifications (410). */
@@ -542,7 +541,7 @@
     )
       return;
 
-    const mayAttempt = active && this.host.breaker(sub.url).allows(nowMs);
+    const mayAttempt = active && this.host.isReceiverAllowed(sub.url);
     const open = this.window.filter((e) => e.result === null);
     const testDue = active && sub.tests > this.record.tests;
     const hasMore =
@@ -973,7 +972,6 @@
   // ---- sending -----------------------------------------------------------------------------------------
 
   private startAttempts(sub: Subscription): void {
-    const breaker = this.host.breaker(sub.url);
     let inFlight = this.attemptsInFlight;
     for (const entry of this.window) {
       if (entry.result !== null) continue;
@@ -993,10 +991,9 @@
       if (
         inFlight >= (sub.ordered ? 1 : this.host.limits.parallel) ||
         !this.host.mayStartAttempt() ||
-        !breaker.allows(this.host.nowMs)
+        !this.host.isReceiverAllowed(sub.url)
       )
         return;
-      breaker.recordStart(this.host.nowMs);
       entry.attempts++;
       inFlight++;
       entry.attemptInFlight = this.host.startAttempt(this, {
@@ -1010,17 +1007,14 @@
     }
   }
 
-  /** Handles the result of an attempt. */
+  /** Handles the result of an attempt, as far as it concerns the notification. */
   attemptEnded(attemptId: number, result: AttemptResult): void {
     const entry = this.window.find((x) => x.attemptInFlight === attemptId);
-    const sub = this.subscription();
     if (!entry) return;
     entry.attemptInFlight = null;
-    if (!sub || this.stopped) return;
-    const breaker = this.host.breaker(sub.url);
+    if (!this.subscription() || this.stopped) return;
     const { nowMs, limits } = this.host;
     if (result.is === "aborted") {
-      breaker.recordAbort();
       entry.reason = "reset";
       return;
     }
@@ -1028,7 +1022,6 @@
       result.is === "had" ||
       (result.is === "answered" && result.status >= 200 && result.status < 300)
     ) {
-      breaker.recordSuccess();
       this.markSettled(entry, "delivered");
       return;
     }
@@ -1036,21 +1029,15 @@
     entry.reason = result.is === "failed" ? result.reason : "status";
     entry.notBeforeMs =
       nowMs + backoffMs(limits.backoff, entry.failures, this.host.random());
-    if (result.is === "failed") return breaker.recordFailure(nowMs);
-    if (result.status >= 500 || result.status === 429)
-      breaker.recordFailure(nowMs);
-    else breaker.recordSuccess();
+    if (result.is === "failed") return;
     if (result.status === 410) {
       this.host.endSubscription(this.name);
       return;
     }
-    if (result.retryAfterMs !== null) {
+    if (result.retryAfterMs !== null)
       entry.notBeforeMs = Math.max(
         entry.notBeforeMs,
         nowMs + result.retryAfterMs,
       );
-      if (result.status === 429 || result.status === 503)
-        breaker.pauseFor(nowMs, result.retryAfterMs);
-    }
   }
 }
--- a/src/webhooks/webhook-core.ts
+++ b/src/webhooks/webhook-core.ts
@@ -14,6 +14,7 @@
 } from "../protocol/state.js";
 import { CallPriority } from "../coordination/effects.js";
 import {
+  type AttemptPermit,
   CircuitBreaker,
   type BackoffLimits,
   type BreakerState,
@@ -47,6 +48,13 @@
 } from "./subscription-requests.js";
 import { ChangeFeed } from "./change-feed.js";
 
+/** An attempt in flight, and the circuit breaker that allowed it. */
+interface AttemptInFlight {
+  readonly delivery: Delivery;
+  readonly breaker: CircuitBreaker;
+  readonly permit: AttemptPermit;
+}
+
 /** Inputs of the webhook core. */
 export type WebhookInput =
   /** Changes that the scheduler's core read. If `from` is later than the last `to`, changes in between are missing. */
@@ -121,7 +129,7 @@
     number,
     (reply: StateReply) => void
   >();
-  private readonly deliveryByAttempt = new Map<number, Delivery>();
+  private readonly attemptsInFlight = new Map<number, AttemptInFlight>();
   private storeLease: number | null = null;
   private leadershipLeaseUntilMs = -Infinity;
   private availableChanges: number;
@@ -201,9 +209,11 @@
         break;
       }
       case "attempted": {
-        const delivery = this.deliveryByAttempt.get(input.attemptId);
-        this.deliveryByAttempt.delete(input.attemptId);
-        delivery?.attemptEnded(input.attemptId, input.result);
+        const attempt = this.attemptsInFlight.get(input.attemptId);
+        if (!attempt) break;
+        this.attemptsInFlight.delete(input.attemptId);
+        attempt.delivery.attemptEnded(input.attemptId, input.result);
+        this.recordResult(attempt, input.result);
         break;
       }
       case "request":
@@ -254,7 +264,11 @@
     this.availableChanges -= changes;
     return true;
   }
-  breaker(url: string): CircuitBreaker {
+  isReceiverAllowed(url: string): boolean {
+    return this.breaker(url).allows(this.nowMs);
+  }
+  /** The circuit breaker of the URL's origin. */
+  private breaker(url: string): CircuitBreaker {
     const origin = URL.canParse(url) ? new URL(url).origin : url;
     let breaker = this.breakers.get(origin);
     if (!breaker)
@@ -275,11 +289,13 @@
     );
   }
   mayStartAttempt(): boolean {
-    return this.mayAct && this.deliveryByAttempt.size < this.limits.inFlight;
+    return this.mayAct && this.attemptsInFlight.size < this.limits.inFlight;
   }
   startAttempt(delivery: Delivery, request: AttemptRequest): number {
     const attemptId = ++this.lastAttemptId;
-    this.deliveryByAttempt.set(attemptId, delivery);
+    const breaker = this.breaker(request.subscription.url);
+    const permit = breaker.recordStart(this.nowMs);
+    this.attemptsInFlight.set(attemptId, { delivery, breaker, permit });
     this.effects.push({
       type: "attempt",
       attemptId,
@@ -294,6 +310,36 @@
     });
     return attemptId;
   }
+  /**
+   * Tells the circuit breaker how an attempt ended. It is the one that allowed the attempt: since then the subscription may have been
+   * removed or got another URL, and the delivery may have stopped because the lane was lost.
+   */
+  private recordResult(
+    { breaker, permit }: AttemptInFlight,
+    result: AttemptResult,
+  ): void {
+    switch (result.is) {
+      case "aborted":
+        return breaker.recordAbort(permit);
+      case "had":
+        return breaker.recordSuccess(permit);
+      case "failed":
+        return breaker.recordFailure(permit, this.nowMs);
+      case "answered":
+        return this.recordAnswer(breaker, permit, result);
+    }
+  }
+  private recordAnswer(
+    breaker: CircuitBreaker,
+    permit: AttemptPermit,
+    { status, retryAfterMs }: Extract<AttemptResult, { is: "answered" }>,
+  ): void {
+    if (status >= 500 || status === 429)
+      breaker.recordFailure(permit, this.nowMs);
+    else breaker.recordSuccess(permit);
+    if (retryAfterMs !== null && (status === 429 || status === 503))
+      breaker.pauseFor(this.nowMs, retryAfterMs);
+  }
   abortAttempt(attemptId: number): void {
     this.effects.push({ type: "abort", attemptId });
   }
@@ -716,7 +762,7 @@
   } {
     const totals = {
       owned: this.deliveries.size,
-      inFlight: this.deliveryByAttempt.size,
+      inFlight: this.attemptsInFlight.size,
       window: 0,
       batches: 0,
       deadBatches: 0,
--- a/test/webhooks/webhook-sending.test.ts
+++ b/test/webhooks/webhook-sending.test.ts
@@ -556,7 +556,8 @@
     { baseMs: 1_000, maxMs: 8_000 },
     () => 1,
   );
-  for (let k = 0; k < 3; k++) breaker.recordFailure(0);
+  const attempts = [1, 2, 3].map(() => breaker.recordStart(0));
+  for (const attempt of attempts) breaker.recordFailure(attempt, 0);
   assert.deepEqual(
     [
       breaker.state(0),
@@ -566,19 +567,18 @@
     ],
     ["open", false, false, true],
   );
-  breaker.recordStart(1_001);
+  const firstProbe = breaker.recordStart(1_001);
   assert.equal(
     breaker.allows(1_001),
     false,
     "only one attempt while half-open",
   );
-  breaker.recordFailure(1_100);
+  breaker.recordFailure(firstProbe, 1_100);
   assert.deepEqual(
     [breaker.allows(3_000), breaker.allows(3_101)],
     [false, true],
   );
-  breaker.recordStart(3_101);
-  breaker.recordSuccess();
+  breaker.recordSuccess(breaker.recordStart(3_101));
   assert.equal(breaker.state(3_102), "closed");
   breaker.pauseFor(4_000, 500);
   assert.deepEqual(
@@ -587,6 +587,21 @@
   );
 });
 
+test("the end of an attempt that began before the breaker opened does not allow a second one beside the probe", () => {
+  const breaker = new CircuitBreaker(
+    1,
+    { baseMs: 1_000, maxMs: 8_000 },
+    () => 1,
+  );
+  const earlier = breaker.recordStart(0);
+  breaker.recordFailure(breaker.recordStart(0), 0);
+  const probe = breaker.recordStart(1_001);
+  breaker.recordAbort(earlier);
+  assert.equal(breaker.allows(1_002), false, "the probe is still in flight");
+  breaker.recordAbort(probe);
+  assert.equal(breaker.allows(1_002), true);
+});
+
 test("an unreachable receiver does not delay others, and its waiting notifications cause few changes", () => {
   const world = new WebhookWorld(11, { ...LIMITS, valueBytes: 7_000 }, 3);
   world.run(3_000);
--- a/test/webhooks/webhook-world.ts
+++ b/test/webhooks/webhook-world.ts
@@ -35,6 +35,8 @@
 type ReceiverMode =
   | "healthy"
   | "silent"
+  /** The notification never arrives. */
+  | "silent-lost"
   | "late"
   | "reset"
   | "reset-after-receipt"
@@ -49,6 +51,8 @@
   mode: ReceiverMode = "healthy";
   /** By job id: how often the notification was received. */
   readonly receivedCounts = new Map<string, number>();
+  /** Notifications that were received, as `webhook id`. */
+  readonly delivered = new Set<string>();
   /** By job id: when the notification was first received, in simulated ms. */
   readonly firstReceivedMs = new Map<string, number>();
   readonly calls: {
@@ -61,6 +65,12 @@
   }[] = [];
   constructor(readonly rng: Rng) {}
 
+  noteReceived(webhook: string, id: string, atMs: number): void {
+    this.delivered.add(`${webhook} ${id}`);
+    if (!this.firstReceivedMs.has(id)) this.firstReceivedMs.set(id, atMs);
+    this.receivedCounts.set(id, (this.receivedCounts.get(id) ?? 0) + 1);
+  }
+
   /** The result for the sender (null: a timeout), when it arrives, and whether the receiver got the notification. */
   respond(): {
     result: AttemptResult | null;
@@ -77,6 +87,8 @@
         };
       case "silent":
         return { result: null, afterMs: 0, received: this.rng.chance(0.5) };
+      case "silent-lost":
+        return { result: null, afterMs: 0, received: false };
       case "late":
         return { result: null, afterMs: 0, received: true };
       case "reset":
@@ -493,13 +505,8 @@
       atMs: this.now,
     });
     const response = receiver.respond();
-    if (response.received && !receiver.firstReceivedMs.has(request.end.id))
-      receiver.firstReceivedMs.set(request.end.id, this.now);
     if (response.received)
-      receiver.receivedCounts.set(
-        request.end.id,
-        (receiver.receivedCounts.get(request.end.id) ?? 0) + 1,
-      );
+      receiver.noteReceived(webhook, request.end.id, this.now);
     finish(
       response.result ?? { is: "failed", reason: "timeout" },
       response.result ? response.afterMs : DEADLINE_MS,
