Start gangs of more than 1,000 tasks that their team's limit does not bound

Callers would see: a gang of more than 1,000 tasks is accepted and never begins, if its team has no limit or its tasks need none of what the limit covers. Found by reading, beside the places for tasks on a machine.

Cause: one constant, 1,000 tasks "that need nothing", stood for what fits on a machine and for what a team may still use. The first is bounded by places for tasks now; the second has no bound of its own, and a gang needs all its tasks at once.

--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -77,20 +77,21 @@
 const fitCountOf = (need: number, free: number): number =>
   need > 0 ? Math.floor((free + EPSILON) / need) : Infinity;
 
-/** Maximum number of tasks within a limit if they need none of what it limits. */
-const MAX_TASKS_WITHOUT_NEED = 1_000;
-
-/** How many tasks fit into what remains of a team's limit, which covers neither memory nor the number of tasks. */
-export function fitWithinLimit(
+/**
+ * How many tasks fit into what remains of a team's limit, which covers neither memory nor the number of tasks. Infinity if the limit
+ * does not bound them.
+ */
+export const fitWithinLimit = (
   need: Resources,
   remaining: { cpus: number; gpus: number },
-): number {
-  const count = Math.min(
-    fitCountOf(need.cpus, remaining.cpus),
-    fitCountOf(need.gpus, remaining.gpus),
+): number =>
+  Math.max(
+    0,
+    Math.min(
+      fitCountOf(need.cpus, remaining.cpus),
+      fitCountOf(need.gpus, remaining.gpus),
+    ),
   );
-  return count === Infinity ? MAX_TASKS_WITHOUT_NEED : Math.max(0, count);
-}
 
 /** Whether a job's tasks may run on machines of this type and zone, spot or on-demand. */
 export function isAllowedOn(
