Refuse requests that can't be formed instead of ending the controller

Callers saw: `linencove hook show "night alerts"` ends the controller that is asked, and the next one. A heartbeat whose address has a port beyond 65535 does the same, with the first command to that worker (found by the first test of this change).

Cause: `http.request()` throws for such a path or port, `HttpClient.fetch()` passed that on as a rejection, and its callers rely on an outcome. A webhook's name and the mark of a page went from the request into a path unchecked.

Change: a request that can't be formed has the outcome `refused`. Names that no webhook can have get 404, marks that are no key of that webhook's dead letters 400, heartbeats with such a port 400.

--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -43,11 +43,17 @@
   kept: v.optional(v.nullable(v.boolean()), false),
 });
 
+const MAX_PORT = 65_535;
+
+const portOf = (address: string): number =>
+  Number(address.slice(address.lastIndexOf(":") + 1));
+
 const HeartbeatBody = v.object({
   berth: text,
   address: v.pipe(
     v.string(),
     v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "IP:PORT expected"),
+    v.check((address) => portOf(address) <= MAX_PORT, "IP:PORT expected"),
   ),
   hull: text,
   yard: text,
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -92,55 +92,24 @@
     body: string | undefined,
     timeoutMs: number,
   ): Promise<HttpOutcome> {
-    return new Promise((resolve) => {
-      let connected = false;
-      let finished = false;
-      const finish = (outcome: HttpOutcome): void => {
-        if (finished) return;
-        finished = true;
-        clearTimeout(timer);
-        resolve(outcome);
-        if (outcome.kind !== "answered") request.destroy();
-      };
-      const fail = (reason: string): void =>
-        finish(
-          connected ? { kind: "unknown", reason } : { kind: "refused", reason },
-        );
-      const timer = setTimeout(() => fail("timeout"), timeoutMs);
-      const headers: http.OutgoingHttpHeaders =
-        body === undefined
-          ? {}
-          : {
-              "content-type": "application/json",
-              "content-length": Buffer.byteLength(body),
-            };
-      const request = http.request(
-        { host, port, method, path, headers, agent: this.agent },
-        (response) => {
-          const chunks: Buffer[] = [];
-          let size = 0;
-          response.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > MAX_BODY_BYTES) fail("answer too large");
-            else chunks.push(chunk);
-          });
-          response.on("end", () =>
-            finish({
-              kind: "answered",
-              status: response.statusCode ?? 0,
-              body: Buffer.concat(chunks).toString("utf8"),
-            }),
-          );
-          response.on("error", (error) => fail(error.message));
-        },
-      );
-      request.on("socket", (socket) => {
-        if (!socket.connecting) connected = true;
-        else socket.once("connect", () => (connected = true));
-      });
-      request.on("error", (error) => fail(error.message));
-      request.end(body);
+    const headers: http.OutgoingHttpHeaders =
+      body === undefined
+        ? {}
+        : {
+            "content-type": "application/json",
+            "content-length": Buffer.byteLength(body),
+          };
+    const request = formRequest({
+      host,
+      port,
+      method,
+      path,
+      headers,
+      agent: this.agent,
     });
+    if (request instanceof Error)
+      return Promise.resolve({ kind: "refused", reason: request.message });
+    return outcomeOf(request, body, timeoutMs);
   }
 
   close(): void {
@@ -148,6 +117,62 @@
   }
 }
 
+/** A request that is not sent yet, or why it can't be formed: Node throws for some paths and ports. */
+function formRequest(options: http.RequestOptions): http.ClientRequest | Error {
+  try {
+    return http.request(options);
+  } catch (error) {
+    return error as Error;
+  }
+}
+
+/** Sends a request, and returns how it ended. */
+function outcomeOf(
+  request: http.ClientRequest,
+  body: string | undefined,
+  timeoutMs: number,
+): Promise<HttpOutcome> {
+  return new Promise((resolve) => {
+    let connected = false;
+    let finished = false;
+    const finish = (outcome: HttpOutcome): void => {
+      if (finished) return;
+      finished = true;
+      clearTimeout(timer);
+      resolve(outcome);
+      if (outcome.kind !== "answered") request.destroy();
+    };
+    const fail = (reason: string): void =>
+      finish(
+        connected ? { kind: "unknown", reason } : { kind: "refused", reason },
+      );
+    const timer = setTimeout(() => fail("timeout"), timeoutMs);
+    request.on("response", (response) => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      response.on("data", (chunk: Buffer) => {
+        size += chunk.length;
+        if (size > MAX_BODY_BYTES) fail("answer too large");
+        else chunks.push(chunk);
+      });
+      response.on("end", () =>
+        finish({
+          kind: "answered",
+          status: response.statusCode ?? 0,
+          body: Buffer.concat(chunks).toString("utf8"),
+        }),
+      );
+      response.on("error", (error) => fail(error.message));
+    });
+    request.on("socket", (socket) => {
+      if (!socket.connecting) connected = true;
+      else socket.once("connect", () => (connected = true));
+    });
+    request.on("error", (error) => fail(error.message));
+    request.end(body);
+  });
+}
+
 export function parseJson(body: string): unknown {
   try {
     return JSON.parse(body);
--- a/src/webhooks/subscription-requests.ts
+++ b/src/webhooks/subscription-requests.ts
@@ -60,6 +60,12 @@
   ask: v.optional(fields.ask, false),
 });
 
+/** Whether a list of dead letters may go on after this text: the key of one of their batches, or nothing. */
+const isPageMark = (name: string, after: string): boolean =>
+  after === "" ||
+  (after.startsWith(deadPrefix(name)) &&
+    /^\d+$/.test(after.slice(deadPrefix(name).length)));
+
 const subscriptionView = (
   name: string,
   subscription: Subscription,
@@ -98,6 +104,9 @@
 
   handle(reqId: number, request: WebhookRequest): void {
     const reply: Reply = (status, body) => this.answer(reqId, status, body);
+    // Names become parts of keys. One that no subscription can have is not looked for.
+    if ("name" in request && !WEBHOOK_NAME.test(request.name))
+      return reply(404, { error: "no such hook" });
     switch (request.is) {
       case "list":
         return this.list((subscriptions) => {
@@ -136,6 +145,8 @@
       case "remove":
         return this.remove(request.name, reply, MAX_RETRIES);
       case "dead":
+        if (!isPageMark(request.name, request.after))
+          return reply(400, { error: "after: no mark of a page" });
         return this.callStore(
           {
             op: "list",
--- a/test/webhooks/processes.ts
+++ b/test/webhooks/processes.ts
@@ -380,17 +380,26 @@
     this.nodes[i]!.child?.kill(signal);
   }
   /** Sends a request to one controller. */
-  async send(
+  send(
     i: number,
     method: string,
     path: string,
     body: object,
+  ): Promise<{ status: number; body: Record<string, unknown> }> {
+    return this.sendText(i, method, path, JSON.stringify(body));
+  }
+  /** The same with any body, or none. */
+  async sendText(
+    i: number,
+    method: string,
+    path: string,
+    body?: string,
   ): Promise<{ status: number; body: Record<string, unknown> }> {
     const res = await fetch(
       `http://127.0.0.1:${this.nodes[i]!.clientPort}${path}`,
       {
         method,
-        body: JSON.stringify(body),
+        ...(body === undefined ? {} : { body }),
         headers: { "content-type": "application/json" },
         signal: AbortSignal.timeout(4_000),
       },
