Ask a receiver before a repeat if any attempt so far may have reached it

Cause: whether the receiver may have a notification was judged by the reason of the last attempt alone.

Change: an entry of the window notes whether any attempt may have arrived. Entries of a former owner and redriven ones may have, as before. `linencove-repeat` still names the last attempt's reason. Entries are made in one place.

--- a/src/webhooks/delivery.ts
+++ b/src/webhooks/delivery.ts
@@ -110,7 +110,10 @@
   /** Number of attempts that the record allows for; `attempts` never exceeds it. */
   reservedAttempts: number;
   failures: number;
+  /** Why the last attempt did not deliver it; null: there was none. */
   reason: RetryReason | null;
+  /** Whether the receiver may have it from any of the attempts so far. */
+  mayHaveArrived: boolean;
   notBeforeMs: number;
   /** Id of the attempt in flight; null: there is none. */
   attemptInFlight: number | null;
@@ -118,6 +121,24 @@
   result: "delivered" | "dead" | null;
 }
 
+/** An entry without an attempt by this controller. `reason`: why earlier attempts did not deliver it; null: there were none. */
+const newEntry = (
+  { end, attempts }: PendingDelivery,
+  reservedAttempts: number,
+  reason: RetryReason | null,
+  nowMs: number,
+): Entry => ({
+  end,
+  attempts,
+  reservedAttempts,
+  failures: 0,
+  reason,
+  mayHaveArrived: reason !== null && mayHaveArrived(reason),
+  notBeforeMs: nowMs,
+  attemptInFlight: null,
+  result: null,
+});
+
 /** Repeats that one change of the record allows for. The first attempt is allowed for by a change of its own. */
 const RESERVED_REPEATS = 8;
 /** Maximum number of ends that wait in memory for space in the window or the spool. */
@@ -182,15 +203,9 @@
     const { window, ...recordFields } = progress;
     this.record = recordFields;
     // The former owner may have sent any of these, as often as the record allows for.
-    this.window = window.map((pending) => ({
-      ...pending,
-      reservedAttempts: pending.attempts,
-      failures: 0,
-      reason: "owner-lost",
-      notBeforeMs: host.nowMs,
-      attemptInFlight: null,
-      result: null,
-    }));
+    this.window = window.map((pending) =>
+      newEntry(pending, pending.attempts, "owner-lost", host.nowMs),
+    );
     this.record.cursor = laterOf(
       progress.cursor ?? { version: recordVersion, id: LAST_ID },
       {
@@ -605,16 +620,8 @@
         !windowPacker.add({ end: pending.end, attempts: pending.attempts + 1 })
       )
         return false;
-      added.push({
-        end: pending.end,
-        attempts: pending.attempts,
-        reservedAttempts: pending.attempts + 1,
-        failures: 0,
-        reason: pending.attempts > 0 ? "redriven" : null,
-        notBeforeMs: nowMs,
-        attemptInFlight: null,
-        result: null,
-      });
+      const reason = pending.attempts > 0 ? "redriven" : null;
+      added.push(newEntry(pending, pending.attempts + 1, reason, nowMs));
       return true;
     };
     const next = {
@@ -1000,7 +1007,7 @@
         end: entry.end,
         attempt: entry.attempts,
         reason: entry.reason,
-        ask: sub.ask && entry.reason !== null && mayHaveArrived(entry.reason),
+        ask: sub.ask && entry.mayHaveArrived,
         subscription: sub,
       });
       if (sub.ordered) return;
@@ -1016,6 +1023,7 @@
     const { nowMs, limits } = this.host;
     if (result.is === "aborted") {
       entry.reason = "reset";
+      entry.mayHaveArrived = true;
       return;
     }
     if (
@@ -1027,6 +1035,7 @@
     }
     entry.failures++;
     entry.reason = result.is === "failed" ? result.reason : "status";
+    entry.mayHaveArrived ||= mayHaveArrived(entry.reason);
     entry.notBeforeMs =
       nowMs + backoffMs(limits.backoff, entry.failures, this.host.random());
     if (result.is === "failed") return;
--- a/test/webhooks/webhook-sending.test.ts
+++ b/test/webhooks/webhook-sending.test.ts
@@ -629,6 +629,29 @@
   assert.deepEqual(world.violations, []);
 });
 
+// Guards against a second copy: the last attempt had reached nobody, so that the receiver was not asked about the one before.
+test("with ask, the receiver is asked before a repeat if any attempt so far may have reached it", () => {
+  const world = new WebhookWorld(13, LIMITS, 1);
+  world.run(3_000);
+  const receiver = world.add("asked", { ask: true });
+  receiver.mode = "reset-after-receipt";
+  world.end("req-000001");
+  const runUntilCalls = (count: number): void => {
+    for (let i = 0; i < 600 && receiver.calls.length < count; i++)
+      world.run(100);
+    assert.equal(receiver.calls.length, count);
+  };
+  runUntilCalls(1);
+  receiver.mode = "refused";
+  runUntilCalls(2);
+  world.run(500);
+  receiver.mode = "healthy";
+  world.run(120_000);
+  assert.equal(receiver.receivedCounts.get("req-000001"), 1);
+  assert.equal(receiver.calls.length, 2, "asked, and not sent again");
+  assert.deepEqual(world.violations, []);
+});
+
 test("a receiver that answers 410 ends its subscription, which can be resumed", () => {
   const world = new WebhookWorld(12);
   world.run(3_000);
