Keep a receiver's pause when another attempt to it succeeds

Callers would see: a receiver answers 429 or 503 with Retry-After, and is sent to before that time, against docs/hooks.md ("nothing is sent to this receiver until then").

Cause: the pause and the breaker's own rest were one time, which the success of another attempt resets.

Change: the breaker keeps the time that the receiver named apart; a success ends only its own rest. As before, failures during either open it no further.

--- a/src/webhooks/circuit-breaker.ts
+++ b/src/webhooks/circuit-breaker.ts
@@ -53,6 +53,8 @@
   private consecutiveFailures = 0;
   private consecutiveOpenings = 0;
   private openUntilMs = -Infinity;
+  /** Until when the receiver asked for a pause, whatever other attempts show. */
+  private pausedUntilMs = -Infinity;
   /** The attempt that it allowed while half-open; null if there is none in flight. */
   private probe: AttemptPermit | null = null;
 
@@ -63,12 +65,14 @@
   ) {}
 
   state(nowMs: number): BreakerState {
-    if (
-      this.consecutiveFailures < this.failureThreshold &&
-      nowMs >= this.openUntilMs
-    )
-      return "closed";
-    return nowMs < this.openUntilMs ? "open" : "half-open";
+    if (this.isResting(nowMs)) return "open";
+    return this.consecutiveFailures < this.failureThreshold
+      ? "closed"
+      : "half-open";
+  }
+  /** Whether no attempt may start yet, after failures or because the receiver asked for a pause. */
+  private isResting(nowMs: number): boolean {
+    return nowMs < Math.max(this.openUntilMs, this.pausedUntilMs);
   }
   /** Whether an attempt may start now. */
   allows(nowMs: number): boolean {
@@ -94,7 +98,7 @@
     // Attempts in flight at the same time fail together. This is one failure of the receiver and opens the breaker only once.
     if (
       this.consecutiveFailures < this.failureThreshold ||
-      nowMs < this.openUntilMs
+      this.isResting(nowMs)
     )
       return;
     this.consecutiveOpenings++;
@@ -116,6 +120,6 @@
   }
   /** The receiver asked for a pause (Retry-After). */
   pauseFor(nowMs: number, pauseMs: number): void {
-    this.openUntilMs = Math.max(this.openUntilMs, nowMs + pauseMs);
+    this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + pauseMs);
   }
 }
--- a/test/webhooks/webhook-sending.test.ts
+++ b/test/webhooks/webhook-sending.test.ts
@@ -602,6 +602,23 @@
   assert.equal(breaker.allows(1_002), true);
 });
 
+// Guards against attempts before the time that the receiver named: another attempt's success ended the pause.
+test("a pause that the receiver asked for lasts although another attempt succeeds meanwhile", () => {
+  const breaker = new CircuitBreaker(
+    5,
+    { baseMs: 1_000, maxMs: 8_000 },
+    () => 1,
+  );
+  const [refused, accepted] = [breaker.recordStart(0), breaker.recordStart(0)];
+  breaker.recordFailure(refused, 10);
+  breaker.pauseFor(10, 5_000);
+  breaker.recordSuccess(accepted);
+  assert.deepEqual(
+    [breaker.state(11), breaker.allows(5_009), breaker.allows(5_010)],
+    ["open", false, true],
+  );
+});
+
 test("an unreachable receiver does not delay others, and its waiting notifications cause few changes", () => {
   const world = new WebhookWorld(11, { ...LIMITS, valueBytes: 7_000 }, 3);
   world.run(3_000);
