Count a revision as settled only if all its ends are, also before the outbox is read

Callers would see: of several jobs that end in one transaction, some are never told, if the lane changes its owner twice within moments.

Cause: a new owner that has not read the outbox yet, or reads all final records, told the lane the revision of its cursor as settled, though the cursor may stand in the middle of that revision. The next owner begins behind it.

Change: one function for both cases says which revision is whole.

--- a/src/webhooks/delivery.ts
+++ b/src/webhooks/delivery.ts
@@ -153,6 +153,10 @@
 
 const START_CURSOR: Cursor = { version: 0, id: "" };
 
+/** The last revision of which all ends are up to a cursor; several jobs may end in one. */
+const lastWholeRevision = ({ version, id }: Cursor): number =>
+  id === LAST_ID ? version : Math.max(0, version - 1);
+
 /**
  * The deliveries of one subscription, while this controller owns its lane.
  *
@@ -234,10 +238,10 @@
   /** Up to this revision, all ends that the subscription matches are settled or in its records. */
   get settledUpTo(): number {
     if (!this.spoolLoaded || this.record.listing)
-      return this.record.cursor?.version ?? 0;
+      return lastWholeRevision(this.record.cursor ?? START_CURSOR);
     return this.fresh.length > 0
       ? this.fresh[0]!.at.version - 1
-      : this.position.version - (this.position.id === LAST_ID ? 0 : 1);
+      : lastWholeRevision(this.position);
   }
   /** What waits in each place, and when the oldest job ended whose notification waits (only ends in memory are looked at). */
   get pendingCounts(): {
--- a/test/webhooks/delivery.test.ts
+++ b/test/webhooks/delivery.test.ts
@@ -2,6 +2,12 @@
 import { test } from "node:test";
 import { DEFAULTS } from "../../src/config/operator.js";
 import { FINAL_PREFIX, readFinal } from "../../src/storage/records.js";
+import { Delivery, type DeliveryHost } from "../../src/webhooks/delivery.js";
+import {
+  LAST_ID,
+  newProgress,
+  readProgress,
+} from "../../src/webhooks/records.js";
 import { pipelines, submitWorkload } from "../simulation/workloads.js";
 import { World } from "../simulation/world.js";
 import {
@@ -109,6 +115,25 @@
   );
 });
 
+// Guards against lost notifications: the rest of a revision counted as settled while a new owner had not read the outbox yet.
+test("a new owner counts a revision as settled only if its last end is", () => {
+  const progress = readProgress(newProgress());
+  assert.ok(progress);
+  const settledUpTo = (cursorId: string): number =>
+    new Delivery(
+      { nowMs: 0 } as DeliveryHost,
+      "alerts",
+      1,
+      { key: "lane", version: 1 },
+      () => null,
+      20,
+      { ...progress, cursor: { version: 10, id: cursorId } },
+      0,
+    ).settledUpTo;
+  assert.equal(settledUpTo("req-000001"), 9);
+  assert.equal(settledUpTo(LAST_ID), 10);
+});
+
 test("an outbox written after the job's end, instead of in the same commit, is detected", () => {
   let lost = 0;
   for (let seed = 1; seed <= 2; seed++)
