Send nothing more after a 410, also before the end of the subscription is written

Callers would see: a receiver answers 410 and is sent more, until the change of the subscription is written and read; with the state service out of reach for as long as the controller may act without it. docs/hooks.md: "nothing is sent or kept until it is resumed".

Cause: the delivery asked for the end of the subscription once and went on by the subscription as it was last read.

Change: the delivery notes the subscription that the answer was for, starts no attempt for it, and asks for its end until it is changed. An answer for an earlier form (another URL, resumed since) stops nothing and ends nothing.

--- a/src/webhooks/delivery.ts
+++ b/src/webhooks/delivery.ts
@@ -94,7 +94,7 @@
   /** Starts an attempt that is allowed. Returns an id for it that is unique on this controller. */
   startAttempt(delivery: Delivery, request: AttemptRequest): number;
   abortAttempt(attemptId: number): void;
-  /** The receiver wants no more notifications (410). */
+  /** The receiver wants no more notifications (410). Called until the subscription shows it. */
   endSubscription(name: string): void;
   notificationSettled(
     name: string,
@@ -186,6 +186,8 @@
   /** A page of final records whose matching ends have to be written to the spool. */
   private page: { items: FeedEntry[]; after: string; last: boolean } | null =
     null;
+  /** The subscription, as it was read, whose receiver answered 410; null: none did. Any change of it makes another. */
+  private goneSubscription: Subscription | null = null;
   private stopped = false;
   /** When the last commit was sent; the core serves the longest-waiting delivery first. */
   lastCommitMs = -Infinity;
@@ -292,7 +294,10 @@
         this.host.wallMs >= entry.end.since + this.host.limits.horizonMs
       )
         this.markSettled(entry, "dead");
-    const active = mayStart && sub.state === "active";
+    const isGone = this.goneSubscription === sub;
+    // Repeated until the subscription shows it, since the commit may fail.
+    if (isGone) this.host.endSubscription(this.name);
+    const active = mayStart && sub.state === "active" && !isGone;
     if (!this.commitInFlight && this.host.nowMs >= this.retryAtMs)
       this.writeDue(sub, active);
     if (active) this.startAttempts(sub);
@@ -1018,8 +1023,12 @@
     }
   }
 
-  /** Handles the result of an attempt, as far as it concerns the notification. */
-  attemptEnded(attemptId: number, result: AttemptResult): void {
+  /** Handles the result of an attempt for this subscription, as far as it concerns the notification. */
+  attemptEnded(
+    attemptId: number,
+    result: AttemptResult,
+    sentFor: Subscription,
+  ): void {
     const entry = this.window.find((x) => x.attemptInFlight === attemptId);
     if (!entry) return;
     entry.attemptInFlight = null;
@@ -1044,7 +1053,8 @@
       nowMs + backoffMs(limits.backoff, entry.failures, this.host.random());
     if (result.is === "failed") return;
     if (result.status === 410) {
-      this.host.endSubscription(this.name);
+      this.host.log("webhook receiver is gone", { webhook: this.name });
+      this.goneSubscription = sentFor;
       return;
     }
     if (result.retryAfterMs !== null)
--- a/src/webhooks/webhook-core.ts
+++ b/src/webhooks/webhook-core.ts
@@ -51,6 +51,7 @@
 /** An attempt in flight, and the circuit breaker that allowed it. */
 interface AttemptInFlight {
   readonly delivery: Delivery;
+  readonly subscription: Subscription;
   readonly breaker: CircuitBreaker;
   readonly permit: AttemptPermit;
 }
@@ -212,7 +213,11 @@
         const attempt = this.attemptsInFlight.get(input.attemptId);
         if (!attempt) break;
         this.attemptsInFlight.delete(input.attemptId);
-        attempt.delivery.attemptEnded(input.attemptId, input.result);
+        attempt.delivery.attemptEnded(
+          input.attemptId,
+          input.result,
+          attempt.subscription,
+        );
         this.recordResult(attempt, input.result);
         break;
       }
@@ -293,9 +298,15 @@
   }
   startAttempt(delivery: Delivery, request: AttemptRequest): number {
     const attemptId = ++this.lastAttemptId;
-    const breaker = this.breaker(request.subscription.url);
+    const { subscription } = request;
+    const breaker = this.breaker(subscription.url);
     const permit = breaker.recordStart(this.nowMs);
-    this.attemptsInFlight.set(attemptId, { delivery, breaker, permit });
+    this.attemptsInFlight.set(attemptId, {
+      delivery,
+      subscription,
+      breaker,
+      permit,
+    });
     this.effects.push({
       type: "attempt",
       attemptId,
@@ -379,7 +390,6 @@
       this.commitsInFlight.has(`sub ${name}`)
     )
       return;
-    this.log("webhook receiver is gone", { webhook: name });
     this.commitOnce(
       `sub ${name}`,
       [
--- a/test/webhooks/webhook-sending.test.ts
+++ b/test/webhooks/webhook-sending.test.ts
@@ -669,6 +669,28 @@
   assert.deepEqual(world.violations, []);
 });
 
+// Guards against attempts after a 410: they went on until the change of the subscription was written and read.
+test("after a 410 nothing more is sent, also while the state service can't be reached; the end is written later", () => {
+  const world = new WebhookWorld(14, LIMITS, 1);
+  world.run(3_000);
+  const receiver = world.add("gone");
+  const node = world.nodes[0]!;
+  receiver.mode = "410";
+  for (let i = 10; i < 24; i++) world.end(`req-0000${i}`);
+  while (receiver.calls.length === 0) world.run(10);
+  node.disconnected = true;
+  // Attempts that started before the first answer may still be on their way.
+  world.run(400);
+  const callsBefore = receiver.calls.length;
+  assert.ok(callsBefore <= LIMITS.parallel, `${callsBefore} calls`);
+  world.run(5_000);
+  assert.equal(receiver.calls.length, callsBefore);
+  node.disconnected = false;
+  world.run(60_000);
+  assert.equal(receiver.calls.length, callsBefore);
+  assert.equal(node.core!.subscriptions.get("gone")?.value.state, "ended");
+});
+
 test("a receiver that answers 410 ends its subscription, which can be resumed", () => {
   const world = new WebhookWorld(12);
   world.run(3_000);
