Move the entries of a webhook's window to a module of their own

Entry is WindowEntry now, with its making and that condition beside it; what a test notification tells has a function.

--- a/src/webhooks/delivery.ts
+++ b/src/webhooks/delivery.ts
@@ -42,6 +42,7 @@
   jobEndsOf,
   type ChangeFeed,
 } from "./change-feed.js";
+import { type WindowEntry, isAttemptDue, newEntry } from "./window-entry.js";
 
 /** The outcome of an attempt. */
 export type AttemptResult =
@@ -106,37 +107,16 @@
   ): void;
 }
 
-interface Entry extends PendingDelivery {
-  /** Number of attempts that the record allows for; `attempts` never exceeds it. */
-  reservedAttempts: number;
-  failures: number;
-  /** Why the last attempt did not deliver it; null: there was none. */
-  reason: RetryReason | null;
-  /** Whether the receiver may have it from any of the attempts so far. */
-  mayHaveArrived: boolean;
-  notBeforeMs: number;
-  /** Id of the attempt in flight; null: there is none. */
-  attemptInFlight: number | null;
-  /** How the notification was settled; null: not yet. */
-  result: "delivered" | "dead" | null;
-}
-
-/** An entry without an attempt by this controller. `reason`: why earlier attempts did not deliver it; null: there were none. */
-const newEntry = (
-  { end, attempts }: PendingDelivery,
-  reservedAttempts: number,
-  reason: RetryReason | null,
-  nowMs: number,
-): Entry => ({
-  end,
-  attempts,
-  reservedAttempts,
-  failures: 0,
-  reason,
-  mayHaveArrived: reason !== null && mayHaveArrived(reason),
-  notBeforeMs: nowMs,
-  attemptInFlight: null,
-  result: null,
+/** What a test notification tells, in place of the end of a job. */
+const testEnd = (testNo: number, wallMs: number): JobEnd => ({
+  id: `test-${testNo}`,
+  outcome: "test",
+  tasks: 0,
+  done: 0,
+  team: "",
+  class: "",
+  at: Math.round(wallMs),
+  since: Math.round(wallMs),
 });
 
 /** Repeats that one change of the record allows for. The first attempt is allowed for by a change of its own. */
@@ -167,7 +147,7 @@
  */
 export class Delivery {
   private record: Omit<ProgressRecord, "window">;
-  private window: Entry[];
+  private window: WindowEntry[];
   /** Matching ends after the record's cursor, up to `position`. */
   private fresh: FeedEntry[] = [];
   /** Matching ends up to here were added to `fresh`. Never before the record's cursor. */
@@ -540,7 +520,7 @@
     );
   }
 
-  private markSettled(entry: Entry, result: "delivered" | "dead"): void {
+  private markSettled(entry: WindowEntry, result: "delivered" | "dead"): void {
     entry.result = result;
     this.cleanupSinceMs ??= this.host.nowMs;
     this.host.notificationSettled(this.name, {
@@ -599,7 +579,11 @@
       this.spoolFresh();
   }
 
-  private writeWindow(open: Entry[], fill: boolean, testDue: boolean): boolean {
+  private writeWindow(
+    open: WindowEntry[],
+    fill: boolean,
+    testDue: boolean,
+  ): boolean {
     const { nowMs } = this.host;
     const dead = this.window.filter((e) => e.result === "dead");
     const deadBatch = this.packer(BATCH_OVERHEAD_BYTES);
@@ -607,7 +591,7 @@
       deadBatch.add({ end: e.end, attempts: e.attempts }),
     );
     const windowPacker = this.packer(PROGRESS_OVERHEAD_BYTES);
-    const reservations = new Map<Entry, number>();
+    const reservations = new Map<WindowEntry, number>();
     // Dead letters that do not fit into the batch stay in the record.
     for (const entry of dead)
       if (!packed.includes(entry))
@@ -622,7 +606,7 @@
       reservations.set(entry, reservation);
       windowPacker.add({ end: entry.end, attempts: reservation });
     }
-    const added: Entry[] = [];
+    const added: WindowEntry[] = [];
     const add = (pending: PendingDelivery): boolean => {
       if (
         open.length + added.length >= MAX_WINDOW_ENTRIES ||
@@ -645,19 +629,7 @@
       const testNo = this.record.tests + 1;
       if (
         testDue &&
-        add({
-          end: {
-            id: `test-${testNo}`,
-            outcome: "test",
-            tasks: 0,
-            done: 0,
-            team: "",
-            class: "",
-            at: Math.round(this.host.wallMs),
-            since: Math.round(this.host.wallMs),
-          },
-          attempts: 0,
-        })
+        add({ end: testEnd(testNo, this.host.wallMs), attempts: 0 })
       )
         next.tests = testNo;
       if (next.spool.first < next.spool.next) {
@@ -879,7 +851,7 @@
   /** Writes the progress record together with other changes; retries until they are known to be carried out. */
   private commit(
     next: Omit<ProgressRecord, "window">,
-    window: Packer | readonly Entry[],
+    window: Packer | readonly WindowEntry[],
     conditions: Condition[],
     writes: Write[],
     onCommitted: () => void,
@@ -991,19 +963,10 @@
     let inFlight = this.attemptsInFlight;
     for (const entry of this.window) {
       if (entry.result !== null) continue;
-      if (
-        sub.ordered &&
-        (entry.attemptInFlight !== null ||
-          entry.attempts >= entry.reservedAttempts ||
-          this.host.nowMs < entry.notBeforeMs)
-      )
-        return;
-      if (
-        entry.attemptInFlight !== null ||
-        entry.attempts >= entry.reservedAttempts ||
-        this.host.nowMs < entry.notBeforeMs
-      )
+      if (!isAttemptDue(entry, this.host.nowMs)) {
+        if (sub.ordered) return;
         continue;
+      }
       if (
         inFlight >= (sub.ordered ? 1 : this.host.limits.parallel) ||
         !this.host.mayStartAttempt() ||
