Share one job fixture between two tests, and drop what tests of this change did not need

The test of commands wrote out the job and its specification that the test of scale-out has; both take them from test/coordination/job-run.ts now. The size of a request stands once below test, what only its own module uses is not exported, and the test of exited tasks makes a worker without simulating five seconds of a cluster for the time.

No assertion changes; sources are untouched.

--- a/test/coordination/machines/scale-out.test.ts
+++ b/test/coordination/machines/scale-out.test.ts
@@ -6,7 +6,6 @@
   CloudCall,
   CloudReply,
 } from "../../../src/coordination/effects.js";
-import { ownDueAt } from "../../../src/coordination/store/job-view.js";
 import { PartitionState } from "../../../src/coordination/scheduling/partition-state.js";
 import type { JobSpec, MachineType } from "../../../src/coordination/model.js";
 import {
@@ -20,13 +19,13 @@
 import type { QuotaAllocator } from "../../../src/coordination/quota/index.js";
 import { partitionJob } from "../../../src/coordination/jobs/job-partitioner.js";
 import { slotsForUndividedJob } from "../../../src/coordination/jobs/partition-capacity.js";
-import {
-  type JobRun,
-  newJobRun,
-  type Worker,
+import type {
+  JobRun,
+  Worker,
 } from "../../../src/coordination/machines/worker-state.js";
 import type { Write } from "../../../src/protocol/state.js";
 import type { CapacityRecord } from "../../../src/storage/records.js";
+import { jobRunOf, PLAIN_SPEC } from "../job-run.js";
 
 /** What a partition rents and where a gang is assigned. These decisions were wrong in runs with hundreds of machines. */
 
@@ -57,46 +56,17 @@
   },
 ];
 const SPEC: JobSpec = {
-  id: "req-000001",
-  jobClass: "c",
-  team: "t",
+  ...PLAIN_SPEC,
   kind: "gang",
-  priority: "normal",
   tasks: 4,
   cpus: 30,
-  gpus: 0,
   memGb: 40,
-  image: "",
-  imageGb: 0,
-  machineTypes: null,
-  zone: null,
   samePlace: true,
-  spread: false,
-  spot: false,
-  estimateS: 100,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
 };
 
 function job(overrides: Partial<JobSpec>): JobRun {
   const spec = { ...SPEC, ...overrides };
-  const run = newJobRun(
-    {
-      id: spec.id,
-      spec,
-      acceptedAt: 0,
-      readyAt: 0,
-      releasedAt: null,
-      dependsOn: [],
-      priority: spec.priority,
-      dueAt: ownDueAt(spec, 0),
-      assignment: new Map(),
-      revision: 1,
-    },
-    false,
-    0,
-  );
+  const run = jobRunOf(spec);
   run.assigned = RangeSet.upTo(spec.tasks);
   run.waiting = RangeSet.upTo(spec.tasks);
   return run;
--- a/test/coordination/machines/worker-commands.test.ts
+++ b/test/coordination/machines/worker-commands.test.ts
@@ -4,68 +4,27 @@
 import {
   attemptKey,
   type ExitedTask,
-  type JobRun,
-  newJobRun,
   newWorker,
   type TaskRun,
   type Worker,
 } from "../../../src/coordination/machines/worker-state.js";
-import { ownDueAt } from "../../../src/coordination/store/job-view.js";
-import type { Command, JobSpec } from "../../../src/coordination/model.js";
+import type { Command } from "../../../src/coordination/model.js";
 import { MAX_JOB_ID_DIGITS, MAX_TASKS } from "../../../src/protocol/jobs.js";
 import {
   commandBody,
   heartbeatAnswerBody,
 } from "../../../src/protocol/workers.js";
+import { MAX_BODY_BYTES } from "../../simulation/heartbeat-size.js";
+import { jobRunOf, PLAIN_SPEC } from "../job-run.js";
 
 /**
  * Guards against commands that a leader takes for sent although its message had no space for them. Then a start that was left out
  * counted against the machine as not carried out, and a message could end between the start and the stop of a cancelled task.
  */
 
-/** Largest body of a request, in bytes (PROTOCOL). */
-const MAX_BODY_BYTES = 64 * 1024;
 const NOW_MS = 1_000;
 
-const SPEC: JobSpec = {
-  id: "req-000001",
-  jobClass: "c",
-  team: "t",
-  kind: "array",
-  priority: "normal",
-  tasks: 400,
-  cpus: 0.01,
-  gpus: 0,
-  memGb: 0,
-  image: "",
-  imageGb: 0,
-  machineTypes: null,
-  zone: null,
-  samePlace: false,
-  spread: false,
-  spot: false,
-  estimateS: 100,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-};
-
-const JOB: JobRun = newJobRun(
-  {
-    id: SPEC.id,
-    spec: SPEC,
-    acceptedAt: 0,
-    readyAt: 0,
-    releasedAt: null,
-    dependsOn: [],
-    priority: SPEC.priority,
-    dueAt: ownDueAt(SPEC, 0),
-    assignment: new Map(),
-    revision: 1,
-  },
-  false,
-  NOW_MS,
-);
+const JOB = jobRunOf({ ...PLAIN_SPEC, tasks: 400, cpus: 0.01 });
 
 /** A worker with this many ordered tasks, which are to be stopped if `isCancelled`, and exited tasks that it may forget. */
 function workerWith(
--- a/test/simulation/heartbeat-size.ts
+++ b/test/simulation/heartbeat-size.ts
@@ -2,7 +2,7 @@
 
 /** Largest body of a request, in bytes (PROTOCOL). */
 export const MAX_BODY_BYTES = 64 * 1024;
-/** Fewer tasks than this never make a heartbeat too large: an entry takes 155 bytes at most. */
+/** Fewer tasks than this never make a heartbeat too large, whatever their names and numbers. */
 const FEW_TASKS = 300;
 
 /** Whether a worker can't send this heartbeat, because its body is larger than PROTOCOL allows. */
@@ -11,7 +11,7 @@
   Buffer.byteLength(heartbeatBody(heartbeat)) > MAX_BODY_BYTES;
 
 /** The body of a heartbeat, as workers send it. */
-export function heartbeatBody(heartbeat: Heartbeat): string {
+function heartbeatBody(heartbeat: Heartbeat): string {
   return JSON.stringify({
     berth: heartbeat.worker,
     address: heartbeat.address,
--- a/test/software-limits.test.ts
+++ b/test/software-limits.test.ts
@@ -223,13 +223,10 @@
 });
 
 test("exited tasks take places on their machine until it forgets them, tasks of any size one each", () => {
-  const world = new World(11);
-  world.run(5_000);
-  const context = world.nodes.get("node-a")!.core as unknown as Context;
-  const type = world.types[0]!;
+  const type = new World(11).types[0]!;
   const worker = newWorker(
     { ...heartbeatFrom("n-1", "east"), type: type.name },
-    { type, isProven: true, isReturning: false, nowMs: context.nowMs },
+    { type, isProven: true, isReturning: false, nowMs: 0 },
   );
   const ledger = new ResourceLedger();
   const need = { cpus: 0, gpus: 0, memGb: 0 };
