Simulate copies of carried-out commands, and show that a copied start runs a task twice

The timeline and the hypotheses are in docs/incidents/copied-start.md.

The simulation carried a delayed command out once and never delivered one again. Machines now receive copies of messages that they have carried out, at a rate, 0.1 s to four worker leases late, or when a test asks for one; what becomes of each is counted. Without a rate nothing changes: the copies draw from a generator of their own.

--- /dev/null
+++ b/test/coordination/machines/command-copies.test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { JobSpec } from "../../../src/coordination/model.js";
+import { plainJob } from "../../scenarios/stage.js";
+import type { SimWorker } from "../../simulation/machine.js";
+import type { CommandMessage } from "../../simulation/request-copies.js";
+import { cancel } from "../../simulation/workloads.js";
+import { World } from "../../simulation/world.js";
+
+/** Copies of direct commands that were carried out and answered long ago (docs/incidents/copied-start.md). */
+
+const LONGEST_WAIT_MS = 60_000;
+/** Makes a task run for minutes. */
+const LONG_RUN_FACTOR = 30;
+/** Long enough for a started task to get its image, to be reported and to be stopped. */
+const AFTERMATH_MS = 10_000;
+
+/** One controller, two machines that are up, and a job of one long task that was started by a direct command. */
+class StartedTask {
+  readonly world = new World(5, undefined, [], 1);
+  readonly spec: JobSpec;
+  private readonly sent: { machine: SimWorker; message: CommandMessage }[] = [];
+
+  constructor(failsAtFirst: boolean) {
+    const { world } = this;
+    world.loss = 0;
+    world.capacity = 0;
+    world.runFactor = failsAtFirst ? 0.1 : LONG_RUN_FACTOR;
+    for (let n = 0; n < 2; n++)
+      world.cloud.add(world.types[0]!, "east", false, 0);
+    world.onCommandsCarriedOut.push((machine, message) =>
+      this.sent.push({ machine, message }),
+    );
+    world.run(6_000);
+    this.spec = {
+      ...plainJob(world, 1),
+      kind: "array",
+      tasks: 1,
+      cpus: 2,
+      samePlace: false,
+      checkpointS: 0,
+    };
+    world.specs.set(this.spec.id, this.spec);
+    if (failsAtFirst)
+      for (const machine of world.workers) machine.faulty = true;
+    world.ask(
+      "node-a",
+      (reqId) => ({ type: "submit", reqId, spec: this.spec }),
+      () => {},
+    );
+    this.runUntil("the task runs", () => this.machines().length === 1);
+  }
+
+  /** The first message that started the task, and the machine that carried it out. */
+  get firstStart(): { machine: SimWorker; message: CommandMessage } {
+    return this.sent.find(({ message }) =>
+      message.commands.some(({ op }) => op === "start"),
+    )!;
+  }
+
+  /** Machines on which the task is now. */
+  machines(): SimWorker[] {
+    return this.world.workers.filter((machine) =>
+      [...machine.tasks.values()].some((task) => machine.occupiesMachine(task)),
+    );
+  }
+
+  runUntil(description: string, condition: () => boolean): void {
+    const untilMs = this.world.now + LONGEST_WAIT_MS;
+    while (!condition()) {
+      assert.ok(this.world.now < untilMs, `expected that ${description}`);
+      this.world.run(this.world.now + 10);
+    }
+  }
+
+  /** Delivers a copy of the first start, and returns the machine that gets it. */
+  deliverCopy(): SimWorker {
+    const { machine, message } = this.firstStart;
+    machine.receiveCopy(message);
+    assert.equal(this.world.copies.commandCounts.delivered, 1);
+    return machine;
+  }
+}
+
+test("a copy of a carried-out start does not run a task that failed, was removed from its machine and runs elsewhere", () => {
+  const task = new StartedTask(true);
+  const { machine: first } = task.firstStart;
+  for (const machine of task.world.workers) machine.faulty = machine === first;
+  task.runUntil("the task fails", () => task.machines().length === 0);
+  task.world.runFactor = LONG_RUN_FACTOR;
+  task.runUntil(
+    "it is removed and runs elsewhere",
+    () => first.tasks.size === 0 && task.machines().length === 1,
+  );
+  task.deliverCopy();
+  task.world.run(task.world.now + AFTERMATH_MS);
+  assert.deepEqual(task.world.checker.brokenRules, []);
+  assert.equal(first.tasks.size, 0, "the machine refused the copy");
+});
+
+test("a copy of a carried-out start does not run a task of a cancelled job that was removed from its machine", () => {
+  const task = new StartedTask(false);
+  const { world, spec } = task;
+  cancel(world, spec.id);
+  task.runUntil(
+    "the task is removed",
+    () => task.firstStart.machine.tasks.size === 0,
+  );
+  task.deliverCopy();
+  world.run(world.now + AFTERMATH_MS);
+  assert.equal(world.checker.startsAfterCancelled, 0);
+});
--- a/test/simulation/machine.ts
+++ b/test/simulation/machine.ts
@@ -10,6 +10,7 @@
   TaskState,
 } from "../../src/coordination/model.js";
 import { isTooLarge } from "./heartbeat-size.js";
+import type { CommandMessage, RequestCopies } from "./request-copies.js";
 import type { Rng } from "./rng.js";
 
 /** A task on a simulated machine. */
@@ -51,6 +52,11 @@
   readonly faultyJobs: ReadonlySet<string>;
   readonly results: Set<string>;
   readonly keptHeartbeats: Heartbeat[];
+  readonly copies: RequestCopies;
+  readonly onCommandsCarriedOut: readonly ((
+    machine: SimWorker,
+    message: CommandMessage,
+  ) => void)[];
   readonly onHeartbeat: readonly ((heartbeat: Heartbeat) => void)[];
   readonly onJobEnded: ((id: string) => void) | null;
   readonly commandHold:
@@ -375,8 +381,9 @@
         if (this.world.now - sentMs > 1_000) this.world.lateCommands++;
         if (this.isMute && commands.length > 0)
           this.world.commandsToMuteMachines++;
-        if (token > this.token) this.token = token;
-        for (const command of commands) this.execute(command);
+        const message = { token, incarnation, commands };
+        this.carryOut(message);
+        this.world.copies.draw("command", () => this.receiveCopy(message));
       }
       this.sequence++;
       if (!mayReply || this.oneWay || this.world.rng.chance(this.world.loss))
@@ -408,6 +415,37 @@
       () => handle(!held),
     );
   }
+  private carryOut(message: CommandMessage): void {
+    this.token = Math.max(this.token, message.token);
+    for (const command of message.commands) this.execute(command);
+    for (const notify of this.world.onCommandsCarriedOut) notify(this, message);
+  }
+  /** Receives a message of commands that was carried out before, perhaps before a restart. Nobody waits for the answer. */
+  receiveCopy(message: CommandMessage): void {
+    if (this.gone || !this.up) return;
+    if (this.hung) return this.world.at(300, () => this.receiveCopy(message));
+    this.expire();
+    const counts = this.world.copies.commandCounts;
+    counts.delivered++;
+    if (message.token < this.token) counts.refusedByToken++;
+    else if (message.incarnation !== this.incarnation)
+      counts.refusedByIncarnation++;
+    else this.carryOutCopy(message);
+    this.sequence++;
+  }
+  private carryOutCopy(message: CommandMessage): void {
+    const counts = this.world.copies.commandCounts;
+    counts.carriedOut++;
+    for (const { op, job, index, attempt } of message.commands) {
+      if (op !== "start") continue;
+      const isKnown = this.tasks.has(`${job}/${index}#${attempt}`);
+      if (isKnown) counts.knownAttempts++;
+      else counts.restartedAttempts++;
+    }
+    this.world.note(`${this.id} carries out a copy`, { ...message });
+    this.token = Math.max(this.token, message.token);
+    for (const command of message.commands) this.execute(command);
+  }
   inspect(node: string, done: (r: Heartbeat) => void): void {
     const processNumber = this.processCount;
     this.world.at(
--- a/test/simulation/world.ts
+++ b/test/simulation/world.ts
@@ -26,12 +26,14 @@
   SimTask,
   SimWorker,
 } from "./machine.js";
+import { type CommandMessage, RequestCopies } from "./request-copies.js";
 import { Rng } from "./rng.js";
 import { StateService, type StateServiceWorld } from "./state-service.js";
 
 /** Range of the extra delay of a packet that was lost and retransmitted, once or several times. */
 export const RETRANSMISSION_MS = [200, 1_500] as const;
 const RETRANSMISSION_SEED = 0x7cb;
+const COPY_SEED = 0xc09;
 
 export type CommitCall = Extract<StateCall, { op: "commit" }>;
 /** What happens to a transaction: how long until the store applies it, whether it is answered, and how long the reply takes. */
@@ -109,6 +111,8 @@
   readonly rng: Rng;
   /** A generator of its own, so that the draws of `rng` are the same with and without retransmissions. */
   private readonly retransmissions: Rng;
+  /** Late copies of requests that were carried out. */
+  readonly copies: RequestCopies;
   readonly state: StateService;
   readonly cloud: Cloud;
   readonly checker: Checker;
@@ -175,6 +179,11 @@
     commands: readonly Command[],
     channel: CommandChannel,
   ) => void)[] = [];
+  /** Called when a machine has carried out a message of direct commands, but not for copies of it. */
+  readonly onCommandsCarriedOut: ((
+    machine: SimWorker,
+    message: CommandMessage,
+  ) => void)[] = [];
   /** Called with each heartbeat that a machine sends. */
   readonly onHeartbeat: ((heartbeat: Heartbeat) => void)[] = [];
   /** Called with the input and the effects of each step of a controller. */
@@ -246,6 +255,11 @@
     for (const name of productionNames) this.production.add(name);
     this.rng = new Rng(seed);
     this.retransmissions = new Rng(seed ^ RETRANSMISSION_SEED);
+    this.copies = new RequestCopies(
+      new Rng(seed ^ COPY_SEED),
+      () => 1000 * this.settings.leaseS,
+      (delayMs, fn) => this.at(delayMs, fn),
+    );
     this.settings = {
       label: "",
       area: "",
