--- a/test/simulation/world.ts
+++ b/test/simulation/world.ts
@@ -489,30 +489,42 @@
           done({ kind: "redirect", leader: null });
         };
         if (this.isMeshCut(name, answer.leader)) return this.at(2_000, fail);
-        const relay = (onAnswer: (relayed: Answer | null) => void): void =>
-          this.ask(
-            answer.leader,
-            (reqId) => ({
-              type: "heartbeat",
-              reqId,
-              heartbeat: structuredClone(heartbeat),
-              relayed: true,
-            }),
-            onAnswer,
-          );
         this.at(this.rng.real(1, 5) + this.retransmissionMs(), () =>
-          relay((relayedAnswer) => {
+          this.relay(answer.leader, heartbeat, (relayedAnswer) => {
             this.notifyOnCommands(answer.leader, heartbeat, relayedAnswer);
             if (relayedAnswer?.kind === "commands")
               this.at(2, () => done(relayedAnswer));
             else fail();
-            this.copies.draw("relayedHeartbeat", () => relay(() => {}));
+            this.drawRelayCopy(answer.leader, heartbeat);
           }),
         );
       },
     );
   }
 
+  private relay(
+    leader: string,
+    heartbeat: Heartbeat,
+    onAnswer: (answer: Answer | null) => void,
+  ): void {
+    this.ask(
+      leader,
+      (reqId) => ({
+        type: "heartbeat",
+        reqId,
+        heartbeat: structuredClone(heartbeat),
+        relayed: true,
+      }),
+      onAnswer,
+    );
+  }
+
+  private drawRelayCopy(leader: string, heartbeat: Heartbeat): void {
+    this.copies.draw("relayedHeartbeat", () =>
+      this.relay(leader, heartbeat, () => {}),
+    );
+  }
+
   private notifyOnCommands(
     name: string,
     heartbeat: Heartbeat,
