Test raised tokens beside production, in a quiet store, and above the token of another partition

An upgrade test has production take over machines that have seen raised tokens, and hand them back: each leader's token is above all that the machines have seen, and they obey it. Two tests of machines fail if the leader does not write a change that it needs for a higher token, or does not raise its token above one that a machine shows.

--- a/test/coordination/machines/command-copies.test.ts
+++ b/test/coordination/machines/command-copies.test.ts
@@ -11,6 +11,8 @@
 
 const LONGEST_WAIT_MS = 60_000;
 const BACK_AFTER_MS = 500;
+/** More changes of the store than a cancellation and what follows from it cause. */
+const REVISIONS_AHEAD = 8;
 /** Makes a task run for minutes. */
 const LONG_RUN_FACTOR = 30;
 /** Long enough for a started task to get its image, to be reported and to be stopped. */
@@ -121,6 +123,33 @@
   expectCopyRefused(cancelledTask());
 });
 
+test("a machine forgets an exited task although nothing else changes the store, whose revision its token has reached", () => {
+  const task = new StartedTask(false);
+  const { world, spec } = task;
+  const { machine } = task.firstStart;
+  const { state } = world.nodes.get("node-a")!.core.leaders.get("node-a")!;
+  const worker = state.workers.get(machine.id)!;
+  worker.commandFence.raiseToken(world.state.epoch + REVISIONS_AHEAD);
+  const [key] = machine.tasks.keys();
+  worker.commandFence.noteSent(key!, world.clockOf("node-a"));
+  cancel(world, spec.id);
+  task.runUntil("the task is removed", () => machine.tasks.size === 0);
+  assert.equal(machine.token, worker.commandFence.token);
+  assert.deepEqual(world.checker.brokenRules, []);
+});
+
+test("a machine that shows a token above those of its leader gets a higher one, and takes commands again", () => {
+  const task = new StartedTask(false);
+  const { machine } = task.firstStart;
+  const { world } = task;
+  // The token of a leader whose partition the machine's zone belonged to before.
+  machine.token = world.state.epoch;
+  cancel(world, task.spec.id);
+  task.runUntil("the task is removed", () => machine.tasks.size === 0);
+  assert.equal(machine.incarnation, 1, "its lease was renewed");
+  assert.deepEqual(world.checker.brokenRules, []);
+});
+
 test("a copy of a carried-out start does not run a task of a cancelled job on a machine that is back within a second and remembers its token", () => {
   const task = cancelledTask();
   const { machine } = task.firstStart;
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -16,6 +16,7 @@
   completionKey,
   tasksInBlock,
   parseKey,
+  partitionKey,
   readCompletion,
   readJob,
   readCapacity,
@@ -563,6 +564,35 @@
   assert.ok(doneCount > 200, `${doneCount} dependent jobs done`);
 });
 
+test("production takes over machines that have seen raised tokens, and hands them back: they obey each leader, and the rules hold", () => {
+  const world = new World(3, undefined, [], 1);
+  world.capacity = 6;
+  submitWorkload(world, 90_000);
+  const tokenOfLeader = (): number =>
+    world.state.data.get(partitionKey("node-a"))?.version ?? Infinity;
+  const highestToken = (): number =>
+    Math.max(...world.workers.map(({ token }) => token));
+  const expectObeyed = (untilMs: number): void => {
+    const startsBefore = world.starts;
+    world.run(untilMs);
+    assert.ok(world.starts > startsBefore, "tasks are started");
+    assert.ok(highestToken() >= tokenOfLeader(), "its token was taken");
+  };
+  expectObeyed(30_000);
+  assert.ok(highestToken() > tokenOfLeader(), "tokens were raised");
+  for (const version of ["production", "present"] as const) {
+    const highestBefore = highestToken();
+    if (version === "production") world.production.add("node-a");
+    else world.production.delete("node-a");
+    world.crash("node-a");
+    world.boot("node-a");
+    expectObeyed(world.now + 30_000);
+    assert.ok(tokenOfLeader() > highestBefore, version);
+  }
+  world.run(150_000);
+  assert.deepEqual(world.checker.brokenRules, []);
+});
+
 test("an upgrade during which a late commit of production overwrites its registry: running tasks are not started twice", () => {
   const world = upgradeRun(OVERWRITTEN_REGISTRY_SEED, true);
   assert.deepEqual(
