Count the tasks of a restarted machine until it refuses copies of their starts

The leader had dropped the start from its record, since the machine had shown a higher token, which a restarted machine may have forgotten.

Change: after a restart any message that started the machine's tasks counts as one that may arrive, under the token used last, until the machine has shown a higher one; the tasks then go the way of all that are missing from their machine.

--- a/src/coordination/machines/command-fence.ts
+++ b/src/coordination/machines/command-fence.ts
@@ -7,8 +7,8 @@
 interface SentStart {
   /** Fencing token of the last of them, the highest. */
   readonly token: number;
-  /** When the last of them was sent. */
-  readonly sentMs: number;
+  /** When the last of them was sent; null if that is not known. */
+  readonly sentMs: number | null;
   /** Whether the worker has carried out one of them. */
   readonly isCarriedOut: boolean;
 }
@@ -114,6 +114,18 @@
     this.isHigherTokenRequested = false;
   }
 
+  /**
+   * The worker has restarted, perhaps without the tokens that it has seen: any message that started these attempts may be carried
+   * out again until it has shown a token above all that were used so far.
+   */
+  noteRestart(keys: Iterable<string>): void {
+    for (const key of keys) {
+      const { sentMs = null, isCarriedOut = true } = this.sent.get(key) ?? {};
+      this.sent.set(key, { token: this.nextToken, sentMs, isCarriedOut });
+    }
+    this.isHigherTokenRequested = true;
+  }
+
   /** The worker has begun a new incarnation, which refuses all messages to the former one. */
   clear(): void {
     this.sent.clear();
--- a/src/coordination/machines/inspection.ts
+++ b/src/coordination/machines/inspection.ts
@@ -10,7 +10,7 @@
 import type { Reconciliation } from "./reconciliation.js";
 import type { Worker } from "./worker-state.js";
 
-/** Finds out by a status query whether a machine restarted. If it did, releases the tasks that ran there. */
+/** Finds out by a status query whether a machine restarted. If it did, the tasks that ran there have ended. */
 export class MachineInspection {
   constructor(
     private readonly ctx: Context,
@@ -81,7 +81,7 @@
     });
     this.deliveries.noteRestart(worker);
     this.resetWorker(worker, status);
-    this.state.releaseRestarted(worker);
+    this.state.noteRestart(worker);
     this.state.registerUnlessReturning(worker);
     this.reconciliation.reconcile(worker, status.tasks, false);
     this.state.noteIdle(worker);
--- a/src/coordination/machines/reconciliation.ts
+++ b/src/coordination/machines/reconciliation.ts
@@ -240,10 +240,14 @@
       incarnation: worker.incarnation,
       shownToken: worker.token,
       startToken: start?.token ?? null,
-      startSentMsAgo: start ? Math.round(this.ctx.nowMs - start.sentMs) : null,
+      startSentMsAgo: this.msSince(start?.sentMs ?? null),
     });
   }
 
+  private msSince(timeMs: number | null): number | null {
+    return timeMs === null ? null : Math.round(this.ctx.nowMs - timeMs);
+  }
+
   private noteImage(worker: Worker, task: TaskRun): void {
     const { image, imageGb } = task.job.view.spec;
     if (!image) return;
--- a/src/coordination/scheduling/partition-state.ts
+++ b/src/coordination/scheduling/partition-state.ts
@@ -45,7 +45,6 @@
   | "machine unreachable"
   | "lease ended"
   | "new incarnation"
-  | "machine restarted"
   | "machine returned";
 
 /** Machines that may take tasks, and the ids of those among them that are reserved for short tasks. */
@@ -310,15 +309,9 @@
     this.noteIdle(worker);
   }
 
-  /**
-   * Queues the tasks of a restarted machine again. A task whose start may arrive once more stays until the machine has shown a
-   * higher token.
-   */
-  releaseRestarted(worker: Worker): void {
-    for (const [key, task] of [...worker.tasks])
-      if (worker.commandFence.mayArrive(key))
-        worker.commandFence.requestHigherToken();
-      else this.requeue(task, "machine restarted");
+  /** A machine has restarted. Its tasks have ended, but count until it refuses copies of the messages that started them. */
+  noteRestart(worker: Worker): void {
+    worker.commandFence.noteRestart(worker.tasks.keys());
     this.ledger.clearUnconfirmed(worker);
     this.noteIdle(worker);
   }
--- a/test/coordination/machines/command-copies.test.ts
+++ b/test/coordination/machines/command-copies.test.ts
@@ -11,6 +11,7 @@
 
 const LONGEST_WAIT_MS = 60_000;
 const BACK_AFTER_MS = 500;
+const NOTICE_MS = 300_000;
 /** More changes of the store than a cancellation and what follows from it cause. */
 const REVISIONS_AHEAD = 8;
 /** Makes a task run for minutes. */
@@ -101,6 +102,11 @@
   assert.equal(first.tasks.size, 0, "the machine refused the copy");
 });
 
+const taskKeyOn = (machine: SimWorker): string => [...machine.tasks.keys()][0]!;
+
+const hasNoticedRestart = (world: World): boolean =>
+  world.logs.some((line) => line.includes("machine restarted"));
+
 /** A job of one task that was started, cancelled and removed from its machine. */
 function cancelledTask(): StartedTask {
   const task = new StartedTask(false);
@@ -130,8 +136,7 @@
   const { state } = world.nodes.get("node-a")!.core.leaders.get("node-a")!;
   const worker = state.workers.get(machine.id)!;
   worker.commandFence.raiseToken(world.state.epoch + REVISIONS_AHEAD);
-  const [key] = machine.tasks.keys();
-  worker.commandFence.noteSent(key!, world.clockOf("node-a"));
+  worker.commandFence.noteSent(taskKeyOn(machine), world.clockOf("node-a"));
   cancel(world, spec.id);
   task.runUntil("the task is removed", () => machine.tasks.size === 0);
   assert.equal(machine.token, worker.commandFence.token);
@@ -150,6 +155,29 @@
   assert.deepEqual(world.checker.brokenRules, []);
 });
 
+test("a copy of a carried-out start does not run a task that its machine lost with a restart and that runs elsewhere", () => {
+  const task = new StartedTask(false);
+  const { machine } = task.firstStart;
+  const { world } = task;
+  const { state } = world.nodes.get("node-a")!.core.leaders.get("node-a")!;
+  const { commandFence } = state.workers.get(machine.id)!;
+  // It gets no further tasks.
+  machine.noticeMs = world.now + NOTICE_MS;
+  // The machine refuses copies before its restart, and has forgotten that after it.
+  commandFence.raiseToken(world.state.epoch);
+  task.runUntil(
+    "the machine shows the raised token",
+    () => !commandFence.mayArrive(taskKeyOn(machine)),
+  );
+  machine.restart(BACK_AFTER_MS);
+  task.runUntil("its restart is noticed", () => hasNoticedRestart(world));
+  machine.isMute = true;
+  task.runUntil("the task runs elsewhere", () => task.machines().length === 1);
+  machine.receiveCopy(task.firstStart.message);
+  world.run(world.now + AFTERMATH_MS);
+  assert.deepEqual(world.checker.brokenRules, []);
+});
+
 test("a copy of a carried-out start does not run a task of a cancelled job on a machine that is back within a second and remembers its token", () => {
   const task = cancelledTask();
   const { machine } = task.firstStart;
