--- a/test/coordination/machines/command-copies.test.ts
+++ b/test/coordination/machines/command-copies.test.ts
@@ -77,12 +77,11 @@
     }
   }
 
-  /** Delivers a copy of the first start, and returns the machine that gets it. */
-  deliverCopy(): SimWorker {
+  /** Delivers a copy of the first start to the machine that carried it out. */
+  deliverCopy(): void {
     const { machine, message } = this.firstStart;
     machine.receiveCopy(message);
     assert.equal(this.world.copies.commandCounts.received, 1);
-    return machine;
   }
 }
 
--- a/test/scenarios/command-copies.ts
+++ b/test/scenarios/command-copies.ts
@@ -6,6 +6,7 @@
 import type { SimWorker } from "../simulation/machine.js";
 import type { CommandMessage } from "../simulation/request-copies.js";
 import type { World } from "../simulation/world.js";
+import { attemptKey } from "../../src/coordination/machines/worker-state.js";
 import type { Command, ExitCause } from "../../src/coordination/model.js";
 import {
   Occurrences,
@@ -48,8 +49,8 @@
   readonly delivered: Set<Situation>;
 }
 
-const keyOf = ({ job, index, attempt }: Omit<Start, "op">): string =>
-  `${job}/${index}#${attempt}`;
+const keyOf = ({ job, index, attempt }: Start): string =>
+  attemptKey(job, index, attempt);
 
 /** Delivers copies of carried-out starts in each of the situations, and counts them. */
 class CopyDelivery {
--- a/test/simulation/hunt.ts
+++ b/test/simulation/hunt.ts
@@ -10,7 +10,6 @@
   drawExtendedFaults,
   playCancellationGap,
   playBasic,
-  type PlayedWorkload,
   playExtended,
   shrink,
   type InjectedFault,
@@ -46,66 +45,58 @@
   return { world, comesToRest: true };
 }
 
-const drawnWorkload = (
-  { world, occurred: counts }: PlayedWorkload,
-  minimalFaults?: HuntedWorkload["minimalFaults"],
-): HuntedWorkload => ({
-  world,
-  occurred: Object.entries(counts),
-  minimalFaults,
-});
+/** What became of the copies of requests. */
+const copyCounts = ({ copies }: World): [string, number][] => [
+  ...Object.entries(copies.delivered).map(([kind, times]): [string, number] => [
+    `copies delivered: ${kind}`,
+    times,
+  ]),
+  ["copied transactions committed again", copies.committedAgain],
+  ...Object.entries<number>({ ...copies.commandCounts }),
+];
 
-const withCopyCounts = (played: PlayedWorkload): HuntedWorkload => ({
-  world: played.world,
-  occurred: [
-    ...Object.entries(played.occurred),
-    ...Object.entries(played.world.copies.delivered).map(
-      ([kind, times]): [string, number] => [`copies delivered: ${kind}`, times],
-    ),
-    ["copied transactions committed again", played.world.copies.committedAgain],
-    ...Object.entries(played.world.copies.commandCounts),
-  ],
-});
+/** The network in the kinds "lossy-..." and "copied-...". */
+const LOSSY: Network = { retransmissionRate: 0.1 };
+const COPYING: Network = { copyRate: 0.3 };
+
+/** Workloads with drawn faults in such a network. */
+const drawn =
+  (
+    play: typeof playBasic,
+    drawFaults: (seed: number) => InjectedFault[],
+    network: Network = {},
+  ) =>
+  (seed: number): HuntedWorkload => {
+    const { world, occurred } = play(seed, drawFaults(seed), network);
+    return {
+      world,
+      occurred: [
+        ...Object.entries(occurred),
+        ...(network.copyRate === undefined ? [] : copyCounts(world)),
+      ],
+      minimalFaults: () =>
+        shrink(seed, drawFaults(seed), (s, faults) => play(s, faults, network)),
+    };
+  };
+
+function gap(seed: number): HuntedWorkload {
+  const { world, occurred } = playCancellationGap(seed);
+  return { world, occurred: Object.entries(occurred) };
+}
 
 const KINDS: Readonly<Record<string, (seed: number) => HuntedWorkload>> = {
   upgrade,
   nights: (seed) => ({ world: playFailureScenario(seed), comesToRest: true }),
-  gap: (seed) => drawnWorkload(playCancellationGap(seed)),
-  meetings: (seed) =>
-    drawnWorkload(playBasic(seed, drawBasicFaults(seed)), () =>
-      shrink(seed, drawBasicFaults(seed)),
-    ),
-  more: (seed) =>
-    drawnWorkload(playExtended(seed, drawExtendedFaults(seed)), () =>
-      shrink(seed, drawExtendedFaults(seed), playExtended),
-    ),
-  "lossy-meetings": (seed) =>
-    drawnWorkload(playBasic(seed, drawBasicFaults(seed), LOSSY), () =>
-      shrink(seed, drawBasicFaults(seed), (s, faults) =>
-        playBasic(s, faults, LOSSY),
-      ),
-    ),
-  "lossy-more": (seed) =>
-    drawnWorkload(playExtended(seed, drawExtendedFaults(seed), LOSSY), () =>
-      shrink(seed, drawExtendedFaults(seed), (s, faults) =>
-        playExtended(s, faults, LOSSY),
-      ),
-    ),
-  "copied-meetings": (seed) => {
-    const played = playBasic(seed, drawBasicFaults(seed), COPYING);
-    return withCopyCounts(played);
-  },
-  "copied-more": (seed) => {
-    const played = playExtended(seed, drawExtendedFaults(seed), COPYING);
-    return withCopyCounts(played);
-  },
+  gap,
+  meetings: drawn(playBasic, drawBasicFaults),
+  more: drawn(playExtended, drawExtendedFaults),
+  "lossy-meetings": drawn(playBasic, drawBasicFaults, LOSSY),
+  "lossy-more": drawn(playExtended, drawExtendedFaults, LOSSY),
+  "copied-meetings": drawn(playBasic, drawBasicFaults, COPYING),
+  "copied-more": drawn(playExtended, drawExtendedFaults, COPYING),
   ...SCENARIOS,
 };
 
-/** The network in the kinds "lossy-..." and "copied-...". */
-const LOSSY: Network = { retransmissionRate: 0.1 };
-const COPYING: Network = { copyRate: 0.3 };
-
 /** Most jobs that may be unfinished in a workload that had time to end. */
 const MOST_OPEN = 2;
 
--- a/test/simulation/machine.ts
+++ b/test/simulation/machine.ts
@@ -433,9 +433,12 @@
       () => handle(!held),
     );
   }
+  private executeMessage({ token, commands }: CommandMessage): void {
+    this.token = Math.max(this.token, token);
+    for (const command of commands) this.execute(command);
+  }
   private carryOut(message: CommandMessage): void {
-    this.token = Math.max(this.token, message.token);
-    for (const command of message.commands) this.execute(command);
+    this.executeMessage(message);
     for (const notify of this.world.onCommandsCarriedOut) notify(this, message);
   }
   /** Receives a message of commands that was carried out before, perhaps before a restart. Nobody waits for the answer. */
@@ -461,8 +464,7 @@
       else counts.restartedAttempts++;
     }
     this.world.note(`${this.id} carries out a copy`, { ...message });
-    this.token = Math.max(this.token, message.token);
-    for (const command of message.commands) this.execute(command);
+    this.executeMessage(message);
   }
   inspect(node: string, done: (r: Heartbeat) => void): void {
     const processNumber = this.processCount;
