Send webhooks to the URL as it was judged, so that HTTPS:// does not end the controller

What callers saw: a webhook added as HTTPS://... got 201; once a job had ended, the controller that sends for it ended with exit code 1, and again after each start, for as long as the webhook existed. A blank before the scheme did the same.

Cause: the check of a URL judged the parsed one, whose scheme is in small letters; the request was made by the text as given, so an https URL got the agent for http, and http.request() threw.

Change: the URL is parsed once, and that is what is sent to. A request that can't be formed is a failed attempt with the reason refused, as in the HTTP client of the controllers' own calls.

--- a/src/webhooks/webhook-sender.ts
+++ b/src/webhooks/webhook-sender.ts
@@ -79,8 +79,12 @@
 
   /** Why no notification can be sent to a URL; null if nothing speaks against it. Host names are not resolved here. */
   urlProblem(text: string): string | null {
-    if (!URL.canParse(text)) return "not a URL";
-    const url = new URL(text);
+    return URL.canParse(text)
+      ? this.parsedUrlProblem(new URL(text))
+      : "not a URL";
+  }
+
+  private parsedUrlProblem(url: URL): string | null {
     if (
       url.protocol !== "https:" &&
       !(url.protocol === "http:" && this.settings.allowHttp)
@@ -102,8 +106,10 @@
     webhook: string,
     request: AttemptRequest,
   ): Promise<AttemptResult> {
-    const problem = this.urlProblem(request.subscription.url);
-    if (problem !== null) return { is: "failed", reason: "blocked" };
+    const urlText = request.subscription.url;
+    if (this.urlProblem(urlText) !== null)
+      return { is: "failed", reason: "blocked" };
+    const url = new URL(urlText);
     const keys = request.subscription.keys
       .map((k) => this.settings.keys.get(k))
       .filter((k) => k !== undefined);
@@ -113,7 +119,7 @@
       const check = await this.sendRequest(
         attemptId,
         "GET",
-        request.subscription.url,
+        url,
         this.headers(webhook, request, keys, ""),
         null,
         deadlineAtMs,
@@ -127,7 +133,7 @@
     return this.sendRequest(
       attemptId,
       "POST",
-      request.subscription.url,
+      url,
       {
         ...this.headers(webhook, request, keys, body),
         "content-type": "application/json",
@@ -163,13 +169,15 @@
   private sendRequest(
     attemptId: number,
     method: "GET" | "POST",
-    url: string,
+    url: URL,
     headers: http.OutgoingHttpHeaders,
     body: string | null,
     deadlineAtMs: number,
   ): Promise<AttemptResult> {
+    const clientRequest = this.formRequest(url, method, headers);
+    if (clientRequest instanceof Error)
+      return Promise.resolve({ is: "failed", reason: "refused" });
     return new Promise((resolve) => {
-      const secure = url.startsWith("https:");
       let connected = false;
       let finished = false;
       const finish = (result: AttemptResult): void => {
@@ -185,33 +193,29 @@
         Math.max(1, deadlineAtMs - performance.now()),
       );
       this.abortByAttempt.set(attemptId, () => finish({ is: "aborted" }));
-      const clientRequest = (secure ? https : http).request(
-        url,
-        { method, headers, agent: secure ? this.httpsAgent : this.httpAgent },
-        (response) => {
-          const finishWithStatus = (): void =>
-            finish({
-              is: "answered",
-              status: response.statusCode ?? 0,
-              retryAfterMs: retryAfterMs(
-                response.headers["retry-after"],
-                Date.now(),
-              ),
-            });
-          let bytesRead = 0;
-          // Only the status matters. The body is read, up to a limit, so that the connection can be reused.
-          response.on("data", (chunk: Buffer) => {
-            bytesRead += chunk.length;
-            if (bytesRead > this.settings.maxAnswerBytes) {
-              finishWithStatus();
-              clientRequest.destroy();
-            }
+      clientRequest.on("response", (response) => {
+        const finishWithStatus = (): void =>
+          finish({
+            is: "answered",
+            status: response.statusCode ?? 0,
+            retryAfterMs: retryAfterMs(
+              response.headers["retry-after"],
+              Date.now(),
+            ),
           });
-          response.on("end", finishWithStatus);
-          response.on("error", finishWithStatus);
-          response.on("close", finishWithStatus);
-        },
-      );
+        let bytesRead = 0;
+        // Only the status matters. The body is read, up to a limit, so that the connection can be reused.
+        response.on("data", (chunk: Buffer) => {
+          bytesRead += chunk.length;
+          if (bytesRead > this.settings.maxAnswerBytes) {
+            finishWithStatus();
+            clientRequest.destroy();
+          }
+        });
+        response.on("end", finishWithStatus);
+        response.on("error", finishWithStatus);
+        response.on("close", finishWithStatus);
+      });
       clientRequest.on("socket", (socket) => {
         // A reused connection: its address was checked when it was opened.
         if (!socket.connecting) {
@@ -233,6 +237,22 @@
     });
   }
 
+  /** A request that is not sent yet, or why it can't be formed. */
+  private formRequest(
+    url: URL,
+    method: "GET" | "POST",
+    headers: http.OutgoingHttpHeaders,
+  ): http.ClientRequest | Error {
+    // Of the parsed URL, as `urlProblem` judges it: in the text, the scheme may be in capitals or follow a blank.
+    const isSecure = url.protocol === "https:";
+    const agent = isSecure ? this.httpsAgent : this.httpAgent;
+    try {
+      return (isSecure ? https : http).request(url, { method, headers, agent });
+    } catch (error) {
+      return error as Error;
+    }
+  }
+
   abort(attemptId: number): void {
     this.abortByAttempt.get(attemptId)?.();
   }
--- a/test/webhooks/webhook-sending.test.ts
+++ b/test/webhooks/webhook-sending.test.ts
@@ -452,6 +452,34 @@
   }
 });
 
+// Guards against a controller that ends after each start: `HTTPS:` was judged as https and sent with the agent for http, which throws.
+test("a URL is used as it is judged, in capitals or after a blank, and what can't be formed is a failed attempt", async (t) => {
+  const server = http.createServer((_, res) => void res.writeHead(204).end());
+  const text = await serve(t, server);
+  for (const url of [`HTTP${text}/in`, ` http${text}/in`, `hTTp${text}`])
+    assert.deepEqual(
+      await newSender().attempt(1, "h", request(url)),
+      { is: "answered", status: 204, retryAfterMs: null },
+      url,
+    );
+  for (const scheme of ["https", "HTTPS", " https", "\thTTps"]) {
+    const url = `${scheme}${text}/in`;
+    assert.equal(newSender().urlProblem(url), null, url);
+    // The server speaks no TLS.
+    const result = await newSender().attempt(1, "h", request(url));
+    assert.equal(result.is, "failed", url);
+  }
+  assert.deepEqual(
+    // A header that can't be sent.
+    await newSender({ userAgent: "a\nb" }).attempt(
+      1,
+      "h",
+      request(`http${text}/in`),
+    ),
+    { is: "failed", reason: "refused" },
+  );
+});
+
 test("a certificate that expires between two connections is rejected, although the TLS session could be resumed", async (t) => {
   const day = 86_400_000;
   const valid = await certificate(-day, day);
