Give every promise that the process starts an outcome, so that no rejection ends a controller

Cause: the process starts calls with `void` and relies on their having an outcome in every case, which nothing ensured. The same for the calls behind a rate limit, and for a peer's request: a relayed heartbeat on which the core throws ended the process, where HTTP answers 503.

Change: `settled` gives a call that throws or rejects a fallback as its outcome. For an attempt of a webhook that is a failed attempt which the receiver may have; for the core's calls and those of webhooks one without an answer, so that whoever waits goes on; for a peer's request 500. The error is logged and counted ("internal error in a call"). A core that throws on another input still ends the process, as before and on purpose.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,6 +9,7 @@
   Answer,
   CloudCall,
   CloudReply,
+  CommandReply,
   Effect,
   Input,
 } from "../coordination/effects.js";
@@ -27,6 +28,7 @@
   listen,
   toHttp,
 } from "../transport/http-server.js";
+import { asError, settled } from "../transport/settled.js";
 import { WorkerClient } from "../transport/worker-client.js";
 
 const TICK_MS = 200;
@@ -105,6 +107,7 @@
     this.mesh = new PeerMesh(settings, {
       serve: (type, body) => this.serve(type, body),
       storeReachable: () => this.state.isReachable,
+      reportError: (error) => this.reportError(error),
     });
     this.state.peers = this.mesh;
   }
@@ -289,6 +292,30 @@
     );
   }
 
+  /** A call failed with an error instead of an outcome. */
+  reportFailedCall(thrown: unknown): void {
+    const error = asError(thrown);
+    this.faults++;
+    this.writeUncounted(
+      logEntry("internal error in a call", {
+        err: error,
+        stack: error.stack,
+        faults: this.faults,
+      }),
+    );
+  }
+
+  /** Passes the outcome of a call to the core; `fallback` if it fails with an error, so that the core gets the reply it waits for. */
+  private passOn<Outcome>(
+    call: () => Promise<Outcome>,
+    fallback: Outcome,
+    toInput: (outcome: Outcome) => Input,
+  ): void {
+    void settled(call, fallback, (error) => this.reportFailedCall(error)).then(
+      (outcome) => this.feed(toInput(outcome)),
+    );
+  }
+
   /**
    * Rejects if the core throws, so that only this request fails. If the core throws on any other input, the process ends, since
    * the core would never get the reply that it waits for. After the restart it recovers from the stored records.
@@ -301,7 +328,7 @@
         this.feed(input(reqId));
       } catch (error) {
         this.pendingRequests.delete(reqId);
-        reject(error instanceof Error ? error : new Error(String(error)));
+        reject(asError(error));
       }
     });
   }
@@ -350,17 +377,58 @@
       );
   }
 
-  private async sendCommand(
-    effect: Extract<Effect, { type: "workerCommand" }>,
-  ): Promise<void> {
-    const { callId, address, token, incarnation, commands } = effect;
-    const reply = await this.workers.command(
-      address,
-      token,
-      incarnation,
-      commands,
+  private sendCommand({
+    callId,
+    address,
+    token,
+    incarnation,
+    commands,
+  }: Extract<Effect, { type: "workerCommand" }>): void {
+    this.passOn<CommandReply>(
+      () => this.workers.command(address, token, incarnation, commands),
+      { kind: "unknown" },
+      (reply) => ({ type: "commandReply", callId, reply }),
+    );
+  }
+
+  private sendStoreCall({
+    callId,
+    call,
+    priority,
+  }: Extract<Effect, { type: "storeCall" }>): void {
+    const startMs = performance.now();
+    this.passOn(
+      () => this.callState(call, priority),
+      {
+        reply: { is: "unknown", why: "internal error" },
+        sentMs: startMs,
+      },
+      ({ reply, sentMs }) => ({ type: "storeReply", callId, reply, sentMs }),
+    );
+  }
+
+  private sendCloudCall({
+    callId,
+    call,
+    priority,
+  }: Extract<Effect, { type: "cloudCall" }>): void {
+    this.passOn<CloudReply>(
+      () => this.callCloud(call, priority),
+      { kind: "failed", why: "internal error" },
+      (reply) => ({ type: "cloudReply", callId, reply }),
+    );
+  }
+
+  private sendInspection({
+    callId,
+    address,
+    fence,
+  }: Extract<Effect, { type: "inspect" }>): void {
+    this.passOn(
+      () => this.workers.inspect(address, fence),
+      null,
+      (heartbeat) => ({ type: "inspectReply", callId, heartbeat }),
     );
-    this.feed({ type: "commandReply", callId, reply });
   }
 
   private execute(e: Effect): void {
@@ -371,29 +439,19 @@
         this.pendingRequests.delete(e.reqId);
         break;
       case "storeCall":
-        void this.callState(e.call, e.priority).then(({ reply, sentMs }) =>
-          this.feed({ type: "storeReply", callId: e.callId, reply, sentMs }),
-        );
+        this.sendStoreCall(e);
         break;
       case "cloudCall":
-        void this.callCloud(e.call, e.priority).then((reply) =>
-          this.feed({ type: "cloudReply", callId: e.callId, reply }),
-        );
+        this.sendCloudCall(e);
         break;
       case "storeChanges":
         for (const x of this.extensions) x.onStoreChanges?.(e);
         break;
       case "workerCommand":
-        void this.sendCommand(e);
+        this.sendCommand(e);
         break;
       case "inspect":
-        void this.workers.inspect(e.address, e.fence).then((heartbeat) =>
-          this.feed({
-            type: "inspectReply",
-            callId: e.callId,
-            heartbeat,
-          }),
-        );
+        this.sendInspection(e);
         break;
       case "wake":
         setTimeout(() => this.feed({ type: "wake" }), e.afterMs);
--- a/src/daemon/extensions.ts
+++ b/src/daemon/extensions.ts
@@ -33,6 +33,7 @@
         metrics?.webhookSettled(outcome, tookMs),
       attemptEnded: (outcome, tookMs) =>
         metrics?.webhookAttempted(outcome, tookMs),
+      callFailed: (error) => daemon.reportFailedCall(error),
     },
   );
   metrics?.watchWebhooks(() => webhooks.figures);
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -34,6 +34,13 @@
     /** Number of such errors since the start of the process. */
     faults: number;
   };
+  /** A call to another process failed with an unexpected error. It counts as one without an answer. */
+  "internal error in a call": {
+    err: Error;
+    stack: string | undefined;
+    /** Number of such errors and of those while serving requests since the start of the process. */
+    faults: number;
+  };
   /** A message was not sent because the leadership lease expired after the decision to send it. */
   "message withheld after leadership lease expiry": {
     /** The kind of effect. */
@@ -446,6 +453,7 @@
   "internal error while serving a request": error(
     "fault while serving a request",
   ),
+  "internal error in a call": { level: "error", formerMessage: null },
   "message withheld after leadership lease expiry": warn(
     "not sent, for its permit ended before it could leave",
   ),
--- a/src/storage/store-client.ts
+++ b/src/storage/store-client.ts
@@ -126,7 +126,7 @@
     priority: number,
     send: () => Promise<StateReply>,
   ): Promise<TimedReply> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const writes = call.op === "commit" ? call.writes.length : 0;
       this.limiter.add({
         priority,
@@ -139,7 +139,7 @@
           }),
         run: () => {
           const sentMs = performance.now();
-          void send().then((reply) => resolve({ reply, sentMs }));
+          void send().then((reply) => resolve({ reply, sentMs }), reject);
         },
       });
     });
--- a/src/transport/cloud-client.ts
+++ b/src/transport/cloud-client.ts
@@ -15,6 +15,8 @@
 import { HttpClient, parseJson } from "./http-client.js";
 import { RateLimiter } from "./rate-limiter.js";
 
+const ANSWER_TIMEOUT_MS = 4_000;
+
 function toRequest(call: CloudCall): {
   method: "GET" | "POST";
   path: string;
@@ -81,26 +83,30 @@
   }
 
   call(call: CloudCall, priority: number): Promise<CloudReply> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       this.limiter.add({
         priority: priority,
         cost: [1],
         deadlineMs: performance.now() + 10_000,
         refuse: () => resolve({ kind: "failed", why: OWN_RATE_LIMIT }),
-        run: () => {
-          const { method, path, body } = toRequest(call);
-          const { host, port } = this.settings.cloud;
-          void this.httpClient
-            .fetch(host, port, method, path, body, 4_000)
-            .then((outcome) =>
-              resolve(
-                outcome.kind === "answered"
-                  ? toReply(call, outcome.status, parseJson(outcome.body))
-                  : { kind: "failed", why: outcome.reason },
-              ),
-            );
-        },
+        run: () => void this.send(call).then(resolve, reject),
       });
     });
   }
+
+  private async send(call: CloudCall): Promise<CloudReply> {
+    const { method, path, body } = toRequest(call);
+    const { host, port } = this.settings.cloud;
+    const outcome = await this.httpClient.fetch(
+      host,
+      port,
+      method,
+      path,
+      body,
+      ANSWER_TIMEOUT_MS,
+    );
+    return outcome.kind === "answered"
+      ? toReply(call, outcome.status, parseJson(outcome.body))
+      : { kind: "failed", why: outcome.reason };
+  }
 }
--- a/src/transport/peer-mesh.ts
+++ b/src/transport/peer-mesh.ts
@@ -8,6 +8,7 @@
   FrameReader,
   MAX_FRAME_BYTES,
 } from "../protocol/frames.js";
+import { asError, settled } from "./settled.js";
 
 const PING_INTERVAL_MS = 1_000;
 /** A peer that has sent no frame for this long counts as unreachable. */
@@ -39,6 +40,8 @@
 
 /** Replaces a reply that does not fit into a frame. */
 const TOO_LARGE = { status: 500, body: "" };
+/** The reply to a request that could not be handled because of an internal error. */
+const FAILED = { status: 500, body: "" };
 /** Rejects a request beyond `maxInFlight`. The requests in progress are not affected. */
 const OVERLOADED = { status: 503, body: "" };
 
@@ -50,6 +53,8 @@
   ): Promise<{ status: number; body: string }>;
   /** Whether the state service answers this controller's own calls. */
   storeReachable(): boolean;
+  /** Called when `serve` threw an unexpected error. */
+  reportError(error: Error): void;
 }
 
 interface Peer {
@@ -227,6 +232,21 @@
     });
   }
 
+  /** The reply to a peer's request. */
+  private async serve(
+    type: typeof Frame.Heartbeat | typeof Frame.StoreCall,
+    body: string,
+  ): Promise<{ status: number; body: string }> {
+    const reply = await settled(
+      () => this.handlers.serve(type, body),
+      FAILED,
+      (error) => this.handlers.reportError(asError(error)),
+    );
+    const isTooLarge =
+      Buffer.byteLength(reply.body) > MAX_FRAME_BYTES - OVERHEAD_BYTES;
+    return isTooLarge ? TOO_LARGE : reply;
+  }
+
   private accept(socket: net.Socket): void {
     const reader = new FrameReader();
     this.accepted.add(socket);
@@ -266,18 +286,13 @@
             continue;
           }
           inProgress++;
-          void this.handlers
-            .serve(frame.type, frame.payload.toString("utf8"))
-            .then((reply) => {
+          void this.serve(frame.type, frame.payload.toString("utf8")).then(
+            (reply) => {
               inProgress--;
-              if (
-                Buffer.byteLength(reply.body) >
-                MAX_FRAME_BYTES - OVERHEAD_BYTES
-              )
-                reply = TOO_LARGE;
               if (!socket.destroyed)
                 socket.write(encodeReply(frame.id, reply.status, reply.body));
-            });
+            },
+          );
         } else {
           socket.destroy();
           return;
--- a/src/webhooks/index.ts
+++ b/src/webhooks/index.ts
@@ -7,6 +7,8 @@
 import type { Effect } from "../coordination/effects.js";
 import type { LogEntry } from "../logging/events.js";
 import type { StateCall, StateReply } from "../protocol/state.js";
+import { settled } from "../transport/settled.js";
+import type { AttemptResult } from "./delivery.js";
 import {
   WebhookCore,
   type WebhookEffect,
@@ -28,10 +30,19 @@
   /** For metrics. */
   notificationSettled(outcome: "delivered" | "dead", tookMs: number): void;
   attemptEnded(outcome: string, tookMs: number): void;
+  /** A call failed in a way that it never should. */
+  callFailed(error: unknown): void;
 }
 
 const REQUEST_TIMEOUT_MS = 5_000;
 
+/** The outcome of an attempt as the metrics name it. */
+function outcomeLabel(result: AttemptResult): string {
+  if (result.is === "failed") return result.reason;
+  if (result.is === "answered") return `${Math.floor(result.status / 100)}xx`;
+  return result.is;
+}
+
 /** Runs the webhook core: carries out its effects and passes it the results, user requests and changes. */
 export class Webhooks {
   private readonly core: WebhookCore;
@@ -108,36 +119,44 @@
     for (const effect of this.core.step(input, performance.now(), Date.now()))
       this.carryOut(effect);
   }
+
+  private callStore({
+    callId,
+    call,
+    priority,
+  }: Extract<WebhookEffect, { type: "state" }>): void {
+    void settled(
+      () => this.host.callStore(call, priority),
+      { is: "unknown", why: "internal error" },
+      (error) => this.host.callFailed(error),
+    ).then((reply) => this.step({ type: "state", callId, reply }));
+  }
+
+  /** Whatever goes wrong on the way to the request is a failed attempt; the receiver may have it, since that is not known. */
+  private attempt({
+    attemptId,
+    webhook,
+    request,
+  }: Extract<WebhookEffect, { type: "attempt" }>): void {
+    const sentMs = performance.now();
+    void settled<AttemptResult>(
+      () => this.sender.attempt(attemptId, webhook, request),
+      { is: "failed", reason: "reset" },
+      (error) => this.host.callFailed(error),
+    ).then((result) => {
+      this.host.attemptEnded(outcomeLabel(result), performance.now() - sentMs);
+      this.step({ type: "attempted", attemptId, result });
+    });
+  }
+
   private carryOut(effect: WebhookEffect): void {
     switch (effect.type) {
       case "state":
-        void this.host
-          .callStore(effect.call, effect.priority)
-          .then((reply) =>
-            this.step({ type: "state", callId: effect.callId, reply }),
-          );
+        this.callStore(effect);
         break;
-      case "attempt": {
-        const sentMs = performance.now();
-        void this.sender
-          .attempt(effect.attemptId, effect.webhook, effect.request)
-          .then((result) => {
-            this.host.attemptEnded(
-              result.is === "failed"
-                ? result.reason
-                : result.is === "answered"
-                  ? `${Math.floor(result.status / 100)}xx`
-                  : result.is,
-              performance.now() - sentMs,
-            );
-            this.step({
-              type: "attempted",
-              attemptId: effect.attemptId,
-              result,
-            });
-          });
+      case "attempt":
+        this.attempt(effect);
         break;
-      }
       case "abort":
         this.sender.abort(effect.attemptId);
         break;
--- a/test/software-limits.test.ts
+++ b/test/software-limits.test.ts
@@ -298,6 +298,7 @@
   senderSockets: number,
   receiverSockets: number,
   serve: () => Promise<{ status: number; body: string }>,
+  reportError: (error: Error) => void = () => {},
 ): Promise<PeerMesh> {
   const [eastPort, westPort] = [await freePort(), await freePort()];
   const east = { label: "east", port: eastPort };
@@ -315,10 +316,12 @@
   const sender = new PeerMesh(settingsFor(east, west, senderSockets), {
     serve: never,
     storeReachable: () => true,
+    reportError: () => {},
   });
   const receiver = new PeerMesh(settingsFor(west, east, receiverSockets), {
     serve,
     storeReachable: () => true,
+    reportError,
   });
   await receiver.listen();
   await sender.listen();
@@ -333,6 +336,28 @@
 const HEARTBEAT_BODY = JSON.stringify({ padding: "x".repeat(1_000) });
 const CALL_TIMEOUT_MS = 20_000;
 
+// Guards against a controller that ends because its core throws on a heartbeat that a peer relays.
+test("a peer's request that fails with an error is answered with 500, reported, and the next one is served", async () => {
+  const errors: string[] = [];
+  let requests = 0;
+  const mesh = await twoMeshes(
+    100,
+    100,
+    () =>
+      ++requests === 1
+        ? Promise.reject(new Error("defect"))
+        : Promise.resolve({ status: 200, body: "" }),
+    (error) => errors.push(error.message),
+  );
+  const statuses: (number | undefined)[] = [];
+  for (let n = 0; n < 2; n++)
+    statuses.push(
+      (await mesh.call("west", Frame.Heartbeat, HEARTBEAT_BODY, 2_000))?.status,
+    );
+  assert.deepEqual(statuses, [500, 200]);
+  assert.deepEqual(errors, ["defect"]);
+});
+
 test("4,000 heartbeats in flight at once between two controllers are all answered", async () => {
   const sockets = 6_500;
   assert.ok(maxInFlight(sockets) >= MACHINES);
--- a/test/transport/transport.test.ts
+++ b/test/transport/transport.test.ts
@@ -2,6 +2,11 @@
 import { test } from "node:test";
 import { DEFAULTS } from "../../src/config/operator.js";
 import { parseSettings } from "../../src/config/settings.js";
+import {
+  CallPriority,
+  type Effect,
+  type Input,
+} from "../../src/coordination/effects.js";
 import { Daemon } from "../../src/daemon/daemon.js";
 import {
   ConnectionTable,
@@ -85,6 +90,77 @@
   );
 });
 
+/** The parts of a daemon that the test below replaces or calls. */
+interface DaemonParts {
+  core: { step: (input: Input) => Effect[] };
+  state: { call: () => Promise<never> };
+  cloud: { call: () => Promise<never> };
+  workers: { command: () => Promise<never>; inspect: () => Promise<never> };
+  execute(effect: Effect): void;
+  faults: number;
+}
+
+const FAILING_CALLS: readonly Effect[] = [
+  {
+    type: "storeCall",
+    callId: 1,
+    call: { op: "get", key: "a" },
+    priority: CallPriority.Lease,
+  },
+  {
+    type: "cloudCall",
+    callId: 2,
+    call: { op: "catalog" },
+    priority: CallPriority.Lease,
+  },
+  {
+    type: "workerCommand",
+    callId: 3,
+    address: "127.0.0.1:1",
+    token: 1,
+    incarnation: 1,
+    commands: [],
+  },
+  { type: "inspect", callId: 4, address: "127.0.0.1:1" },
+];
+
+// Guards against a process that ends because nobody handles the rejection of a call, whatever its cause.
+test("a call that fails with an error counts as one without an answer, and the controller goes on", async () => {
+  process.env["LOG_LEVEL"] = "silent";
+  const daemon = new Daemon(SETTINGS, {
+    ...DEFAULTS,
+  }) as unknown as DaemonParts;
+  const fail = (): Promise<never> => Promise.reject(new Error("defect"));
+  daemon.state.call = fail;
+  daemon.cloud.call = () => {
+    throw new Error("defect");
+  };
+  daemon.workers.command = fail;
+  daemon.workers.inspect = fail;
+  const replies: [callId: number, outcome: string | null][] = [];
+  Object.assign(daemon.core, {
+    maySend: () => true,
+    step: (input: Input): Effect[] => {
+      if (input.type === "storeReply") replies.push([1, input.reply.is]);
+      if (input.type === "cloudReply") replies.push([2, input.reply.kind]);
+      if (input.type === "commandReply") replies.push([3, input.reply.kind]);
+      if (input.type === "inspectReply")
+        replies.push([4, input.heartbeat?.worker ?? null]);
+      return [];
+    },
+  });
+  for (const effect of FAILING_CALLS) daemon.execute(effect);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  replies.sort(([a], [b]) => a - b);
+  assert.deepEqual(replies, [
+    [1, "unknown"],
+    [2, "failed"],
+    [3, "unknown"],
+    [4, null],
+  ]);
+  assert.equal(daemon.faults, FAILING_CALLS.length);
+});
+
 test("the size of a body is limited, with a content-length and in chunks", async () => {
   const taskCounts: number[] = [];
   const app = api({
