Move the fencing tokens of single workers out of the partition's state into a class

Which token a worker's next message bears, and whether the store has to reach a higher revision first, is kept and decided in one place now.

--- a/src/coordination/machines/inspection.ts
+++ b/src/coordination/machines/inspection.ts
@@ -38,7 +38,7 @@
    * merely sees a higher token. Not limited in number: each such heartbeat may be the first since a restart.
    */
   fence(worker: Worker, incarnation: number): void {
-    const token = this.state.tokenAboveStarts(worker);
+    const token = this.state.fencingTokens.tokenAboveStarts(worker);
     if (token === null) {
       this.awaitingToken.set(worker, incarnation);
       return;
--- a/src/coordination/scheduling/capacity-report.ts
+++ b/src/coordination/scheduling/capacity-report.ts
@@ -298,7 +298,8 @@
       return;
     const value = writeCapacity(this.currentWithinSizeLimit());
     const text = JSON.stringify(value);
-    if (text === this.lastWritten && !this.state.needsNewRevision) return;
+    if (text === this.lastWritten && !this.state.fencingTokens.needsNewRevision)
+      return;
     this.lastWrittenMs = this.ctx.nowMs;
     this.isWriting = true;
     const key = capacityKey(this.state.partition);
--- a/src/coordination/scheduling/partition-leader.ts
+++ b/src/coordination/scheduling/partition-leader.ts
@@ -305,7 +305,7 @@
   }
 
   private answerWithCommands(worker: Worker): Answer {
-    this.state.raiseTokenIfNeeded(worker);
+    this.state.fencingTokens.raiseIfNeeded(worker);
     const commands = this.commandsFor(worker);
     for (const command of commands)
       if (command.op === "forget") this.logRemoval(worker, command);
--- a/src/coordination/scheduling/partition-state.ts
+++ b/src/coordination/scheduling/partition-state.ts
@@ -18,9 +18,9 @@
   type ResourceUse,
 } from "../machines/resource-ledger.js";
 import { type ListedMachine, taskKey } from "../model.js";
+import { FencingTokens } from "../machines/fencing-tokens.js";
 import { FailoverFence } from "../machines/failover-fence.js";
 import { MachineRegistry } from "../machines/machine-registry.js";
-import { keepsExitedForToken } from "../machines/worker-commands.js";
 import type { JobRun, TaskRun, Worker } from "../machines/worker-state.js";
 
 /** Added to a worker lease and the clock drift, for the granularity of timers. */
@@ -63,6 +63,7 @@
   readonly jobs = new Map<string, JobRun>();
   readonly ledger = new ResourceLedger();
   readonly registry: MachineRegistry;
+  readonly fencingTokens: FencingTokens;
   /** Something that placement depends on has changed since the last scheduling round. */
   needsScheduling = true;
   /** Machines with commands that have not been sent to them yet. */
@@ -71,8 +72,6 @@
   readonly workersReservedForGangs = new Set<Worker>();
   /** Machines on which a former leader's tasks may still run; null once all of them are accounted for. */
   private failoverFence: FailoverFence | null;
-  /** A worker needs a higher token than this, and the store has not reached such a revision yet; null if none does. */
-  private exhaustedToken: number | null = null;
   private lastUsable: UsableWorkers = { usable: [], reserved: new Set() };
   private readonly startedMs: number;
 
@@ -84,6 +83,7 @@
     readonly mayAct: () => boolean,
   ) {
     this.startedMs = ctx.nowMs;
+    this.fencingTokens = new FencingTokens(ctx, mayAct);
     this.registry = new MachineRegistry(
       ctx,
       partition,
@@ -259,48 +259,6 @@
     return use;
   }
 
-  // ---- fencing tokens ------------------------------------------------------------------------------------
-
-  /**
-   * Raises the token of the next messages to a worker if it needs a higher one. Invariant (one leader per partition): the store
-   * revision that the cache has reached while it shows this leader's record is lower than the token of every later leader, which
-   * is the revision of a later write.
-   */
-  raiseTokenIfNeeded(worker: Worker): void {
-    // A message in flight would be refused if the worker saw the higher token first.
-    if (!needsHigherToken(worker) || worker.commandInFlight || !this.mayAct())
-      return;
-    this.raiseToken(worker);
-  }
-
-  /** A token above those of all starts sent to a worker; null until the store has reached such a revision. */
-  tokenAboveStarts(worker: Worker): number | null {
-    const { commandFence } = worker;
-    if (!commandFence.refusesAllStarts(commandFence.token))
-      this.raiseToken(worker);
-    return commandFence.refusesAllStarts(commandFence.token)
-      ? commandFence.token
-      : null;
-  }
-
-  private raiseToken(worker: Worker): void {
-    const lowest = Math.max(worker.commandFence.token, worker.token);
-    const { revision } = this.ctx.cache;
-    if (revision <= lowest) {
-      this.exhaustedToken = Math.max(this.exhaustedToken ?? 0, lowest);
-      return;
-    }
-    worker.commandFence.raiseToken(revision);
-  }
-
-  /** Whether a worker needs a higher token than the store's present revision, so that some change has to be written. */
-  get needsNewRevision(): boolean {
-    if (this.exhaustedToken === null) return false;
-    if (this.ctx.cache.revision > this.exhaustedToken)
-      this.exhaustedToken = null;
-    return this.exhaustedToken !== null;
-  }
-
   // ---- machines ------------------------------------------------------------------------------------------
 
   /** Updates since when no task is or may be on a machine. */
@@ -580,15 +538,6 @@
   }
 }
 
-/** Whether the next answer to a worker needs a higher token than the messages before it. */
-function needsHigherToken(worker: Worker): boolean {
-  return (
-    worker.commandFence.needsHigherToken ||
-    worker.token > worker.commandFence.token ||
-    keepsExitedForToken(worker)
-  );
-}
-
 /** Whether this partition still has to run a task that is on no machine. */
 function mustRunHere(job: JobRun, index: number): boolean {
   return (
