Split a webhook's window that no longer fits its record, instead of dropping what doesn't fit

Cause: the new owner of a lane reads a window written under the larger value size and packs it into the smaller one; writeWindow() and commit() took no notice of what Packer.add() refused. What was left out was only in that controller's memory.

Change: a window that doesn't fit is split before anything else is written. Its last entries become batches of the spool, in the transaction that shortens the record, and keep their attempts. If that takes more changes than a transaction may have, all stays, nothing of it is sent, and a log line says so. packAll() returns null for what doesn't fit, so that no record is written without looking.

--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -34,6 +34,11 @@
     /** Number of such errors since the start of the process. */
     faults: number;
   };
+  /** What a webhook's record holds does not fit into records of the present limits. Nothing is sent that would have to be written with it. */
+  "webhook record does not fit the store's limits": {
+    webhook: string;
+    record: "window" | "dead letters";
+  };
   /** A call to another process failed with an unexpected error. It counts as one without an answer. */
   "internal error in a call": {
     err: Error;
@@ -453,6 +458,10 @@
   "internal error while serving a request": error(
     "fault while serving a request",
   ),
+  "webhook record does not fit the store's limits": {
+    level: "error",
+    formerMessage: null,
+  },
   "internal error in a call": { level: "error", formerMessage: null },
   "message withheld after leadership lease expiry": warn(
     "not sent, for its permit ended before it could leave",
--- a/src/webhooks/delivery.ts
+++ b/src/webhooks/delivery.ts
@@ -27,7 +27,10 @@
   LAST_ID,
   laterOf,
   type PendingDelivery,
+  packAll,
   Packer,
+  packPrefix,
+  packRecords,
   readProgress,
   readBatch,
   spoolKey,
@@ -119,6 +122,36 @@
   since: Math.round(wallMs),
 });
 
+/** An entry as its record names it. */
+const asReserved = ({
+  end,
+  reservedAttempts,
+}: WindowEntry): PendingDelivery => ({ end, attempts: reservedAttempts });
+
+/** Why an entry of the spool may have been sent before; null: it was not. A redrive sets `since` anew. */
+function reasonFromSpool({
+  end,
+  attempts,
+}: PendingDelivery): RetryReason | null {
+  if (attempts === 0) return null;
+  return end.since > end.at ? "redriven" : "owner-lost";
+}
+
+/**
+ * The spool with this many more batches, and the number of the first of them: before the others if there are numbers for them and
+ * no entry of its first batch was taken, else after them.
+ */
+function withBatches(
+  spool: ProgressRecord["spool"],
+  count: number,
+): { spool: ProgressRecord["spool"]; firstKey: number } {
+  const { first, taken, next } = spool;
+  const goBefore = first < next && taken === 0 && first >= count;
+  return goBefore
+    ? { spool: { ...spool, first: first - count }, firstKey: first - count }
+    : { spool: { ...spool, next: next + count }, firstKey: next };
+}
+
 /** Repeats that one change of the record allows for. The first attempt is allowed for by a change of its own. */
 const RESERVED_REPEATS = 8;
 /** Maximum number of ends that wait in memory for space in the window or the spool. */
@@ -169,6 +202,9 @@
   /** The subscription, as it was read, whose receiver answered 410; null: none did. Any change of it makes another. */
   private goneSubscription: Subscription | null = null;
   private stopped = false;
+  /** Whether the window is known to fit into its record under the present limits. */
+  private windowFits = false;
+  private oversizedLogged = false;
   /** When the last commit was sent; the core serves the longest-waiting delivery first. */
   lastCommitMs = -Infinity;
   /** The stored record is not the one last written here: the core replaces this object by one made from the stored record. */
@@ -266,6 +302,7 @@
     const sub = this.subscription();
     if (!this.spoolLoaded) return this.loadSpool();
     if (!sub) return this.deleteRecords();
+    if (!this.fitsRecord()) return this.splitWindow();
     this.collectEnds(sub);
     for (const entry of this.window)
       if (
@@ -493,12 +530,74 @@
 
   // ---- writing -----------------------------------------------------------------------------------------
 
+  private maxEntryBytes(overheadBytes: number): number {
+    return this.host.limits.valueBytes - overheadBytes - this.name.length;
+  }
+
   private packer(overheadBytes: number): Packer {
-    return new Packer(
-      this.host.limits.valueBytes - overheadBytes - this.name.length,
+    return new Packer(this.maxEntryBytes(overheadBytes));
+  }
+
+  private packWindow(window: readonly WindowEntry[]): Packer | null {
+    return packAll(
+      window.map(asReserved),
+      this.maxEntryBytes(PROGRESS_OVERHEAD_BYTES),
+    );
+  }
+
+  /** Whether the window fits into its record. Entries are only added as far as they fit, so only one that was read may not. */
+  private fitsRecord(): boolean {
+    this.windowFits ||= this.packWindow(this.window) !== null;
+    return this.windowFits;
+  }
+
+  /**
+   * Moves the last entries of a window that no longer fits into its record, since the limits of the store were lowered, to the
+   * spool. No attempt is in flight, because each first has to be allowed for by a write.
+   */
+  private splitWindow(): void {
+    if (this.commitInFlight) return;
+    const { count, rest } = packPrefix(
+      this.window.map(asReserved),
+      this.maxEntryBytes(PROGRESS_OVERHEAD_BYTES),
+    );
+    const batches = packRecords(
+      rest,
+      this.maxEntryBytes(BATCH_OVERHEAD_BYTES),
+      this.host.limits.txnOps - 1,
+    );
+    if (!batches) return this.logOversized("window");
+    if (!this.host.mayWrite(1 + batches.length)) return;
+    const { spool, firstKey } = withBatches(this.record.spool, batches.length);
+    const keys = batches.map((_, i) => spoolKey(this.name, firstKey + i));
+    const kept = this.window.slice(0, count);
+    this.commit(
+      { ...this.record, spool },
+      kept,
+      keys.map((key) => ({ key, version: 0 })),
+      batches.map((batch, i) => ({
+        op: "put",
+        key: keys[i]!,
+        value: writeBatch(batch, null),
+      })),
+      () => {
+        this.window = kept;
+        this.firstBatch = null;
+        this.windowFits = true;
+      },
     );
   }
 
+  /** What does not fit stays where it is, and nothing is sent that would have to be written with it. */
+  private logOversized(record: "window" | "dead letters"): void {
+    if (this.oversizedLogged) return;
+    this.oversizedLogged = true;
+    this.host.log("webhook record does not fit the store's limits", {
+      webhook: this.name,
+      record,
+    });
+  }
+
   private readFirstBatch(): void {
     const { first } = this.record.spool;
     if (this.readInFlight) return;
@@ -590,12 +689,9 @@
     const packed = dead.filter((e) =>
       deadBatch.add({ end: e.end, attempts: e.attempts }),
     );
-    const windowPacker = this.packer(PROGRESS_OVERHEAD_BYTES);
     const reservations = new Map<WindowEntry, number>();
     // Dead letters that do not fit into the batch stay in the record.
-    for (const entry of dead)
-      if (!packed.includes(entry))
-        windowPacker.add({ end: entry.end, attempts: entry.reservedAttempts });
+    const kept = dead.filter((e) => !packed.includes(e)).map(asReserved);
     for (const entry of open) {
       const reservation =
         entry.attemptInFlight === null &&
@@ -604,7 +700,15 @@
           ? entry.attempts + (entry.attempts === 0 ? 1 : RESERVED_REPEATS)
           : entry.reservedAttempts;
       reservations.set(entry, reservation);
-      windowPacker.add({ end: entry.end, attempts: reservation });
+      kept.push({ end: entry.end, attempts: reservation });
+    }
+    const windowPacker = packAll(
+      kept,
+      this.maxEntryBytes(PROGRESS_OVERHEAD_BYTES),
+    );
+    if (!windowPacker) {
+      this.logOversized("window");
+      return false;
     }
     const added: WindowEntry[] = [];
     const add = (pending: PendingDelivery): boolean => {
@@ -613,8 +717,14 @@
         !windowPacker.add({ end: pending.end, attempts: pending.attempts + 1 })
       )
         return false;
-      const reason = pending.attempts > 0 ? "redriven" : null;
-      added.push(newEntry(pending, pending.attempts + 1, reason, nowMs));
+      added.push(
+        newEntry(
+          pending,
+          pending.attempts + 1,
+          reasonFromSpool(pending),
+          nowMs,
+        ),
+      );
       return true;
     };
     const next = {
@@ -856,13 +966,8 @@
     writes: Write[],
     onCommitted: () => void,
   ): void {
-    let packed: Packer;
-    if (window instanceof Packer) packed = window;
-    else {
-      packed = this.packer(PROGRESS_OVERHEAD_BYTES);
-      for (const entry of window)
-        packed.add({ end: entry.end, attempts: entry.reservedAttempts });
-    }
+    const packed = window instanceof Packer ? window : this.packWindow(window);
+    if (!packed) return this.logOversized("window");
     const key = progressKey(this.name);
     const record = {
       ...next,
--- a/src/webhooks/records.ts
+++ b/src/webhooks/records.ts
@@ -263,6 +263,43 @@
     return true;
   }
 }
+
+/** Packs all entries into at most `maxBytes`; null if they don't fit. */
+export function packAll(
+  entries: readonly PendingDelivery[],
+  maxBytes: number,
+): Packer | null {
+  const packer = new Packer(maxBytes);
+  return entries.every((entry) => packer.add(entry)) ? packer : null;
+}
+
+/** The longest prefix of entries that fits into `maxBytes`, packed, and the entries after it. */
+export function packPrefix<Entry extends PendingDelivery>(
+  entries: readonly Entry[],
+  maxBytes: number,
+): { packer: Packer; count: number; rest: readonly Entry[] } {
+  const packer = new Packer(maxBytes);
+  let count = 0;
+  while (count < entries.length && packer.add(entries[count]!)) count++;
+  return { packer, count, rest: entries.slice(count) };
+}
+
+/** Packs all entries, in their order, into as many records of at most `maxBytes` as they need; null if that is more than `maxRecords`. */
+export function packRecords(
+  entries: readonly PendingDelivery[],
+  maxBytes: number,
+  maxRecords: number,
+): Packer[] | null {
+  const packers: Packer[] = [];
+  let remaining = entries;
+  while (remaining.length > 0) {
+    const { packer, count, rest } = packPrefix(remaining, maxBytes);
+    if (count === 0 || packers.length === maxRecords) return null;
+    packers.push(packer);
+    remaining = rest;
+  }
+  return packers;
+}
 const unpack = (
   names: readonly string[],
   entry: PackedEntry,
--- a/test/webhooks/delivery.test.ts
+++ b/test/webhooks/delivery.test.ts
@@ -180,3 +180,72 @@
   ]);
   assert.ok(checked.size > 60, `${checked.size} ends`);
 });
+
+/** Limits before they are lowered to `LIMITS`. */
+const LARGER_LIMITS = {
+  ...LIMITS,
+  valueBytes: 8_000,
+  txnOps: 24,
+  changesPerS: 10,
+  changesBurst: 10,
+};
+const LOWERED_LIMITS = { ...LIMITS, txnOps: 8 };
+const WAITING_ENDS = 60;
+const RESTART_S = 6;
+
+/** Starts all controllers again, one after the other, under lower limits, which the state service then has. */
+function restartUnderLowerLimits(world: WebhookWorld): void {
+  world.announceLimits(LOWERED_LIMITS);
+  for (const node of world.nodes) {
+    world.kill(node);
+    world.run(RESTART_S * 1_000);
+    world.start(node);
+    world.run(2_000);
+  }
+  world.store.setLimits(LOWERED_LIMITS);
+}
+
+function endJobs(world: WebhookWorld, intervalMs: number): void {
+  for (let n = 1; n <= WAITING_ENDS; n++)
+    world.at(n * intervalMs, () =>
+      world.end(
+        `req-${String(n).padStart(6, "0")}`,
+        "a-team-with-a-long-name",
+        "done",
+      ),
+    );
+  world.run(WAITING_ENDS * intervalMs + 5_000);
+}
+
+// Guards against lost notifications: a new owner's first write dropped what no longer fitted into the record of smaller limits.
+test("limits of the state service are lowered while notifications wait, and controllers crash: nothing is lost, every repeat has a cause", () => {
+  for (let seed = 1; seed <= 16; seed++) {
+    const world = new WebhookWorld(seed, LARGER_LIMITS);
+    world.run(3_000);
+    const receivers = [
+      world.add("all"),
+      world.add("in-order", { ordered: true }),
+      world.add("asked", { ask: true }),
+    ];
+    for (const receiver of receivers) receiver.mode = "silent-lost";
+    endJobs(world, 250);
+    restartUnderLowerLimits(world);
+    // Each seed at another step.
+    for (const node of world.nodes)
+      world.at(seed * 400, () => {
+        world.kill(node);
+        world.at(RESTART_S * 1_000, () => world.start(node));
+      });
+    world.run(seed * 400 + 2 * RESTART_S * 1_000);
+    for (const receiver of receivers) receiver.mode = "healthy";
+    for (let round = 0; round < 60; round++) world.run(20_000);
+    assert.deepEqual(world.violations, [], `seed ${seed}`);
+    for (const receiver of receivers) {
+      assert.deepEqual(world.missing(receiver), [], `seed ${seed}`);
+      const order = [...receiver.receivedCounts.keys()];
+      if (receiver === receivers[1])
+        assert.deepEqual(order, [...order].sort(), `seed ${seed}: order`);
+    }
+    assert.equal(world.batchCount(), 0, `seed ${seed}`);
+  }
+});
--- a/test/webhooks/store.ts
+++ b/test/webhooks/store.ts
@@ -47,6 +47,17 @@
     this.availableChanges = limits.changesPerS;
   }
 
+  setLimits({
+    valueBytes,
+    txnOps,
+  }: {
+    valueBytes: number;
+    txnOps: number;
+  }): void {
+    this.limits.valueBytes = valueBytes;
+    this.limits.txnOps = txnOps;
+  }
+
   expireLeases(): void {
     for (const [id, lease] of this.leases) {
       if (this.now() < lease.endsMs) continue;
--- a/test/webhooks/webhook-world.ts
+++ b/test/webhooks/webhook-world.ts
@@ -178,7 +178,7 @@
 
   constructor(
     seed: number,
-    readonly limits: WebhookLimits = LIMITS,
+    private limits: WebhookLimits = LIMITS,
     nodes = 3,
     changesPerS = Infinity,
     keptChanges = 10_000,
@@ -194,6 +194,11 @@
     for (const node of this.nodes) this.start(node);
   }
 
+  /** Announces limits of the state service: controllers go by them from their next start on. */
+  announceLimits(limits: WebhookLimits): void {
+    this.limits = limits;
+  }
+
   at(delayMs: number, run: () => void): void {
     const event = {
       atMs: this.now + Math.max(0, delayMs),
