Send dead letters again in as many batches as they need under lowered limits

Cause: redrive() packed a batch of the larger value size into one of the smaller, took no notice of what Packer.add() refused, and deleted the old batch in the same transaction.

Change: the batch becomes as many batches of the spool as it needs, in the transaction that deletes it; if a transaction can't hold them, it stays, and a log line says so.

--- a/src/webhooks/delivery.ts
+++ b/src/webhooks/delivery.ts
@@ -857,7 +857,7 @@
 
   /** Moves dead letters to the end of the spool, one batch at a time, and starts their horizon again. */
   private redrive(sub: Subscription): void {
-    const { dead, spool } = this.record;
+    const { dead } = this.record;
     if (dead.first >= dead.next) {
       if (this.host.mayWrite(1))
         this.commit(
@@ -874,41 +874,55 @@
     const deadBatchKey = deadKey(this.name, dead.first);
     this.host.callStore({ op: "get", key: deadBatchKey }, (reply) => {
       this.readInFlight = false;
-      if (
-        this.stopped ||
-        this.commitInFlight ||
-        reply.is !== "item" ||
-        !this.host.mayWrite(3)
-      )
-        return;
+      if (this.stopped || this.commitInFlight || reply.is !== "item") return;
       const entries = reply.item
         ? (readBatch(reply.item.value)?.entries ?? [])
         : [];
-      const batch = this.packer(BATCH_OVERHEAD_BYTES);
-      for (const pending of entries)
-        batch.add({
-          end: { ...pending.end, since: Math.round(this.host.wallMs) },
-          attempts: pending.attempts,
-        });
-      const key = spoolKey(this.name, spool.next);
-      const next = {
-        ...this.record,
-        dead: { ...dead, first: dead.first + 1 },
-        spool: { ...spool, next: spool.next + 1 },
-      };
-      this.commit(
-        next,
-        this.window,
-        [{ key, version: 0 }],
-        [
-          { op: "delete", key: deadBatchKey },
-          { op: "put", key, value: writeBatch(batch, null) },
-        ],
-        () => {},
+      const since = Math.round(this.host.wallMs);
+      this.moveToSpool(
+        deadBatchKey,
+        entries.map(({ end, attempts }) => ({
+          end: { ...end, since },
+          attempts,
+        })),
       );
     });
   }
 
+  /** Moves the entries of the first dead-letter batch, which may have been written under larger limits, to the spool. */
+  private moveToSpool(
+    deadBatchKey: string,
+    entries: readonly PendingDelivery[],
+  ): void {
+    const { dead, spool } = this.record;
+    const batches = packRecords(
+      entries,
+      this.maxEntryBytes(BATCH_OVERHEAD_BYTES),
+      this.host.limits.txnOps - 2,
+    );
+    if (!batches) return this.logOversized("dead letters");
+    if (!this.host.mayWrite(2 + batches.length)) return;
+    const keys = batches.map((_, i) => spoolKey(this.name, spool.next + i));
+    this.commit(
+      {
+        ...this.record,
+        dead: { ...dead, first: dead.first + 1 },
+        spool: { ...spool, next: spool.next + batches.length },
+      },
+      this.window,
+      keys.map((key) => ({ key, version: 0 })),
+      [
+        { op: "delete", key: deadBatchKey },
+        ...batches.map((batch, i): Write => ({
+          op: "put",
+          key: keys[i]!,
+          value: writeBatch(batch, null),
+        })),
+      ],
+      () => {},
+    );
+  }
+
   /** Deletes all records of a removed subscription, the progress record last. */
   private deleteRecords(): void {
     this.abort();
--- a/test/webhooks/delivery.test.ts
+++ b/test/webhooks/delivery.test.ts
@@ -249,3 +249,29 @@
     assert.equal(world.batchCount(), 0, `seed ${seed}`);
   }
 });
+
+const DEAD_AFTER_MS = 30_000;
+
+// Guards against lost dead letters: those of a batch of larger limits that did not fit into one of smaller ones were deleted with it.
+test("dead letters are sent again after the limits of the state service were lowered: nothing is lost", () => {
+  for (let seed = 1; seed <= 8; seed++) {
+    const world = new WebhookWorld(seed, {
+      ...LARGER_LIMITS,
+      horizonMs: DEAD_AFTER_MS,
+    });
+    world.run(3_000);
+    const receiver = world.add("all");
+    receiver.mode = "silent-lost";
+    // At once, so that they become dead letters at once and fill batches.
+    endJobs(world, 1);
+    world.run(2 * DEAD_AFTER_MS);
+    assert.deepEqual([...receiver.receivedCounts.keys()], []);
+    restartUnderLowerLimits(world);
+    receiver.mode = "healthy";
+    world.ask(world.nodes[0]!, { is: "act", name: "all", act: "redrive" });
+    for (let round = 0; round < 20; round++) world.run(20_000);
+    assert.deepEqual(world.violations, [], `seed ${seed}`);
+    assert.deepEqual(world.missing(receiver), [], `seed ${seed}`);
+    assert.equal(world.batchCount(), 0, `seed ${seed}`);
+  }
+});
