--- a/src/webhooks/delivery.ts
+++ b/src/webhooks/delivery.ts
@@ -45,7 +45,13 @@
   jobEndsOf,
   type ChangeFeed,
 } from "./change-feed.js";
-import { type WindowEntry, isAttemptDue, newEntry } from "./window-entry.js";
+import {
+  asReserved,
+  reasonFromSpool,
+  type WindowEntry,
+  isAttemptDue,
+  newEntry,
+} from "./window-entry.js";
 
 /** The outcome of an attempt. */
 export type AttemptResult =
@@ -122,21 +128,6 @@
   since: Math.round(wallMs),
 });
 
-/** An entry as its record names it. */
-const asReserved = ({
-  end,
-  reservedAttempts,
-}: WindowEntry): PendingDelivery => ({ end, attempts: reservedAttempts });
-
-/** Why an entry of the spool may have been sent before; null: it was not. A redrive sets `since` anew. */
-function reasonFromSpool({
-  end,
-  attempts,
-}: PendingDelivery): RetryReason | null {
-  if (attempts === 0) return null;
-  return end.since > end.at ? "redriven" : "owner-lost";
-}
-
 /**
  * The spool with this many more batches, and the number of the first of them: before the others if there are numbers for them and
  * no entry of its first batch was taken, else after them.
--- a/src/webhooks/window-entry.ts
+++ b/src/webhooks/window-entry.ts
@@ -36,6 +36,21 @@
   result: null,
 });
 
+/** An entry as its record names it. */
+export const asReserved = ({
+  end,
+  reservedAttempts,
+}: WindowEntry): PendingDelivery => ({ end, attempts: reservedAttempts });
+
+/** Why an entry of the spool may have been sent before; null: it was not. A redrive sets `since` anew. */
+export function reasonFromSpool({
+  end,
+  attempts,
+}: PendingDelivery): RetryReason | null {
+  if (attempts === 0) return null;
+  return end.since > end.at ? "redriven" : "owner-lost";
+}
+
 /** Whether the next attempt may start, as far as the notification itself is concerned. */
 export const isAttemptDue = (entry: WindowEntry, nowMs: number): boolean =>
   entry.attemptInFlight === null &&
